--- a/src/fleet/check.rs
+++ b/src/fleet/check.rs
@@ -65,6 +65,17 @@
             }
         }
         for (k, r) in s.routes.iter().enumerate() {
+            if !r.split.is_empty() && r.split.iter().all(|w| w.weight == 0) {
+                say(
+                    format!("{path}.routes[{k}].split"),
+                    "weighs nothing".into(),
+                    "give one a weight above 0",
+                );
+            }
+            for w in r.split.iter().filter(|w| c.service(&w.service).is_none()) {
+                let what = format!("\"{}\" is unknown", w.service);
+                say(format!("{path}.routes[{k}].split"), what, "name a service listed here");
+            }
             if !routes.insert((r.host.clone(), r.prefix.clone())) {
                 let what = format!("\"{}{}\" is given twice", r.host, r.prefix);
                 say(format!("{path}.routes[{k}]"), what, "drop one of the two");
--- a/src/fleet/config.rs
+++ b/src/fleet/config.rs
@@ -3,6 +3,9 @@
 
 #[derive(Clone, PartialEq, Debug, Default, Encode, Decode)]
 pub struct FleetConfig {
+    pub revision: u64,
+    pub source: String,
+    pub limits: Limits,
     pub store: Store,
     pub budget: Budget,
     pub moving: Moving,
@@ -13,6 +16,14 @@
     pub services: Vec<Service>,
 }
 
+#[derive(Clone, PartialEq, Debug, Encode, Decode)]
+pub struct Limits {
+    pub head_bytes: u64,
+    pub body_bytes: u64,
+    pub head_ms: u64,
+    pub idle_ms: u64,
+}
+
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub struct Store {
     pub loads_per_minute: u64,
@@ -104,6 +115,12 @@
     pub sort: Sort,
     pub inbox: u64,
     pub slots: u64,
+    pub links: u64,
+    pub health: String,
+    pub tokens: u64,
+    pub stride: u64,
+    pub room_mb: u64,
+    pub places: u64,
     pub models: Vec<Name>,
     pub adapters: Vec<Name>,
     pub routes: Vec<Route>,
@@ -117,6 +134,25 @@
     pub resumable: bool,
     pub due_ms: u64,
     pub body_kb: u64,
+    pub kind: RouteKind,
+    pub tries: u64,
+    pub aim_ms: u64,
+    pub gap_ms: u64,
+    pub sticky: bool,
+    pub split: Vec<Share>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Encode, Decode)]
+pub enum RouteKind {
+    Once,
+    Idempotent,
+    Stream,
+}
+
+#[derive(Clone, PartialEq, Debug, Encode, Decode)]
+pub struct Share {
+    pub service: Name,
+    pub weight: u64,
 }
 
 impl FleetConfig {
@@ -143,46 +179,23 @@
     }
 }
 
-impl Default for Store {
-    fn default() -> Store {
-        Store { loads_per_minute: 60, burst: 4 }
-    }
-}
-
-impl Default for Budget {
-    fn default() -> Budget {
-        Budget { percent: 20, allowance: 10 }
-    }
-}
-
-impl Default for Moving {
-    fn default() -> Moving {
-        Moving {
-            gap: 4,
-            rounds: 4,
-            round_ms: 5000,
-            cut_ms: 1000,
-            load: Allowance { ms: 20_000, tries: 2 },
-            warm: Allowance { ms: 20_000, tries: 48 },
-            unload: Allowance { ms: 60_000, tries: 3 },
+impl From<&str> for RouteKind {
+    fn from(t: &str) -> RouteKind {
+        match t {
+            "idempotent" => RouteKind::Idempotent,
+            "stream" => RouteKind::Stream,
+            _ => RouteKind::Once,
         }
     }
 }
 
-impl Default for Placing {
-    fn default() -> Placing {
-        Placing { auto: true, way: Ways::Least, stage: Allowance { ms: 60_000, tries: 3 } }
-    }
-}
-
-impl Default for Rollout {
-    fn default() -> Rollout {
-        Rollout {
-            deliver: Allowance { ms: 5000, tries: 3 },
-            rehearse: Allowance { ms: 5000, tries: 3 },
-            refused_percent: 5,
-            samples: Vec::new(),
-        }
+impl std::fmt::Display for RouteKind {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            RouteKind::Once => "once",
+            RouteKind::Idempotent => "idempotent",
+            RouteKind::Stream => "stream",
+        })
     }
 }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,9 +1,11 @@
 pub mod check;
 pub mod config;
+pub mod defaults;
 pub mod fold;
 pub mod fold_plan;
 pub mod plan;
 pub mod read;
+pub mod routes;
 pub mod runner;
 pub mod show;
 pub mod slice;
--- a/src/fleet/read.rs
+++ b/src/fleet/read.rs
@@ -18,6 +18,17 @@
     let mut bad = Vec::new();
     let mut r = Reader::new("", tree);
     let mut c = FleetConfig::default();
+    c.revision = r.num("revision", Some(0), 0, 1 << 52);
+    c.source = r.text("source", Some(""));
+    if let Some(t) = r.take("limits") {
+        let mut s = Reader::new("limits", t);
+        let d = Limits::default();
+        c.limits.head_bytes = s.num("head_bytes", Some(d.head_bytes), 256, 1 << 20);
+        c.limits.body_bytes = s.num("body_bytes", Some(d.body_bytes), 1, 1 << 30);
+        c.limits.head_ms = s.num("head_ms", Some(d.head_ms), 1, 600_000);
+        c.limits.idle_ms = s.num("idle_ms", Some(d.idle_ms), 1, 3_600_000);
+        bad.extend(s.done());
+    }
     if let Some(t) = r.take("store") {
         let mut s = Reader::new("store", t);
         c.store.loads_per_minute = s.num("loads_per_minute", Some(60), 1, 6000);
@@ -109,6 +120,12 @@
     };
     let inbox = r.num("inbox", Some(256), 0, 100_000);
     let slots = r.num("slots", Some(8), 1, 10_000);
+    let links = r.num("links", Some(1024), 1, 1_000_000);
+    let health = r.text("health", Some(""));
+    let tokens = r.num("tokens", Some(0), 0, 1 << 40);
+    let stride = r.num("stride", Some(1), 1, 1000);
+    let room_mb = r.num("room_mb", Some(0), 0, 1 << 40);
+    let places = r.num("places", Some(0), 0, 100_000);
     let models = r.texts("models").into_iter().map(Name).collect();
     let adapters = r.texts("adapters").into_iter().map(Name).collect();
     let mut routes = Vec::new();
@@ -120,12 +137,52 @@
         let resumable = q.flag("resumable", false);
         let due_ms = q.num("due_ms", Some(30_000), 10, 3_600_000);
         let body_kb = q.num("body_kb", Some(1024), 1, 65_536);
+        let kind = RouteKind::from(q.one_of("kind", "once", &["once", "idempotent", "stream"]).as_str());
+        let tries = q.num("tries", Some(16), 1, 1000);
+        let aim_ms = q.num("aim_ms", Some(0), 0, 3_600_000);
+        let gap_ms = q.num("gap_ms", Some(0), 0, 3_600_000);
+        let sticky = q.flag("sticky", false);
+        let mut split = Vec::new();
+        for (j, t) in q.list("split").iter().enumerate() {
+            let mut w = Reader::new(&format!("{path}.routes[{k}].split[{j}]"), t);
+            let service = Name(w.text("service", None));
+            let weight = w.num("weight", None, 0, 1_000_000);
+            bad.extend(w.done());
+            split.push(Share { service, weight });
+        }
         if !prefix.starts_with('/') {
             q.fault("prefix", "does not start with /", "write it as \"/name\"");
         }
         bad.extend(q.done());
-        routes.push(Route { prefix, host, class, resumable, due_ms, body_kb });
+        routes.push(Route {
+            prefix,
+            host,
+            class,
+            resumable,
+            due_ms,
+            body_kb,
+            kind,
+            tries,
+            aim_ms,
+            gap_ms,
+            sticky,
+            split,
+        });
     }
     bad.extend(r.done());
-    Service { name, sort, inbox, slots, models, adapters, routes }
+    Service {
+        name,
+        sort,
+        inbox,
+        slots,
+        links,
+        health,
+        tokens,
+        stride,
+        room_mb,
+        places,
+        models,
+        adapters,
+        routes,
+    }
 }
--- /dev/null
+++ b/src/fleet/routes.rs
@@ -0,0 +1,75 @@
+use super::slice::RouteRow;
+use super::state::Scope;
+use crate::kernel::ids::Name;
+use crate::kernel::rand::mix;
+use std::collections::HashMap;
+
+#[derive(Default, Debug)]
+pub struct RouteTable {
+    pub rows: Vec<RouteRow>,
+    index: HashMap<String, HashMap<String, usize>>,
+}
+
+impl From<Vec<RouteRow>> for RouteTable {
+    fn from(rows: Vec<RouteRow>) -> RouteTable {
+        let mut index: HashMap<String, HashMap<String, usize>> = HashMap::new();
+        for (n, r) in rows.iter().enumerate() {
+            index.entry(r.route.host.clone()).or_default().entry(r.route.prefix.clone()).or_insert(n);
+        }
+        RouteTable { rows, index }
+    }
+}
+
+impl RouteTable {
+    /// The route with the longest prefix of `path` at `host`; one that names the host goes first.
+    pub fn find(&self, host: &str, path: &str) -> Option<&RouteRow> {
+        let own = self.index.get(host);
+        let any = if host.is_empty() { None } else { self.index.get("") };
+        if own.is_none() && any.is_none() {
+            return None;
+        }
+        let mut ends: Vec<usize> = vec![path.len()];
+        for (n, b) in path.bytes().enumerate().rev() {
+            if b == b'/' {
+                ends.extend([n + 1, n]);
+            } else if b == b'?' {
+                ends.push(n);
+            }
+        }
+        let found = ends.iter().find_map(|end| {
+            let part = &path[..*end];
+            own.and_then(|m| m.get(part)).or_else(|| any.and_then(|m| m.get(part)))
+        });
+        found.map(|n| &self.rows[*n])
+    }
+}
+
+impl RouteRow {
+    /// The service that a draw falls on, by the weights of the split.
+    pub fn pick(&self, draw: u64) -> &Name {
+        let all: u64 = self.route.split.iter().map(|w| w.weight).sum();
+        if all == 0 {
+            return &self.service;
+        }
+        let mut left = mix(draw) % all;
+        for w in &self.route.split {
+            if left < w.weight {
+                return &w.service;
+            }
+            left -= w.weight;
+        }
+        &self.service
+    }
+
+    pub fn leads_to(&self, service: &Name) -> bool {
+        if self.route.split.is_empty() {
+            return self.service == *service;
+        }
+        self.route.split.iter().any(|w| w.weight > 0 && w.service == *service)
+    }
+
+    pub fn scopes(&self) -> impl Iterator<Item = Scope> + '_ {
+        let more = self.route.split.iter().map(|w| &w.service);
+        std::iter::once(&self.service).chain(more).map(|n| Scope::Service(n.clone()))
+    }
+}
--- a/src/fleet/runner.rs
+++ b/src/fleet/runner.rs
@@ -51,6 +51,9 @@
     pub runs: Vec<(Name, u64)>,
     pub slots: u64,
     pub term: u64,
+    pub orders: u64,
+    pub tokens: u64,
+    pub busy: bool,
 }
 
 impl Report {
@@ -71,6 +74,9 @@
             runs: runs.filter_map(|r| Some((Name(r.text("model")?.into()), r.num("count")?))).collect(),
             slots: t.num("slots").unwrap_or(8),
             term: t.num("term").unwrap_or(0),
+            orders: t.num("orders").unwrap_or(0),
+            tokens: t.num("tokens").unwrap_or(0),
+            busy: t.flag("busy").unwrap_or(false),
         })
     }
 
@@ -91,6 +97,9 @@
             ("runs", runs.collect::<Vec<_>>().into()),
             ("slots", self.slots.into()),
             ("term", self.term.into()),
+            ("orders", self.orders.into()),
+            ("tokens", self.tokens.into()),
+            ("busy", self.busy.into()),
         ])
     }
 
--- a/src/fleet/show.rs
+++ b/src/fleet/show.rs
@@ -28,6 +28,17 @@
                 map(&[("service", s.service.0.as_str().into()), ("model", s.model.0.as_str().into())])
             });
         map(&[
+            ("revision", self.revision.into()),
+            ("source", self.source.as_str().into()),
+            (
+                "limits",
+                map(&[
+                    ("head_bytes", self.limits.head_bytes.into()),
+                    ("body_bytes", self.limits.body_bytes.into()),
+                    ("head_ms", self.limits.head_ms.into()),
+                    ("idle_ms", self.limits.idle_ms.into()),
+                ]),
+            ),
             (
                 "store",
                 map(&[
@@ -75,6 +86,10 @@
     }
 }
 
+fn share(s: &Share) -> Tree {
+    map(&[("service", s.service.0.as_str().into()), ("weight", s.weight.into())])
+}
+
 fn service(s: &Service) -> Tree {
     let routes = s.routes.iter().map(|r| {
         map(&[
@@ -84,6 +99,12 @@
             ("resumable", r.resumable.into()),
             ("due_ms", r.due_ms.into()),
             ("body_kb", r.body_kb.into()),
+            ("kind", r.kind.to_string().into()),
+            ("tries", r.tries.into()),
+            ("aim_ms", r.aim_ms.into()),
+            ("gap_ms", r.gap_ms.into()),
+            ("sticky", r.sticky.into()),
+            ("split", r.split.iter().map(share).collect::<Vec<_>>().into()),
         ])
     });
     map(&[
@@ -91,6 +112,12 @@
         ("sort", if s.sort == Sort::Assistant { "assistant" } else { "plain" }.into()),
         ("inbox", s.inbox.into()),
         ("slots", s.slots.into()),
+        ("links", s.links.into()),
+        ("health", s.health.as_str().into()),
+        ("tokens", s.tokens.into()),
+        ("stride", s.stride.into()),
+        ("room_mb", s.room_mb.into()),
+        ("places", s.places.into()),
         ("models", names(&s.models)),
         ("adapters", names(&s.adapters)),
         ("routes", routes.collect::<Vec<_>>().into()),
--- a/src/gate/core.rs
+++ b/src/gate/core.rs
@@ -4,8 +4,9 @@
 use super::order::{Order, Plan, Refusal, Why};
 use super::pace::Pace;
 use super::wait::{QUIET, retry_s};
+use crate::fleet::routes::RouteTable;
 use crate::fleet::runner::{Report, Runner};
-use crate::fleet::slice::{RouteRow, ServiceSlice};
+use crate::fleet::slice::ServiceSlice;
 use crate::fleet::state::{MovePlan, Phase};
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
@@ -24,7 +25,7 @@
     pub slice: Option<Arc<ServiceSlice>>,
     pub proven: Time,
     pub routes_proven: Time,
-    pub routes: (Version, Arc<Vec<RouteRow>>),
+    pub routes: (Version, Arc<RouteTable>),
     pub gone: bool,
     pub stopping: bool,
     pub health: BTreeMap<Name, Health>,
--- a/src/gate/order.rs
+++ b/src/gate/order.rs
@@ -1,7 +1,7 @@
-use crate::fleet::config::Class;
+use crate::fleet::config::{Class, RouteKind};
 use crate::fleet::runner::Runner;
 use crate::kernel::ids::*;
-use crate::kernel::time::Time;
+use crate::kernel::time::{Span, Time};
 use compact_str::CompactString;
 
 #[derive(Clone, Debug)]
@@ -19,6 +19,19 @@
     pub host: CompactString,
     pub path: CompactString,
     pub routes_at: Version,
+    pub kind: RouteKind,
+    pub tries: u64,
+    pub aim: Span,
+    pub size: Size,
+    pub parts: Parts,
+}
+
+pub type Parts = std::sync::Arc<[(u64, u32)]>;
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct Size {
+    pub prompt: u32,
+    pub out: u32,
 }
 
 #[derive(Clone, Debug)]
--- a/src/gate/rehearse.rs
+++ b/src/gate/rehearse.rs
@@ -1,6 +1,7 @@
 use super::table::Table;
 use crate::fleet::config::{FleetConfig, Sort};
-use crate::fleet::slice::{RouteRow, route_match, route_rows};
+use crate::fleet::routes::RouteTable;
+use crate::fleet::slice::route_rows;
 use crate::fleet::state::Candidate;
 use crate::http::sender::Kept;
 use crate::kernel::ids::Name;
@@ -35,14 +36,14 @@
     s.runners.iter().any(|r| !r.leaving && holds(r))
 }
 
-fn gated(table: &Table, c: &FleetConfig, rows: &[RouteRow], k: &Kept) -> Result<(), String> {
+fn gated(table: &Table, c: &FleetConfig, rows: &RouteTable, k: &Kept) -> Result<(), String> {
     if k.path.is_empty() {
         return Ok(());
     }
-    let Some(row) = route_match(rows, &k.host, &k.path) else {
+    let Some(row) = rows.find(&k.host, &k.path) else {
         return Err(format!("no route is left for {}", k.path));
     };
-    if row.service != k.service {
+    if !row.leads_to(&k.service) {
         return Err(format!("{} would go to {} instead of {}", k.path, row.service, k.service));
     }
     if k.kb > row.route.body_kb {
@@ -77,7 +78,7 @@
             kb: 0,
         })
         .collect();
-    let routes = route_rows(&trial.config);
+    let routes = RouteTable::from(route_rows(&trial.config));
     let rows = if seen.is_empty() { &samples[..] } else { seen };
     for k in rows {
         let began = clock.now();
--- a/src/gate/table.rs
+++ b/src/gate/table.rs
@@ -1,5 +1,6 @@
 use super::core::Gate;
-use crate::fleet::slice::{RouteRow, Slice, route_match};
+use crate::fleet::routes::RouteTable;
+use crate::fleet::slice::{RouteRow, Slice};
 use crate::fleet::state::{Candidate, Scope};
 use crate::kernel::ids::*;
 use crate::kernel::registry::Service;
@@ -12,7 +13,7 @@
 pub struct Table {
     pub domain: Name,
     gates: RwLock<BTreeMap<Name, Arc<Mutex<Gate>>>>,
-    routes: RwLock<(Version, Time, Arc<Vec<RouteRow>>)>,
+    routes: RwLock<(Version, Time, Arc<RouteTable>)>,
     trial: Mutex<(Version, Option<Candidate>)>,
     marks: Mutex<BTreeSet<Name>>,
 }
@@ -51,14 +52,14 @@
         gates.entry(name.clone()).or_insert_with(new).clone()
     }
 
-    pub fn fresh_routes(&self, now: Time) -> Option<(Version, Arc<Vec<RouteRow>>)> {
+    pub fn fresh_routes(&self, now: Time) -> Option<(Version, Arc<RouteTable>)> {
         let row = self.routes.read().unwrap();
         (now.since(row.1) < FRESH).then(|| (row.0, row.2.clone()))
     }
 
     pub fn find(&self, now: Time, host: &str, path: &str) -> Option<(Version, Option<RouteRow>)> {
         let (at, rows) = self.fresh_routes(now)?;
-        Some((at, route_match(&rows, host, path).cloned()))
+        Some((at, rows.find(host, path).cloned()))
     }
 
     pub fn trial(&self) -> (Version, Option<Candidate>) {
@@ -77,7 +78,7 @@
                     row.1 = row.1.max(proven);
                     row.0 = at;
                     if let Some(Slice::Routes(rows)) = slice {
-                        row.2 = Arc::new(rows);
+                        row.2 = Arc::new(rows.into());
                     }
                 }
                 let (proven, rows) = (row.1, (row.0, row.2.clone()));
--- a/src/gate/tell.rs
+++ b/src/gate/tell.rs
@@ -1,6 +1,5 @@
 use super::core::Gate;
 use super::order::Order;
-use crate::fleet::slice::route_match;
 use crate::fleet::state::MovePlan;
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
@@ -55,8 +54,8 @@
         if order.routes_at == self.routes.0 || order.path.is_empty() {
             return true;
         }
-        let row = route_match(&self.routes.1, &order.host, &order.path);
-        row.is_some_and(|r| r.service == self.name && r.route.resumable == order.resumable)
+        let row = self.routes.1.find(&order.host, &order.path);
+        row.is_some_and(|r| r.leads_to(&self.name) && r.route.resumable == order.resumable)
     }
 
     pub fn dark(&self, now: Time, runner: &Name) -> bool {
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -138,6 +138,11 @@
             host: Default::default(),
             path: Default::default(),
             routes_at: Default::default(),
+            kind: row.route.kind,
+            tries: row.route.tries,
+            aim: Span::ms(row.route.aim_ms),
+            size: Default::default(),
+            parts: Default::default(),
         })
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod query;
 pub mod relay;
 pub mod rollout;
+pub mod seam;
 pub mod sim;
 pub mod standin;
 pub mod transfer;
--- a/src/news/home.rs
+++ b/src/news/home.rs
@@ -94,7 +94,9 @@
         for l in self.reader.told(nonce, items) {
             if let Some(Slice::Routes(rows)) = &l.slice {
                 for r in rows {
-                    self.reader.topics.entry(Scope::Service(r.service.clone())).or_default();
+                    for scope in r.scopes() {
+                        self.reader.topics.entry(scope).or_default();
+                    }
                 }
             }
             if l.slice.is_some() {
--- a/src/sim/front.rs
+++ b/src/sim/front.rs
@@ -63,6 +63,11 @@
             host: "".into(),
             path: path.into(),
             routes_at,
+            kind: row.route.kind,
+            tries: row.route.tries,
+            aim: Span::ms(row.route.aim_ms),
+            size: Default::default(),
+            parts: Default::default(),
         };
         self.nodes[place].seen.add(&order, "", path, body.as_ref().map_or(0, |b| b.len()));
         let ride = SimRide {
--- a/src/standin/stock.rs
+++ b/src/standin/stock.rs
@@ -68,6 +68,9 @@
             runs: self.runs.iter().filter(|r| *r.1 > 0).map(|(m, n)| (m.clone(), *n)).collect(),
             slots: self.slots,
             term: self.term,
+            orders: 0,
+            tokens: 0,
+            busy: false,
         }
     }
 
--- a/tests/ride.rs
+++ b/tests/ride.rs
@@ -1,5 +1,5 @@
 use bytes::Bytes;
-use spindledock::fleet::config::Class;
+use spindledock::fleet::config::{Class, RouteKind};
 use spindledock::fleet::read::read_text;
 use spindledock::fleet::runner::{Report, Runner};
 use spindledock::fleet::slice::service_slice;
@@ -66,6 +66,11 @@
         host: "".into(),
         path: "".into(),
         routes_at: Version(0),
+        kind: RouteKind::Once,
+        tries: 16,
+        aim: Span(0),
+        size: Default::default(),
+        parts: Default::default(),
     })
 }
 
--- a/tests/wait.rs
+++ b/tests/wait.rs
@@ -1,7 +1,7 @@
 mod common;
 
 use common::{seeded, sound};
-use spindledock::fleet::config::Class;
+use spindledock::fleet::config::{Class, RouteKind};
 use spindledock::fleet::read::read_text;
 use spindledock::fleet::runner::{Report, Runner};
 use spindledock::fleet::slice::service_slice;
@@ -63,6 +63,11 @@
         host: "".into(),
         path: "".into(),
         routes_at: Version(0),
+        kind: RouteKind::Once,
+        tries: 16,
+        aim: Span(0),
+        size: Default::default(),
+        parts: Default::default(),
     }
 }
 
