--- a/src/chain/desk.rs
+++ b/src/chain/desk.rs
@@ -7,9 +7,11 @@
 use crate::kernel::rand::hash;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
+use crate::seam::OperatorSide;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
+use super::foreign::Foreign;
 use super::reply::{faults, outcome};
 const INBOX: usize = 64;
 const ROOM: u64 = 4 << 20;
@@ -21,9 +23,14 @@
     waits: BTreeMap<ChangeId, NodeId>,
     sent: BTreeMap<ChangeId, Time>,
     trying: Option<Time>,
+    pub(super) foreign: Foreign,
 }
 
 impl Desk {
+    pub fn new(side: Option<Arc<dyn OperatorSide>>) -> Desk {
+        Desk { foreign: Foreign::new(side), ..Desk::default() }
+    }
+
     fn op(&mut self, from: NodeId, id: ChangeId, op: &Op, kit: &mut Kit) {
         if !kit.views.post.head || !kit.views.post.ready {
             return;
@@ -41,6 +48,7 @@
         self.waits.insert(id, from);
         let known = kit.views.state.trial.as_ref().is_some_and(|t| t.id == id)
             || self.inbox.iter().any(|r| r.0 == id)
+            || self.foreign.waits(id)
             || self.sent.get(&id).is_some_and(|t| kit.now.since(*t) < AGAIN);
         if known {
             return;
@@ -53,6 +61,9 @@
             let text = "the chain has one member left and takes no change; bring back a controller";
             return self.end(id, Answer::new(503, "too-few-copies", text, 2), kit);
         }
+        if let Op::Foreign { .. } = op {
+            return self.foreign_op(id, op, kit);
+        }
         if matches!(op, Op::Whole { .. } | Op::Part { .. }) {
             if self.inbox.len() >= INBOX {
                 let text = "too many changes wait; this one was not taken, send it again later";
@@ -64,7 +75,7 @@
         self.take(id, op.clone(), kit);
     }
 
-    fn end(&mut self, id: ChangeId, answer: Answer, kit: &mut Kit) {
+    pub(super) fn end(&mut self, id: ChangeId, answer: Answer, kit: &mut Kit) {
         self.sent.remove(&id);
         if let Some(to) = self.waits.remove(&id) {
             kit.send(to, Msg::OpEnd { id, answer });
@@ -87,7 +98,7 @@
         }
     }
 
-    fn submit(&mut self, id: ChangeId, change: Change, kit: &mut Kit) {
+    pub(super) fn submit(&mut self, id: ChangeId, change: Change, kit: &mut Kit) {
         self.sent.insert(id, kit.now);
         kit.note(Note::Submit(Arc::new(change)));
     }
@@ -127,7 +138,7 @@
             Op::Leaving(instance) => return self.submit(id, Change::Leaving { id, instance }, kit),
             Op::Propose => return self.submit(id, Change::PlanAsk { id }, kit),
             Op::Accept(at) => return self.submit(id, Change::Accept { id, at }, kit),
-            Op::Internal(_) => return,
+            Op::Internal(_) | Op::Foreign { .. } => return,
             Op::Move { service, model, from, to, want } => {
                 let plan = MovePlan {
                     id: MoveId(id.0),
@@ -158,7 +169,7 @@
             Ok(config) => {
                 let base = base.unwrap_or(now_at);
                 self.trying = Some(kit.now);
-                self.submit(id, Change::Propose { id, base, config }, kit);
+                self.submit(id, Change::Propose { id, base, config: Box::new(config) }, kit);
             }
         }
     }
@@ -179,8 +190,10 @@
         });
         if kit.views.post.head {
             self.work(kit);
+            self.foreign_work(kit);
         } else {
             self.inbox.clear();
+            self.foreign.clear();
             self.waits.clear();
         }
     }
@@ -199,13 +212,6 @@
         let items = items.collect();
         kit.send(from, Msg::NewsTell { nonce, items });
     }
-
-    fn ask(&mut self, from: NodeId, id: ChangeId, path: &str, kit: &mut Kit) {
-        if kit.now < kit.views.post.until {
-            let answer = super::show::answer(path, kit.views);
-            kit.send(from, Msg::OpEnd { id, answer });
-        }
-    }
 }
 
 impl Part for Desk {
@@ -223,8 +229,10 @@
                 _ => {}
             },
             Event::Note(Note::Fold { change, .. }) => {
-                if let Change::Propose { .. } = **change {
-                    self.trying = None;
+                match **change {
+                    Change::Propose { .. } => self.trying = None,
+                    Change::Adopt { id, .. } => self.foreign.folded(id),
+                    _ => {}
                 }
                 self.settle(kit);
             }
--- /dev/null
+++ b/src/chain/foreign.rs
@@ -0,0 +1,114 @@
+use super::desk::Desk;
+use super::reply::faults;
+use crate::fleet::state::Change;
+use crate::kernel::ids::*;
+use crate::kernel::part::Kit;
+use crate::kernel::time::{Span, Time};
+use crate::msg::*;
+use crate::seam::OperatorSide;
+use std::sync::Arc;
+
+const AGAIN: Span = Span::ms(2000);
+const EARLY: Span = Span::ms(600);
+const INBOX: usize = 64;
+
+struct Waiting {
+    id: ChangeId,
+    base: u64,
+    part: bool,
+    text: String,
+    since: Time,
+}
+
+/// Changes that come in an operator's own format: one is under way at a time, in the order of their bases.
+#[derive(Default)]
+pub struct Foreign {
+    side: Option<Arc<dyn OperatorSide>>,
+    rows: Vec<Waiting>,
+    going: Option<(ChangeId, Time)>,
+}
+
+impl Foreign {
+    pub fn new(side: Option<Arc<dyn OperatorSide>>) -> Foreign {
+        Foreign { side, ..Foreign::default() }
+    }
+
+    pub fn waits(&self, id: ChangeId) -> bool {
+        self.rows.iter().any(|r| r.id == id) || self.going.is_some_and(|g| g.0 == id)
+    }
+
+    pub fn folded(&mut self, id: ChangeId) {
+        if self.going.is_some_and(|g| g.0 == id) {
+            self.going = None;
+        }
+    }
+
+    pub fn clear(&mut self) {
+        self.rows.clear();
+        self.going = None;
+    }
+}
+
+impl Desk {
+    pub fn foreign_op(&mut self, id: ChangeId, op: &Op, kit: &mut Kit) {
+        let Op::Foreign { base, part, text } = op else { return };
+        if self.foreign.rows.len() >= INBOX {
+            let text = "too many changes wait; this one was not taken, send it again later";
+            return self.end(id, Answer::new(429, "inbox-full", text, 1), kit);
+        }
+        let row = Waiting { id, base: *base, part: *part, text: text.clone(), since: kit.now };
+        self.foreign.rows.push(row);
+        self.foreign_work(kit);
+    }
+
+    pub fn foreign_work(&mut self, kit: &mut Kit) {
+        if self.foreign.going.is_some_and(|g| kit.now.since(g.1) < AGAIN) {
+            return;
+        }
+        self.foreign.going = None;
+        let now = kit.views.state.config.revision;
+        let mut n = 0;
+        while n < self.foreign.rows.len() {
+            let w = &self.foreign.rows[n];
+            if w.base > now && w.base != u64::MAX && kit.now.since(w.since) < EARLY {
+                n += 1;
+                continue;
+            }
+            let w = self.foreign.rows.remove(n);
+            if self.foreign_try(w, now, kit) {
+                return;
+            }
+        }
+    }
+
+    fn foreign_try(&mut self, w: Waiting, now: u64, kit: &mut Kit) -> bool {
+        let Some(side) = self.foreign.side.clone() else {
+            let text = "this node takes configurations in the product's own format only";
+            self.end(w.id, Answer::new(400, "bad-order", text, 0), kit);
+            return false;
+        };
+        if w.base != now && w.base != u64::MAX {
+            let text =
+                format!("it builds on {}; the current revision is {now}; read it and send again", w.base);
+            self.end(w.id, Answer::new(409, "stale-base", &text, 0), kit);
+            return false;
+        }
+        let config = match side.read(&kit.views.state.config, &w.text, w.part) {
+            Ok(c) => c,
+            Err(bad) => {
+                kit.say("change-refused", format!("{} {}", w.id, bad[0]));
+                self.end(w.id, faults(&bad), kit);
+                return false;
+            }
+        };
+        if config.revision <= now {
+            let text = format!("its revision {} is not above the current {now}; raise it", config.revision);
+            self.end(w.id, Answer::new(400, "old-revision", &text, 0), kit);
+            return false;
+        }
+        kit.say("change-taken-in", format!("{} revision {}", w.id, config.revision));
+        self.foreign.going = Some((w.id, kit.now));
+        self.submit(w.id, Change::Adopt { id: w.id, base: now, config: Box::new(config) }, kit);
+        true
+    }
+}
--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -1,5 +1,6 @@
 pub mod core;
 pub mod desk;
+pub mod foreign;
 pub mod found;
 pub mod join;
 pub mod log;
--- a/src/chain/show.rs
+++ b/src/chain/show.rs
@@ -1,8 +1,18 @@
+use super::desk::Desk;
 use crate::json::Tree;
 use crate::json::tree::map;
 use crate::kernel::ids::*;
-use crate::kernel::part::Views;
-use crate::msg::{Answer, Role};
+use crate::kernel::part::{Kit, Views};
+use crate::msg::{Answer, Msg, Role};
+
+impl Desk {
+    pub fn ask(&mut self, from: NodeId, id: ChangeId, path: &str, kit: &mut Kit) {
+        if kit.now < kit.views.post.until {
+            let answer = answer(path, kit.views);
+            kit.send(from, Msg::OpEnd { id, answer });
+        }
+    }
+}
 
 pub fn answer(path: &str, views: &Views) -> Answer {
     let state = &views.state;
@@ -16,6 +26,10 @@
         ["config"] => {
             map(&[("version", state.config_at.to_string().into()), ("configuration", state.config.tree())])
         }
+        ["source"] if state.config.source.is_empty() => {
+            return Answer::new(404, "no-configuration", "no configuration was taken yet; send one", 0);
+        }
+        ["source"] => return Answer::ok(state.config.source.clone()),
         ["status"] => status(views),
         ["plan"] => map(&[
             ("plans", state.plans.iter().rev().map(|p| p.tree()).collect::<Vec<_>>().into()),
--- a/src/daemon/assemble.rs
+++ b/src/daemon/assemble.rs
@@ -11,6 +11,7 @@
 use crate::placement::Placement;
 use crate::relay::Relay;
 use crate::rollout::Rollout;
+use crate::seam::Sides;
 use std::net::SocketAddr;
 
 #[derive(Clone, Debug)]
@@ -21,6 +22,7 @@
     pub seeds: Vec<SocketAddr>,
     pub core: usize,
     pub policy: Policy,
+    pub sides: Sides,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -68,9 +70,12 @@
     let chain = Chain::new(ident, records, now);
     node.add(Box::new(Colleagues::default()));
     node.add(Box::new(chain));
-    node.add(Box::new(Desk::default()));
+    node.add(Box::new(Desk::new(place.sides.operator.clone())));
     node.add(Box::new(Relay::default()));
     node.add(Box::new(Rollout::default()));
-    node.add(Box::new(Placement::new(now, place.policy)));
+    let bare_plain = !place.sides.runner.plain_reports();
+    let mut duty = Placement::new(now, place.policy);
+    duty.bare_plain = bare_plain;
+    node.add(Box::new(duty));
     (node, first)
 }
--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -2,6 +2,7 @@
 use crate::kernel::fault::{Fault, Kind};
 use crate::kernel::ids::Name;
 use crate::msg::Role;
+use crate::seam::Sides;
 use pico_args::Arguments;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -17,6 +18,8 @@
     pub core: usize,
     pub data: Option<PathBuf>,
     pub drain_ms: u64,
+    pub sides: Sides,
+    pub lean: bool,
 }
 
 const KEYS: [&str; 8] = ["address", "admin", "http", "domain", "seeds", "core", "data", "drain_ms"];
@@ -188,7 +191,8 @@
     match (addr, admin) {
         (Some(addr), Some(admin)) if bad.is_empty() => {
             let domain = Name(domain);
-            Ok(NodeConfig { role, addr, admin, http, domain, seeds, core, data, drain_ms })
+            let (sides, lean) = (Sides::default(), false);
+            Ok(NodeConfig { role, addr, admin, http, domain, seeds, core, data, drain_ms, sides, lean })
         }
         _ => Err(bad),
     }
--- a/src/daemon/links.rs
+++ b/src/daemon/links.rs
@@ -108,6 +108,14 @@
     }
 }
 
+/// Drops a link whose peer has been silent for `span` with bytes under way.
+pub fn watch(tcp: &TcpStream, span: Duration) {
+    use std::os::fd::AsRawFd;
+    let ms = span.as_millis() as libc::c_uint;
+    let (at, len) = ((&raw const ms).cast(), std::mem::size_of_val(&ms) as libc::socklen_t);
+    unsafe { libc::setsockopt(tcp.as_raw_fd(), libc::IPPROTO_TCP, libc::TCP_USER_TIMEOUT, at, len) };
+}
+
 fn closed(tcp: &TcpStream) -> bool {
     let mut one = [0u8; 1];
     matches!(tcp.try_read(&mut one), Ok(0))
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 pub mod logs;
 pub mod poll;
 pub mod restore;
+pub mod roster;
 pub mod run;
 pub mod serve;
 pub mod status;
--- a/src/daemon/poll.rs
+++ b/src/daemon/poll.rs
@@ -1,13 +1,9 @@
 use crate::fleet::runner::{Report, Runner};
 use crate::gate::Table;
 use crate::http::pool::{Miss, Pool, open};
-use crate::json::Tree;
-use crate::json::tree::map;
 use crate::kernel::time::Clock;
 use crate::msg::RunnerOrder;
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::Request;
+use crate::seam::RunnerSide;
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -15,39 +11,18 @@
 pub const POLL: Duration = Duration::from_millis(300);
 const DUE: Duration = Duration::from_millis(1000);
 
-fn order(method: &str, path: &str, r: &Runner, body: String) -> Request<Full<Bytes>> {
-    Request::builder()
-        .method(method)
-        .uri(path)
-        .header("host", r.addr.to_string())
-        .header("x-target-instance", r.instance.0.as_str())
-        .header("content-type", "application/json")
-        .body(Full::new(Bytes::from(body)))
-        .expect("a valid order")
-}
-
-pub async fn report(pool: &Pool, r: &Runner) -> Option<Report> {
-    let order = order("GET", "/spindle/report", r, String::new());
-    let (status, body) = pool.whole(r.addr, order, DUE, open()).await.ok()?;
+pub async fn report(pool: &Pool, side: &dyn RunnerSide, r: &Runner) -> Option<Report> {
+    let (status, body) = pool.whole(r.addr, side.report(r), DUE, open()).await.ok()?;
     if status != 200 {
         return None;
     }
-    let tree = Tree::parse(std::str::from_utf8(&body).ok()?).ok()?;
-    Report::read(&tree).filter(|rep| rep.instance == r.instance)
+    side.read_report(r, &body)
 }
 
-pub async fn drive(pool: &Pool, clock: Arc<dyn Clock>, o: &RunnerOrder) -> u16 {
-    let kind = if o.adapter { "adapter" } else { "model" };
-    let body = map(&[
-        ("order", o.order.to_string().into()),
-        ("term", o.term.0.into()),
-        ("name", o.name.0.as_str().into()),
-        ("kind", kind.into()),
-    ]);
-    let path = if o.load { "/spindle/load" } else { "/spindle/unload" };
+pub async fn drive(pool: &Pool, side: &dyn RunnerSide, clock: Arc<dyn Clock>, o: &RunnerOrder) -> u16 {
     let due = o.due;
     let check = Box::new(move || clock.now() < due);
-    match pool.whole(o.runner.addr, order("POST", path, &o.runner, body.to_string()), DUE, check).await {
+    match pool.whole(o.runner.addr, side.drive(o), DUE, check).await {
         Ok((status, _)) => status,
         Err(Miss::NotSent | Miss::Barred) => 499,
         Err(Miss::Unsure) => 0,
@@ -56,7 +31,12 @@
 
 pub type Told = Arc<dyn Fn(Runner, Option<Report>) + Send + Sync>;
 
-pub async fn watch(pool: Arc<Pool>, list: Arc<dyn Fn() -> Vec<Runner> + Send + Sync>, told: Told) {
+pub async fn watch(
+    pool: Arc<Pool>,
+    side: Arc<dyn RunnerSide>,
+    list: Arc<dyn Fn() -> Vec<Runner> + Send + Sync>,
+    told: Told,
+) {
     let busy: Arc<Mutex<BTreeSet<crate::kernel::ids::Name>>> = Arc::default();
     let mut tick = tokio::time::interval(POLL);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -66,9 +46,9 @@
             if !busy.lock().unwrap().insert(r.instance.clone()) {
                 continue;
             }
-            let (pool, told, busy) = (pool.clone(), told.clone(), busy.clone());
+            let (pool, told, busy, side) = (pool.clone(), told.clone(), busy.clone(), side.clone());
             tokio::spawn(async move {
-                let rep = report(&pool, &r).await;
+                let rep = report(&pool, &*side, &r).await;
                 busy.lock().unwrap().remove(&r.instance);
                 told(r, rep);
             });
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -12,6 +12,7 @@
 use crate::kernel::registry::Registry;
 use crate::kernel::time::{BootClock, Clock, Span};
 use crate::msg::*;
+use crate::seam::{RunnerSide, Sides};
 use error_stack::{Report, ResultExt};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -24,7 +25,12 @@
 
 pub fn main(role: Role) -> std::process::ExitCode {
     let name = if role == Role::Router { "spindledock-router" } else { "spindledock-controller" };
-    let config = match from_args(role, pico_args::Arguments::from_env()) {
+    let mut args = pico_args::Arguments::from_env();
+    let start = match args.contains("--platform") {
+        true => crate::platform::settings::start(role).map(Start::Run),
+        false => from_args(role, args),
+    };
+    let config = match start {
         Ok(Start::Help) => {
             println!("{name}: one node of a spindledock fleet\n\n{HELP}");
             return 0.into();
@@ -45,7 +51,10 @@
         }
     };
     logs::start();
-    let rt = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let rt = match config.lean {
+        true => tokio::runtime::Builder::new_current_thread().enable_all().build(),
+        false => tokio::runtime::Builder::new_multi_thread().enable_all().build(),
+    };
     let rt = rt.expect("the machine must let this process start threads");
     match rt.block_on(run(config)) {
         Ok(()) => 0.into(),
@@ -70,6 +79,7 @@
         seeds: c.seeds.clone(),
         core: c.core,
         policy: super::assemble::Policy::Move,
+        sides: c.sides.clone(),
     }
 }
 
@@ -88,7 +98,10 @@
     let clock: Arc<dyn Clock> = Arc::new(BootClock);
     let services = Arc::new(Registry::default());
     let links = Links::new(tokio::runtime::Handle::current());
-    let table = Arc::new(Table::new(c.domain.clone()));
+    let table = Arc::new(match c.sides.runner.plain_reports() {
+        true => Table::new(c.domain.clone()),
+        false => Table::bare(c.domain.clone()),
+    });
     services.add(links.clone());
     services.add(table.clone());
     let pool = Arc::new(Pool::default());
@@ -97,7 +110,8 @@
     let routers = Arc::new(AtomicU64::new(1));
     let runners: Runners = Arc::default();
     let fit = Arc::new(AtomicBool::new(false));
-    let act = act(&table, &clock, &pool, &hand, &routers, &runners, &fit);
+    let list = super::roster::Roster::new(&c.sides, pool.clone(), hand.clone());
+    let act = act(&table, &clock, &pool, &hand, &routers, (&runners, &fit), (&c.sides, list));
     let (spot, role, ticks) = (place(&c), c.role, clock.clone());
     let build = Box::new(move |records| {
         let now = ticks.now();
@@ -121,6 +135,7 @@
         next: AtomicU64::new(1),
         open: AtomicU64::new(0),
         seen: Default::default(),
+        sides: c.sides.clone(),
     });
     super::status::admin(&c, &hand, &front, &links, (stopping.clone(), fit), admin_socket);
     if let Some(socket) = http_socket {
@@ -129,7 +144,7 @@
     }
     match c.role {
         Role::Router => router_tasks(&table, &clock, &pool, &hand, &front, &routers),
-        Role::Controller => controller_tasks(&hand, &pool, &runners),
+        Role::Controller => controller_tasks(&hand, &pool, &runners, c.sides.runner.clone()),
     }
     log::info!(event = "started", address = c.addr.to_string(), admin = c.admin.to_string(), domain = c.domain.to_string(), services = services.names().join(","); "");
     let mut term = signal(SignalKind::terminate()).expect("signals can be caught");
@@ -161,23 +176,24 @@
     pool: &Arc<Pool>,
     hand: &Hand,
     routers: &Arc<AtomicU64>,
-    runners: &Runners,
-    fit: &Arc<AtomicBool>,
+    (runners, fit): (&Runners, &Arc<AtomicBool>),
+    (sides, list): (&Sides, Option<Arc<super::roster::Roster>>),
 ) -> super::driver::Act {
     let (table, clock, pool, hand, routers) =
         (table.clone(), clock.clone(), pool.clone(), hand.clone(), routers.clone());
-    let (runners, fit) = (runners.clone(), fit.clone());
+    let (runners, fit, side) = (runners.clone(), fit.clone(), sides.runner.clone());
     let rt = tokio::runtime::Handle::current();
     Box::new(move |e| match e {
         Effect::Learn { scope, at, slice, proven } => table.learn(clock.now(), &scope, at, slice, proven),
         Effect::Mark(name) => table.mark(clock.now(), &name),
         Effect::Routers(n) => routers.store(n, Ordering::SeqCst),
         Effect::Watch(list) => *runners.lock().unwrap() = list,
+        Effect::Holds(on) => drop(list.as_ref().map(|l| l.switch(on))),
         Effect::Ready(ready) => fit.store(ready, Ordering::SeqCst),
         Effect::Drive(order) => {
-            let (pool, clock, hand) = (pool.clone(), clock.clone(), hand.clone());
+            let (pool, clock, hand, side) = (pool.clone(), clock.clone(), hand.clone(), side.clone());
             rt.spawn(async move {
-                let status = poll::drive(&pool, clock, &order).await;
+                let status = poll::drive(&pool, &*side, clock, &order).await;
                 hand.feed(Event::Ordered { order: order.order, status });
             });
         }
@@ -195,7 +211,7 @@
 ) {
     let list = {
         let table = table.clone();
-        Arc::new(move || table.runners().into_iter().map(|r| r.1).collect())
+        Arc::new(move || table.reporting())
     };
     let told = {
         let (table, clock) = (table.clone(), clock.clone());
@@ -207,7 +223,7 @@
             }
         })
     };
-    tokio::spawn(poll::watch(pool.clone(), list, told));
+    tokio::spawn(poll::watch(pool.clone(), front.sides.runner.clone(), list, told));
     let seen = front.clone();
     let seen = Arc::new(move || seen.seen.rows());
     tokio::spawn(poll::tells(table.clone(), clock.clone(), seen, hand.clone()));
@@ -221,11 +237,11 @@
     });
 }
 
-fn controller_tasks(hand: &Hand, pool: &Arc<Pool>, runners: &Runners) {
+fn controller_tasks(hand: &Hand, pool: &Arc<Pool>, runners: &Runners, side: Arc<dyn RunnerSide>) {
     let (rows, hand) = (runners.clone(), hand.clone());
     let list = Arc::new(move || rows.lock().unwrap().clone());
     let told = Arc::new(move |r: crate::fleet::runner::Runner, report| {
         hand.feed(Event::Report { instance: r.instance, report });
     });
-    tokio::spawn(poll::watch(pool.clone(), list, told));
+    tokio::spawn(poll::watch(pool.clone(), side, list, told));
 }
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -44,7 +44,12 @@
         let _ = writeln!(out, "spindledock_dropped_letters {}", l.lost.load(Ordering::Relaxed));
         out
     };
-    let desk = Arc::new(Desk { hand: hand.clone(), ready: Box::new(ready), metrics: Box::new(metrics) });
+    let desk = Arc::new(Desk {
+        hand: hand.clone(),
+        ready: Box::new(ready),
+        metrics: Box::new(metrics),
+        operator: c.sides.operator.clone(),
+    });
     tokio::spawn(serve(socket, Arc::new(move |order| Box::pin(desk.clone().answer(order)))));
 }
 
--- a/src/fleet/fold.rs
+++ b/src/fleet/fold.rs
@@ -21,6 +21,7 @@
                 self.trial = Some(Candidate { id: *id, at, config: config.clone() });
                 self.touch(Scope::Trial);
             }
+            Change::Adopt { id, base, config } => self.adopt(*id, *base, config),
             Change::Settle { id, verdict, stages } => self.settle(*id, verdict, stages),
             Change::Runners { id, list } => {
                 if self.outcome(*id).is_some() {
@@ -112,17 +113,34 @@
             let Verdict::Refuse(why) = verdict else { return };
             return self.end(id, "rehearsal-failed", why.clone(), stages.to_vec());
         };
-        let names: Vec<Name> =
-            self.config.services.iter().chain(&t.config.services).map(|s| s.name.clone()).collect();
-        self.drop_plans();
-        self.config = t.config;
+        self.take_config(*t.config);
+        self.end(id, "ok", format!("configuration {} is in force", self.at), stages.to_vec());
+    }
+
+    fn take_config(&mut self, new: super::FleetConfig) {
+        let old = std::mem::replace(&mut self.config, new);
         self.config_at = self.at;
-        for name in names {
+        let all: Vec<Name> =
+            old.services.iter().chain(&self.config.services).map(|s| s.name.clone()).collect();
+        for name in all {
             self.touch(Scope::Service(name));
         }
+        self.drop_plans();
         self.touch(Scope::Routes);
         self.touch(Scope::Duty);
-        self.end(id, "ok", format!("configuration {} is in force", self.at), stages.to_vec());
+    }
+
+    fn adopt(&mut self, id: ChangeId, base: u64, config: &super::FleetConfig) {
+        if self.outcome(id).is_some() {
+            return;
+        }
+        let now = self.config.revision;
+        if base != now || config.revision <= now {
+            let text = format!("revision {} builds on {base}; the current one is {now}", config.revision);
+            return self.end(id, "stale-base", text, vec![]);
+        }
+        self.take_config(config.clone());
+        self.end(id, "ok", format!("configuration {} is in force", config.revision), vec![]);
     }
 
     pub fn touch(&mut self, scope: Scope) {
--- a/src/fleet/read.rs
+++ b/src/fleet/read.rs
@@ -17,9 +17,9 @@
 pub fn read(tree: &Tree) -> Result<FleetConfig, Vec<Fault>> {
     let mut bad = Vec::new();
     let mut r = Reader::new("", tree);
-    let mut c = FleetConfig::default();
-    c.revision = r.num("revision", Some(0), 0, 1 << 52);
-    c.source = r.text("source", Some(""));
+    let revision = r.num("revision", Some(0), 0, 1 << 52);
+    let source = r.text("source", Some(""));
+    let mut c = FleetConfig { revision, source, ..FleetConfig::default() };
     if let Some(t) = r.take("limits") {
         let mut s = Reader::new("limits", t);
         let d = Limits::default();
--- a/src/fleet/slice.rs
+++ b/src/fleet/slice.rs
@@ -10,7 +10,7 @@
 pub enum Slice {
     Routes(Vec<RouteRow>),
     Trial(Option<Candidate>),
-    Duty(DutySlice),
+    Duty(Box<DutySlice>),
     Service(Box<ServiceSlice>),
     Gone,
 }
@@ -51,7 +51,7 @@
         match scope {
             Scope::Routes => Slice::Routes(route_rows(&self.config)),
             Scope::Trial => Slice::Trial(self.trial.clone()),
-            Scope::Duty => Slice::Duty(DutySlice {
+            Scope::Duty => Slice::Duty(Box::new(DutySlice {
                 config: self.config.clone(),
                 duty: self.duty.clone(),
                 runners: self.runners.clone(),
@@ -64,7 +64,7 @@
                     .cloned()
                     .collect(),
                 plan_ask: self.plan_ask,
-            }),
+            })),
             Scope::Service(name) => {
                 let Some(service) = self.config.service(name) else { return Slice::Gone };
                 let mut s = service_slice(&self.config, service);
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -7,7 +7,8 @@
 
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub enum Change {
-    Propose { id: ChangeId, base: Version, config: FleetConfig },
+    Propose { id: ChangeId, base: Version, config: Box<FleetConfig> },
+    Adopt { id: ChangeId, base: u64, config: Box<FleetConfig> },
     Settle { id: ChangeId, verdict: Verdict, stages: Vec<StageFigure> },
     Runners { id: ChangeId, list: Vec<Runner> },
     Leaving { id: ChangeId, instance: Name },
@@ -63,7 +64,7 @@
 pub struct Candidate {
     pub id: ChangeId,
     pub at: Version,
-    pub config: FleetConfig,
+    pub config: Box<FleetConfig>,
 }
 
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
--- a/src/gate/core.rs
+++ b/src/gate/core.rs
@@ -1,6 +1,7 @@
 use super::budget::Tries;
 use super::health::Health;
 use super::inbox::{Inbox, Waiter, Wake};
+use super::kept::Kept;
 use super::order::{Order, Plan, Refusal, Why};
 use super::pace::Pace;
 use super::wait::{QUIET, retry_s};
@@ -38,6 +39,8 @@
     pub pace: Pace,
     pub waits: Span,
     pub counts: BTreeMap<&'static str, u64>,
+    pub kept: Kept,
+    pub bare_plain: bool,
 }
 
 impl Gate {
@@ -62,6 +65,8 @@
             pace: Pace::default(),
             waits: Span(0),
             counts: BTreeMap::new(),
+            kept: Kept::default(),
+            bare_plain: false,
         }
     }
 
@@ -127,6 +132,7 @@
         let h = self.health.entry(r.instance.clone()).or_default();
         h.mine += 1;
         self.pace.sent(now, &order.model);
+        self.kept.sent(&r.instance, order);
         *self.active.entry((r.instance.clone(), Name(order.model.to_string()))).or_default() += 1;
     }
 
@@ -231,6 +237,7 @@
         self.pace.learn(&slice);
         self.tries.percent = slice.budget.percent as f64;
         self.tries.share = slice.budget.allowance as f64 / self.routers.max(1) as f64;
+        self.kept.keep(&|n| slice.runners.iter().any(|r| r.instance == *n));
         self.health.retain(|name, _| slice.runners.iter().any(|r| r.instance == *name));
         for r in &slice.runners {
             self.health.entry(r.instance.clone()).or_default();
--- a/src/gate/health.rs
+++ b/src/gate/health.rs
@@ -1,7 +1,10 @@
 use crate::fleet::runner::Report;
 use crate::kernel::time::{Span, Time};
+use crate::seam::Load;
 
 pub const DARK: Span = Span::ms(2500);
+const FULL: Span = Span::ms(150);
+const OLD: Span = Span::ms(500);
 const FAILS: u32 = 3;
 const OUT: Span = Span::ms(2000);
 const OUT_MOST: u32 = 4;
@@ -15,6 +18,9 @@
     fails: u32,
     outs: u32,
     out_until: Time,
+    full_until: Time,
+    pub slots: u64,
+    load_at: Time,
 }
 
 impl Health {
@@ -47,6 +53,38 @@
         }
     }
 
+    pub fn told_load(&mut self, now: Time, load: Load) {
+        self.others = (load.running + load.waiting).saturating_sub(self.mine);
+        self.slots = load.slots;
+        self.load_at = now;
+        if let Some((at, r)) = &mut self.report {
+            *at = now;
+            r.running = load.running;
+            r.waiting = load.waiting;
+        }
+    }
+
+    /// What runs there by the runner's own last word; an old word counts less.
+    pub fn burden(&self, now: Time) -> u64 {
+        let old = now.since(self.load_at).0 / OLD.0;
+        self.mine + (self.others >> old.min(8))
+    }
+
+    pub fn lacks(&mut self, names: &[&str]) {
+        if let Some((_, r)) = &mut self.report {
+            let last = names.iter().rev().find(|n| !n.is_empty());
+            r.holds.retain(|h| Some(&h.0.as_str()) != last);
+        }
+    }
+
+    pub fn full(&mut self, now: Time) {
+        self.full_until = now + FULL;
+    }
+
+    pub fn is_full(&self, now: Time) -> bool {
+        now < self.full_until
+    }
+
     pub fn load(&self, now: Time) -> u64 {
         if self.fresh(now).is_none() {
             return u64::MAX;
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -2,6 +2,7 @@
 pub mod core;
 pub mod health;
 pub mod inbox;
+pub mod kept;
 pub mod nominate;
 pub mod order;
 pub mod pace;
--- a/src/gate/nominate.rs
+++ b/src/gate/nominate.rs
@@ -9,6 +9,9 @@
 use crate::kernel::time::Time;
 use std::sync::Arc;
 
+const FAR: u64 = 10;
+const READ: u64 = 40;
+
 pub struct Pick {
     pub runner: Runner,
     pub score: (u64, u64, u64),
@@ -35,13 +38,20 @@
         let mut held = 0;
         let mut best: Option<Pick> = None;
         let many_out = self.all_out(now, &s);
+        let none = crate::fleet::runner::Report::default();
         for r in &s.runners {
             if r.leaving || avoid.contains(&r.instance) {
                 continue;
             }
             let Some(h) = self.health.get(&r.instance) else { continue };
-            let Some(report) = h.fresh(now) else { continue };
-            if h.leaving || report.instance != r.instance || (h.out(now) && !many_out) {
+            let bare = self.bare_plain && s.service.sort == Sort::Plain;
+            let report = match h.fresh(now) {
+                Some(report) => report,
+                None if bare => &none,
+                None => continue,
+            };
+            let other = report.instance != r.instance && !bare;
+            if h.leaving || other || (h.out(now) && !many_out) || h.is_full(now) {
                 continue;
             }
             live += 1;
@@ -54,14 +64,16 @@
                 }
             }
             held += 1;
-            let load = h.load(now);
-            if load >= report.slots.min(s.service.slots).max(1) {
+            let load = if bare { h.burden(now) } else { h.load(now) };
+            let slots = slots_of(h, report.slots, s.service.slots);
+            if load >= slots {
                 continue;
             }
-            let cold =
-                order.prefix.is_empty() || !report.prefixes.iter().any(|p| *p == order.prefix.as_str());
-            let weight = (load * 100 / report.slots.max(1)) + if cold { 50 } else { 0 };
-            let far = u64::from(r.domain != self.domain) * 10;
+            let cold = order.parts.is_empty()
+                && (order.prefix.is_empty() || !report.prefixes.iter().any(|p| *p == order.prefix.as_str()));
+            let unread = order.size.prompt.saturating_sub(self.kept.of(&r.instance, order)) as u64;
+            let weight = (load * 100 / slots) + if cold { 50 } else { 0 } + unread / READ;
+            let far = u64::from(r.domain != self.domain) * FAR;
             let score = (weight + far, load, hash(&r.instance.0, order.id));
             if best.as_ref().is_none_or(|b| score < b.score) {
                 best = Some(Pick { runner: r.clone(), score });
@@ -79,10 +91,17 @@
 
     fn all_out(&self, now: Time, s: &Arc<ServiceSlice>) -> bool {
         let rows = s.runners.iter().filter_map(|r| self.health.get(&r.instance));
-        rows.filter(|h| h.fresh(now).is_some()).all(|h| h.out(now))
+        let bare = self.bare_plain && s.service.sort == Sort::Plain;
+        rows.filter(|h| bare || h.fresh(now).is_some()).all(|h| h.out(now))
     }
 }
 
+/// The slots of a runner as it tells them itself, else as the service states them.
+pub fn slots_of(h: &super::health::Health, told: u64, stated: u64) -> u64 {
+    let own = [h.slots, told].into_iter().find(|n| *n > 0).unwrap_or(stated);
+    own.min(stated).max(1)
+}
+
 pub fn unknown(s: &ServiceSlice, order: &Order) -> Option<Refusal> {
     if s.service.sort == Sort::Plain {
         return None;
--- a/src/gate/order.rs
+++ b/src/gate/order.rs
@@ -14,6 +14,7 @@
     pub prefix: CompactString,
     pub resumable: bool,
     pub due: Time,
+    pub end: Time,
     pub last: Option<String>,
     pub resumed: bool,
     pub host: CompactString,
@@ -26,6 +27,32 @@
     pub parts: Parts,
 }
 
+impl Default for Order {
+    fn default() -> Order {
+        Order {
+            id: 0,
+            service: Name::default(),
+            class: Class::Normal,
+            model: "".into(),
+            adapter: "".into(),
+            prefix: "".into(),
+            resumable: false,
+            due: Time(0),
+            end: Time(0),
+            last: None,
+            resumed: false,
+            host: "".into(),
+            path: "".into(),
+            routes_at: Version(0),
+            kind: RouteKind::Once,
+            tries: 16,
+            aim: Span(0),
+            size: Size::default(),
+            parts: Parts::default(),
+        }
+    }
+}
+
 pub type Parts = std::sync::Arc<[(u64, u32)]>;
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
@@ -54,17 +81,26 @@
     Crowded,
     TooLong,
     NoRoute,
+    Full,
 }
 
 #[derive(Clone, Debug)]
 pub struct Refusal {
     pub why: Why,
-    pub retry_s: u64,
+    pub wait: Span,
 }
 
 impl Refusal {
     pub fn new(why: Why, retry_s: u64) -> Refusal {
-        Refusal { why, retry_s }
+        Refusal { why, wait: Span::ms(retry_s * 1000) }
+    }
+
+    pub fn after(why: Why, wait: Span) -> Refusal {
+        Refusal { why, wait }
+    }
+
+    pub fn retry_s(&self) -> u64 {
+        self.wait.0.div_ceil(1_000_000)
     }
 
     pub fn status(&self) -> u16 {
@@ -88,6 +124,7 @@
             Why::Crowded => "crowded",
             Why::TooLong => "wait-too-long",
             Why::NoRoute => "route-changed",
+            Why::Full => "runners-full",
         }
     }
 
@@ -108,6 +145,7 @@
             Why::NoRoute => {
                 "its route was changed while it waited; see the current configuration and ask again"
             }
+            Why::Full => "the runners tried turned it away; ask again after Retry-After",
             Why::Gone => "the service was withdrawn; see the current configuration",
             Why::Crowded => "orders of a higher class fill the inbox; ask again later",
         }
--- a/src/gate/table.rs
+++ b/src/gate/table.rs
@@ -1,4 +1,5 @@
 use super::core::Gate;
+use crate::fleet::config::Sort;
 use crate::fleet::routes::RouteTable;
 use crate::fleet::slice::{RouteRow, Slice};
 use crate::fleet::state::{Candidate, Scope};
@@ -12,6 +13,7 @@
 
 pub struct Table {
     pub domain: Name,
+    bare_plain: bool,
     gates: RwLock<BTreeMap<Name, Arc<Mutex<Gate>>>>,
     routes: RwLock<(Version, Time, Arc<RouteTable>)>,
     trial: Mutex<(Version, Option<Candidate>)>,
@@ -28,6 +30,7 @@
     pub fn new(domain: Name) -> Table {
         Table {
             domain,
+            bare_plain: false,
             gates: RwLock::default(),
             routes: RwLock::new((Version(0), Time(0), Arc::default())),
             trial: Mutex::new((Version(0), None)),
@@ -35,6 +38,11 @@
         }
     }
 
+    /// A table of gates whose plain services have runners that don't report.
+    pub fn bare(domain: Name) -> Table {
+        Table { bare_plain: true, ..Table::new(domain) }
+    }
+
     pub fn gates(&self) -> Vec<Arc<Mutex<Gate>>> {
         self.gates.read().unwrap().values().cloned().collect()
     }
@@ -48,7 +56,10 @@
             return g;
         }
         let mut gates = self.gates.write().unwrap();
-        let new = || Arc::new(Mutex::new(Gate::new(name.clone(), self.domain.clone())));
+        let new = || {
+            let gate = Gate::new(name.clone(), self.domain.clone());
+            Arc::new(Mutex::new(Gate { bare_plain: self.bare_plain, ..gate }))
+        };
         gates.entry(name.clone()).or_insert_with(new).clone()
     }
 
@@ -175,6 +186,18 @@
         out
     }
 
+    pub fn reporting(&self) -> Vec<crate::fleet::runner::Runner> {
+        let mut out = Vec::new();
+        for g in self.gates() {
+            let g = g.lock().unwrap();
+            let Some(s) = &g.slice else { continue };
+            if !(self.bare_plain && s.service.sort == Sort::Plain) {
+                out.extend(s.runners.iter().cloned());
+            }
+        }
+        out
+    }
+
     pub fn tick(&self, now: Time, routers: u64) {
         for g in self.gates() {
             let mut g = g.lock().unwrap();
--- a/src/gate/tell.rs
+++ b/src/gate/tell.rs
@@ -4,6 +4,7 @@
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
 use crate::msg::{MoveTell, RouterTell};
+use crate::seam::Load;
 
 const DEMAND: Span = Span::ms(2000);
 
@@ -58,6 +59,22 @@
         row.is_some_and(|r| r.leads_to(&self.name) && r.route.resumable == order.resumable)
     }
 
+    pub fn told_load(&mut self, now: Time, runner: &Name, load: Load) {
+        if let Some(h) = self.health.get_mut(runner) {
+            h.told_load(now, load);
+        }
+    }
+
+    /// A runner turned the order away without running it; `gone` if it lacks what was asked for.
+    pub fn turned_away(&mut self, now: Time, runner: &Name, order: &Order, gone: bool) {
+        let Some(h) = self.health.get_mut(runner) else { return };
+        if gone {
+            h.lacks(&[&order.model, &order.adapter]);
+        } else {
+            h.full(now);
+        }
+    }
+
     pub fn dark(&self, now: Time, runner: &Name) -> bool {
         self.health.get(runner).is_none_or(|h| h.fresh(now).is_none())
     }
--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -4,9 +4,10 @@
 use crate::json::Tree;
 use crate::kernel::ids::*;
 use crate::msg::{Answer, Event, Op};
+use crate::seam::{OperatorSide, Wish};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::{Method, Request, Response};
+use hyper::{Method, Request, Response, StatusCode};
 use std::sync::Arc;
 
 const BODY: usize = 8 << 20;
@@ -15,6 +16,14 @@
     pub hand: Hand,
     pub ready: Box<dyn Fn() -> Result<(), String> + Send + Sync>,
     pub metrics: Box<dyn Fn() -> String + Send + Sync>,
+    pub operator: Option<Arc<dyn OperatorSide>>,
+}
+
+struct Told {
+    method: String,
+    path: String,
+    base: Option<String>,
+    text: String,
 }
 
 fn bad(text: &str) -> Answer {
@@ -22,6 +31,26 @@
 }
 
 impl Desk {
+    fn ready_answer(&self) -> Response<OutBody> {
+        match (self.ready)() {
+            Ok(()) => own(200, "ready", "this node is ready", 0, "answered"),
+            Err(why) => own(503, "not-ready", &why, 1, "answered"),
+        }
+    }
+
+    async fn wished(&self, side: &dyn OperatorSide, call: &Told) -> Option<Response<OutBody>> {
+        let base = call.base.as_deref();
+        let id = side.id(&call.method, base, &call.text);
+        let answer = match side.wish(id, &call.method, &call.path, base, &call.text)? {
+            Wish::Ready => return Some(self.ready_answer()),
+            Wish::Event(ev) => self.hand.ask(id, ev).await,
+            Wish::Bad(answer) => answer,
+        };
+        let mut response = operator(&answer);
+        *response.status_mut() = StatusCode::from_u16(side.status(&answer)).unwrap_or_default();
+        Some(response)
+    }
+
     pub async fn answer(self: Arc<Desk>, order: Request<Incoming>) -> Response<OutBody> {
         let path = order.uri().path().trim_matches('/').to_string();
         let base = order.headers().get("if-match").and_then(|v| v.to_str().ok()).map(|s| s.to_string());
@@ -31,12 +60,7 @@
         });
         let method = order.method().clone();
         match (&method, path.as_str()) {
-            (&Method::GET, "ready") => {
-                return match (self.ready)() {
-                    Ok(()) => own(200, "ready", "this node is ready", 0, "answered"),
-                    Err(why) => own(503, "not-ready", &why, 1, "answered"),
-                };
-            }
+            (&Method::GET, "ready") => return self.ready_answer(),
             (&Method::GET, "metrics") => return Response::new(whole((self.metrics)())),
             (&Method::GET, "v1/local") => return Response::new(whole(self.hand.status().await)),
             _ => {}
@@ -53,7 +77,13 @@
                 );
             }
         };
-        let answer = match event(&method, &path, id, base, body) {
+        let call = Told { method: method.to_string(), path: format!("/{path}"), base, text: body };
+        if let Some(side) = &self.operator
+            && let Some(response) = self.wished(&**side, &call).await
+        {
+            return response;
+        }
+        let answer = match event(&method, &path, id, call.base, call.text) {
             Ok(ev) => self.hand.ask(id, ev).await,
             Err(answer) => answer,
         };
--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -1,6 +1,7 @@
 use crate::gate::Refusal;
 use crate::json::tree::map;
 use crate::msg::Answer;
+use crate::seam::CallerSide;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use hyper::Response;
@@ -28,8 +29,14 @@
     b.body(whole(body.to_string())).expect("a valid answer")
 }
 
-pub fn refused(r: &Refusal) -> Response<OutBody> {
-    own(r.status(), r.code(), r.text(), r.retry_s, "refused")
+pub fn refused(side: &dyn CallerSide, r: &Refusal) -> Response<OutBody> {
+    let mut out = own(r.status(), r.code(), r.text(), r.wait.0.div_ceil(1_000_000), "refused");
+    if out.headers().contains_key("retry-after")
+        && let Ok(v) = side.retry(r.wait).parse()
+    {
+        out.headers_mut().insert("retry-after", v);
+    }
+    out
 }
 
 pub fn operator(a: &Answer) -> Response<OutBody> {
--- a/src/http/carry.rs
+++ b/src/http/carry.rs
@@ -5,6 +5,7 @@
 use crate::kernel::time::Clock;
 use crate::pass::ride::LegNo;
 use crate::pass::{In, Out, Ride};
+use crate::seam::{CallerSide, RunnerSide, Sides};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -23,6 +24,8 @@
     pub pool: Arc<Pool>,
     pub clock: Arc<dyn Clock>,
     pub shape: Arc<Shape>,
+    pub side: Arc<dyn RunnerSide>,
+    pub caller: Arc<dyn CallerSide>,
     ride: Ride,
     legs: BTreeMap<LegNo, JoinHandle<()>>,
     heads: BTreeMap<LegNo, (u16, HeaderMap)>,
@@ -35,6 +38,7 @@
 pub struct Cargo {
     pub order: Order,
     pub shape: Arc<Shape>,
+    pub sides: Sides,
 }
 
 pub async fn carry(
@@ -51,6 +55,8 @@
         pool,
         clock,
         shape: job.shape,
+        side: job.sides.runner,
+        caller: job.sides.caller,
         ride: Ride::new(job.order),
         legs: BTreeMap::new(),
         heads: BTreeMap::new(),
@@ -137,7 +143,7 @@
                 self.pass(Err(why.into())).await;
                 self.body = None;
             }
-            Out::Refuse(r) => self.answer(refused(&r)),
+            Out::Refuse(r) => self.answer(refused(&*self.caller, &r)),
             Out::Unknown(status, text) => {
                 self.answer(own(status, "outcome-unknown", text, 0, "unknown"));
             }
@@ -158,6 +164,9 @@
             no,
             runner,
             last,
+            order: self.ride.order.clone(),
+            side: self.side.clone(),
+            clock: self.clock.clone(),
             shape: self.shape.clone(),
             pool: self.pool.clone(),
             check: Box::new(move || check().is_none()),
--- a/src/http/leg.rs
+++ b/src/http/leg.rs
@@ -1,16 +1,21 @@
 use super::guard::Check;
-use super::pool::{Miss, Pool};
+use super::pool::{self, Miss, Pool};
+use crate::fleet::config::RouteKind;
 use crate::fleet::runner::Runner;
-use crate::gate::order::Why;
+use crate::gate::order::{Order, Why};
+use crate::kernel::time::Clock;
 use crate::pass::In;
 use crate::pass::ride::LegNo;
+use crate::seam::{RunnerSide, Verdict};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, Uri};
 use std::sync::Arc;
 use tokio::sync::mpsc;
 
+const WHOLE: usize = 64 << 20;
+
 const HOP: [&str; 9] = [
     "connection",
     "keep-alive",
@@ -55,7 +60,8 @@
     Head(HeadSlot),
 }
 
-pub fn order_for(shape: &Shape, runner: &Runner, last: &Option<String>) -> Option<Request<Full<Bytes>>> {
+pub fn order_for(job: &LegJob) -> Request<Full<Bytes>> {
+    let (shape, runner) = (&job.shape, &job.runner);
     let mut order = Request::new(Full::new(shape.body.clone()));
     *order.method_mut() = shape.method.clone();
     *order.uri_mut() = shape.uri.clone();
@@ -63,21 +69,21 @@
     let heads = order.headers_mut();
     heads.remove("content-length");
     heads.remove("expect");
-    let target = HeaderValue::from_str(&runner.instance.0).ok()?;
-    heads.insert(HeaderName::from_static("x-target-instance"), target);
-    if let Some(id) = last {
-        heads.insert(HeaderName::from_static("last-event-id"), HeaderValue::from_str(id).ok()?);
-    }
-    if !heads.contains_key("host") {
-        heads.insert("host", HeaderValue::from_str(&runner.addr.to_string()).ok()?);
+    let left = job.order.end.since(job.clock.now());
+    job.side.dress(heads, runner, &job.order, job.last.as_deref(), left);
+    if let (false, Ok(host)) = (heads.contains_key("host"), HeaderValue::from_str(&runner.addr.to_string())) {
+        heads.insert("host", host);
     }
-    Some(order)
+    order
 }
 
 pub struct LegJob {
     pub no: LegNo,
     pub runner: Runner,
     pub last: Option<String>,
+    pub order: Order,
+    pub side: Arc<dyn RunnerSide>,
+    pub clock: Arc<dyn Clock>,
     pub shape: Arc<Shape>,
     pub pool: Arc<Pool>,
     pub check: Check,
@@ -86,12 +92,10 @@
 }
 
 pub async fn run(job: LegJob) {
-    let LegJob { no: leg, runner, last, shape, pool, check, why, tx } = job;
+    let order = order_for(&job);
+    let sent = order.headers().clone();
+    let LegJob { no: leg, runner, order: asked, side, pool, check, why, tx, .. } = job;
     let say = |ev: In| tx.send(LegEvent::Step(ev));
-    let Some(order) = order_for(&shape, &runner, &last) else {
-        let _ = say(In::OpenFailed { leg, why: None }).await;
-        return;
-    };
     let reply = match pool.send(runner.addr, order, check).await {
         Ok(reply) => reply,
         Err(Miss::NotSent) => {
@@ -110,12 +114,37 @@
     };
     let status = reply.response.status().as_u16();
     let heads = end_to_end(reply.response.headers());
-    if status == 421 {
-        let _ = say(In::OpenFailed { leg, why: None }).await;
+    if let Some(load) = side.load(reply.response.headers()) {
+        let _ = say(In::Load { leg, load }).await;
+    }
+    let ev = match side.judge(&sent, status, reply.response.headers()) {
+        Verdict::Own => None,
+        Verdict::NotRun => Some(In::Shed { leg, gone: false }),
+        Verdict::NotMine => Some(In::Shed { leg, gone: true }),
+        Verdict::Stray => Some(In::Lost { leg }),
+    };
+    if let Some(ev) = ev {
+        if !matches!(ev, In::Lost { .. }) {
+            pool.finish(runner.addr, reply).await;
+        }
+        let _ = say(ev).await;
         return;
     }
     let kind = heads.get("content-type").and_then(|v| v.to_str().ok()).unwrap_or("");
     let stream = kind.starts_with("text/event-stream");
+    let keep = pool::kept(reply.response.headers());
+    if asked.kind == RouteKind::Idempotent && !stream {
+        let Ok(body) = Limited::new(reply.response.into_body(), WHOLE).collect().await else {
+            let _ = say(In::Lost { leg }).await;
+            return;
+        };
+        pool.give(runner.addr, reply.link, keep);
+        let _ = tx.send(LegEvent::Head((leg, status, heads))).await;
+        let _ = say(In::Head { leg, status, stream }).await;
+        let _ = say(In::Chunk { leg, raw: body.to_bytes() }).await;
+        let _ = say(In::End { leg }).await;
+        return;
+    }
     if tx.send(LegEvent::Head((leg, status, heads))).await.is_err() {
         return;
     }
@@ -133,6 +162,6 @@
             return;
         }
     }
-    pool.give(runner.addr, reply.link);
+    pool.give(runner.addr, reply.link, keep);
     let _ = say(In::End { leg }).await;
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -3,6 +3,7 @@
 pub mod carry;
 pub mod guard;
 pub mod leg;
+pub mod own;
 pub mod pool;
 pub mod sender;
 pub mod serve;
--- /dev/null
+++ b/src/http/own.rs
@@ -0,0 +1,103 @@
+use crate::fleet::runner::{Report, Runner};
+use crate::gate::order::Order;
+use crate::json::Tree;
+use crate::json::tree::map;
+use crate::kernel::time::Span;
+use crate::msg::RunnerOrder;
+use crate::seam::{Call, CallerSide, Keys, Load, RunnerSide, Verdict};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+
+pub struct OwnCaller;
+pub struct OwnRunner;
+
+impl CallerSide for OwnCaller {
+    fn keys(&self, heads: &HeaderMap, body: &[u8], assistant: bool) -> Result<Keys, &'static str> {
+        let last = heads.get("last-event-id").and_then(|v| v.to_str().ok()).map(|s| s.to_string());
+        let mut out = Keys { last, ..Keys::default() };
+        if !assistant {
+            return Ok(out);
+        }
+        let Ok(tree) = Tree::parse(std::str::from_utf8(body).unwrap_or("")) else {
+            return Err("the body is not well-formed JSON; send an object with a model");
+        };
+        for (key, to) in
+            [("model", &mut out.model), ("adapter", &mut out.adapter), ("prefix", &mut out.prefix)]
+        {
+            *to = match tree.get(key) {
+                Some(Tree::Text(t)) => t.as_str().into(),
+                None | Some(Tree::Null) => "".into(),
+                Some(_) => return Err("model, adapter and prefix must be texts"),
+            };
+        }
+        if out.model.is_empty() {
+            return Err("model is missing; name one the service offers");
+        }
+        Ok(out)
+    }
+
+    fn retry(&self, wait: Span) -> String {
+        wait.0.div_ceil(1_000_000).max(1).to_string()
+    }
+
+    fn start_by(&self, left: Span) -> Span {
+        left
+    }
+}
+
+pub fn call(method: &str, path: &str, r: &Runner, body: String) -> Call {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", r.addr.to_string())
+        .header("x-target-instance", r.instance.0.as_str())
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from(body)))
+        .expect("a valid order")
+}
+
+impl RunnerSide for OwnRunner {
+    fn dress(&self, heads: &mut HeaderMap, runner: &Runner, _order: &Order, last: Option<&str>, _left: Span) {
+        if let Ok(target) = HeaderValue::from_str(&runner.instance.0) {
+            heads.insert(HeaderName::from_static("x-target-instance"), target);
+        }
+        if let Some(id) = last.and_then(|id| HeaderValue::from_str(id).ok()) {
+            heads.insert(HeaderName::from_static("last-event-id"), id);
+        }
+    }
+
+    fn judge(&self, _sent: &HeaderMap, status: u16, _heads: &HeaderMap) -> Verdict {
+        if status == 421 { Verdict::NotMine } else { Verdict::Own }
+    }
+
+    fn load(&self, _heads: &HeaderMap) -> Option<Load> {
+        None
+    }
+
+    fn plain_reports(&self) -> bool {
+        true
+    }
+
+    fn report(&self, runner: &Runner) -> Call {
+        call("GET", "/spindle/report", runner, String::new())
+    }
+
+    fn read_report(&self, runner: &Runner, body: &[u8]) -> Option<Report> {
+        let tree = Tree::parse(std::str::from_utf8(body).ok()?).ok()?;
+        Report::read(&tree).filter(|rep| rep.instance == runner.instance)
+    }
+
+    fn drive(&self, o: &RunnerOrder) -> Call {
+        let kind = if o.adapter { "adapter" } else { "model" };
+        let body = map(&[
+            ("order", o.order.to_string().into()),
+            ("term", o.term.0.into()),
+            ("name", o.name.0.as_str().into()),
+            ("kind", kind.into()),
+        ]);
+        let path = if o.load { "/spindle/load" } else { "/spindle/unload" };
+        call("POST", path, &o.runner, body.to_string())
+    }
+}
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -6,11 +6,12 @@
 use crate::fleet::slice::RouteRow;
 use crate::gate::order::Why;
 use crate::gate::{Order, Refusal, Table};
-use crate::json::Tree;
-use crate::kernel::time::{Clock, Span};
+use crate::kernel::time::{Clock, Span, Time};
+use crate::seam::Sides;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use hyper::header::HeaderMap;
 use hyper::{Request, Response};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -24,6 +25,7 @@
     pub next: AtomicU64,
     pub open: AtomicU64,
     pub seen: super::sender::Seen,
+    pub sides: Sides,
 }
 
 struct Counted<'a>(&'a AtomicU64);
@@ -39,12 +41,12 @@
         self.open.fetch_add(1, Ordering::SeqCst);
         let _counted = Counted(&self.open);
         if self.stopping.load(Ordering::SeqCst) {
-            return refused(&Refusal::new(Why::Stopping, 1));
+            return refused(&*self.sides.caller, &Refusal::new(Why::Stopping, 1));
         }
         let now = self.clock.now();
         let host = order.headers().get("host").and_then(|h| h.to_str().ok()).unwrap_or("").to_string();
         let Some((routes_at, found)) = self.table.find(now, &host, order.uri().path()) else {
-            return refused(&Refusal::new(Why::Stale, 1));
+            return refused(&*self.sides.caller, &Refusal::new(Why::Stale, 1));
         };
         let Some(row) = found else {
             return own(
@@ -55,7 +57,6 @@
                 "refused",
             );
         };
-        let due = now + Span::ms(row.route.due_ms);
         let (parts, body) = order.into_parts();
         let limited = Limited::new(body, (row.route.body_kb as usize) << 10).collect();
         let body = match tokio::time::timeout(Span::ms(row.route.due_ms).as_std(), limited).await {
@@ -70,21 +71,26 @@
         };
         let mut heads = end_to_end(&parts.headers);
         heads.remove("x-target-instance");
-        let last = heads.get("last-event-id").and_then(|v| v.to_str().ok()).map(|s| s.to_string());
-        let order = match self.order(&row, due, &body, last) {
+        let order = match self.order(&row, now, &heads, &body) {
             Ok(order) => {
                 Order { host: host.as_str().into(), path: parts.uri.path().into(), routes_at, ..order }
             }
             Err(answer) => return *answer,
         };
-        let Some(gate) = self.table.gate(&row.service) else {
-            return refused(&Refusal::new(Why::Stale, 1));
+        let Some(gate) = self.table.gate(&order.service) else {
+            return refused(&*self.sides.caller, &Refusal::new(Why::Stale, 1));
         };
         self.seen.add(&order, &host, parts.uri.path(), body.len());
         let uri = parts.uri.path_and_query().map_or("/", |p| p.as_str()).parse().unwrap_or_default();
         let shape = Arc::new(Shape { method: parts.method, uri, heads, body });
         let (tx, rx) = oneshot::channel();
-        let work = carry(gate, self.pool.clone(), self.clock.clone(), Cargo { order, shape }, tx);
+        let work = carry(
+            gate,
+            self.pool.clone(),
+            self.clock.clone(),
+            Cargo { order, shape, sides: self.sides.clone() },
+            tx,
+        );
         let me = self.clone();
         self.open.fetch_add(1, Ordering::SeqCst);
         tokio::spawn(async move {
@@ -100,49 +106,37 @@
     fn order(
         &self,
         row: &RouteRow,
-        due: crate::kernel::time::Time,
+        now: Time,
+        heads: &HeaderMap,
         body: &Bytes,
-        last: Option<String>,
     ) -> Result<Order, Box<Response<OutBody>>> {
-        let gate = self.table.gate(&row.service);
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let service = row.pick(id ^ now.0).clone();
+        let gate = self.table.gate(&service);
         let sort = gate.and_then(|g| g.lock().unwrap().slice.as_ref().map(|s| s.service.sort));
-        let bad = |text: &str| Err(Box::new(own(400, "bad-order", text, 0, "refused")));
-        let mut keys = [String::new(), String::new(), String::new()];
-        if sort == Some(Sort::Assistant) {
-            let text = std::str::from_utf8(body).unwrap_or("");
-            let Ok(tree) = Tree::parse(text) else {
-                return bad("the body is not well-formed JSON; send an object with a model");
-            };
-            for (n, key) in ["model", "adapter", "prefix"].iter().enumerate() {
-                keys[n] = match tree.get(key) {
-                    Some(Tree::Text(t)) => t.clone(),
-                    None | Some(Tree::Null) => String::new(),
-                    Some(_) => return bad("model, adapter and prefix must be texts"),
-                };
-            }
-            if keys[0].is_empty() {
-                return bad("model is missing; name one the service offers");
-            }
-        }
+        let keys = match self.sides.caller.keys(heads, body, sort == Some(Sort::Assistant)) {
+            Ok(keys) => keys,
+            Err(text) => return Err(Box::new(own(400, "bad-order", text, 0, "refused"))),
+        };
+        let most = Span::ms(row.route.due_ms);
+        let left = keys.due.map_or(most, |d| d.min(most));
         Ok(Order {
-            id: self.next.fetch_add(1, Ordering::Relaxed),
-            service: row.service.clone(),
+            id,
+            service,
             class: row.route.class,
-            model: keys[0].as_str().into(),
-            adapter: keys[1].as_str().into(),
-            prefix: keys[2].as_str().into(),
+            model: keys.model,
+            adapter: keys.adapter,
+            prefix: keys.prefix,
             resumable: row.route.resumable,
-            due,
-            last: last.filter(|_| row.route.resumable),
-            resumed: false,
-            host: Default::default(),
-            path: Default::default(),
-            routes_at: Default::default(),
+            due: now + self.sides.caller.start_by(left),
+            end: now + left,
+            last: keys.last.filter(|_| row.route.resumable),
             kind: row.route.kind,
             tries: row.route.tries,
             aim: Span::ms(row.route.aim_ms),
-            size: Default::default(),
-            parts: Default::default(),
+            size: keys.size,
+            parts: keys.parts,
+            ..Order::default()
         })
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod news;
 pub mod pass;
 pub mod placement;
+pub mod platform;
 pub mod query;
 pub mod relay;
 pub mod rollout;
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -80,6 +80,7 @@
 pub enum Op {
     Whole { base: Option<Version>, text: String },
     Part { base: Option<Version>, text: String },
+    Foreign { base: u64, part: bool, text: String },
     Runners(Vec<Runner>),
     Leaving(Name),
     Propose,
@@ -194,6 +195,7 @@
     Report { instance: Name, report: Option<Report> },
     Ordered { order: OrderId, status: u16 },
     RouterState(Box<RouterTell>),
+    Listed(Vec<Runner>),
     Warned,
     Note(Note),
 }
@@ -220,6 +222,7 @@
     Drive(RunnerOrder),
     Routers(u64),
     Watch(Vec<Runner>),
+    Holds(bool),
     Mark(Name),
     Ready(bool),
     Learn { scope: Scope, at: Version, slice: Option<Slice>, proven: Time },
--- a/src/pass/resume.rs
+++ b/src/pass/resume.rs
@@ -1,13 +1,16 @@
 use super::ride::*;
+use crate::fleet::config::RouteKind;
 use crate::fleet::runner::Runner;
 use crate::gate::order::Why;
 use crate::gate::{Gate, Refusal};
 use crate::kernel::ids::Name;
 use crate::kernel::time::{Span, Time};
+use crate::seam::Load;
 use crate::transfer::tape::Item;
 
 impl Ride {
     pub fn open_main(&mut self, now: Time, runner: Runner, out: &mut Vec<Out>) {
+        self.opened += 1;
         let from = if self.tail.is_some() { self.prev.clone() } else { self.last.clone() };
         self.main = self.open(now, runner, from, out);
         let (no, tail) = (self.main, self.tail.clone());
@@ -36,13 +39,39 @@
         false
     }
 
+    pub fn shed(&mut self, now: Time, leg: LegNo, gone: bool, gate: &mut Gate, out: &mut Vec<Out>) {
+        if self.is_dest(leg) {
+            return self.dest_failed(now, "the destination turned it away", gate, out);
+        }
+        let Some(runner) = self.runner_of(leg) else { return };
+        self.close(now, leg, None, gate, out);
+        gate.count(if gone { "not_there" } else { "shed" });
+        gate.turned_away(now, &runner, &self.order, gone);
+        if self.began || self.sent {
+            return self.resume(now, runner, gate, out);
+        }
+        self.avoid.push(runner);
+        if self.opened >= self.order.tries || !gate.tries.spend() {
+            return self.refuse(now, Refusal::after(Why::Full, Span::ms(300)), gate, out);
+        }
+        let plan = gate.plan(now, &self.order, &self.avoid);
+        self.again(now, plan, gate, out);
+    }
+
+    pub fn told_load(&mut self, now: Time, leg: LegNo, load: Load, gate: &mut Gate) {
+        if let Some(runner) = self.runner_of(leg) {
+            gate.told_load(now, &runner, load);
+        }
+    }
+
     pub fn resume(&mut self, now: Time, from: Name, gate: &mut Gate, out: &mut Vec<Out>) {
         self.avoid.push(from);
-        if !self.order.resumable || !gate.tries.spend() {
+        let again = self.order.resumable || (self.order.kind == RouteKind::Idempotent && !self.began);
+        if !again || self.opened >= self.order.tries || !gate.tries.spend() {
             return self.refuse(now, Refusal::new(Why::NoBudget, 1), gate, out);
         }
         gate.count("resumed");
-        self.order.due = self.order.due.max(now + Span::ms(3000));
+        self.order.due = self.order.due.max(now + Span::ms(3000)).min(self.order.end.max(self.order.due));
         self.order.last = self.last.clone();
         self.order.resumed = true;
         let plan = gate.plan(now, &self.order, &self.avoid);
--- a/src/pass/ride.rs
+++ b/src/pass/ride.rs
@@ -1,9 +1,11 @@
 use super::legs::Leg;
+use crate::fleet::config::RouteKind;
 use crate::fleet::runner::Runner;
 use crate::gate::order::Why;
 use crate::gate::{Gate, Order, Plan, Refusal};
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
+use crate::seam::Load;
 use crate::transfer::Handover;
 use crate::transfer::tape::Item;
 use bytes::Bytes;
@@ -20,6 +22,8 @@
     Woken(Plan),
     OpenFailed { leg: LegNo, why: Option<Why> },
     Lost { leg: LegNo },
+    Shed { leg: LegNo, gone: bool },
+    Load { leg: LegNo, load: Load },
     Head { leg: LegNo, status: u16, stream: bool },
     Chunk { leg: LegNo, raw: Bytes },
     End { leg: LegNo },
@@ -54,6 +58,7 @@
     pub prev: Option<String>,
     pub tail: Option<Item>,
     pub passed: u64,
+    pub opened: u64,
     pub hand: Option<(LegNo, Handover)>,
     pub reserved: u64,
     pub hand_off: Option<(MoveId, Time, u64)>,
@@ -79,6 +84,7 @@
             prev: None,
             tail: None,
             passed: 0,
+            opened: 0,
             hand: None,
             reserved: 0,
             hand_off: None,
@@ -105,6 +111,8 @@
             In::Woken(plan) => self.carry(now, plan, gate, &mut out),
             In::OpenFailed { leg, why } => self.open_failed(now, leg, why, gate, &mut out),
             In::Lost { leg } => self.lost(now, leg, gate, &mut out),
+            In::Shed { leg, gone } => self.shed(now, leg, gone, gate, &mut out),
+            In::Load { leg, load } => self.told_load(now, leg, load, gate),
             In::Head { leg, status, stream } => self.head(now, leg, status, stream, gate, &mut out),
             In::Chunk { leg, raw } => self.chunk(now, leg, &raw, gate, &mut out),
             In::End { leg } => self.ended(now, leg, gate, &mut out),
@@ -121,6 +129,7 @@
     fn is_stray(&self, ev: &In) -> bool {
         let leg = match ev {
             In::OpenFailed { leg, .. } | In::Lost { leg } | In::Head { leg, .. } => leg,
+            In::Shed { leg, .. } | In::Load { leg, .. } => leg,
             In::Chunk { leg, .. } | In::End { leg } => leg,
             _ => return false,
         };
@@ -188,6 +197,7 @@
         if self.is_dest(leg) {
             return self.dest_failed(now, "the destination could not be reached", gate, out);
         }
+        self.opened = self.opened.saturating_sub(1);
         let Some(runner) = self.leg(leg).map(|l| l.runner.instance.clone()) else { return };
         let good = if why.is_none() { Some(false) } else { None };
         self.close(now, leg, good, gate, out);
@@ -229,7 +239,7 @@
         self.sent = true;
         self.close(now, leg, Some(false), gate, out);
         gate.count("lost");
-        if self.stream || !self.began {
+        if self.stream || !self.began || self.order.kind == RouteKind::Idempotent {
             return self.resume(now, runner, gate, out);
         }
         self.refuse(now, Refusal::new(Why::NoRunner, 1), gate, out);
--- a/src/pass/shift.rs
+++ b/src/pass/shift.rs
@@ -176,7 +176,7 @@
         let Some(runner) = self.runner_of(main) else { return };
         let idle = now.since(self.heard);
         let dark = gate.dark(now, &runner) && idle > DARK_QUIET;
-        if !self.began && now >= self.order.due {
+        if !self.began && now >= self.order.end {
             self.sent = true;
             gate.count("due_after_send");
             self.close(now, main, Some(false), gate, out);
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -43,6 +43,7 @@
     asked: Time,
     named: Time,
     warned: bool,
+    pub bare_plain: bool,
 }
 
 impl Placement {
@@ -72,6 +73,7 @@
             asked: Time(0),
             named: Time(0),
             warned: false,
+            bare_plain: false,
         }
     }
 
@@ -204,8 +206,10 @@
             Event::Mail { msg: Msg::NewsTell { nonce, items }, .. } => {
                 for l in self.reader.told(*nonce, items) {
                     if let Some(Slice::Duty(s)) = l.slice {
-                        kit.out.push(Effect::Watch(s.runners.clone()));
+                        let s = *s;
+                        kit.out.push(Effect::Watch(self.reporting(&s)));
                         self.learn(kit.me.node, kit.now, s);
+                        kit.out.push(Effect::Holds(self.term != Term(0)));
                     }
                     self.proven = self.proven.max(l.proven);
                 }
@@ -221,6 +225,7 @@
                 }
                 self.reports.insert(instance.clone(), (kit.now, r.clone()));
             }
+            Event::Listed(list) => self.listed(list, kit),
             Event::Ordered { order, status } => self.flights.answered(kit.now, *order, *status),
             Event::Warned => self.hand_over(kit),
             _ => {}
--- a/src/placement/fill.rs
+++ b/src/placement/fill.rs
@@ -1,10 +1,11 @@
 use super::duty::{Placement, REPORT};
 use super::flights::{Offer, is_adapter};
 use crate::daemon::assemble::Policy;
+use crate::fleet::config::Sort;
+use crate::fleet::runner::Runner;
 use crate::fleet::slice::DutySlice;
 use crate::fleet::state::Change;
-use crate::kernel::ids::ChangeId;
-use crate::kernel::ids::Name;
+use crate::kernel::ids::{ChangeId, Name, Term};
 use crate::kernel::part::Kit;
 use crate::kernel::time::Time;
 use crate::msg::*;
@@ -24,12 +25,41 @@
         }
     }
 
+    /// Takes what the list of runners says now, if it differs from what the fleet has recorded.
+    pub fn listed(&mut self, list: &[Runner], kit: &mut Kit) {
+        let Some(s) = &self.slice else { return };
+        if self.term == Term(0) || list.is_empty() && s.runners.is_empty() {
+            return;
+        }
+        let same = |a: &Runner, b: &Runner| {
+            a.instance == b.instance
+                && a.addr == b.addr
+                && (a.leaving || !b.leaving)
+                && a.service == b.service
+        };
+        let known = |r: &Runner| s.runners.iter().any(|o| same(o, r));
+        let here = |o: &Runner| list.iter().any(|r| r.instance == o.instance);
+        if list.iter().all(known) && s.runners.iter().all(here) {
+            return;
+        }
+        let id = ChangeId(kit.rand.next() | 1);
+        let Some(head) = kit.views.view.as_ref().and_then(|v| v.head()) else { return };
+        kit.say("runners-listed", list.len().to_string());
+        kit.send(head, Msg::Op { id, op: Op::Runners(list.to_vec()) });
+    }
+
     pub fn tell_head(&mut self, change: Change, kit: &mut Kit) {
         let Some(head) = kit.views.view.as_ref().and_then(|v| v.head()) else { return };
         let id = ChangeId(kit.rand.next() | 1);
         kit.send(head, Msg::Op { id, op: Op::Internal(change) });
     }
 
+    /// The runners whose reports tell what they hold.
+    pub fn reporting(&self, s: &DutySlice) -> Vec<Runner> {
+        let plain = |r: &&Runner| s.config.service(&r.service).is_some_and(|x| x.sort == Sort::Plain);
+        s.runners.iter().filter(|r| !(self.bare_plain && plain(r))).cloned().collect()
+    }
+
     pub fn offers(&self, now: Time) -> Vec<Offer> {
         let Some(s) = &self.slice else { return vec![] };
         let rows = s.runners.iter().filter_map(|r| {
--- /dev/null
+++ b/src/platform/caller.rs
@@ -0,0 +1,53 @@
+use crate::gate::order::Size;
+use crate::kernel::time::Span;
+use crate::seam::{CallerSide, Keys, adapter_name};
+use hyper::header::HeaderMap;
+
+pub struct Caller;
+
+fn text<'a>(heads: &'a HeaderMap, key: &str) -> Option<&'a str> {
+    heads.get(key).and_then(|v| v.to_str().ok()).map(|t| t.trim())
+}
+
+fn parts(text: &str) -> Option<Vec<(u64, u32)>> {
+    let one = |row: &str| {
+        let (id, n) = row.trim().split_once(':')?;
+        Some((u64::from_str_radix(id, 16).ok()?, n.parse().ok()?))
+    };
+    text.split(',').filter(|r| !r.trim().is_empty()).map(one).collect()
+}
+
+impl CallerSide for Caller {
+    fn keys(&self, heads: &HeaderMap, _body: &[u8], _assistant: bool) -> Result<Keys, &'static str> {
+        let mut out = Keys { last: text(heads, "last-event-id").map(|t| t.to_string()), ..Keys::default() };
+        if let Some(ms) = text(heads, "x-deadline-ms") {
+            let Ok(ms) = ms.parse::<f64>() else { return Err("X-Deadline-Ms is no number of milliseconds") };
+            out.due = Some(Span((ms.max(0.0) * 1000.0) as u64));
+        }
+        if let Some(name) = text(heads, "x-model") {
+            match name.split_once('/') {
+                Some((model, adapter)) => {
+                    out.model = model.into();
+                    out.adapter = adapter_name(model, adapter).0.into();
+                }
+                None => out.model = name.into(),
+            }
+        }
+        if let Some((prompt, most)) = text(heads, "x-token-count").and_then(|t| t.split_once(',')) {
+            let num = |t: &str| t.trim().parse().unwrap_or(0);
+            out.size = Size { prompt: num(prompt), out: num(most) };
+        }
+        if let Some(rows) = text(heads, "x-prompt-prefix").and_then(parts) {
+            out.parts = rows.into();
+        }
+        Ok(out)
+    }
+
+    fn retry(&self, wait: Span) -> String {
+        format!("{:.2}", (wait.0.max(50_000)) as f64 / 1e6)
+    }
+
+    fn start_by(&self, left: Span) -> Span {
+        Span(left.0 * 45 / 100)
+    }
+}
--- /dev/null
+++ b/src/platform/list.rs
@@ -0,0 +1,50 @@
+use crate::fleet::runner::Runner;
+use crate::json::Tree;
+use crate::kernel::ids::Name;
+use crate::seam::{Call, RunnerList};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+pub struct Instances {
+    pub addr: SocketAddr,
+    pub pause: Duration,
+}
+
+fn runner(t: &Tree) -> Option<Runner> {
+    Some(Runner {
+        instance: Name::from(t.text("Id")?),
+        service: Name::from(t.text("Backend")?),
+        domain: Name::from(t.text("Zone").unwrap_or("")),
+        addr: t.text("Address")?.parse().ok()?,
+        leaving: t.text("OperState") != Some("up"),
+    })
+}
+
+impl RunnerList for Instances {
+    fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    fn pause(&self) -> Duration {
+        self.pause
+    }
+
+    fn ask(&self, page: Option<&str>) -> Call {
+        let path = page.map_or("/instances".to_string(), |p| format!("/instances?PageToken={p}"));
+        Request::builder()
+            .uri(path)
+            .header("host", self.addr.to_string())
+            .body(Full::new(Bytes::new()))
+            .expect("a valid call")
+    }
+
+    fn read(&self, body: &[u8]) -> Option<(Vec<Runner>, Option<String>)> {
+        let t = Tree::parse(std::str::from_utf8(body).ok()?).ok()?;
+        t.get("Instances")?;
+        let rows = t.list("Instances").iter().filter_map(runner).collect();
+        Some((rows, t.text("NextToken").map(|p| p.to_string())))
+    }
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,6 @@
+pub mod caller;
+pub mod config;
+pub mod list;
+pub mod operator;
+pub mod runner;
+pub mod settings;
--- /dev/null
+++ b/src/platform/runner.rs
@@ -0,0 +1,120 @@
+use crate::fleet::runner::{Report, Runner};
+use crate::gate::order::Order;
+use crate::json::Tree;
+use crate::json::tree::map;
+use crate::kernel::ids::Name;
+use crate::kernel::time::Span;
+use crate::msg::RunnerOrder;
+use crate::seam::{Call, Load, RunnerSide, Verdict, adapter_name};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+
+const ID: &str = "x-request-id";
+
+pub struct RunnerWords {
+    pub node: String,
+}
+
+fn put(heads: &mut HeaderMap, key: &'static str, value: &str) {
+    if let Ok(v) = HeaderValue::from_str(value) {
+        heads.insert(HeaderName::from_static(key), v);
+    }
+}
+
+fn call(method: &str, path: &str, r: &Runner, body: String) -> Call {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", r.addr.to_string())
+        .header("x-target-instance", r.instance.0.as_str())
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from(body)))
+        .expect("a valid call")
+}
+
+/// The models and adapters that `Models` of a report or list entry tells of.
+pub fn holds(t: &Tree) -> Vec<Name> {
+    let mut out = Vec::new();
+    for m in t.list("Models") {
+        let Some(name) = m.text("Name") else { continue };
+        out.push(Name::from(name));
+        out.extend(m.texts("Adapters").iter().map(|a| adapter_name(name, a)));
+    }
+    out
+}
+
+impl RunnerSide for RunnerWords {
+    fn dress(&self, heads: &mut HeaderMap, runner: &Runner, order: &Order, last: Option<&str>, left: Span) {
+        put(heads, "x-target-instance", &runner.instance.0);
+        put(heads, "x-deadline-ms", &left.as_ms().max(1).to_string());
+        if let Some(id) = last {
+            put(heads, "last-event-id", id);
+        }
+        if !order.model.is_empty() {
+            put(heads, "x-priority-class", &(order.class as u8).to_string());
+        }
+    }
+
+    fn judge(&self, sent: &HeaderMap, status: u16, heads: &HeaderMap) -> Verdict {
+        if status == 421 {
+            return Verdict::NotMine;
+        }
+        if sent.contains_key(ID) && heads.get(ID) != sent.get(ID) {
+            return Verdict::Stray;
+        }
+        if heads.contains_key("x-not-executed") {
+            return Verdict::NotRun;
+        }
+        let bare = !heads.contains_key("x-server-seal") || heads.contains_key("content-encoding");
+        if (200..300).contains(&status) && bare {
+            return Verdict::Stray;
+        }
+        Verdict::Own
+    }
+
+    fn load(&self, heads: &HeaderMap) -> Option<Load> {
+        let row = heads.get("x-server-load")?.to_str().ok()?;
+        let mut n = row.split(',').map(|t| t.trim().parse::<u64>().ok());
+        Some(Load { running: n.next()??, waiting: n.next()??, slots: n.next()?? })
+    }
+
+    fn plain_reports(&self) -> bool {
+        false
+    }
+
+    fn report(&self, runner: &Runner) -> Call {
+        call("GET", "/spindledock/report", runner, String::new())
+    }
+
+    fn read_report(&self, runner: &Runner, body: &[u8]) -> Option<Report> {
+        let t = Tree::parse(std::str::from_utf8(body).ok()?).ok()?;
+        Some(Report {
+            instance: runner.instance.clone(),
+            leaving: t.text("OperState") == Some("draining") || t.get("RemainingMs").is_some(),
+            holds: holds(&t),
+            running: t.num("Active")?,
+            waiting: t.num("Queued")?,
+            orders: t.num("Sequence").unwrap_or(0),
+            tokens: t.num("KvInUse").unwrap_or(0),
+            busy: t.flag("Utilization").unwrap_or(false),
+            ..Report::default()
+        })
+    }
+
+    fn drive(&self, o: &RunnerOrder) -> Call {
+        let opcode = if o.load { "install" } else { "uninstall" };
+        let (model, adapter) = match o.name.0.split_once('/') {
+            Some((m, a)) if o.adapter => (m, Some(a)),
+            _ => (o.name.0.as_str(), None),
+        };
+        let mut rows = vec![("Opcode", opcode.into()), ("Model", model.into())];
+        if let Some(a) = adapter {
+            rows.push(("Adapter", a.into()));
+        }
+        rows.push(("Owner", self.node.as_str().into()));
+        rows.push(("FenceToken", o.term.0.into()));
+        call("POST", "/spindledock/order", &o.runner, map(&rows).to_string())
+    }
+}
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,127 @@
+use super::caller::Caller;
+use super::list::Instances;
+use super::operator::{Figures, Operator};
+use super::runner::RunnerWords;
+use crate::daemon::config::NodeConfig;
+use crate::fleet::config::Budget;
+use crate::kernel::fault::{Fault, Kind};
+use crate::kernel::ids::Name;
+use crate::msg::Role;
+use crate::seam::Sides;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use yaml_rust2::{Yaml, YamlLoader};
+
+pub const PATH: &str = "SPINDLEDOCK_SETTINGS";
+
+fn fault(place: &str, what: impl Into<String>, remedy: &str) -> Fault {
+    Fault::new(Kind::Config, place, what, remedy)
+}
+
+pub fn start(role: Role) -> Result<NodeConfig, Vec<Fault>> {
+    let path = std::env::var(PATH)
+        .map_err(|_| vec![fault(PATH, "is not set", "set it to the path of the settings file")])?;
+    let text = std::fs::read_to_string(&path)
+        .map_err(|e| vec![fault(&path, e.to_string(), "name a file this process can read")])?;
+    read(role, &text)
+}
+
+struct Rows<'a> {
+    doc: &'a Yaml,
+    faults: Vec<Fault>,
+}
+
+impl Rows<'_> {
+    fn at(&self, path: &str) -> &Yaml {
+        path.split('.').fold(self.doc, |t, key| &t[key])
+    }
+
+    fn text(&mut self, path: &str) -> String {
+        if let Some(t) = self.at(path).as_str() {
+            return t.to_string();
+        }
+        self.faults.push(fault(path, "is missing or no text", "give it as the settings page says"));
+        String::new()
+    }
+
+    fn addr(&mut self, path: &str) -> SocketAddr {
+        let text = self.text(path);
+        if let Ok(a) = text.parse() {
+            return a;
+        }
+        self.faults.push(fault(path, format!("\"{text}\" is no address"), "give IP:PORT"));
+        SocketAddr::from(([0, 0, 0, 0], 0))
+    }
+
+    fn num(&self, path: &str, dflt: f64) -> f64 {
+        let t = self.at(path);
+        t.as_f64().or_else(|| t.as_i64().map(|n| n as f64)).unwrap_or(dflt)
+    }
+}
+
+pub fn read(role: Role, text: &str) -> Result<NodeConfig, Vec<Fault>> {
+    let docs = YamlLoader::load_from_str(text)
+        .map_err(|e| vec![fault("settings", e.to_string(), "write one well-formed YAML document")])?;
+    let Some(doc) = docs.first() else {
+        return Err(vec![fault("settings", "is empty", "write one YAML document")]);
+    };
+    let mut r = Rows { doc, faults: vec![] };
+    let (front, admin) = match role {
+        Role::Router => (Some(r.addr("Bindings.FrontHttp")), r.addr("Bindings.Readiness")),
+        Role::Controller => (None, r.addr("Bindings.ControlPlane")),
+    };
+    let ip: IpAddr = match r.text("Ip").parse() {
+        Ok(ip) => ip,
+        Err(_) => admin.ip(),
+    };
+    let port = r.at("EphemeralPorts")[0].as_i64().unwrap_or(0) as u16;
+    if port == 0 {
+        r.faults.push(fault("EphemeralPorts", "holds no port", "give the first and the last free port"));
+    }
+    let mut seeds: Vec<SocketAddr> = Vec::new();
+    for s in r.at("SeedPeers").as_vec().cloned().unwrap_or_default() {
+        match s.as_str().and_then(|t| t.parse::<SocketAddr>().ok()) {
+            Some(a) => seeds.push(SocketAddr::new(a.ip(), port)),
+            None => r.faults.push(fault("SeedPeers", format!("{s:?} is no address"), "give IP:PORT")),
+        }
+    }
+    let data = r.at("DataDir").as_str().map(PathBuf::from);
+    if role == Role::Controller && data.is_none() {
+        r.faults.push(fault("DataDir", "is missing", "run this role where there is a disk"));
+    }
+    let cloud = r.addr("CloudApi.Address");
+    let lag = r.num("CloudApi.MaxLagMs", 800.0) as u64;
+    let budget = Budget {
+        percent: (r.num("Timers.RetryBudgetRatio", 0.2) * 100.0) as u64,
+        allowance: r.num("Timers.RetryMin", 10.0) as u64,
+    };
+    let grace = r.num("Timers.GraceS", 8.0) * 1000.0;
+    let node = r.text("NodeName");
+    let zone = r.text("Zone");
+    let bear = r.num("FaultTolerance.Machines", 1.0) as usize;
+    if !r.faults.is_empty() {
+        return Err(r.faults);
+    }
+    let figures = Figures { budget, ..Figures::default() };
+    let sides = Sides {
+        caller: Arc::new(Caller),
+        runner: Arc::new(RunnerWords { node }),
+        list: Some(Arc::new(Instances { addr: cloud, pause: Duration::from_millis(lag.clamp(500, 1000)) })),
+        operator: Some(Arc::new(Operator { figures })),
+    };
+    Ok(NodeConfig {
+        role,
+        addr: SocketAddr::new(ip, port),
+        admin,
+        http: front,
+        domain: Name(zone),
+        seeds,
+        core: 2 * bear + 1,
+        data,
+        drain_ms: (grace * 0.85) as u64,
+        sides,
+        lean: true,
+    })
+}
--- a/src/seam.rs
+++ b/src/seam.rs
@@ -1,16 +1,18 @@
 use crate::fleet::FleetConfig;
 use crate::fleet::runner::{Report, Runner};
 use crate::gate::order::{Order, Parts, Size};
+use crate::http::own::{OwnCaller, OwnRunner};
 use crate::kernel::fault::Fault;
-use crate::kernel::ids::Name;
+use crate::kernel::ids::{ChangeId, Name};
 use crate::kernel::time::Span;
-use crate::msg::RunnerOrder;
+use crate::msg::{Answer, Event, RunnerOrder};
 use bytes::Bytes;
 use compact_str::CompactString;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::HeaderMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 pub type Call = Request<Full<Bytes>>;
 
@@ -31,8 +33,8 @@
     fn keys(&self, heads: &HeaderMap, body: &[u8], assistant: bool) -> Result<Keys, &'static str>;
     /// The text of `Retry-After` for a wait.
     fn retry(&self, wait: Span) -> String;
-    /// The longest that an order waits for a runner; later it is refused.
-    fn patience(&self) -> Option<Span>;
+    /// Of the time that is left, how long an order may wait for a runner before it is refused.
+    fn start_by(&self, left: Span) -> Span;
 }
 
 /// What a runner's head of answer says of the order that was sent.
@@ -58,6 +60,8 @@
     fn dress(&self, heads: &mut HeaderMap, runner: &Runner, order: &Order, last: Option<&str>, left: Span);
     fn judge(&self, sent: &HeaderMap, status: u16, heads: &HeaderMap) -> Verdict;
     fn load(&self, heads: &HeaderMap) -> Option<Load>;
+    /// Whether runners of plain services report too.
+    fn plain_reports(&self) -> bool;
     fn report(&self, runner: &Runner) -> Call;
     fn read_report(&self, runner: &Runner, body: &[u8]) -> Option<Report>;
     fn drive(&self, order: &RunnerOrder) -> Call;
@@ -66,13 +70,25 @@
 /// Where the list of runners is asked for, if this node asks.
 pub trait RunnerList: Send + Sync {
     fn addr(&self) -> SocketAddr;
+    fn pause(&self) -> std::time::Duration;
     fn ask(&self, page: Option<&str>) -> Call;
     /// The runners of a page and the name of the next page.
     fn read(&self, body: &[u8]) -> Option<(Vec<Runner>, Option<String>)>;
 }
 
-/// How operators write their configurations.
+/// What an operator's call asks of this node.
+pub enum Wish {
+    Ready,
+    Event(Event),
+    Bad(Answer),
+}
+
+/// How operators speak, and how they write their configurations.
 pub trait OperatorSide: Send + Sync {
+    fn wish(&self, id: ChangeId, method: &str, path: &str, base: Option<&str>, text: &str) -> Option<Wish>;
+    /// The id under which a call that is sent again is known.
+    fn id(&self, method: &str, base: Option<&str>, text: &str) -> ChangeId;
+    fn status(&self, answer: &Answer) -> u16;
     /// The configuration that `text` makes of `now`: whole, or named items of it.
     fn read(&self, now: &FleetConfig, text: &str, part: bool) -> Result<FleetConfig, Vec<Fault>>;
 }
@@ -80,3 +96,23 @@
 pub fn adapter_name(model: &str, adapter: &str) -> Name {
     Name(format!("{model}/{adapter}"))
 }
+
+#[derive(Clone)]
+pub struct Sides {
+    pub caller: Arc<dyn CallerSide>,
+    pub runner: Arc<dyn RunnerSide>,
+    pub list: Option<Arc<dyn RunnerList>>,
+    pub operator: Option<Arc<dyn OperatorSide>>,
+}
+
+impl Default for Sides {
+    fn default() -> Sides {
+        Sides { caller: Arc::new(OwnCaller), runner: Arc::new(OwnRunner), list: None, operator: None }
+    }
+}
+
+impl std::fmt::Debug for Sides {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Sides(list={} operator={})", self.list.is_some(), self.operator.is_some())
+    }
+}
--- a/src/sim/effects.rs
+++ b/src/sim/effects.rs
@@ -41,6 +41,7 @@
             }
             Effect::Routers(n) => self.nodes[place].routers = n,
             Effect::Watch(list) => self.nodes[place].watch = list,
+            Effect::Holds(_) => {}
             Effect::Ready(r) => self.nodes[place].ready = r,
             Effect::Drive(order) => self.drive(place, life, order),
             Effect::Save(_) | Effect::Rewrite(_) => {}
--- a/src/sim/front.rs
+++ b/src/sim/front.rs
@@ -58,16 +58,11 @@
             prefix: script.as_ref().map_or("", |s| s.prefix.as_str()).into(),
             resumable: row.route.resumable,
             due: now + Span::ms(row.route.due_ms),
-            last: None,
-            resumed: false,
-            host: "".into(),
+            end: now + Span::ms(row.route.due_ms),
             path: path.into(),
             routes_at,
             kind: row.route.kind,
-            tries: row.route.tries,
-            aim: Span::ms(row.route.aim_ms),
-            size: Default::default(),
-            parts: Default::default(),
+            ..Order::default()
         };
         self.nodes[place].seen.add(&order, "", path, body.as_ref().map_or(0, |b| b.len()));
         let ride = SimRide {
--- a/src/sim/setup.rs
+++ b/src/sim/setup.rs
@@ -33,6 +33,7 @@
                 seeds: seeds.collect(),
                 core: plan.core,
                 policy: plan.policy,
+                sides: Default::default(),
             };
             let node = SimNode::new(place, role, &mut w.rand);
             w.nodes.push(node);
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -106,7 +106,7 @@
             raw.extend_from_slice(&data);
         }
     }
-    pool.give(router, reply.link);
+    pool.give(router, reply.link, None);
     let text = String::from_utf8_lossy(&raw).into_owned();
     if let Some(outcome) = outcome {
         let code = Tree::parse(&text).ok().and_then(|t| t.text("code").map(|s| s.to_string()));
--- a/tests/ride.rs
+++ b/tests/ride.rs
@@ -1,5 +1,5 @@
 use bytes::Bytes;
-use spindledock::fleet::config::{Class, RouteKind};
+use spindledock::fleet::config::Class;
 use spindledock::fleet::read::read_text;
 use spindledock::fleet::runner::{Report, Runner};
 use spindledock::fleet::slice::service_slice;
@@ -61,16 +61,9 @@
         prefix: "".into(),
         resumable,
         due: NOW + Span::ms(5000),
-        last: None,
-        resumed: false,
-        host: "".into(),
+        end: NOW + Span::ms(5000),
         path: "".into(),
-        routes_at: Version(0),
-        kind: RouteKind::Once,
-        tries: 16,
-        aim: Span(0),
-        size: Default::default(),
-        parts: Default::default(),
+        ..Order::default()
     })
 }
 
--- a/tests/wait.rs
+++ b/tests/wait.rs
@@ -1,7 +1,7 @@
 mod common;
 
 use common::{seeded, sound};
-use spindledock::fleet::config::{Class, RouteKind};
+use spindledock::fleet::config::Class;
 use spindledock::fleet::read::read_text;
 use spindledock::fleet::runner::{Report, Runner};
 use spindledock::fleet::slice::service_slice;
@@ -58,21 +58,14 @@
         prefix: "".into(),
         resumable: true,
         due: now + Span::ms(due),
-        last: None,
-        resumed: false,
-        host: "".into(),
+        end: now + Span::ms(due),
         path: "".into(),
-        routes_at: Version(0),
-        kind: RouteKind::Once,
-        tries: 16,
-        aim: Span(0),
-        size: Default::default(),
-        parts: Default::default(),
+        ..Order::default()
     }
 }
 
 fn refused(plan: Plan) -> Option<(Why, u64)> {
-    if let Plan::Refuse(r) = plan { Some((r.why, r.retry_s)) } else { None }
+    if let Plan::Refuse(r) = plan { Some((r.why, r.retry_s())) } else { None }
 }
 
 #[test]
