--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -18,11 +18,13 @@
     pub core: usize,
     pub data: Option<PathBuf>,
     pub drain_ms: u64,
+    pub lame_ms: u64,
     pub sides: Sides,
     pub lean: bool,
 }
 
-const KEYS: [&str; 8] = ["address", "admin", "http", "domain", "seeds", "core", "data", "drain_ms"];
+const KEYS: [&str; 9] =
+    ["address", "admin", "http", "domain", "seeds", "core", "data", "drain_ms", "lame_ms"];
 
 const WORD: &str = "I-KNOW-THE-OTHERS-ARE-LOST";
 
@@ -36,6 +38,7 @@
   --core N            how many controllers found the fleet (default 3)
   --data DIR          its data folder (controller only)
   --drain-ms N        how long it may finish streams after a warning (default 8000)
+  --lame-ms N         after a warning, how long it goes on taking orders (default 0)
   --check             check the settings, print the faults and end
   --inspect           tell what this controller's data folder holds and end
   --restore-as-only I-KNOW-THE-OTHERS-ARE-LOST
@@ -82,7 +85,7 @@
         let Some(got) = got else { continue };
         let value = match key {
             "seeds" => Tree::List(got.split(',').map(Tree::from).collect()),
-            "core" | "drain_ms" => got.parse::<u64>().map_or(Tree::Text(got), Tree::from),
+            "core" | "drain_ms" | "lame_ms" => got.parse::<u64>().map_or(Tree::Text(got), Tree::from),
             _ => Tree::Text(got),
         };
         if let Tree::Map(rows) = &mut tree {
@@ -181,6 +184,7 @@
             None
         }
     };
+    let lame_ms = r.num("lame_ms", Some(0), 0, 600_000);
     let drain_ms = r.num("drain_ms", Some(8000), 0, 600_000);
     if let (Some(a), Some(b)) = (addr, admin)
         && (a == b || http == Some(a) || http == Some(b))
@@ -192,7 +196,20 @@
         (Some(addr), Some(admin)) if bad.is_empty() => {
             let domain = Name(domain);
             let (sides, lean) = (Sides::default(), false);
-            Ok(NodeConfig { role, addr, admin, http, domain, seeds, core, data, drain_ms, sides, lean })
+            Ok(NodeConfig {
+                role,
+                addr,
+                admin,
+                http,
+                domain,
+                seeds,
+                core,
+                data,
+                drain_ms,
+                lame_ms,
+                sides,
+                lean,
+            })
         }
         _ => Err(bad),
     }
--- a/src/daemon/driver.rs
+++ b/src/daemon/driver.rs
@@ -21,6 +21,7 @@
     Letter(Box<Letter>),
     Ask(ChangeId, Event, oneshot::Sender<Answer>),
     Status(oneshot::Sender<String>),
+    Seeds(Vec<SocketAddr>),
     Stop,
 }
 
@@ -145,6 +146,7 @@
                         r.asks.insert(id, tx);
                         out.extend(r.node.feed(now, ev));
                     }
+                    Input::Seeds(seeds) => r.node.me.seeds = seeds,
                     Input::Status(tx) => drop(tx.send(status(&r.node, now).to_string())),
                 }
             }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,6 +5,7 @@
 pub mod links;
 pub mod logs;
 pub mod poll;
+pub mod reload;
 pub mod restore;
 pub mod roster;
 pub mod run;
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -1,7 +1,8 @@
 use super::assemble::{Place, controller, router};
-use super::config::{HELP, NodeConfig, Start, from_args};
+use super::config::{HELP, NodeConfig, Start};
 use super::driver::{Driver, Hand, Input};
 use super::links::Links;
+use super::reload::Origin;
 use super::{logs, poll, serve::serve};
 use crate::gate::Table;
 use crate::http::pool::Pool;
@@ -25,12 +26,8 @@
 
 pub fn main(role: Role) -> std::process::ExitCode {
     let name = if role == Role::Router { "spindledock-router" } else { "spindledock-controller" };
-    let mut args = pico_args::Arguments::from_env();
-    let start = match args.contains("--platform") {
-        true => crate::platform::settings::start(role).map(Start::Run),
-        false => from_args(role, args),
-    };
-    let config = match start {
+    let origin = Origin::new(role, pico_args::Arguments::from_env());
+    let config = match (origin.read)() {
         Ok(Start::Help) => {
             println!("{name}: one node of a spindledock fleet\n\n{HELP}");
             return 0.into();
@@ -56,7 +53,7 @@
         false => tokio::runtime::Builder::new_multi_thread().enable_all().build(),
     };
     let rt = rt.expect("the machine must let this process start threads");
-    match rt.block_on(run(config)) {
+    match rt.block_on(run(config, origin)) {
         Ok(()) => 0.into(),
         Err(e) => {
             eprintln!("{name}: {e:?}");
@@ -83,7 +80,7 @@
     }
 }
 
-async fn run(c: NodeConfig) -> Result<(), Report<Fault>> {
+async fn run(c: NodeConfig, origin: Origin) -> Result<(), Report<Fault>> {
     let start = || Fault::new(Kind::Config, "start", "this node did not start", "mend the cause below");
     let links_socket = bind(c.addr, "address").await.change_context_lazy(start)?;
     let admin_socket = bind(c.admin, "admin").await.change_context_lazy(start)?;
@@ -131,6 +128,7 @@
         table: table.clone(),
         pool: pool.clone(),
         clock: clock.clone(),
+        leaving: AtomicBool::new(false),
         stopping: AtomicBool::new(false),
         next: AtomicU64::new(1),
         open: AtomicU64::new(0),
@@ -147,6 +145,7 @@
         Role::Controller => controller_tasks(&hand, &pool, &runners, c.sides.runner.clone()),
     }
     log::info!(event = "started", address = c.addr.to_string(), admin = c.admin.to_string(), domain = c.domain.to_string(), services = services.names().join(","); "");
+    tokio::spawn(super::reload::watch(origin, c.clone(), hand.clone()));
     let mut term = signal(SignalKind::terminate()).expect("signals can be caught");
     let mut int = signal(SignalKind::interrupt()).expect("signals can be caught");
     tokio::select! {
@@ -155,10 +154,12 @@
     }
     log::info!(event = "warned", drain_ms = c.drain_ms; "");
     stopping.store(true, Ordering::SeqCst);
-    front.stopping.store(true, Ordering::SeqCst);
-    table.stop(clock.now());
+    front.leaving.store(true, Ordering::SeqCst);
     hand.feed(Event::Warned);
     let due = clock.now() + Span::ms(c.drain_ms);
+    tokio::time::sleep(Duration::from_millis(c.lame_ms)).await;
+    front.stopping.store(true, Ordering::SeqCst);
+    table.stop(clock.now());
     tokio::time::sleep(Duration::from_millis(400)).await;
     while front.open.load(Ordering::SeqCst) > 0 && clock.now() < due {
         tokio::time::sleep(Duration::from_millis(50)).await;
--- a/src/http/own.rs
+++ b/src/http/own.rs
@@ -1,3 +1,4 @@
+use crate::fleet::config::Route;
 use crate::fleet::runner::{Report, Runner};
 use crate::gate::order::Order;
 use crate::json::Tree;
@@ -42,7 +43,7 @@
         wait.0.div_ceil(1_000_000).max(1).to_string()
     }
 
-    fn start_by(&self, left: Span) -> Span {
+    fn start_by(&self, left: Span, _route: &Route) -> Span {
         left
     }
 }
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Request, Response};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -21,6 +21,7 @@
     pub table: Arc<Table>,
     pub pool: Arc<Pool>,
     pub clock: Arc<dyn Clock>,
+    pub leaving: AtomicBool,
     pub stopping: AtomicBool,
     pub next: AtomicU64,
     pub open: AtomicU64,
@@ -38,6 +39,15 @@
 
 impl Front {
     pub async fn answer(self: Arc<Front>, order: Request<Incoming>) -> Response<OutBody> {
+        let me = self.clone();
+        let mut out = self.served(order).await;
+        if me.leaving.load(Ordering::SeqCst) {
+            out.headers_mut().insert("connection", HeaderValue::from_static("close"));
+        }
+        out
+    }
+
+    async fn served(self: Arc<Front>, order: Request<Incoming>) -> Response<OutBody> {
         self.open.fetch_add(1, Ordering::SeqCst);
         let _counted = Counted(&self.open);
         if self.stopping.load(Ordering::SeqCst) {
@@ -128,7 +138,7 @@
             adapter: keys.adapter,
             prefix: keys.prefix,
             resumable: row.route.resumable,
-            due: now + self.sides.caller.start_by(left),
+            due: now + self.sides.caller.start_by(left, &row.route),
             end: now + left,
             last: keys.last.filter(|_| row.route.resumable),
             kind: row.route.kind,
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -1,8 +1,11 @@
+use crate::fleet::config::{Route, RouteKind};
 use crate::gate::order::Size;
 use crate::kernel::time::Span;
 use crate::seam::{CallerSide, Keys, adapter_name};
 use hyper::header::HeaderMap;
 
+const SILENCE_MS: u64 = 2000;
+
 pub struct Caller;
 
 fn text<'a>(heads: &'a HeaderMap, key: &str) -> Option<&'a str> {
@@ -47,7 +50,9 @@
         format!("{:.2}", (wait.0.max(50_000)) as f64 / 1e6)
     }
 
-    fn start_by(&self, left: Span) -> Span {
-        Span(left.0 * 45 / 100)
+    fn start_by(&self, left: Span, route: &Route) -> Span {
+        let silence = Span::ms(SILENCE_MS.max(route.aim_ms * 4).max(route.gap_ms * 8));
+        let most = if route.kind == RouteKind::Stream { left.min(silence) } else { left };
+        Span(most.0 * 45 / 100)
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -14,12 +14,17 @@
 use std::time::Duration;
 use yaml_rust2::{Yaml, YamlLoader};
 
+const LAME_MS: u64 = 2300;
 pub const PATH: &str = "SPINDLEDOCK_SETTINGS";
 
 fn fault(place: &str, what: impl Into<String>, remedy: &str) -> Fault {
     Fault::new(Kind::Config, place, what, remedy)
 }
 
+pub fn path() -> Option<PathBuf> {
+    std::env::var(PATH).ok().map(PathBuf::from)
+}
+
 pub fn start(role: Role) -> Result<NodeConfig, Vec<Fault>> {
     let path = std::env::var(PATH)
         .map_err(|_| vec![fault(PATH, "is not set", "set it to the path of the settings file")])?;
@@ -121,6 +126,7 @@
         core: 2 * bear + 1,
         data,
         drain_ms: (grace * 0.85) as u64,
+        lame_ms: if role == Role::Router { LAME_MS } else { 0 },
         sides,
         lean: true,
     })
--- a/src/seam.rs
+++ b/src/seam.rs
@@ -1,4 +1,5 @@
 use crate::fleet::FleetConfig;
+use crate::fleet::config::Route;
 use crate::fleet::runner::{Report, Runner};
 use crate::gate::order::{Order, Parts, Size};
 use crate::http::own::{OwnCaller, OwnRunner};
@@ -34,7 +35,7 @@
     /// The text of `Retry-After` for a wait.
     fn retry(&self, wait: Span) -> String;
     /// Of the time that is left, how long an order may wait for a runner before it is refused.
-    fn start_by(&self, left: Span) -> Span;
+    fn start_by(&self, left: Span, route: &Route) -> Span;
 }
 
 /// What a runner's head of answer says of the order that was sent.
