A silent or unreachable runner is left at once; orders that may run again go elsewhere

Cause: a dark runner held streams to the caller's own patience (30 s quiet, or dark reports that pushed news lacks). Excluded: run-once orders, whose silence ends nothing.

--- a/src/daemon/serve.rs
+++ b/src/daemon/serve.rs
@@ -13,7 +13,7 @@
 pub type Work = Pin<Box<dyn Future<Output = Response<OutBody>> + Send>>;
 pub type Serve = Arc<dyn Fn(Request<Incoming>) -> Work + Send + Sync>;
 
-const HEAD: Duration = Duration::from_secs(10);
+const HEAD: Duration = Duration::from_secs(15);
 
 pub async fn serve(socket: TcpListener, work: Serve) {
     loop {
--- a/src/gate/health.rs
+++ b/src/gate/health.rs
@@ -5,6 +5,7 @@
 pub const DARK: Span = Span::ms(2500);
 const FULL: Span = Span::ms(150);
 const OLD: Span = Span::ms(500);
+const AWAY: Span = Span::ms(700);
 const FAILS: u32 = 3;
 const OUT: Span = Span::ms(2000);
 const OUT_MOST: u32 = 4;
@@ -85,6 +86,13 @@
         now < self.full_until
     }
 
+    /// It could not be reached, or is silent: nothing more is sent there for a while.
+    pub fn away(&mut self, now: Time) {
+        self.out_until = self.out_until.max(now + Span(AWAY.0 << self.outs.min(2)));
+        self.outs = (self.outs + 1).min(OUT_MOST);
+        self.fails = 0;
+    }
+
     pub fn load(&self, now: Time) -> u64 {
         if self.fresh(now).is_none() {
             return u64::MAX;
--- a/src/gate/order.rs
+++ b/src/gate/order.rs
@@ -23,6 +23,7 @@
     pub kind: RouteKind,
     pub tries: u64,
     pub aim: Span,
+    pub gap: Span,
     pub size: Size,
     pub parts: Parts,
 }
@@ -47,6 +48,7 @@
             kind: RouteKind::Once,
             tries: 16,
             aim: Span(0),
+            gap: Span(0),
             size: Size::default(),
             parts: Parts::default(),
         }
--- a/src/gate/tell.rs
+++ b/src/gate/tell.rs
@@ -75,6 +75,12 @@
         }
     }
 
+    pub fn unreachable(&mut self, now: Time, runner: &Name) {
+        if let Some(h) = self.health.get_mut(runner) {
+            h.away(now);
+        }
+    }
+
     pub fn dark(&self, now: Time, runner: &Name) -> bool {
         self.health.get(runner).is_none_or(|h| h.fresh(now).is_none())
     }
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -144,6 +144,7 @@
             kind: row.route.kind,
             tries: row.route.tries,
             aim: Span::ms(row.route.aim_ms),
+            gap: Span::ms(row.route.gap_ms),
             size: keys.size,
             parts: keys.parts,
             ..Order::default()
--- a/src/pass/resume.rs
+++ b/src/pass/resume.rs
@@ -8,6 +8,9 @@
 use crate::seam::Load;
 use crate::transfer::tape::Item;
 
+const FIRST: Span = Span::ms(450);
+const NEXT: Span = Span::ms(1000);
+
 impl Ride {
     pub fn open_main(&mut self, now: Time, runner: Runner, out: &mut Vec<Out>) {
         self.opened += 1;
@@ -39,6 +42,19 @@
         false
     }
 
+    /// How long a runner of an order that may run again is waited for: to its first event, then to the next.
+    pub fn silence(&self) -> Option<Span> {
+        let o = &self.order;
+        let again = (o.resumable && o.kind == RouteKind::Stream) || o.kind == RouteKind::Idempotent;
+        if !again || o.aim.0 == 0 || self.opened >= o.tries {
+            return None;
+        }
+        if self.passed == 0 {
+            return Some(Span((o.aim.0 * 2).clamp(FIRST.0, FIRST.0 * 4)));
+        }
+        (self.stream && o.gap.0 > 0).then(|| Span((o.gap.0 * 4).max(NEXT.0)))
+    }
+
     pub fn shed(&mut self, now: Time, leg: LegNo, gone: bool, gate: &mut Gate, out: &mut Vec<Out>) {
         if self.is_dest(leg) {
             return self.dest_failed(now, "the destination turned it away", gate, out);
--- a/src/pass/ride.rs
+++ b/src/pass/ride.rs
@@ -211,6 +211,7 @@
                 self.again(now, plan, gate, out);
             }
             None => {
+                gate.unreachable(now, &runner);
                 gate.count("open_failed");
                 self.avoid.push(runner);
                 if !gate.tries.spend() {
--- a/src/pass/shift.rs
+++ b/src/pass/shift.rs
@@ -184,7 +184,12 @@
             let text = "the runner did not answer within the due; it may still run";
             return out.push(Out::Unknown(504, text));
         }
-        if self.began && idle > QUIET || dark {
+        let silent = self.silence().is_some_and(|s| idle > s) && gate.tries.credit() >= 1.0;
+        if silent {
+            gate.count("runner_silent");
+            gate.unreachable(now, &runner);
+        }
+        if self.began && idle > QUIET || dark || silent {
             out.push(Out::Told("runner-quiet", format!("{runner} {idle}")));
             let more = self.step(now, In::Lost { leg: main }, gate);
             return out.extend(more);
--- a/src/sim/front.rs
+++ b/src/sim/front.rs
@@ -62,6 +62,7 @@
             path: path.into(),
             routes_at,
             kind: row.route.kind,
+            gap: Span::ms(row.route.gap_ms),
             ..Order::default()
         };
         self.nodes[place].seen.add(&order, "", path, body.as_ref().map_or(0, |b| b.len()));
