A foreign configuration is rehearsed at the head against the routes that live orders use

Routers tell every 2 s the eight routes they use most; the head looks each up in the candidate, in no time of its own, and keeps the finding with the change (history, log). Where its verdict would break a rule the rule goes first: it refuses nothing. Excluded: waiting for every router (0.5 s and more a change; a storm of eight would pass the acknowledgement's bound). Conclusion: planned, refused and moved orders stand with each change.

--- a/src/chain/desk.rs
+++ b/src/chain/desk.rs
@@ -224,7 +224,10 @@
             Event::Mail { from, msg, .. } => match msg {
                 Msg::Op { id, op } => self.op(*from, *id, op, kit),
                 Msg::Ask { id, path } => self.ask(*from, *id, path, kit),
-                Msg::Tell(tell) => self.told(tell, kit),
+                Msg::Tell(tell) => {
+                    self.foreign.told(*from, kit.now, tell);
+                    self.told(tell, kit);
+                }
                 Msg::NewsAsk { nonce, direct: true, have } => self.news(*from, *nonce, have, kit),
                 _ => {}
             },
--- a/src/chain/foreign.rs
+++ b/src/chain/foreign.rs
@@ -1,16 +1,21 @@
 use super::desk::Desk;
 use super::reply::faults;
-use crate::fleet::state::Change;
+use crate::fleet::FleetConfig;
+use crate::fleet::routes::RouteTable;
+use crate::fleet::slice::route_rows;
+use crate::fleet::state::{Change, StageFigure};
 use crate::kernel::ids::*;
 use crate::kernel::part::Kit;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 use crate::seam::OperatorSide;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 const AGAIN: Span = Span::ms(2000);
 const EARLY: Span = Span::ms(600);
 const INBOX: usize = 64;
+const LIVE: Span = Span::ms(6000);
 
 struct Waiting {
     id: ChangeId,
@@ -26,6 +31,7 @@
     side: Option<Arc<dyn OperatorSide>>,
     rows: Vec<Waiting>,
     going: Option<(ChangeId, Time)>,
+    live: BTreeMap<NodeId, (Time, Vec<LiveRoute>)>,
 }
 
 impl Foreign {
@@ -43,6 +49,33 @@
         }
     }
 
+    pub fn told(&mut self, from: NodeId, now: Time, tell: &RouterTell) {
+        if self.side.is_some() && !tell.live.is_empty() {
+            self.live.insert(from, (now, tell.live.clone()));
+            self.live.retain(|_, row| now.since(row.0) < LIVE);
+        }
+    }
+
+    /// What the candidate would do to the orders that routers took lately. It is told, and refuses nothing.
+    fn rehearse(&self, c: &FleetConfig, now: Time) -> StageFigure {
+        let table = RouteTable::from(route_rows(c));
+        let (mut planned, mut refused, mut moved, mut why) = (0, 0, 0, String::new());
+        let rows = self.live.values().filter(|r| now.since(r.0) < LIVE).flat_map(|r| &r.1);
+        for l in rows {
+            planned += l.orders;
+            match table.find(&l.host, &l.prefix) {
+                None => {
+                    refused += l.orders;
+                    why = format!(" no route is left for {}{}", l.host, l.prefix);
+                }
+                Some(r) if !r.leads_to(&l.service) => moved += l.orders,
+                Some(_) => {}
+            }
+        }
+        let note = format!("planned={planned} refused={refused} moved={moved}{why}");
+        StageFigure { name: "rehearse".into(), ms: 0, ms_allowed: 0, tries: 1, tries_allowed: 1, note }
+    }
+
     pub fn clear(&mut self) {
         self.rows.clear();
         self.going = None;
@@ -106,9 +139,14 @@
             self.end(w.id, Answer::new(400, "old-revision", &text, 0), kit);
             return false;
         }
-        kit.say("change-taken-in", format!("{} revision {}", w.id, config.revision));
+        let stage = self.foreign.rehearse(&config, kit.now);
+        kit.say("change-taken-in", format!("{} revision {} {}", w.id, config.revision, stage.note));
         self.foreign.going = Some((w.id, kit.now));
-        self.submit(w.id, Change::Adopt { id: w.id, base: now, config: Box::new(config) }, kit);
+        self.submit(
+            w.id,
+            Change::Adopt { id: w.id, base: now, config: Box::new(config), stages: vec![stage] },
+            kit,
+        );
         true
     }
 }
--- a/src/daemon/poll.rs
+++ b/src/daemon/poll.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 pub const POLL: Duration = Duration::from_millis(300);
+const LIVE_EVERY: u64 = 8;
 const DUE: Duration = Duration::from_millis(1000);
 
 pub async fn report(pool: &Pool, side: &dyn RunnerSide, r: &Runner) -> Option<Report> {
@@ -64,9 +65,14 @@
 ) {
     let mut tick = tokio::time::interval(Duration::from_millis(250));
     let mut last = None;
+    let mut rounds = 0u64;
     loop {
         tick.tick().await;
         let mut tell = table.tell(clock.now());
+        rounds += 1;
+        if rounds % LIVE_EVERY == 0 {
+            tell.live = crate::gate::rehearse::live(&table, clock.now(), &seen());
+        }
         if let (at, Some(t)) = table.trial() {
             let done: Option<(_, crate::msg::Rehearsal)> = last.take().filter(|l: &(_, _)| l.0 == at);
             let row = match done {
--- a/src/fleet/fold.rs
+++ b/src/fleet/fold.rs
@@ -21,7 +21,7 @@
                 self.trial = Some(Candidate { id: *id, at, config: config.clone() });
                 self.touch(Scope::Trial);
             }
-            Change::Adopt { id, base, config } => self.adopt(*id, *base, config),
+            Change::Adopt { id, base, config, stages } => self.adopt(*id, *base, config, stages),
             Change::Settle { id, verdict, stages } => self.settle(*id, verdict, stages),
             Change::Runners { id, list } => {
                 if self.outcome(*id).is_some() {
@@ -130,7 +130,7 @@
         self.touch(Scope::Duty);
     }
 
-    fn adopt(&mut self, id: ChangeId, base: u64, config: &super::FleetConfig) {
+    fn adopt(&mut self, id: ChangeId, base: u64, config: &super::FleetConfig, stages: &[StageFigure]) {
         if self.outcome(id).is_some() {
             return;
         }
@@ -140,7 +140,7 @@
             return self.end(id, "stale-base", text, vec![]);
         }
         self.take_config(config.clone());
-        self.end(id, "ok", format!("configuration {} is in force", config.revision), vec![]);
+        self.end(id, "ok", format!("configuration {} is in force", config.revision), stages.to_vec());
     }
 
     pub fn touch(&mut self, scope: Scope) {
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub enum Change {
     Propose { id: ChangeId, base: Version, config: Box<FleetConfig> },
-    Adopt { id: ChangeId, base: u64, config: Box<FleetConfig> },
+    Adopt { id: ChangeId, base: u64, config: Box<FleetConfig>, stages: Vec<StageFigure> },
     Settle { id: ChangeId, verdict: Verdict, stages: Vec<StageFigure> },
     Runners { id: ChangeId, list: Vec<Runner> },
     Leaving { id: ChangeId, instance: Name },
--- a/src/gate/rehearse.rs
+++ b/src/gate/rehearse.rs
@@ -6,7 +6,7 @@
 use crate::http::sender::Kept;
 use crate::kernel::ids::Name;
 use crate::kernel::time::{Clock, Time};
-use crate::msg::Rehearsal;
+use crate::msg::{LiveRoute, Rehearsal};
 
 fn offered(c: &FleetConfig, k: &Kept) -> Result<(), String> {
     let Some(s) = c.service(&k.service) else { return Err(format!("service {} is not offered", k.service)) };
@@ -65,6 +65,28 @@
     Ok(())
 }
 
+const LIVE: usize = 8;
+
+/// The routes of the last orders, the most used first.
+pub fn live(table: &Table, now: Time, seen: &[Kept]) -> Vec<LiveRoute> {
+    let mut rows: Vec<LiveRoute> = Vec::new();
+    for k in seen {
+        let Some((_, Some(r))) = table.find(now, &k.host, &k.path) else { continue };
+        match rows.iter_mut().find(|l| l.host == r.route.host && l.prefix == r.route.prefix) {
+            Some(l) => l.orders += 1,
+            None => rows.push(LiveRoute {
+                service: k.service.clone(),
+                host: r.route.host.clone(),
+                prefix: r.route.prefix.clone(),
+                orders: 1,
+            }),
+        }
+    }
+    rows.sort_by_key(|l| std::cmp::Reverse(l.orders));
+    rows.truncate(LIVE);
+    rows
+}
+
 pub fn rehearse(table: &Table, clock: &dyn Clock, trial: &Candidate, seen: &[Kept]) -> Rehearsal {
     let mut out = Rehearsal { id: trial.id, ..Rehearsal::default() };
     let samples = trial.config.rollout.samples.iter();
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -125,6 +125,16 @@
     pub demand: Vec<(Name, Name, u64)>,
     pub tries: Vec<(Name, u64, u64, u64)>,
     pub leaving: Vec<Name>,
+    pub live: Vec<LiveRoute>,
+}
+
+/// How many orders a router took lately by one route.
+#[derive(Clone, PartialEq, Debug, Encode, Decode)]
+pub struct LiveRoute {
+    pub service: Name,
+    pub host: String,
+    pub prefix: String,
+    pub orders: u64,
 }
 
 #[derive(Clone, PartialEq, Debug, Default, Encode, Decode)]
