--- a/src/cli/offline.rs
+++ b/src/cli/offline.rs
@@ -72,7 +72,8 @@
         bad.extend(too_big(c, &offers));
     }
     let (true, Some(config)) = (bad.is_empty(), config) else { return Err(bad) };
-    let flights = Flights { store: config.store.burst as f64, ..Flights::default() };
+    let mut flights = Flights::default();
+    flights.pacer.found(&config.store);
     let credit = config.services.iter().map(|s| (s.name.clone(), config.budget.allowance)).collect();
     let (config, flights) = (&config, &flights);
     let p = Picture {
--- a/src/daemon/assemble.rs
+++ b/src/daemon/assemble.rs
@@ -49,6 +49,7 @@
     node.add(Box::new(Relay::default()));
     node.add(Box::new(News::new(now)));
     node.add(Box::new(crate::rollout::tell::Teller));
+    node.add(Box::new(crate::placement::seeker::Seeker::default()));
     node
 }
 
--- a/src/daemon/poll.rs
+++ b/src/daemon/poll.rs
@@ -8,11 +8,9 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
-use std::collections::BTreeSet;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
-pub const POLL: Duration = Duration::from_millis(300);
 const DUE: Duration = Duration::from_millis(1000);
 
 fn order(method: &str, path: &str, r: &Runner, body: String) -> Request<Full<Bytes>> {
@@ -54,28 +52,6 @@
     }
 }
 
-pub type Told = Arc<dyn Fn(Runner, Option<Report>) + Send + Sync>;
-
-pub async fn watch(pool: Arc<Pool>, list: Arc<dyn Fn() -> Vec<Runner> + Send + Sync>, told: Told) {
-    let busy: Arc<Mutex<BTreeSet<crate::kernel::ids::Name>>> = Arc::default();
-    let mut tick = tokio::time::interval(POLL);
-    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
-        tick.tick().await;
-        for r in list() {
-            if !busy.lock().unwrap().insert(r.instance.clone()) {
-                continue;
-            }
-            let (pool, told, busy) = (pool.clone(), told.clone(), busy.clone());
-            tokio::spawn(async move {
-                let rep = report(&pool, &r).await;
-                busy.lock().unwrap().remove(&r.instance);
-                told(r, rep);
-            });
-        }
-    }
-}
-
 pub async fn tells(
     table: Arc<Table>,
     clock: Arc<dyn Clock>,
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -127,9 +127,8 @@
         let front = front.clone();
         tokio::spawn(serve(socket, Arc::new(move |order| Box::pin(front.clone().answer(order)))));
     }
-    match c.role {
-        Role::Router => router_tasks(&table, &clock, &pool, &hand, &front, &routers),
-        Role::Controller => controller_tasks(&hand, &pool, &runners),
+    if c.role == Role::Router {
+        router_tasks(&table, &clock, &hand, &front, &routers);
     }
     log::info!(event = "started", address = c.addr.to_string(), admin = c.admin.to_string(), domain = c.domain.to_string(), services = services.names().join(","); "");
     let mut term = signal(SignalKind::terminate()).expect("signals can be caught");
@@ -173,6 +172,16 @@
         Effect::Mark(name) => table.mark(clock.now(), &name),
         Effect::Routers(n) => routers.store(n, Ordering::SeqCst),
         Effect::Watch(list) => *runners.lock().unwrap() = list,
+        Effect::Held(rows) => table.held(clock.now(), &rows),
+        Effect::Look(name) => {
+            let found = runners.lock().unwrap().iter().find(|r| r.instance == name).cloned();
+            let Some(r) = found else { return };
+            let (pool, hand) = (pool.clone(), hand.clone());
+            rt.spawn(async move {
+                let report = poll::report(&pool, &r).await;
+                hand.feed(Event::Report { instance: r.instance, report });
+            });
+        }
         Effect::Ready(ready) => fit.store(ready, Ordering::SeqCst),
         Effect::Drive(order) => {
             let (pool, clock, hand) = (pool.clone(), clock.clone(), hand.clone());
@@ -188,26 +197,12 @@
 fn router_tasks(
     table: &Arc<Table>,
     clock: &Arc<dyn Clock>,
-    pool: &Arc<Pool>,
     hand: &Hand,
     front: &Arc<Front>,
     routers: &Arc<AtomicU64>,
 ) {
-    let list = {
-        let table = table.clone();
-        Arc::new(move || table.runners().into_iter().map(|r| r.1).collect())
-    };
-    let told = {
-        let (table, clock) = (table.clone(), clock.clone());
-        Arc::new(move |r: crate::fleet::runner::Runner, rep| {
-            if let (Some(gate), Some(rep)) = (table.gate(&r.service), rep) {
-                let (mut g, now) = (gate.lock().unwrap(), clock.now());
-                g.report(now, &r.instance, rep);
-                g.wake(now);
-            }
-        })
-    };
-    tokio::spawn(poll::watch(pool.clone(), list, told));
+    let inbox = Mutex::new(hand.clone());
+    table.on_want(Arc::new(move |want| inbox.lock().unwrap().feed(Event::Wanted(want))));
     let seen = front.clone();
     let seen = Arc::new(move || seen.seen.rows());
     tokio::spawn(poll::tells(table.clone(), clock.clone(), seen, hand.clone()));
@@ -220,12 +215,3 @@
         }
     });
 }
-
-fn controller_tasks(hand: &Hand, pool: &Arc<Pool>, runners: &Runners) {
-    let (rows, hand) = (runners.clone(), hand.clone());
-    let list = Arc::new(move || rows.lock().unwrap().clone());
-    let told = Arc::new(move |r: crate::fleet::runner::Runner, report| {
-        hand.feed(Event::Report { instance: r.instance, report });
-    });
-    tokio::spawn(poll::watch(pool.clone(), list, told));
-}
--- a/src/fleet/config.rs
+++ b/src/fleet/config.rs
@@ -28,6 +28,11 @@
 pub struct Store {
     pub loads_per_minute: u64,
     pub burst: u64,
+    pub window_ms: u64,
+    pub most: u64,
+    pub at_once: u64,
+    pub kept_ms: u64,
+    pub adapters: bool,
 }
 
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
--- a/src/fleet/defaults.rs
+++ b/src/fleet/defaults.rs
@@ -8,7 +8,15 @@
 
 impl Default for Store {
     fn default() -> Store {
-        Store { loads_per_minute: 60, burst: 4 }
+        Store {
+            loads_per_minute: 60,
+            burst: 4,
+            window_ms: 0,
+            most: 0,
+            at_once: 0,
+            kept_ms: 0,
+            adapters: true,
+        }
     }
 }
 
--- /dev/null
+++ b/src/fleet/holdings.rs
@@ -0,0 +1,82 @@
+use super::config::Class;
+use super::runner::Report;
+use crate::kernel::ids::*;
+use crate::kernel::time::Span;
+use bitcode::{Decode, Encode};
+
+/// A model or adapter that orders wait for and that no staying runner holds.
+#[derive(Clone, PartialEq, Debug, Encode, Decode)]
+pub struct Want {
+    pub service: Name,
+    pub name: Name,
+    pub class: Class,
+    pub count: u64,
+}
+
+#[derive(Clone, PartialEq, Debug, Encode, Decode)]
+pub struct Holding {
+    pub report: Report,
+    pub closing: Vec<Name>,
+}
+
+#[derive(Clone, PartialEq, Debug, Encode, Decode)]
+pub struct HeldRow {
+    pub runner: Name,
+    pub running: u64,
+    pub waiting: u64,
+    pub tokens: u64,
+    pub silent: bool,
+    pub holding: Option<Box<Holding>>,
+}
+
+#[derive(Clone, PartialEq, Debug, Encode, Decode)]
+pub struct HeldTell {
+    pub term: Term,
+    pub seq: u64,
+    pub whole: bool,
+    pub rows: Vec<HeldRow>,
+}
+
+#[derive(Clone, PartialEq, Debug, Encode, Decode)]
+pub struct UseTell {
+    pub service: Name,
+    pub name: Name,
+    pub idle: Span,
+    pub milli_per_s: u64,
+}
+
+impl HeldRow {
+    pub fn of(runner: &Name, r: &Report, closing: &[Name], silent: bool) -> HeldRow {
+        let report = Report { runs: vec![], running: 0, waiting: 0, tokens: 0, orders: 0, ..r.clone() };
+        HeldRow {
+            runner: runner.clone(),
+            running: r.running,
+            waiting: r.waiting,
+            tokens: r.tokens,
+            silent,
+            holding: Some(Box::new(Holding { report, closing: closing.to_vec() })),
+        }
+    }
+
+    /// What changed since `old`; `None` if nothing did.
+    pub fn after(&self, old: Option<&HeldRow>) -> Option<HeldRow> {
+        if old == Some(self) {
+            return None;
+        }
+        let same = old.is_some_and(|o| o.holding == self.holding);
+        Some(HeldRow { holding: if same { None } else { self.holding.clone() }, ..self.clone() })
+    }
+
+    /// Only figures differ from `old`.
+    pub fn minor(&self, old: Option<&HeldRow>) -> bool {
+        old.is_some_and(|o| o.holding == self.holding && o.silent == self.silent)
+    }
+}
+
+impl Holding {
+    pub fn open(&self) -> Report {
+        let mut r = self.report.clone();
+        r.holds.retain(|n| !self.closing.contains(n));
+        r
+    }
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 pub mod defaults;
 pub mod fold;
 pub mod fold_plan;
+pub mod holdings;
 pub mod plan;
 pub mod read;
 pub mod routes;
--- a/src/fleet/read.rs
+++ b/src/fleet/read.rs
@@ -33,6 +33,11 @@
         let mut s = Reader::new("store", t);
         c.store.loads_per_minute = s.num("loads_per_minute", Some(60), 1, 6000);
         c.store.burst = s.num("burst", Some(4), 1, 100);
+        c.store.window_ms = s.num("window_ms", Some(0), 0, 600_000);
+        c.store.most = s.num("most", Some(0), 0, 10_000);
+        c.store.at_once = s.num("at_once", Some(0), 0, 1000);
+        c.store.kept_ms = s.num("kept_ms", Some(0), 0, 600_000);
+        c.store.adapters = s.flag("adapters", true);
         bad.extend(s.done());
     }
     if let Some(t) = r.take("budget") {
--- a/src/fleet/show.rs
+++ b/src/fleet/show.rs
@@ -44,6 +44,11 @@
                 map(&[
                     ("loads_per_minute", self.store.loads_per_minute.into()),
                     ("burst", self.store.burst.into()),
+                    ("window_ms", self.store.window_ms.into()),
+                    ("most", self.store.most.into()),
+                    ("at_once", self.store.at_once.into()),
+                    ("kept_ms", self.store.kept_ms.into()),
+                    ("adapters", self.store.adapters.into()),
                 ]),
             ),
             (
--- a/src/gate/core.rs
+++ b/src/gate/core.rs
@@ -1,5 +1,6 @@
 use super::budget::Tries;
 use super::health::Health;
+use super::held::{Asker, Used};
 use super::inbox::{Inbox, Waiter, Wake};
 use super::order::{Order, Plan, Refusal, Why};
 use super::pace::Pace;
@@ -7,7 +8,6 @@
 use crate::fleet::routes::RouteTable;
 use crate::fleet::runner::{Report, Runner};
 use crate::fleet::slice::ServiceSlice;
-use crate::fleet::state::{MovePlan, Phase};
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
 use crate::msg::MoveTell;
@@ -35,6 +35,8 @@
     pub active: BTreeMap<(Name, Name), u64>,
     pub moves: BTreeMap<MoveId, MoveTell>,
     pub demand: BTreeMap<String, BTreeMap<u64, Time>>,
+    pub uses: BTreeMap<String, Used>,
+    pub asker: Option<Asker>,
     pub pace: Pace,
     pub waits: Span,
     pub counts: BTreeMap<&'static str, u64>,
@@ -59,6 +61,8 @@
             active: BTreeMap::new(),
             moves: BTreeMap::new(),
             demand: BTreeMap::new(),
+            uses: BTreeMap::new(),
+            asker: None,
             pace: Pace::default(),
             waits: Span(0),
             counts: BTreeMap::new(),
@@ -99,6 +103,9 @@
         if let Plan::Send(r) = &plan {
             self.take(now, r, order);
         }
+        if let Plan::Wait("no-holder") = plan {
+            self.seek(now, order);
+        }
         if let Plan::Wait("no-holder" | "busy") = plan {
             self.want(now, order);
         }
@@ -110,11 +117,18 @@
             return Plan::Refuse(Refusal::new(Why::Stopping, 1));
         }
         self.pace.came(now, &order.model, order.class);
+        self.used(now, order);
         let first = self.inbox.keys().first().is_some_and(|k| k.0 <= order.class);
         let plan = if first && self.inbox.len() > 32 {
             match self.nominate(now, order, &[]) {
                 Plan::Send(_) => Plan::Wait("behind-others"),
-                plan => plan,
+                plan => {
+                    if let Plan::Wait("no-holder") = plan {
+                        self.seek(now, order);
+                        self.want(now, order);
+                    }
+                    plan
+                }
             }
         } else {
             self.plan(now, order, &[])
@@ -211,13 +225,6 @@
         self.health.entry(runner.clone()).or_default().told(now, report);
     }
 
-    pub fn move_from(&self, runner: &Name, model: &str) -> Option<MovePlan> {
-        let s = self.slice.as_ref()?;
-        let found =
-            s.moves.iter().find(|m| m.phase == Phase::Warm && m.from == *runner && m.model.0 == model);
-        found.cloned()
-    }
-
     pub fn learn(&mut self, at: Version, slice: ServiceSlice, now: Time) {
         if at < self.at {
             return;
--- a/src/gate/health.rs
+++ b/src/gate/health.rs
@@ -1,4 +1,6 @@
+use crate::fleet::holdings::HeldRow;
 use crate::fleet::runner::Report;
+use crate::kernel::ids::Name;
 use crate::kernel::time::{Span, Time};
 
 pub const DARK: Span = Span::ms(2500);
@@ -12,6 +14,8 @@
     pub mine: u64,
     pub others: u64,
     pub leaving: bool,
+    pushed: bool,
+    silent: bool,
     fails: u32,
     outs: u32,
     out_until: Time,
@@ -24,9 +28,31 @@
         self.report = Some((now, report));
     }
 
+    /// Pushed news stay valid until they are contradicted.
+    pub fn held(&mut self, now: Time, row: &HeldRow) -> bool {
+        self.pushed = true;
+        self.silent = row.silent;
+        let new = row.holding.as_ref().map(|h| h.open());
+        let renewed = new.is_some();
+        let Some(mut report) = new.or_else(|| self.report.take().map(|r| r.1)) else { return false };
+        (report.running, report.waiting, report.tokens) = (row.running, row.waiting, row.tokens);
+        self.told(now, report);
+        renewed
+    }
+
+    pub fn lacks(&mut self, name: &str) {
+        if let Some((_, r)) = &mut self.report {
+            r.holds.retain(|n| n.0 != name);
+        }
+    }
+
+    pub fn holds(&self, now: Time, name: &Name) -> bool {
+        !self.leaving && self.fresh(now).is_some_and(|r| r.has(name))
+    }
+
     pub fn fresh(&self, now: Time) -> Option<&Report> {
         let (at, report) = self.report.as_ref()?;
-        (now.since(*at) < DARK).then_some(report)
+        (!self.silent && (self.pushed || now.since(*at) < DARK)).then_some(report)
     }
 
     pub fn out(&self, now: Time) -> bool {
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -1,6 +1,7 @@
 pub mod budget;
 pub mod core;
 pub mod health;
+pub mod held;
 pub mod inbox;
 pub mod nominate;
 pub mod order;
--- a/src/gate/table.rs
+++ b/src/gate/table.rs
@@ -1,4 +1,6 @@
 use super::core::Gate;
+use super::held::Asker;
+use crate::fleet::holdings::HeldRow;
 use crate::fleet::routes::RouteTable;
 use crate::fleet::slice::{RouteRow, Slice};
 use crate::fleet::state::{Candidate, Scope};
@@ -16,6 +18,8 @@
     routes: RwLock<(Version, Time, Arc<RouteTable>)>,
     trial: Mutex<(Version, Option<Candidate>)>,
     marks: Mutex<BTreeSet<Name>>,
+    held: Mutex<BTreeMap<Name, HeldRow>>,
+    asker: Mutex<Option<Asker>>,
 }
 
 impl Service for Table {
@@ -32,6 +36,8 @@
             routes: RwLock::new((Version(0), Time(0), Arc::default())),
             trial: Mutex::new((Version(0), None)),
             marks: Mutex::default(),
+            held: Mutex::default(),
+            asker: Mutex::default(),
         }
     }
 
@@ -48,10 +54,50 @@
             return g;
         }
         let mut gates = self.gates.write().unwrap();
-        let new = || Arc::new(Mutex::new(Gate::new(name.clone(), self.domain.clone())));
+        let new = || {
+            let mut g = Gate::new(name.clone(), self.domain.clone());
+            g.asker = self.asker.lock().unwrap().clone();
+            Arc::new(Mutex::new(g))
+        };
         gates.entry(name.clone()).or_insert_with(new).clone()
     }
 
+    /// Whom gates tell of what no runner holds.
+    pub fn on_want(&self, asker: Asker) {
+        for g in self.gates() {
+            g.lock().unwrap().asker = Some(asker.clone());
+        }
+        *self.asker.lock().unwrap() = Some(asker);
+    }
+
+    pub fn held(&self, now: Time, rows: &[HeldRow]) {
+        let mut held = self.held.lock().unwrap();
+        for row in rows {
+            let old = held.remove(&row.runner).and_then(|o| o.holding);
+            let holding = row.holding.clone().or(old);
+            held.insert(row.runner.clone(), HeldRow { holding, ..row.clone() });
+        }
+        drop(held);
+        for g in self.gates() {
+            let mut g = g.lock().unwrap();
+            let mut any = false;
+            for row in rows {
+                any |= g.held(now, row);
+            }
+            if any {
+                g.wake(now);
+            }
+        }
+    }
+
+    fn known(&self, g: &mut Gate, now: Time) {
+        let held = self.held.lock().unwrap();
+        let bare: Vec<Name> = g.health.iter().filter(|h| h.1.report.is_none()).map(|h| h.0.clone()).collect();
+        for row in bare.iter().filter_map(|n| held.get(n)) {
+            g.held(now, row);
+        }
+    }
+
     pub fn fresh_routes(&self, now: Time) -> Option<(Version, Arc<RouteTable>)> {
         let row = self.routes.read().unwrap();
         (now.since(row.1) < FRESH).then(|| (row.0, row.2.clone()))
@@ -115,6 +161,8 @@
                 match slice {
                     Some(Slice::Service(s)) => {
                         g.learn(at, *s, now);
+                        self.known(&mut g, now);
+                        g.wake(now);
                         for name in self.marks.lock().unwrap().iter() {
                             if let Some(h) = g.health.get_mut(name) {
                                 h.leaving = true;
--- a/src/gate/tell.rs
+++ b/src/gate/tell.rs
@@ -1,6 +1,6 @@
 use super::core::Gate;
 use super::order::Order;
-use crate::fleet::state::MovePlan;
+use crate::fleet::state::{MovePlan, Phase};
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
 use crate::msg::{MoveTell, RouterTell};
@@ -12,6 +12,13 @@
         self.moves.entry(id).or_insert_with(|| MoveTell { id, ..MoveTell::default() })
     }
 
+    pub fn move_from(&self, runner: &Name, model: &str) -> Option<MovePlan> {
+        let s = self.slice.as_ref()?;
+        let found =
+            s.moves.iter().find(|m| m.phase == Phase::Warm && m.from == *runner && m.model.0 == model);
+        found.cloned()
+    }
+
     fn left(&self, m: &MovePlan) -> u64 {
         self.active.get(&(m.from.clone(), m.model.clone())).copied().unwrap_or(0)
     }
@@ -33,6 +40,7 @@
         for (name, rows) in &self.demand {
             out.demand.push((self.name.clone(), Name(name.clone()), rows.len() as u64));
         }
+        self.tell_uses(now, out);
         let credit = self.tries.credit() as u64;
         out.tries.push((self.name.clone(), self.tries.first, self.tries.extra, credit));
         let live: Vec<MovePlan> = self.slice.as_ref().map_or(vec![], |s| s.moves.clone());
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -1,4 +1,5 @@
 use crate::chain::view::View;
+use crate::fleet::holdings::{HeldRow, HeldTell, UseTell, Want};
 use crate::fleet::runner::{Report, Runner};
 use crate::fleet::slice::Slice;
 use crate::fleet::state::*;
@@ -66,6 +67,9 @@
     Ask { id: ChangeId, path: String },
     Tell(Box<RouterTell>),
     Nudge,
+    Want(Vec<Want>),
+    Held(Box<HeldTell>),
+    HeldAsk,
 }
 
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
@@ -124,6 +128,8 @@
     pub demand: Vec<(Name, Name, u64)>,
     pub tries: Vec<(Name, u64, u64, u64)>,
     pub leaving: Vec<Name>,
+    pub uses: Vec<UseTell>,
+    pub active: Vec<(Name, Name, u64)>,
 }
 
 #[derive(Clone, PartialEq, Debug, Default, Encode, Decode)]
@@ -194,6 +200,7 @@
     Report { instance: Name, report: Option<Report> },
     Ordered { order: OrderId, status: u16 },
     RouterState(Box<RouterTell>),
+    Wanted(Want),
     Warned,
     Note(Note),
 }
@@ -220,6 +227,8 @@
     Drive(RunnerOrder),
     Routers(u64),
     Watch(Vec<Runner>),
+    Look(Name),
+    Held(Vec<HeldRow>),
     Mark(Name),
     Ready(bool),
     Learn { scope: Scope, at: Version, slice: Option<Slice>, proven: Time },
--- /dev/null
+++ b/src/placement/decision.rs
@@ -0,0 +1,33 @@
+use super::choose::Choice;
+use crate::fleet::plan::*;
+use crate::kernel::ids::*;
+
+/// A small plan for one wanted name, as data.
+pub fn decision(id: PlanId, config_at: Version, want: &Name, choice: &Choice, why: &str) -> PlacementPlan {
+    let runner = &choice.runner;
+    let unloads = choice.unloads.iter().map(|n| Step::Unload { runner: runner.clone(), name: n.clone() });
+    let load = Step::Load { runner: runner.clone(), name: want.clone() };
+    let stage = |name: &str, steps: Vec<Step>, ms, loads| PlanStage {
+        name: name.into(),
+        steps,
+        ms,
+        loads,
+        tries: 0,
+        spent: None,
+    };
+    let mut stages =
+        vec![stage("make room", unloads.collect(), 100, 0), stage("load", vec![load], choice.ms, 1)];
+    stages.retain(|s| !s.steps.is_empty());
+    PlacementPlan {
+        id,
+        at: Version(0),
+        config_at,
+        why: format!("{want} {why}; startup is estimated at {}ms", choice.ms),
+        state: PlanState::Running,
+        stage: 0,
+        stages,
+        holds: vec![],
+        unplaced: vec![],
+        rehearsal: String::new(),
+    }
+}
--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -57,11 +57,12 @@
                 rows.extend(step.runners().into_iter().cloned());
             }
         }
+        rows.extend(self.jobs.keys().cloned());
         rows.extend(self.claims.iter().filter(|c| now.since(*c.1) < CLAIM).map(|c| c.0.clone()));
         rows
     }
 
-    fn counted(&self, s: &DutySlice, now: Time) -> Flights {
+    pub fn counted(&self, s: &DutySlice, now: Time) -> Flights {
         let mut all = self.flights.clone();
         let unseen = self.unseen.values().flat_map(|r| &r.1);
         for step in s.plans.iter().filter(|p| p.live()).flat_map(|p| p.steps()).chain(unseen) {
@@ -72,7 +73,7 @@
             }
             let (mb, adapter) = (s.config.weight(name).unwrap_or(0), s.config.adapter(name).is_some());
             let (runner, name) = (runner.clone(), name.clone());
-            let row = Flight { runner, name, load: true, since: now, mb, adapter, answered: false };
+            let row = Flight::planned(runner, name, mb, adapter, now);
             all.rows.insert(OrderId(u64::MAX - all.rows.len() as u64), row);
         }
         all
@@ -107,6 +108,7 @@
             self.meet(service, want, &hot, s, &demand, kit);
         }
         let quiet = demand.is_empty()
+            && self.jobs.is_empty()
             && self.unseen.is_empty()
             && self.flights.rows.is_empty()
             && !s.plans.iter().any(|p| p.live());
@@ -129,9 +131,10 @@
         let free = |o: &Offer| o.report.running + o.report.waiting < o.report.slots;
         let held = offers.iter().any(|o| o.report.has(want) && !o.runner.leaving && free(o));
         let plain = s.config.weight(want).is_none();
-        let planned = s.plans.iter().filter(|p| p.live()).flat_map(|p| p.steps()).any(|x| x.wants(want));
-        let moved = s.moves.iter().any(|m| m.live() && m.want == *want);
-        if held || plain || self.flights.loading(want) || planned || moved || self.claimed(want, kit.now) {
+        if held || plain || self.coming(want, s) || self.claimed(want, kit.now) {
+            return;
+        }
+        if self.choose(&offers, service, want, s, kit.now).is_some() {
             return;
         }
         let wanted = |n: &Name| hot.contains(n);
@@ -147,7 +150,7 @@
             Way::Move { from, model, .. } => {
                 self.policy == Policy::Move && credit >= 2 * runs(from, model) && waited >= e.ms
             }
-            _ => true,
+            _ => false,
         };
         let Some(best) = rows.iter().find(able).cloned() else {
             return self.preempt(s, &offers, want, hot, kit);
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -1,7 +1,11 @@
-use super::flights::{Flight, Flights, is_adapter};
-use crate::colleagues::part::SUSPECT;
+use super::flights::Flights;
+use super::job::Job;
+use super::look::Looks;
+use super::push::Push;
+use super::quick::Wanted;
 use crate::daemon::assemble::Policy;
-use crate::fleet::plan::Step;
+use crate::fleet::holdings::Want;
+use crate::fleet::plan::{PlacementPlan, Step};
 use crate::fleet::runner::Report;
 use crate::fleet::slice::{DutySlice, Slice};
 use crate::fleet::state::*;
@@ -11,14 +15,13 @@
 use crate::msg::*;
 use crate::news::Reader;
 use crate::news::reader::Topic;
-use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 const ASK: Span = Span::ms(200);
 const ASK_SOON: Span = Span::ms(60);
 pub const ORDER_FRESH: Span = Span::ms(1000);
 pub const QUIET: Span = Span::ms(4000);
-pub const REPORT: Span = Span::ms(1500);
+pub const REPORT: Span = Span::ms(2500);
 
 pub struct Placement {
     pub reader: Reader,
@@ -29,10 +32,18 @@
     pub flights: Flights,
     pub term: Term,
     pub may_from: Time,
+    pub kept: BTreeMap<Name, BTreeSet<Name>>,
     pub phases: BTreeMap<MoveId, (Phase, Time, u64)>,
     pub sent: BTreeMap<MoveId, Time>,
     pub planned: Time,
     pub wanted: BTreeMap<Name, Time>,
+    pub wants: BTreeMap<Name, Wanted>,
+    pub used: BTreeMap<Name, Time>,
+    pub looks: Looks,
+    pub push: Push,
+    pub jobs: BTreeMap<Name, Job>,
+    pub decided: VecDeque<PlacementPlan>,
+    pub settled: BTreeMap<(Name, Name), Time>,
     pub policy: Policy,
     pub rows: BTreeMap<PlanId, super::drive::Row>,
     pub claims: BTreeMap<Name, Time>,
@@ -40,9 +51,10 @@
     pub cleared: Time,
     pub refused_at: Time,
     pub asked_plan: Option<(ChangeId, Time)>,
+    pub checked: Time,
     asked: Time,
-    named: Time,
-    warned: bool,
+    pub named: Time,
+    pub warned: bool,
 }
 
 impl Placement {
@@ -58,10 +70,18 @@
             flights: Flights::default(),
             term: Term(0),
             may_from: Time(u64::MAX),
+            kept: BTreeMap::new(),
             phases: BTreeMap::new(),
             sent: BTreeMap::new(),
             planned: Time(0),
             wanted: BTreeMap::new(),
+            wants: BTreeMap::new(),
+            used: BTreeMap::new(),
+            looks: Looks::new(),
+            push: Push::default(),
+            jobs: BTreeMap::new(),
+            decided: VecDeque::new(),
+            settled: BTreeMap::new(),
             policy,
             rows: BTreeMap::new(),
             claims: BTreeMap::new(),
@@ -69,6 +89,7 @@
             cleared: Time(0),
             refused_at: Time(0),
             asked_plan: None,
+            checked: Time(0),
             asked: Time(0),
             named: Time(0),
             warned: false,
@@ -76,114 +97,87 @@
     }
 
     pub fn may_order(&self, now: Time) -> bool {
-        !self.warned && now >= self.may_from && now.since(self.proven) < ORDER_FRESH
+        !self.warned && self.flights.pacer.clock() >= self.may_from && now.since(self.proven) < ORDER_FRESH
     }
 
-    fn learn(&mut self, me: NodeId, now: Time, slice: DutySlice) {
+    fn learn(&mut self, me: NodeId, slice: DutySlice) {
         let mine = slice.duty.as_ref().filter(|d| d.holder == me).map(|d| d.term);
         match mine {
             Some(term) if term != self.term => {
                 self.term = term;
-                self.may_from = now + QUIET;
-                self.flights = Flights::default();
-                self.flights.start(now + QUIET);
+                let mut pacer = std::mem::take(&mut self.flights.pacer);
+                self.may_from = pacer.clock() + QUIET;
+                pacer.follow(&slice.config.store, ORDER_FRESH);
+                self.flights = Flights { pacer, ..Flights::default() };
                 self.phases.clear();
                 self.rows.clear();
                 self.claims.clear();
                 self.unseen.clear();
+                self.afresh();
             }
             Some(_) => {}
             None => {
                 self.term = Term(0);
                 self.may_from = Time(u64::MAX);
+                self.afresh();
             }
         }
         let listed = |n: &Name| slice.runners.iter().any(|r| r.instance == *n);
         self.reports.retain(|n, _| listed(n));
+        self.kept.retain(|n, _| listed(n));
         self.slice = Some(slice);
     }
 
-    fn ask(&mut self, kit: &mut Kit) {
-        let lively =
-            self.term != Term(0) && self.slice.as_ref().is_some_and(|s| s.plans.iter().any(|p| p.live()));
-        if kit.now.since(self.asked) < if lively { ASK_SOON } else { ASK } {
-            return;
-        }
-        self.asked = kit.now;
-        let Some(tail) = kit.views.view.as_ref().and_then(|v| v.tail()) else { return };
-        let nonce = self.reader.ask(kit.now);
-        let have = vec![(Scope::Duty, self.reader.have(&Scope::Duty))];
-        kit.send(tail, Msg::NewsAsk { nonce, direct: true, have });
+    fn afresh(&mut self) {
+        self.reports.clear();
+        self.looks.clear();
+        self.jobs.clear();
+        self.settled.clear();
+        self.push_anew();
     }
 
-    fn name_holder(&mut self, kit: &mut Kit) {
-        let post = kit.views.post;
-        if !post.head || !post.ready || post.copies < 2 || kit.now.since(self.named) < Span::ms(1500) {
+    fn reported(&mut self, instance: &Name, r: &Report, kit: &mut Kit) {
+        if self.is_old(kit.now, r) {
             return;
         }
-        let Some(view) = kit.views.view.clone() else { return };
-        let live = |n: NodeId| {
-            n == kit.me.node || kit.views.book.iter().any(|r| r.who.node == n && r.quiet < SUSPECT)
-        };
-        let holder = kit.views.state.duty.as_ref().map(|d| d.holder);
-        if holder.is_some_and(|h| view.has(h) && live(h)) {
-            return;
+        if r.leaving {
+            kit.note(Note::Marked(instance.clone()));
         }
-        let rank: Vec<NodeId> = view.chain.iter().rev().copied().filter(|n| live(*n)).collect();
-        if let Some(next) = rank.first() {
-            self.named = kit.now;
-            kit.say("duty-named", format!("{next} holds placement next"));
-            kit.note(Note::Submit(Arc::new(Change::Duty { holder: *next })));
+        self.flights.told(kit.now, r);
+        let old = self.reports.insert(instance.clone(), (kit.now, r.clone()));
+        let new = |n: &&Name| old.as_ref().is_some_and(|o| !o.1.has(n));
+        for n in r.holds.iter().filter(new) {
+            self.settled.insert((instance.clone(), n.clone()), kit.now);
         }
+        self.settled.retain(|_, t| kit.now.since(*t) < super::choose::SETTLED);
+        self.kept.entry(instance.clone()).or_default().extend(r.holds.iter().cloned());
     }
 
-    fn hand_over(&mut self, kit: &mut Kit) {
-        self.warned = true;
-        if self.term == Term(0) {
-            return;
+    fn told(&mut self, from: NodeId, tell: &RouterTell, now: Time) {
+        for u in &tell.uses {
+            let last = self.used.entry(u.name.clone()).or_default();
+            *last = (*last).max(now - u.idle);
         }
-        let Some(view) = kit.views.view.clone() else { return };
-        let next = view.chain.iter().rev().find(|n| **n != kit.me.node).copied();
-        if let Some(next) = next {
-            kit.say("duty-handed", format!("{next} is named successor"));
-            self.tell_head(Change::Duty { holder: next }, kit);
+        for (service, name, count) in &tell.demand {
+            let class = crate::fleet::config::Class::Bulk;
+            let want = Want { service: service.clone(), name: name.clone(), class, count: *count };
+            self.wanted(from, &want, now);
         }
+        self.tells.insert(from, (now, tell.clone()));
+        self.tells.retain(|_, row| now.since(row.0) < Span::ms(5000));
     }
 
-    pub fn order(&mut self, runner: &Name, name: &Name, load: bool, kit: &mut Kit) -> bool {
-        let Some(s) = &self.slice else { return false };
-        let Some(r) = s.runners.iter().find(|r| r.instance == *runner).cloned() else { return false };
-        if self.flights.has(runner, name) || !self.may_order(kit.now) {
-            return false;
-        }
-        if load {
-            let rule = s.config.store.clone();
-            self.flights.fill(kit.now, &rule);
-            if self.flights.store < 1.0 {
-                return false;
-            }
-            self.flights.store -= 1.0;
+    fn ask(&mut self, kit: &mut Kit) {
+        let lively =
+            self.term != Term(0) && self.slice.as_ref().is_some_and(|s| s.plans.iter().any(|p| p.live()));
+        if kit.now.since(self.asked) < if lively { ASK_SOON } else { ASK } {
+            return;
         }
-        let adapter = is_adapter(&s.config, name);
-        let mb = s.config.weight(name).unwrap_or(0);
-        let order = OrderId(kit.rand.next() | 1);
-        let flight = Flight {
-            runner: runner.clone(),
-            name: name.clone(),
-            load,
-            since: kit.now,
-            mb,
-            adapter,
-            answered: false,
-        };
-        self.flights.rows.insert(order, flight);
-        let due = self.proven + ORDER_FRESH;
-        let term = self.term;
-        let what = if load { "load" } else { "unload" };
-        kit.say("runner-order", format!("{what} {name} on {runner} under {term}"));
-        let name = name.clone();
-        kit.out.push(Effect::Drive(RunnerOrder { order, term, runner: r, load, name, adapter, due }));
-        true
+        self.asked = kit.now;
+        let Some(tail) = kit.views.view.as_ref().and_then(|v| v.tail()) else { return };
+        let nonce = self.reader.ask(kit.now);
+        let have = vec![(Scope::Duty, self.reader.have(&Scope::Duty))];
+        kit.send(tail, Msg::NewsAsk { nonce, direct: true, have });
     }
 }
 
@@ -193,35 +187,50 @@
     }
 
     fn on(&mut self, ev: &Event, kit: &mut Kit) {
+        self.flights.pacer.tick(kit.now);
         match ev {
             Event::Tick => {
                 self.ask(kit);
                 self.name_holder(kit);
+                self.look(kit);
+                self.flights.arrive(kit.now);
+                self.quick(kit);
                 if self.may_order(kit.now) {
                     self.work(kit);
                 }
+                self.push(kit);
             }
             Event::Mail { msg: Msg::NewsTell { nonce, items }, .. } => {
                 for l in self.reader.told(*nonce, items) {
                     if let Some(Slice::Duty(s)) = l.slice {
-                        kit.out.push(Effect::Watch(s.runners.clone()));
-                        self.learn(kit.me.node, kit.now, s);
+                        let list = s.runners.clone();
+                        self.learn(kit.me.node, s);
+                        kit.out.push(Effect::Watch(if self.term > Term(0) { list } else { vec![] }));
+                        self.look(kit);
                     }
                     self.proven = self.proven.max(l.proven);
                 }
             }
             Event::Mail { from, msg: Msg::Tell(tell), .. } => {
-                self.tells.insert(*from, (kit.now, (**tell).clone()));
-                self.tells.retain(|_, row| kit.now.since(row.0) < Span::ms(5000));
+                self.told(*from, tell, kit.now);
+            }
+            Event::Mail { from, msg: Msg::Want(rows), .. } if self.term > Term(0) => {
+                for want in rows {
+                    self.wanted(*from, want, kit.now);
+                }
+                self.quick(kit);
+                self.check_held(*from, rows, kit);
             }
-            Event::Report { instance, report: Some(r) } => {
-                self.flights.told(kit.now, r);
-                if r.leaving {
-                    kit.note(Note::Marked(instance.clone()));
+            Event::Mail { from, msg: Msg::HeldAsk, .. } => self.push_whole(*from, kit),
+            Event::Report { instance, report } if self.term > Term(0) => {
+                if let Some(r) = report {
+                    self.reported(instance, r, kit);
                 }
-                self.reports.insert(instance.clone(), (kit.now, r.clone()));
+                self.looked(instance, report.as_ref(), kit);
+                self.push(kit);
+                self.quick(kit);
             }
-            Event::Ordered { order, status } => self.flights.answered(kit.now, *order, *status),
+            Event::Ordered { order, status } => self.ordered(*order, *status, kit),
             Event::Warned => self.hand_over(kit),
             _ => {}
         }
@@ -232,7 +241,7 @@
             ("term", self.term.to_string()),
             ("may_order", self.may_order(now).to_string()),
             ("in_flight", self.flights.rows.len().to_string()),
-            ("store_left", format!("{:.1}", self.flights.store)),
+            ("store_left", format!("{:.1}", self.flights.pacer.clone().left(&Default::default()))),
         ]
     }
 }
--- a/src/placement/fill.rs
+++ b/src/placement/fill.rs
@@ -35,7 +35,7 @@
         let rows = s.runners.iter().filter_map(|r| {
             let (at, report) = self.reports.get(&r.instance)?;
             let fresh = now.since(*at) < REPORT && report.instance == r.instance;
-            fresh.then(|| Offer { runner: r.clone(), report: report.clone() })
+            fresh.then(|| Offer { runner: r.clone(), report: self.known(s, report) })
         });
         rows.collect()
     }
--- a/src/placement/flights.rs
+++ b/src/placement/flights.rs
@@ -1,3 +1,4 @@
+use super::pacer::Pacer;
 use crate::fleet::config::{FleetConfig, Store};
 use crate::fleet::runner::{Report, Runner};
 use crate::kernel::ids::*;
@@ -15,26 +16,46 @@
     pub mb: u64,
     pub adapter: bool,
     pub answered: bool,
+    pub counted: bool,
+    pub behind: bool,
+    pub takes: Span,
+    pub end: Time,
+    pub there: bool,
+    pub begun: bool,
+}
+
+impl Flight {
+    pub fn planned(runner: Name, name: Name, mb: u64, adapter: bool, since: Time) -> Flight {
+        let end = Time(u64::MAX);
+        Flight {
+            runner,
+            name,
+            load: true,
+            since,
+            mb,
+            adapter,
+            answered: false,
+            counted: false,
+            behind: false,
+            takes: Span(0),
+            end,
+            there: false,
+            begun: false,
+        }
+    }
 }
 
 #[derive(Clone, Default)]
 pub struct Flights {
     pub rows: BTreeMap<OrderId, Flight>,
-    pub store: f64,
-    pub filled: Time,
+    pub pacer: Pacer,
     pub refused: BTreeMap<(Name, Name), Time>,
 }
 
 impl Flights {
-    pub fn start(&mut self, now: Time) {
-        self.store = 0.0;
-        self.filled = now;
-    }
-
-    pub fn fill(&mut self, now: Time, rule: &Store) {
-        let s = now.since(self.filled).0 as f64 / 1e6;
-        self.filled = now;
-        self.store = (self.store + s * rule.loads_per_minute as f64 / 60.0).min(rule.burst as f64);
+    pub fn may_load(&mut self, rule: &Store) -> bool {
+        let under_way = self.rows.values().filter(|f| f.load && f.counted).count() as u64;
+        (rule.at_once == 0 || under_way < rule.at_once) && self.pacer.left(rule) >= 1.0
     }
 
     pub fn has(&self, runner: &Name, name: &Name) -> bool {
@@ -49,6 +70,17 @@
         self.rows.values().filter(|f| f.runner == *runner).count()
     }
 
+    /// An order whose outcome is still open: no other is sent to that runner.
+    pub fn open(&self, runner: &Name) -> bool {
+        self.rows.values().any(|f| f.runner == *runner && !f.there && (f.load || !f.answered))
+    }
+
+    /// What the runner gave up by an unload it has taken, while its report still shows it.
+    pub fn given_up(&self, report: &Report, name: &Name) -> bool {
+        let mine = |f: &&Flight| f.runner == report.instance && f.name == *name;
+        self.rows.values().filter(mine).any(|f| !f.load && f.answered)
+    }
+
     pub fn pending_mb(&self, report: &Report) -> u64 {
         let new = |f: &&Flight| {
             f.load && f.runner == report.instance && !report.has(&f.name) && !report.loading.contains(&f.name)
@@ -68,8 +100,14 @@
     }
 
     pub fn answered(&mut self, now: Time, order: OrderId, status: u16) {
+        self.pacer.answered(order, status);
         let Some(f) = self.rows.get_mut(&order) else { return };
-        f.answered = status > 0;
+        if f.behind && status == 409 {
+            self.pacer.give_back(order);
+        }
+        f.answered = (200..300).contains(&status);
+        f.begun = status == 202;
+        f.end = now + f.takes;
         if (400..500).contains(&status) {
             self.refused.insert((f.runner.clone(), f.name.clone()), now);
             self.rows.remove(&order);
@@ -82,7 +120,7 @@
                 return true;
             }
             let held = report.has(&f.name);
-            let busy = report.loading.contains(&f.name);
+            let busy = report.loading.contains(&f.name) || report.busy;
             let done = if f.load { held } else { !held };
             let dead = f.load && !held && !busy && now.since(f.since) > UNSURE && f.answered;
             let lost = !f.answered && !busy && now.since(f.since) > Span(UNSURE.0 * 3);
@@ -90,6 +128,13 @@
         });
     }
 
+    /// Adapters come in a known time; the rest waits for a report.
+    pub fn arrive(&mut self, now: Time) {
+        for f in self.rows.values_mut().filter(|f| f.load && f.adapter && f.begun) {
+            f.there |= now >= f.end;
+        }
+    }
+
     pub fn was_refused(&self, now: Time, runner: &Name, name: &Name) -> bool {
         let at = self.refused.get(&(runner.clone(), name.clone()));
         at.is_some_and(|t| now.since(*t) < Span::ms(5000))
--- /dev/null
+++ b/src/placement/job.rs
@@ -0,0 +1,180 @@
+use super::choose::Choice;
+use super::decision::decision;
+use super::duty::Placement;
+use super::flights::is_adapter;
+use crate::fleet::plan::*;
+use crate::fleet::slice::DutySlice;
+use crate::kernel::ids::*;
+use crate::kernel::part::Kit;
+use crate::kernel::time::{Span, Time};
+use std::collections::VecDeque;
+
+const ALLOWED: Span = Span::ms(5000);
+const AGAIN: Span = Span::ms(20);
+const TIRED: Span = Span::ms(80);
+const KEPT: usize = 64;
+
+/// A decision under way at one runner.
+pub struct Job {
+    id: PlanId,
+    want: Name,
+    steps: VecDeque<(bool, Name)>,
+    order: Option<OrderId>,
+    behind: bool,
+    since: Time,
+    next: Time,
+    gap: Span,
+}
+
+impl Job {
+    pub fn names(&self) -> impl Iterator<Item = &Name> {
+        self.steps.iter().map(|s| &s.1)
+    }
+
+    pub fn wants(&self, name: &Name) -> bool {
+        self.want == *name
+    }
+}
+
+impl Placement {
+    pub fn begin(&mut self, want: &Name, choice: Choice, why: &str, kit: &mut Kit) {
+        let id = PlanId(kit.rand.next() | 1);
+        let at = self.slice.as_ref().map_or(Version(0), |s| s.config_at);
+        let plan = decision(id, at, want, &choice, why);
+        let gone = choice.unloads.iter().map(|n| n.to_string()).collect::<Vec<_>>().join(",");
+        kit.say("plan-small", format!("{id} {} on {} instead of [{gone}]", plan.why, choice.runner));
+        self.decided.push_back(plan);
+        if self.decided.len() > KEPT {
+            self.decided.pop_front();
+        }
+        for n in &choice.unloads {
+            self.close_to(&choice.runner, n, true);
+        }
+        let mut steps: VecDeque<_> = choice.unloads.into_iter().map(|n| (false, n)).collect();
+        steps.push_back((true, want.clone()));
+        let job = Job {
+            id,
+            want: want.clone(),
+            steps,
+            order: None,
+            behind: false,
+            since: kit.now,
+            next: kit.now,
+            gap: AGAIN,
+        };
+        self.jobs.insert(choice.runner, job);
+        self.push(kit);
+    }
+
+    pub fn run_jobs(&mut self, s: &DutySlice, kit: &mut Kit) {
+        let runners: Vec<Name> = self.jobs.keys().cloned().collect();
+        for r in runners {
+            let Some(job) = self.jobs.remove(&r) else { continue };
+            let end = match self.run_job(&r, job, s, kit) {
+                Ok(job) => {
+                    self.jobs.insert(r, job);
+                    continue;
+                }
+                Err(end) => end,
+            };
+            let (id, to, why) = end;
+            if let Some(p) = self.decided.iter_mut().find(|p| p.id == id) {
+                p.state = to;
+            }
+            if to == PlanState::Stopped {
+                kit.say("plan-stopped", format!("{id} at {r}: {why}"));
+                self.push.closing.remove(&r);
+            }
+        }
+    }
+
+    fn run_job(
+        &mut self,
+        runner: &Name,
+        mut job: Job,
+        s: &DutySlice,
+        kit: &mut Kit,
+    ) -> Result<Job, (PlanId, PlanState, &'static str)> {
+        let id = job.id;
+        if kit.now.since(job.since) > ALLOWED {
+            return Err((id, PlanState::Stopped, "its time was spent"));
+        }
+        if !s.runners.iter().any(|r| r.instance == *runner && !r.leaving) {
+            return Err((id, PlanState::Stopped, "the runner left"));
+        }
+        if job.order.is_some_and(|o| self.flights.rows.contains_key(&o)) || kit.now < job.next {
+            return Ok(job);
+        }
+        let Some(report) = self.reports.get(runner).map(|r| self.known(s, &r.1)) else { return Ok(job) };
+        while let Some((false, name)) = job.steps.front().cloned()
+            && !report.has(&name)
+        {
+            job.steps.pop_front();
+        }
+        let Some((load, name)) = job.steps.front().cloned() else {
+            return Err((id, PlanState::Done, "done"));
+        };
+        if load && report.has(&name) {
+            return Err((id, PlanState::Done, "done"));
+        }
+        if !load && report.runs_of(&name) > 0 && !report.runs.is_empty() && !is_adapter(&s.config, &name) {
+            let own = self.reports.get(runner).is_some_and(|r| r.1.runs_of(&name) > 0);
+            if own {
+                self.look_at(runner, kit.now + Span::ms(100));
+                return Ok(job);
+            }
+        }
+        job.order = self.send_order(runner, &name, load, job.behind, kit);
+        if job.order.is_none() {
+            job.next = kit.now + AGAIN;
+        }
+        Ok(job)
+    }
+
+    /// An answer to an order of a job: the next step, the same again, or the end.
+    pub fn job_answered(&mut self, order: OrderId, status: u16, kit: &mut Kit) {
+        let Some((runner, mut job)) = self.job_of(order) else { return };
+        let Some((load, name)) = job.steps.front().cloned() else { return };
+        job.order = None;
+        match status {
+            200..=299 => {
+                job.steps.pop_front();
+                job.behind |= !load;
+                (job.next, job.gap) = (kit.now, AGAIN);
+                if load {
+                    if let Some(p) = self.decided.iter_mut().find(|p| p.id == job.id) {
+                        p.state = PlanState::Done;
+                    }
+                    self.push.closing.remove(&runner);
+                    return;
+                }
+            }
+            409 if !job.behind && job.gap >= TIRED => {
+                kit.say("plan-stopped", format!("{} at {runner}: refused again and again", job.id));
+                self.push.closing.remove(&runner);
+                return;
+            }
+            409 | 499 => {
+                self.flights.refused.remove(&(runner.clone(), name));
+                job.next = kit.now + job.gap;
+                job.gap = Span((job.gap.0 * 2).min(Span::ms(160).0));
+                self.look_at(&runner, kit.now);
+            }
+            0 => {
+                job.order = Some(order);
+                self.look_at(&runner, kit.now + Span::ms(50));
+            }
+            _ => {
+                kit.say("plan-stopped", format!("{} at {runner}: answered {status}", job.id));
+                self.push.closing.remove(&runner);
+                return;
+            }
+        }
+        self.jobs.insert(runner, job);
+    }
+
+    fn job_of(&mut self, order: OrderId) -> Option<(Name, Job)> {
+        let runner = self.jobs.iter().find(|j| j.1.order == Some(order))?.0.clone();
+        self.jobs.remove_entry(&runner)
+    }
+}
--- /dev/null
+++ b/src/placement/order.rs
@@ -0,0 +1,99 @@
+use super::duty::{ORDER_FRESH, Placement};
+use super::flights::{Flight, Offer, is_adapter};
+use super::room::fits;
+use crate::fleet::runner::Report;
+use crate::fleet::slice::DutySlice;
+use crate::kernel::ids::*;
+use crate::kernel::part::Kit;
+use crate::kernel::time::{Span, Time};
+use crate::msg::*;
+
+const TINY: Span = Span::ms(5);
+
+impl Placement {
+    pub fn order(&mut self, runner: &Name, name: &Name, load: bool, kit: &mut Kit) -> bool {
+        self.send_order(runner, name, load, false, kit).is_some()
+    }
+
+    /// `behind`: sent while an unload of this runner, which it has taken, may still be under way.
+    pub fn send_order(
+        &mut self,
+        runner: &Name,
+        name: &Name,
+        load: bool,
+        behind: bool,
+        kit: &mut Kit,
+    ) -> Option<OrderId> {
+        let s = self.slice.as_ref()?;
+        let r = s.runners.iter().find(|r| r.instance == *runner).cloned()?;
+        if self.flights.has(runner, name) || !self.may_order(kit.now) || self.flights.open(runner) {
+            return None;
+        }
+        let report = self.reports.get(runner).map(|r| self.known(s, &r.1))?;
+        let offer = Offer { runner: r, report };
+        if load && !fits(&s.config, &offer, &self.flights, name) {
+            return None;
+        }
+        let adapter = is_adapter(&s.config, name);
+        let rule = &s.config.store;
+        let kept = self.is_kept(s, runner, name);
+        let counted = load && !kept && (!adapter || rule.adapters);
+        if counted && !self.flights.may_load(rule) {
+            return None;
+        }
+        let order = OrderId(kit.rand.next() | 1);
+        let ms = if kept && !adapter { rule.kept_ms } else { s.config.load_ms(name) };
+        let flight = Flight {
+            runner: runner.clone(),
+            name: name.clone(),
+            load,
+            since: kit.now,
+            mb: s.config.weight(name).unwrap_or(0),
+            adapter,
+            answered: false,
+            counted,
+            behind,
+            takes: if load { Span::ms(ms) + TINY } else { Span::ms(30) },
+            end: Time(u64::MAX),
+            there: false,
+            begun: false,
+        };
+        let due = self.proven + ORDER_FRESH;
+        if counted {
+            self.flights.pacer.took(order, due.since(kit.now));
+        }
+        self.flights.rows.insert(order, flight);
+        let term = self.term;
+        let what = if load { "load" } else { "unload" };
+        kit.say("runner-order", format!("{what} {name} on {runner} under {term}"));
+        let (name, runner) = (name.clone(), offer.runner);
+        kit.out.push(Effect::Drive(RunnerOrder { order, term, runner, load, name, adapter, due }));
+        Some(order)
+    }
+
+    pub fn is_kept(&self, s: &DutySlice, runner: &Name, name: &Name) -> bool {
+        s.config.store.kept_ms > 0 && self.kept.get(runner).is_some_and(|k| k.contains(name))
+    }
+
+    /// A report with what it leaves out taken from the configuration and from the routers.
+    pub fn known(&self, s: &DutySlice, r: &Report) -> Report {
+        let mut r = r.clone();
+        let service = s.runners.iter().find(|x| x.instance == r.instance).map(|x| &x.service);
+        let Some(service) = service.and_then(|n| s.config.service(n)) else { return r };
+        if r.room_mb == 0 {
+            r.room_mb = service.room_mb;
+            let all = r.holds.iter().chain(&r.loading);
+            r.used_mb = r.used_mb.max(all.filter_map(|n| s.config.weight(n)).sum());
+        }
+        if r.adapter_room == 0 {
+            r.adapter_room = service.places;
+        }
+        if r.slots == 0 {
+            r.slots = service.slots;
+        }
+        if r.runs.is_empty() && r.running > 0 {
+            r.runs = self.runs_on(&r.instance);
+        }
+        r
+    }
+}
--- a/src/placement/picture.rs
+++ b/src/placement/picture.rs
@@ -29,7 +29,7 @@
     }
 
     pub fn store_ms(&self, loads: u64) -> u64 {
-        let spare = self.flights.store.max(0.0) as u64;
+        let spare = self.flights.pacer.clone().left(&self.config.store).max(0.0) as u64;
         loads.saturating_sub(spare) * 60_000 / self.config.store.loads_per_minute.max(1)
     }
 
--- a/src/placement/planner.rs
+++ b/src/placement/planner.rs
@@ -43,7 +43,7 @@
     idle.retain(|n| Some(n) != base.as_ref() && !p.flights.has(runner, n));
     let tuned = is_adapter(p.config, want);
     idle.sort_by_key(|n| (is_adapter(p.config, n) != tuned, std::cmp::Reverse(p.config.weight(n))));
-    let (mut free, need) = (free_mb(o, p.flights), p.config.weight(want).unwrap_or(0));
+    let (mut free, need) = (free_mb(p.config, o, p.flights), p.config.weight(want).unwrap_or(0));
     let mut slot = !tuned || super::room::adapters_free(p.config, o, p.flights) > 0;
     let mut steps = Vec::new();
     for name in idle {
@@ -108,7 +108,7 @@
     let busy = p.busy.contains(&o.runner.instance);
     let mut d = Desk {
         runner: o.runner.instance.clone(),
-        free: if busy { 0 } else { free_mb(o, p.flights) },
+        free: if busy { 0 } else { free_mb(p.config, o, p.flights) },
         slots: if busy { 0 } else { super::room::adapters_free(p.config, o, p.flights) },
         held: o.report.holds.iter().chain(&o.report.loading).cloned().collect(),
         unload: vec![],
--- /dev/null
+++ b/src/placement/push.rs
@@ -0,0 +1,100 @@
+use super::duty::{Placement, REPORT};
+use crate::fleet::holdings::{HeldRow, HeldTell};
+use crate::kernel::ids::*;
+use crate::kernel::part::Kit;
+use crate::kernel::time::{Span, Time};
+use crate::msg::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+const BEAT: Span = Span::ms(500);
+const MINOR: Span = Span::ms(200);
+const GONE: Span = Span::ms(10_000);
+
+/// What routers were told of the runners' holdings.
+#[derive(Default)]
+pub struct Push {
+    pub closing: BTreeMap<Name, BTreeSet<Name>>,
+    seq: u64,
+    sent: BTreeMap<Name, HeldRow>,
+    beat: Time,
+    minor: Time,
+    whole: bool,
+}
+
+impl Placement {
+    fn rows(&self, now: Time) -> BTreeMap<Name, HeldRow> {
+        let row = |(name, (at, r)): (&Name, &(Time, crate::fleet::runner::Report))| {
+            let mut closing = self.push.closing.get(name).cloned().unwrap_or_default();
+            let going = self.flights.rows.values().filter(|f| f.runner == *name && !f.load);
+            closing.extend(going.map(|f| f.name.clone()));
+            let closing: Vec<Name> = closing.into_iter().collect();
+            let mut r = r.clone();
+            for f in self.flights.rows.values().filter(|f| f.runner == *name && f.there) {
+                if !r.has(&f.name) {
+                    r.holds.push(f.name.clone());
+                }
+            }
+            (name.clone(), HeldRow::of(name, &r, &closing, now.since(*at) >= REPORT))
+        };
+        self.reports.iter().map(row).collect()
+    }
+
+    fn routers(&self, kit: &Kit) -> Vec<NodeId> {
+        let live = kit.views.book.iter().filter(|r| r.who.role == Role::Router && r.quiet < GONE);
+        live.map(|r| r.who.node).collect()
+    }
+
+    pub fn push(&mut self, kit: &mut Kit) {
+        if self.term == Term(0) {
+            return;
+        }
+        let rows = self.rows(kit.now);
+        let old = &self.push.sent;
+        let news: Vec<HeldRow> = rows.values().filter_map(|r| r.after(old.get(&r.runner))).collect();
+        let minor = news.iter().all(|r| rows[&r.runner].minor(old.get(&r.runner)));
+        let beat = kit.now.since(self.push.beat) >= BEAT;
+        let due = !news.is_empty() && (!minor || kit.now.since(self.push.minor) >= MINOR);
+        if !beat && !due && !self.push.whole {
+            return;
+        }
+        let whole = std::mem::take(&mut self.push.whole);
+        self.push.seq += 1;
+        self.push.beat = kit.now;
+        self.push.minor = kit.now;
+        let tell = HeldTell {
+            term: self.term,
+            seq: self.push.seq,
+            whole,
+            rows: if whole { rows.values().cloned().collect() } else { news },
+        };
+        self.push.sent = rows;
+        for to in self.routers(kit) {
+            kit.send(to, Msg::Held(Box::new(tell.clone())));
+        }
+    }
+
+    pub fn push_whole(&mut self, to: NodeId, kit: &mut Kit) {
+        if self.term == Term(0) {
+            return;
+        }
+        let rows = self.push.sent.values().cloned().collect();
+        let tell = HeldTell { term: self.term, seq: self.push.seq, whole: true, rows };
+        kit.send(to, Msg::Held(Box::new(tell)));
+    }
+
+    pub fn close_to(&mut self, runner: &Name, name: &Name, closed: bool) {
+        let row = self.push.closing.entry(runner.clone()).or_default();
+        if closed {
+            row.insert(name.clone());
+        } else {
+            row.remove(name);
+        }
+        if row.is_empty() {
+            self.push.closing.remove(runner);
+        }
+    }
+
+    pub fn push_anew(&mut self) {
+        self.push = Push { whole: true, ..Push::default() };
+    }
+}
--- /dev/null
+++ b/src/placement/quick.rs
@@ -0,0 +1,176 @@
+use super::choose::{Board, Choice, SETTLED};
+use super::duty::Placement;
+use super::flights::Offer;
+use super::uses::Uses;
+use crate::fleet::config::Class;
+use crate::fleet::holdings::Want;
+use crate::fleet::slice::DutySlice;
+use crate::kernel::ids::*;
+use crate::kernel::part::Kit;
+use crate::kernel::time::{Span, Time};
+use std::collections::BTreeMap;
+
+const WANTED: Span = Span::ms(1500);
+const LOSS: u64 = 1000;
+const COPIES: usize = 2;
+
+pub struct Wanted {
+    pub service: Name,
+    pub class: Class,
+    pub since: Time,
+    rows: BTreeMap<NodeId, (Time, u64)>,
+}
+
+impl Wanted {
+    pub fn count(&self) -> u64 {
+        self.rows.values().map(|r| r.1).sum()
+    }
+}
+
+impl Placement {
+    pub fn wanted(&mut self, from: NodeId, want: &Want, now: Time) {
+        let new =
+            Wanted { service: want.service.clone(), class: want.class, since: now, rows: BTreeMap::new() };
+        let row = self.wants.entry(want.name.clone()).or_insert(new);
+        row.class = row.class.min(want.class);
+        row.rows.insert(from, (now, want.count));
+    }
+
+    fn gather(&mut self, now: Time) {
+        for w in self.wants.values_mut() {
+            w.rows.retain(|_, r| now.since(r.0) < WANTED);
+        }
+        self.wants.retain(|_, w| !w.rows.is_empty());
+    }
+
+    pub fn quick(&mut self, kit: &mut Kit) {
+        self.gather(kit.now);
+        let Some(s) = self.slice.clone() else { return };
+        if !self.may_order(kit.now) {
+            return;
+        }
+        self.run_jobs(&s, kit);
+        if !s.config.placement.auto || self.wants.is_empty() {
+            return;
+        }
+        let mut names: Vec<(Class, Time, Name)> =
+            self.wants.iter().map(|(n, w)| (w.class, w.since, n.clone())).collect();
+        names.sort();
+        for (_, _, name) in names {
+            self.meet_quick(&name, &s, kit);
+        }
+    }
+
+    fn meet_quick(&mut self, name: &Name, s: &DutySlice, kit: &mut Kit) {
+        if s.config.weight(name).is_none() || self.coming(name, s) {
+            return;
+        }
+        let offers = self.offers(kit.now);
+        if self.served(&offers, name, s) {
+            return;
+        }
+        let Some(service) = self.wants.get(name).map(|w| w.service.clone()) else { return };
+        let held = offers.iter().any(|o| o.report.has(name) && !o.runner.leaving);
+        let Some(choice) = self.choose(&offers, &service, name, s, kit.now) else { return };
+        if held && choice.loss > LOSS {
+            return;
+        }
+        self.begin(name, choice, "is wanted and no runner can take it", kit);
+        self.run_jobs(s, kit);
+    }
+
+    pub fn coming(&self, name: &Name, s: &DutySlice) -> bool {
+        let planned = s.plans.iter().filter(|p| p.live()).flat_map(|p| p.steps()).any(|x| x.wants(name));
+        let moved = s.moves.iter().any(|m| m.live() && m.want == *name);
+        self.flights.loading(name) || self.jobs.values().any(|j| j.wants(name)) || planned || moved
+    }
+
+    fn served(&self, offers: &[Offer], name: &Name, s: &DutySlice) -> bool {
+        let base = s.config.adapter(name).map(|a| a.model.clone());
+        offers.iter().any(|o| {
+            let open = |n: &Name| {
+                o.report.has(n) && !self.push.closing.get(&o.runner.instance).is_some_and(|c| c.contains(n))
+            };
+            let free = o.report.running + o.report.waiting < o.report.slots;
+            !o.runner.leaving && free && open(name) && base.as_ref().is_none_or(open)
+        })
+    }
+
+    pub fn choose(
+        &self,
+        offers: &[Offer],
+        service: &Name,
+        name: &Name,
+        s: &DutySlice,
+        now: Time,
+    ) -> Option<Choice> {
+        let uses = self.uses(now);
+        let planned = self.busy(s, now);
+        let counted = self.counted(s, now);
+        let board = Board {
+            config: &s.config,
+            offers,
+            flights: &counted,
+            uses: &uses,
+            now,
+            busy: &|r| self.jobs.contains_key(r) || self.flights.open(r) || planned.contains(r),
+            stays: &|r, n| {
+                let new = self.settled.get(&(r.clone(), n.clone()));
+                new.is_some_and(|t| now.since(*t) < SETTLED) || self.flights.has(r, n)
+            },
+            kept: &|r, n| self.is_kept(s, r, n),
+            copies: &|n| self.copies(n, &uses, s),
+        };
+        board.choose(service, name)
+    }
+
+    /// How many runners should hold a model for what runs and waits for it.
+    pub fn copies(&self, name: &Name, uses: &Uses, s: &DutySlice) -> u64 {
+        let Some(u) = uses.get(name) else { return 1 };
+        let Some(service) = s.config.services.iter().find(|x| x.models.contains(name)) else { return 1 };
+        let rows = self.reports.values().map(|r| &r.1).filter(|r| r.has(name));
+        let (runs, tokens) = rows.fold((0, 0), |a, r| (a.0 + r.running, a.1 + r.tokens));
+        let each = tokens.checked_div(runs).unwrap_or(0);
+        let by_tokens = if each > 0 && service.tokens > 0 { service.tokens / each } else { u64::MAX };
+        let able = (service.slots.min(by_tokens) * 3 / 4).max(1);
+        let tuned = s.config.adapters.iter().filter(|a| a.model == *name);
+        let tuned = tuned.filter(|a| uses.get(&a.name).is_some_and(|u| u.per_s > 0.0)).count() as u64;
+        let places = if service.places > 0 { tuned.div_ceil(service.places) } else { 0 };
+        let mates = s.runners.iter().filter(|r| r.service == service.name && !r.leaving).count() as u64;
+        (u.runs + u.waits).div_ceil(able).max(places).min(mates * 2 / 3).max(1)
+    }
+
+    /// More copies of what is hot, where that costs little.
+    pub fn spread(&mut self, s: &DutySlice, kit: &mut Kit) {
+        if !s.config.placement.auto || !self.may_order(kit.now) || self.jobs.len() >= COPIES {
+            return;
+        }
+        if self.flights.pacer.left(&s.config.store) < 2.0 {
+            return;
+        }
+        let uses = self.uses(kit.now);
+        let models = s.config.models.iter().filter_map(|m| Some((uses.get(&m.name)?, &m.name)));
+        let Some((_, name)) = models
+            .filter(|(u, n)| u.runs > 0 && self.held_by(n) > 0 && self.held_by(n) < self.copies(n, &uses, s))
+            .max_by_key(|(u, _)| u.runs)
+        else {
+            return;
+        };
+        let Some(service) = s.config.services.iter().find(|x| x.models.contains(name)) else { return };
+        if self.coming(name, s) {
+            return;
+        }
+        let offers = self.offers(kit.now);
+        let Some(choice) = self.choose(&offers, &service.name, name, s, kit.now) else { return };
+        if choice.loss > LOSS {
+            return;
+        }
+        let name = name.clone();
+        self.begin(&name, choice, "is hot", kit);
+        self.run_jobs(s, kit);
+    }
+
+    fn held_by(&self, name: &Name) -> u64 {
+        self.reports.values().filter(|r| r.1.has(name) && !r.1.leaving).count() as u64
+    }
+}
--- a/src/placement/room.rs
+++ b/src/placement/room.rs
@@ -1,28 +1,39 @@
 use super::flights::{Flights, Offer, is_adapter};
 use crate::fleet::config::FleetConfig;
+use crate::fleet::runner::Report;
 use crate::kernel::ids::Name;
 
-pub fn free_mb(o: &Offer, f: &Flights) -> u64 {
+pub fn free_mb(c: &FleetConfig, o: &Offer, f: &Flights) -> u64 {
     let r = &o.report;
-    r.room_mb.saturating_sub(r.used_mb).saturating_sub(f.pending_mb(r))
+    (r.room_mb + freed_mb(c, r, f)).saturating_sub(r.used_mb).saturating_sub(f.pending_mb(r))
+}
+
+fn goes(c: &FleetConfig, r: &Report, f: &Flights, name: &Name) -> bool {
+    f.given_up(r, name) || c.adapter(name).is_some_and(|a| f.given_up(r, &a.model))
+}
+
+fn freed_mb(c: &FleetConfig, r: &Report, f: &Flights) -> u64 {
+    let gone = r.holds.iter().filter(|n| goes(c, r, f, n));
+    gone.filter_map(|n| c.weight(n)).sum()
 }
 
 pub fn adapters_free(c: &FleetConfig, o: &Offer, f: &Flights) -> u64 {
     let r = &o.report;
-    let held = r.holds.iter().chain(&r.loading).filter(|n| is_adapter(c, n)).count() as u64;
+    let held =
+        r.holds.iter().chain(&r.loading).filter(|n| is_adapter(c, n) && !goes(c, r, f, n)).count() as u64;
     r.adapter_room.saturating_sub(held).saturating_sub(f.pending_adapters(r))
 }
 
 pub fn fits(c: &FleetConfig, o: &Offer, f: &Flights, name: &Name) -> bool {
     let Some(mb) = c.weight(name) else { return false };
-    if free_mb(o, f) < mb {
+    if free_mb(c, o, f) < mb {
         return false;
     }
     if !is_adapter(c, name) {
         return true;
     }
     let base = c.adapter(name).map(|a| a.model.clone());
-    adapters_free(c, o, f) > 0 && base.is_some_and(|m| o.report.has(&m))
+    adapters_free(c, o, f) > 0 && base.is_some_and(|m| o.report.has(&m) && !goes(c, &o.report, f, &m))
 }
 
 pub fn idle_names(c: &FleetConfig, o: &Offer, wanted: &dyn Fn(&Name) -> bool) -> Vec<Name> {
--- a/src/placement/stages.rs
+++ b/src/placement/stages.rs
@@ -31,6 +31,7 @@
             self.stage(m, &s, kit);
         }
         self.run_plans(&s, kit);
+        self.spread(&s, kit);
         self.propose(&s, kit);
     }
 
--- a/src/sim/callers.rs
+++ b/src/sim/callers.rs
@@ -42,14 +42,19 @@
     }
 
     pub fn call_model(&mut self, f: &SimFlow, pick: u64) -> u64 {
+        let call = self.calls + 1;
+        let tuned = f.adapted && pick < 10 && call.is_multiple_of(6) && self.plan.adapters > pick as usize;
+        let adapter = tuned.then(|| format!("a{pick:02}"));
+        self.call_named(f, &format!("m{pick:02}"), adapter.as_deref())
+    }
+
+    pub fn call_named(&mut self, f: &SimFlow, model: &str, adapter: Option<&str>) -> u64 {
         self.calls += 1;
         let call = self.calls;
         let routers: Vec<usize> =
             (0..self.nodes.len()).filter(|n| self.nodes[*n].role == Role::Router).collect();
         let place = routers[self.rand.below(routers.len() as u64) as usize];
-        let model = format!("m{pick:02}");
-        let tuned = f.adapted && pick < 10 && call.is_multiple_of(6) && self.plan.adapters > pick as usize;
-        let adapter = if tuned { format!("\"adapter\":\"a{pick:02}\",") } else { String::new() };
+        let adapter = adapter.map_or(String::new(), |a| format!("\"adapter\":\"{a}\","));
         let body = (f.tokens > 0).then(|| {
             format!(
                 "{{\"model\":\"{model}\",{adapter}\"tokens\":{},\"prefix\":\"p{}\",\"salt\":{call}}}",
--- a/src/sim/check.rs
+++ b/src/sim/check.rs
@@ -129,6 +129,11 @@
                 bad.push(format!("9 the store was asked {} times in {}", k - n + 1, to.since(*from)));
                 return bad;
             }
+            let within = rule.most > 0 && to.since(*from) <= Span::ms(rule.window_ms);
+            if within && (k - n + 1) as u64 > rule.most {
+                bad.push(format!("9 the store was asked {} times in one window", k - n + 1));
+                return bad;
+            }
         }
     }
     bad
--- a/src/sim/effects.rs
+++ b/src/sim/effects.rs
@@ -41,6 +41,11 @@
             }
             Effect::Routers(n) => self.nodes[place].routers = n,
             Effect::Watch(list) => self.nodes[place].watch = list,
+            Effect::Look(runner) => self.later(Span(1), Event::Looked { place, life, runner }),
+            Effect::Held(rows) => {
+                let now = self.local(place);
+                self.nodes[place].table.clone().held(now, &rows);
+            }
             Effect::Ready(r) => self.nodes[place].ready = r,
             Effect::Drive(order) => self.drive(place, life, order),
             Effect::Save(_) | Effect::Rewrite(_) => {}
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -1,4 +1,5 @@
 pub mod back;
+pub mod begin;
 pub mod callers;
 pub mod check;
 pub mod check_config;
--- a/src/sim/nodes.rs
+++ b/src/sim/nodes.rs
@@ -38,7 +38,6 @@
 }
 
 pub const TICK: Span = Span::ms(20);
-pub const POLL: Span = Span::ms(300);
 pub const TELL: Span = Span::ms(250);
 
 impl SimNode {
@@ -117,8 +116,9 @@
         self.note(Fact::Up { place });
         self.feed(place, msg::Event::Start);
         self.later(TICK, Event::Tick { place, life });
-        let wait = Span(self.rand.below(POLL.0));
-        self.later(wait, Event::Poll { place, life });
+        let sought = self.sought.clone();
+        let asker = move |want| sought.lock().unwrap().push_back((place, life, want));
+        self.nodes[place].table.on_want(Arc::new(asker));
         self.later(TELL, Event::Tell { place, life });
     }
 
--- a/src/sim/runners.rs
+++ b/src/sim/runners.rs
@@ -1,4 +1,4 @@
-use super::nodes::{POLL, TELL};
+use super::nodes::TELL;
 use super::record::Fact;
 use super::world::{Event, World};
 use crate::daemon::assemble::Policy;
@@ -56,31 +56,24 @@
         self.runners.iter().position(|r| r.card.instance == *name)
     }
 
-    pub fn poll(&mut self, place: usize, life: u64) {
+    pub fn look(&mut self, place: usize, life: u64, runner: &Name) {
         if !self.fits(place, life) {
             return;
         }
-        self.later(POLL, Event::Poll { place, life });
-        let list: Vec<Runner> = match self.nodes[place].role {
-            Role::Router => self.nodes[place].table.runners().into_iter().map(|r| r.1).collect(),
-            Role::Controller => self.nodes[place].watch.clone(),
-        };
-        for r in list {
-            let up = self.runner_at(&r.instance).filter(|k| {
-                let x = &self.runners[*k];
-                x.alive && !x.dark && x.card.addr == r.addr
-            });
-            let report = up.map(|k| {
-                let mut report = self.runners[k].stock.report();
-                if self.runners[k].lie {
-                    report.used_mb = 0;
-                }
-                Box::new(report)
-            });
-            let wait = self.delay() + self.plus(self.slow_poll);
-            let runner = r.instance;
-            self.later(wait, Event::Reported { place, life, runner, report });
-        }
+        let Some(r) = self.nodes[place].watch.iter().find(|r| r.instance == *runner).cloned() else { return };
+        let up = self.runner_at(&r.instance).filter(|k| {
+            let x = &self.runners[*k];
+            x.alive && !x.dark && x.card.addr == r.addr
+        });
+        let report = up.map(|k| {
+            let mut report = self.runners[k].stock.report();
+            if self.runners[k].lie {
+                report.used_mb = 0;
+            }
+            Box::new(report)
+        });
+        let wait = self.delay() + self.plus(self.slow_poll);
+        self.later(wait, Event::Reported { place, life, runner: r.instance, report });
     }
 
     pub fn reported(
@@ -93,21 +86,11 @@
         if !self.fits(place, life) {
             return;
         }
-        let now = self.local(place);
         if report.as_ref().is_some_and(|r| r.leaving) {
             self.learnt_leaving(runner.clone(), place);
         }
-        if self.nodes[place].role == Role::Controller {
-            let report = report.map(|r| *r);
-            return self.feed(place, msg::Event::Report { instance: runner, report });
-        }
-        let Some(report) = report else { return };
-        let table = self.nodes[place].table.clone();
-        let service = table.runners().into_iter().find(|r| r.1.instance == runner).map(|r| r.0);
-        let Some(gate) = service.and_then(|s| table.gate(&s)) else { return };
-        let mut g = gate.lock().unwrap();
-        g.report(now, &runner, *report);
-        g.wake(now);
+        let report = report.map(|r| *r);
+        self.feed(place, msg::Event::Report { instance: runner, report });
     }
 
     pub fn tell(&mut self, place: usize, life: u64) {
@@ -146,7 +129,10 @@
                 }
                 return w.later(Span(500), Event::Driven { place, life, order, status: 499 });
             };
-            w.note(Fact::Asking { load: o.load });
+            let single = w.runners[k].stock.single;
+            if !single {
+                w.note(Fact::Asking { load: o.load });
+            }
             if w.runners[k].dark {
                 return w.later(Span::ms(1000), Event::Driven { place, life, order, status: 0 });
             }
@@ -164,10 +150,15 @@
             if status != 412 {
                 w.note(Fact::Ordered { runner, term, load, name: name.clone(), status });
             }
-            if load && status == 200 && why == "loading" {
-                let ms = w.runners[k].stock.catalog.load_ms(&name);
-                let rl = w.runners[k].life;
+            let rl = w.runners[k].life;
+            if why == "loading" {
+                let (ms, counted) = w.runners[k].stock.load_cost(&name);
+                if single && counted {
+                    w.note(Fact::Asking { load });
+                }
                 w.later(Span::ms(ms), Event::Loaded { runner: k, life: rl, name });
+            } else if why == "unloading" {
+                w.at(w.now + Span::ms(8), move |w| w.unload_step(k, rl));
             }
             let wait = w.delay();
             w.later(wait, Event::Driven { place, life, order, status });
@@ -187,6 +178,13 @@
         }
     }
 
+    fn unload_step(&mut self, k: usize, life: u64) {
+        let r = &mut self.runners[k];
+        if r.life == life && r.alive && !r.stock.try_unload() {
+            self.at(self.now + Span::ms(8), move |w| w.unload_step(k, life));
+        }
+    }
+
     fn preempt_runs(&mut self, k: usize, model: &Name) {
         let rows: Vec<(u64, Run)> = self.runners[k]
             .runs
@@ -228,5 +226,7 @@
             Stock::new(r.card.instance.clone(), Default::default(), room, adapters, slots),
         );
         r.stock.catalog = old.catalog;
+        r.stock.single = old.single;
+        r.stock.had = old.had;
     }
 }
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -2,6 +2,7 @@
 use super::nodes::SimNode;
 use super::record::{Fact, Record};
 use super::runners::SimRunner;
+use crate::fleet::holdings::Want;
 use crate::gate::Plan;
 use crate::kernel::ids::*;
 use crate::kernel::rand::{Rand, Seeded};
@@ -14,13 +15,14 @@
 use std::sync::{Arc, Mutex};
 
 pub type Woken = (usize, u64, u64, Plan);
+pub type Sought = (usize, u64, Want);
 pub type Deed = Box<dyn FnOnce(&mut World)>;
 
 pub enum Event {
     Tick { place: usize, life: u64 },
     Letter { to: SocketAddr, letter: Box<Letter> },
     Release { place: usize, life: u64, out: Vec<Effect> },
-    Poll { place: usize, life: u64 },
+    Looked { place: usize, life: u64, runner: Name },
     Reported { place: usize, life: u64, runner: Name, report: Option<Box<crate::fleet::runner::Report>> },
     Tell { place: usize, life: u64 },
     Driven { place: usize, life: u64, order: OrderId, status: u16 },
@@ -49,6 +51,7 @@
     pub slow_poll: u64,
     pub answers: BTreeMap<ChangeId, Answer>,
     pub woken: Arc<Mutex<VecDeque<Woken>>>,
+    pub sought: Arc<Mutex<VecDeque<Sought>>>,
     pub flows: Vec<super::callers::SimFlow>,
     pub calls: u64,
     pub turn: Option<u64>,
@@ -75,6 +78,7 @@
             slow_poll: 0,
             answers: BTreeMap::new(),
             woken: Arc::default(),
+            sought: Arc::default(),
             flows: Vec::new(),
             calls: 0,
             turn: None,
@@ -127,6 +131,12 @@
     }
 
     fn wake(&mut self) {
+        loop {
+            let Some((place, life, want)) = self.sought.lock().unwrap().pop_front() else { break };
+            if self.fits(place, life) {
+                self.feed(place, crate::msg::Event::Wanted(want));
+            }
+        }
         loop {
             let Some((place, life, ride, plan)) = self.woken.lock().unwrap().pop_front() else { return };
             let ev = Box::new(In::Woken(plan));
@@ -150,7 +160,7 @@
             Event::Tick { place, life } => self.tick(place, life),
             Event::Letter { to, letter } => self.letter(to, *letter),
             Event::Release { place, life, out } => self.release(place, life, out),
-            Event::Poll { place, life } => self.poll(place, life),
+            Event::Looked { place, life, runner } => self.look(place, life, &runner),
             Event::Reported { place, life, runner, report } => self.reported(place, life, runner, report),
             Event::Tell { place, life } => self.tell(place, life),
             Event::Driven { place, life, order, status } => self.driven(place, life, order, status),
@@ -183,7 +193,7 @@
         Event::Letter { to, .. } => w.nodes.iter().position(|n| n.place.addr == *to),
         Event::Release { .. } => None,
         Event::Tick { place, .. }
-        | Event::Poll { place, .. }
+        | Event::Looked { place, .. }
         | Event::Reported { place, .. }
         | Event::Tell { place, .. }
         | Event::Driven { place, .. }
--- a/src/standin/stock.rs
+++ b/src/standin/stock.rs
@@ -18,6 +18,11 @@
     pub leaving: bool,
     pub prefixes: Vec<String>,
     pub lines: Vec<String>,
+    /// One order at a time: 202 when it is taken, 409 while another is under way.
+    pub single: bool,
+    pub under_way: Option<(Name, bool)>,
+    pub orders: u64,
+    pub had: BTreeSet<Name>,
 }
 
 impl Stock {
@@ -37,6 +42,10 @@
             leaving: false,
             prefixes: Vec::new(),
             lines: Vec::new(),
+            single: false,
+            under_way: None,
+            orders: 0,
+            had: BTreeSet::new(),
         }
     }
 
@@ -68,9 +77,9 @@
             runs: self.runs.iter().filter(|r| *r.1 > 0).map(|(m, n)| (m.clone(), *n)).collect(),
             slots: self.slots,
             term: self.term,
-            orders: 0,
+            orders: self.orders,
             tokens: 0,
-            busy: false,
+            busy: self.under_way.is_some(),
         }
     }
 
@@ -83,9 +92,17 @@
             return (*status, "repeated");
         }
         self.term = term;
+        if self.under_way.is_some() {
+            return (409, "another order is under way");
+        }
         let what = if load { "load" } else { "unload" };
         self.lines.push(format!("order id={id} term={term} what={what} name={name}"));
-        let (status, text) = if load { self.load(name) } else { self.unload(name) };
+        let (status, text) = match (load, self.single) {
+            (true, _) => self.load(name),
+            (false, false) => self.unload(name),
+            (false, true) => self.begin_unload(name),
+        };
+        self.orders += u64::from(status < 300);
         self.seen.insert(id.to_string(), status);
         (status, text)
     }
@@ -102,13 +119,51 @@
         }
         self.loading.insert(name.clone());
         self.lines.push(format!("store-load name={name}"));
+        if self.single {
+            self.under_way = Some((name.clone(), true));
+            return (202, "loading");
+        }
         (200, "loading")
     }
 
+    fn begin_unload(&mut self, name: &Name) -> (u16, &'static str) {
+        if !self.holds.contains(name) {
+            return (200, "not held");
+        }
+        self.under_way = Some((name.clone(), false));
+        (202, "unloading")
+    }
+
+    /// Whether the unload under way is done; it waits for the runs of its model.
+    pub fn try_unload(&mut self) -> bool {
+        let Some((name, false)) = self.under_way.clone() else { return true };
+        let busy = self.catalog.model(&name).is_some() && self.runs.get(&name).is_some_and(|n| *n > 0);
+        if busy {
+            return false;
+        }
+        self.under_way = None;
+        self.unload(&name);
+        true
+    }
+
+    pub fn closed(&self, name: &Name) -> bool {
+        self.under_way.as_ref().is_some_and(|u| u.0 == *name && !u.1)
+    }
+
+    /// How long a load takes here, and whether the store is asked for it.
+    pub fn load_cost(&self, name: &Name) -> (u64, bool) {
+        let rule = &self.catalog.store;
+        let adapter = self.catalog.adapter(name).is_some();
+        if rule.kept_ms > 0 && !adapter && self.had.contains(name) {
+            return (rule.kept_ms, false);
+        }
+        (self.catalog.load_ms(name), !adapter || rule.adapters)
+    }
+
     fn unload(&mut self, name: &Name) -> (u16, &'static str) {
         let base = self.catalog.adapter(name).map(|a| a.model.clone());
         let busy = self.runs.get(base.as_ref().unwrap_or(name)).copied().unwrap_or(0);
-        if busy > 0 {
+        if busy > 0 && !self.single {
             return (409, "a run of it goes on");
         }
         self.holds.remove(name);
@@ -126,6 +181,8 @@
 
     pub fn loaded(&mut self, name: &Name) {
         if self.loading.remove(name) {
+            self.under_way = None;
+            self.had.insert(name.clone());
             self.holds.insert(name.clone());
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,5 +1,7 @@
 #![allow(dead_code)]
 
+pub mod maps;
+
 use spindledock::sim::{World, check};
 use std::ops::Range;
 
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -41,7 +41,7 @@
 
 fn flight(runner: &str, name: &str, mb: u64) -> Flight {
     let (runner, name) = (Name::from(runner), Name::from(name));
-    Flight { runner, name, load: true, since: NOW, mb, adapter: false, answered: false }
+    Flight::planned(runner, name, mb, false, NOW)
 }
 
 fn best(offers: &[Offer], f: &Flights, want: &str) -> Option<Way> {
@@ -55,16 +55,16 @@
     let (c, mut o, mut f) = (config(), offer("a", &[], 0, &[]), Flights::default());
     assert!(fits(&c, &o, &f, &Name::from("big")));
     f.rows.insert(OrderId(1), flight("a", "big", 60));
-    assert_eq!(free_mb(&o, &f), 40);
+    assert_eq!(free_mb(&c, &o, &f), 40);
     assert!(!fits(&c, &o, &f, &Name::from("big")), "in flight and not yet reported");
     o.report.loading.push(Name::from("big"));
     o.report.used_mb = 60;
-    assert_eq!(free_mb(&o, &f), 40, "counted once");
+    assert_eq!(free_mb(&c, &o, &f), 40, "counted once");
     f.answered(NOW, OrderId(1), 0);
     f.told(NOW + Span::ms(4000), &offer("a", &[], 0, &[]).report);
-    assert_eq!(free_mb(&offer("a", &[], 0, &[]), &f), 40, "an unknown outcome still counts");
+    assert_eq!(free_mb(&c, &offer("a", &[], 0, &[]), &f), 40, "an unknown outcome still counts");
     f.told(NOW + Span::ms(9500), &offer("a", &[], 0, &[]).report);
-    assert_eq!(free_mb(&offer("a", &[], 0, &[]), &f), 100);
+    assert_eq!(free_mb(&c, &offer("a", &[], 0, &[]), &f), 100);
 }
 
 #[test]
