Placement met by incremental decisions joins the platform's path

Cause: reports that tell no room made every load impossible; nine nodes polled every runner. Now the duty's holder alone looks at runners, decides each want when it comes, and pushes what is held. Left: RECOVER/CONFIG where a wiped member joins too slowly.

--- a/src/daemon/poll.rs
+++ b/src/daemon/poll.rs
@@ -4,11 +4,9 @@
 use crate::kernel::time::Clock;
 use crate::msg::RunnerOrder;
 use crate::seam::RunnerSide;
-use std::collections::BTreeSet;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
-pub const POLL: Duration = Duration::from_millis(300);
 const LIVE_EVERY: u64 = 8;
 const DUE: Duration = Duration::from_millis(1000);
 
@@ -30,33 +28,6 @@
     }
 }
 
-pub type Told = Arc<dyn Fn(Runner, Option<Report>) + Send + Sync>;
-
-pub async fn watch(
-    pool: Arc<Pool>,
-    side: Arc<dyn RunnerSide>,
-    list: Arc<dyn Fn() -> Vec<Runner> + Send + Sync>,
-    told: Told,
-) {
-    let busy: Arc<Mutex<BTreeSet<crate::kernel::ids::Name>>> = Arc::default();
-    let mut tick = tokio::time::interval(POLL);
-    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
-        tick.tick().await;
-        for r in list() {
-            if !busy.lock().unwrap().insert(r.instance.clone()) {
-                continue;
-            }
-            let (pool, told, busy, side) = (pool.clone(), told.clone(), busy.clone(), side.clone());
-            tokio::spawn(async move {
-                let rep = report(&pool, &*side, &r).await;
-                busy.lock().unwrap().remove(&r.instance);
-                told(r, rep);
-            });
-        }
-    }
-}
-
 pub async fn tells(
     table: Arc<Table>,
     clock: Arc<dyn Clock>,
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -13,7 +13,7 @@
 use crate::kernel::registry::Registry;
 use crate::kernel::time::{BootClock, Clock, Span};
 use crate::msg::*;
-use crate::seam::{RunnerSide, Sides};
+use crate::seam::Sides;
 use error_stack::{Report, ResultExt};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -140,9 +140,8 @@
         let front = front.clone();
         tokio::spawn(serve(socket, Arc::new(move |order| Box::pin(front.clone().answer(order)))));
     }
-    match c.role {
-        Role::Router => router_tasks(&table, &clock, &pool, &hand, &front, &routers),
-        Role::Controller => controller_tasks(&hand, &pool, &runners, c.sides.runner.clone()),
+    if c.role == Role::Router {
+        router_tasks(&table, &clock, &hand, &front, &routers);
     }
     log::info!(event = "started", address = c.addr.to_string(), admin = c.admin.to_string(), domain = c.domain.to_string(), services = services.names().join(","); "");
     tokio::spawn(super::reload::watch(origin, c.clone(), hand.clone()));
@@ -190,6 +189,16 @@
         Effect::Routers(n) => routers.store(n, Ordering::SeqCst),
         Effect::Watch(list) => *runners.lock().unwrap() = list,
         Effect::Holds(on) => drop(list.as_ref().map(|l| l.switch(on))),
+        Effect::Held(rows) => table.held(clock.now(), &rows),
+        Effect::Look(name) => {
+            let found = runners.lock().unwrap().iter().find(|r| r.instance == name).cloned();
+            let Some(r) = found else { return };
+            let (pool, hand, side) = (pool.clone(), hand.clone(), side.clone());
+            rt.spawn(async move {
+                let report = poll::report(&pool, &*side, &r).await;
+                hand.feed(Event::Report { instance: r.instance, report });
+            });
+        }
         Effect::Ready(ready) => fit.store(ready, Ordering::SeqCst),
         Effect::Drive(order) => {
             let (pool, clock, hand, side) = (pool.clone(), clock.clone(), hand.clone(), side.clone());
@@ -205,26 +214,12 @@
 fn router_tasks(
     table: &Arc<Table>,
     clock: &Arc<dyn Clock>,
-    pool: &Arc<Pool>,
     hand: &Hand,
     front: &Arc<Front>,
     routers: &Arc<AtomicU64>,
 ) {
-    let list = {
-        let table = table.clone();
-        Arc::new(move || table.reporting())
-    };
-    let told = {
-        let (table, clock) = (table.clone(), clock.clone());
-        Arc::new(move |r: crate::fleet::runner::Runner, rep| {
-            if let (Some(gate), Some(rep)) = (table.gate(&r.service), rep) {
-                let (mut g, now) = (gate.lock().unwrap(), clock.now());
-                g.report(now, &r.instance, rep);
-                g.wake(now);
-            }
-        })
-    };
-    tokio::spawn(poll::watch(pool.clone(), front.sides.runner.clone(), list, told));
+    let inbox = Mutex::new(hand.clone());
+    table.on_want(Arc::new(move |want| inbox.lock().unwrap().feed(Event::Wanted(want))));
     let seen = front.clone();
     let seen = Arc::new(move || seen.seen.rows());
     tokio::spawn(poll::tells(table.clone(), clock.clone(), seen, hand.clone()));
@@ -237,12 +232,3 @@
         }
     });
 }
-
-fn controller_tasks(hand: &Hand, pool: &Arc<Pool>, runners: &Runners, side: Arc<dyn RunnerSide>) {
-    let (rows, hand) = (runners.clone(), hand.clone());
-    let list = Arc::new(move || rows.lock().unwrap().clone());
-    let told = Arc::new(move |r: crate::fleet::runner::Runner, report| {
-        hand.feed(Event::Report { instance: r.instance, report });
-    });
-    tokio::spawn(poll::watch(pool.clone(), side, list, told));
-}
--- a/src/gate/core.rs
+++ b/src/gate/core.rs
@@ -1,14 +1,14 @@
 use super::budget::Tries;
 use super::health::Health;
+use super::held::{Asker, Used};
 use super::inbox::{Inbox, Waiter, Wake};
 use super::kept::Kept;
 use super::order::{Order, Plan, Refusal, Why};
 use super::pace::Pace;
-use super::wait::{QUIET, retry_s};
+use super::wait::retry_s;
 use crate::fleet::routes::RouteTable;
-use crate::fleet::runner::{Report, Runner};
+use crate::fleet::runner::Runner;
 use crate::fleet::slice::ServiceSlice;
-use crate::fleet::state::{MovePlan, Phase};
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
 use crate::msg::MoveTell;
@@ -36,6 +36,8 @@
     pub active: BTreeMap<(Name, Name), u64>,
     pub moves: BTreeMap<MoveId, MoveTell>,
     pub demand: BTreeMap<String, BTreeMap<u64, Time>>,
+    pub uses: BTreeMap<String, Used>,
+    pub asker: Option<Asker>,
     pub pace: Pace,
     pub waits: Span,
     pub counts: BTreeMap<&'static str, u64>,
@@ -62,6 +64,8 @@
             active: BTreeMap::new(),
             moves: BTreeMap::new(),
             demand: BTreeMap::new(),
+            uses: BTreeMap::new(),
+            asker: None,
             pace: Pace::default(),
             waits: Span(0),
             counts: BTreeMap::new(),
@@ -104,6 +108,9 @@
         if let Plan::Send(r) = &plan {
             self.take(now, r, order);
         }
+        if let Plan::Wait("no-holder") = plan {
+            self.seek(now, order);
+        }
         if let Plan::Wait("no-holder" | "busy") = plan {
             self.want(now, order);
         }
@@ -115,11 +122,18 @@
             return Plan::Refuse(Refusal::new(Why::Stopping, 1));
         }
         self.pace.came(now, &order.model, order.class);
+        self.used(now, order);
         let first = self.inbox.keys().first().is_some_and(|k| k.0 <= order.class);
         let plan = if first && self.inbox.len() > 32 {
             match self.nominate(now, order, &[]) {
                 Plan::Send(_) => Plan::Wait("behind-others"),
-                plan => plan,
+                plan => {
+                    if let Plan::Wait("no-holder") = plan {
+                        self.seek(now, order);
+                        self.want(now, order);
+                    }
+                    plan
+                }
             }
         } else {
             self.plan(now, order, &[])
@@ -211,39 +225,4 @@
             }
         }
     }
-
-    pub fn report(&mut self, now: Time, runner: &Name, report: Report) {
-        self.pace.told(now, &report);
-        self.health.entry(runner.clone()).or_default().told(now, report);
-    }
-
-    pub fn move_from(&self, runner: &Name, model: &str) -> Option<MovePlan> {
-        let s = self.slice.as_ref()?;
-        let found =
-            s.moves.iter().find(|m| m.phase == Phase::Warm && m.from == *runner && m.model.0 == model);
-        found.cloned()
-    }
-
-    pub fn learn(&mut self, at: Version, slice: ServiceSlice, now: Time) {
-        if at < self.at {
-            return;
-        }
-        self.at = at;
-        self.gone = false;
-        let old = self.slice.as_ref().map(|s| s.duty);
-        if old.is_some_and(|t| t != slice.duty) {
-            self.pace.quiet_until = now + QUIET;
-        }
-        self.pace.learn(&slice);
-        self.tries.percent = slice.budget.percent as f64;
-        self.tries.share = slice.budget.allowance as f64 / self.routers.max(1) as f64;
-        self.kept.keep(&|n| slice.runners.iter().any(|r| r.instance == *n));
-        self.health.retain(|name, _| slice.runners.iter().any(|r| r.instance == *name));
-        for r in &slice.runners {
-            self.health.entry(r.instance.clone()).or_default();
-        }
-        self.moves.retain(|id, _| slice.moves.iter().any(|m| m.id == *id));
-        self.slice = Some(Arc::new(slice));
-        self.wake(now);
-    }
 }
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -1,12 +1,15 @@
 pub mod budget;
 pub mod core;
 pub mod health;
+pub mod held;
 pub mod inbox;
 pub mod kept;
+pub mod learn;
 pub mod nominate;
 pub mod order;
 pub mod pace;
 pub mod rehearse;
+pub mod sweep;
 pub mod table;
 pub mod tell;
 pub mod wait;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod seam;
 pub mod sim;
 pub mod standin;
+pub mod tell;
 pub mod transfer;
 pub mod wire;
