--- a/src/placement/quick.rs
+++ b/src/placement/quick.rs
@@ -14,7 +14,7 @@
 const LOSS: u64 = 1000;
 const SPREAD_LOSS: u64 = 1700;
 const EASY: u64 = 10;
-const COPIES: usize = 2;
+const COPIES: usize = 4;
 
 pub struct Wanted {
     pub service: Name,
@@ -154,15 +154,13 @@
         let uses = self.uses(kit.now);
         let models = s.config.models.iter().filter_map(|m| Some((uses.get(&m.name)?, &m.name)));
         let Some((_, name)) = models
-            .filter(|(u, n)| u.runs > 0 && self.held_by(n) > 0 && self.held_by(n) < self.copies(n, &uses, s))
-            .max_by_key(|(u, _)| u.runs)
+            .filter(|(u, n)| u.runs > 0 && self.held_by(n) > 0)
+            .filter(|(_, n)| self.held_by(n) + self.under_way(n) < self.copies(n, &uses, s))
+            .max_by_key(|(u, n)| u.runs / (self.held_by(n) + self.under_way(n)))
         else {
             return;
         };
         let Some(service) = s.config.services.iter().find(|x| x.models.contains(name)) else { return };
-        if self.coming(name, s) {
-            return;
-        }
         let offers = self.offers(kit.now);
         let Some(choice) = self.choose(&offers, &service.name, name, s, kit.now) else { return };
         if choice.loss > SPREAD_LOSS {
@@ -173,6 +171,10 @@
         self.run_jobs(s, kit);
     }
 
+    fn under_way(&self, name: &Name) -> u64 {
+        self.jobs.values().filter(|j| j.wants(name)).count() as u64
+    }
+
     fn held_by(&self, name: &Name) -> u64 {
         self.reports.values().filter(|r| r.1.has(name) && !r.1.leaving).count() as u64
     }
