Settings: a wrong Ip, a port out of range and seeds that are no list are faults

Cause: a wrong Ip fell back on the address of another binding, a port above 65535 wrapped around, and seeds that are no list left a process without seeds, all without a word. Excluded: refusing an empty list of seeds, or its own address among them (both may come).

--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -77,15 +77,19 @@
         Role::Router => (Some(r.addr("Bindings.FrontHttp")), r.addr("Bindings.Readiness")),
         Role::Controller => (None, r.addr("Bindings.ControlPlane")),
     };
-    let ip: IpAddr = match r.text("Ip").parse() {
-        Ok(ip) => ip,
-        Err(_) => admin.ip(),
-    };
-    let port = r.at("EphemeralPorts")[0].as_i64().unwrap_or(0) as u16;
+    let ip = r.text("Ip");
+    let ip: IpAddr = ip.parse().unwrap_or_else(|_| {
+        r.faults.push(fault("Ip", format!("\"{ip}\" is no address"), "give this machine's IP number"));
+        admin.ip()
+    });
+    let port = r.at("EphemeralPorts")[0].as_i64().and_then(|n| u16::try_from(n).ok()).unwrap_or(0);
     if port == 0 {
         r.faults.push(fault("EphemeralPorts", "holds no port", "give the first and the last free port"));
     }
     let mut seeds: Vec<SocketAddr> = Vec::new();
+    if r.at("SeedPeers").as_vec().is_none() {
+        r.faults.push(fault("SeedPeers", "is no list", "list the addresses of other machines"));
+    }
     for s in r.at("SeedPeers").as_vec().cloned().unwrap_or_default() {
         match s.as_str().and_then(|t| t.parse::<SocketAddr>().ok()) {
             Some(a) => seeds.push(SocketAddr::new(a.ip(), port)),
