Weights of a split may be fractions, and negative ones that add up to 0 are refused

Cause: a weight was read as a whole number, so 0.75 and 0.25 were refused as adding up to 0, and -10 and 10 were taken though they add up to 0. Excluded: weights as fractions in the product (shares stay whole numbers; fractions are scaled).

--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -10,6 +10,7 @@
 const LISTS: [&str; 2] = ["RouteMap", "Backends"];
 const RANKS: [Class; 4] = [Class::Counter, Class::Chat, Class::Normal, Class::Bulk];
 const ADAPTER_MS: u64 = 10;
+const FINE: f64 = 10_000.0;
 
 fn bad(place: impl Into<String>, what: impl Into<String>, remedy: &str) -> Fault {
     Fault::new(Kind::Config, place, what, remedy)
@@ -172,14 +173,21 @@
     c.services.push(s);
 }
 
+fn weight(t: &Tree) -> f64 {
+    if let Some(Tree::Num(n)) = t.get("Weight") { *n } else { 0.0 }
+}
+
 fn route(at: &str, t: &Tree, c: &FleetConfig, faults: &mut Vec<Fault>) -> Option<(Name, Route)> {
     let before = faults.len();
     let mut split: Vec<Share> = Vec::new();
-    for w in t.list("WeightedBackends") {
+    let rows = t.list("WeightedBackends");
+    let weights: Vec<f64> = rows.iter().map(weight).collect();
+    let scale = if weights.iter().all(|w| w.fract() == 0.0) { 1.0 } else { FINE };
+    for (w, n) in rows.iter().zip(&weights) {
         let service = Name::from(w.text("Backend").unwrap_or(""));
-        split.push(Share { service, weight: w.num("Weight").unwrap_or(0) });
+        split.push(Share { service, weight: (n * scale).ceil() as u64 });
     }
-    if !split.is_empty() && split.iter().all(|w| w.weight == 0) {
+    if !split.is_empty() && weights.iter().sum::<f64>() <= 0.0 {
         faults.push(bad(at, "its weights add up to 0", "give one a weight above 0"));
     }
     let of = match (t.text("Backend"), split.iter().max_by_key(|w| w.weight)) {
