--- /dev/null
+++ b/tests/common/adopt.rs
@@ -0,0 +1,210 @@
+#![allow(dead_code)]
+
+use spindledock::fleet::FleetConfig;
+use spindledock::fleet::read::read_text;
+use spindledock::fleet::slice::{route_rows, routes_print};
+use spindledock::kernel::fault::{Fault, Kind};
+use spindledock::kernel::ids::*;
+use spindledock::kernel::rand::hash;
+use spindledock::kernel::time::Span;
+use spindledock::launch::deployment::Deployment;
+use spindledock::msg::{Answer, Event, Op};
+use spindledock::seam::{OperatorSide, Wish};
+use spindledock::sim::World;
+use spindledock::sim::record::Fact;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// An operator's own format: a revision, then the names of routes; a part adds `+name` or drops `-name`.
+pub struct Lines;
+
+impl OperatorSide for Lines {
+    fn wish(&self, _: ChangeId, _: &str, _: &str, _: Option<&str>, _: &str) -> Option<Wish> {
+        None
+    }
+
+    fn id(&self, method: &str, base: Option<&str>, text: &str) -> ChangeId {
+        ChangeId(hash(&format!("{method}{base:?}{text}"), 3) | 1)
+    }
+
+    fn status(&self, answer: &Answer) -> u16 {
+        answer.status
+    }
+
+    fn read(&self, now: &FleetConfig, text: &str, part: bool) -> Result<FleetConfig, Vec<Fault>> {
+        let mut words = text.split(' ');
+        let bad = || vec![Fault::new(Kind::Config, "line 1", "has no revision", "begin with a number")];
+        let revision = words.next().and_then(|t| t.parse().ok()).ok_or_else(bad)?;
+        let mut names: Vec<&str> = if part { now.source.split(' ').skip(1).collect() } else { vec![] };
+        for word in words {
+            match word.strip_prefix('-') {
+                Some(gone) => names.retain(|n| *n != gone),
+                None => names.push(word.strip_prefix('+').unwrap_or(word)),
+            }
+        }
+        let rows: Vec<String> = names.iter().map(|n| format!("{{\"prefix\":\"/{n}/\"}}")).collect();
+        let body = format!(
+            "{{\"services\":[{{\"name\":\"s\",\"sort\":\"plain\",\"routes\":[{}]}}]}}",
+            rows.join(",")
+        );
+        let mut c = read_text(&body)?;
+        c.revision = revision;
+        c.source = format!("{revision} {}", names.join(" "));
+        Ok(c)
+    }
+}
+
+pub struct Sent {
+    pub base: u64,
+    pub text: String,
+    pub part: bool,
+    pub ends: Vec<u16>,
+}
+
+/// The operator of one world: what it sent, what it heard, and what then must hold.
+pub struct Office {
+    pub w: World,
+    pub sent: BTreeMap<ChangeId, Sent>,
+}
+
+impl Office {
+    pub fn open(plan: Deployment, seed: u64) -> Office {
+        let mut w = World::build(plan, seed);
+        for n in &mut w.nodes {
+            n.place.sides.operator = Some(Arc::new(Lines));
+        }
+        w.start_all();
+        let core = w.controllers();
+        assert!(w.until(Span::ms(20_000), |w| core.iter().all(|n| w.nodes[*n].ready)).is_some());
+        Office { w, sent: BTreeMap::new() }
+    }
+
+    pub fn send(&mut self, place: usize, base: u64, text: &str) -> ChangeId {
+        let part = text.contains(['+', '-']);
+        let id = Lines.id(if part { "PATCH" } else { "PUT" }, Some(&base.to_string()), text);
+        let row = Sent { base, text: text.to_string(), part, ends: vec![] };
+        self.sent.entry(id).or_insert(row);
+        self.w.answers.remove(&id);
+        let op = Op::Foreign { base, part, text: text.to_string() };
+        self.w.operate(place, Event::Op { id, op });
+        id
+    }
+
+    pub fn end(&mut self, id: ChangeId, most: Span) -> Option<u16> {
+        let got = self.w.answer(id, most);
+        if let (Some(status), Some(row)) = (got, self.sent.get_mut(&id)) {
+            row.ends.push(status);
+        }
+        got
+    }
+
+    pub fn done(&mut self, place: usize, base: u64, text: &str) -> Option<u16> {
+        let id = self.send(place, base, text);
+        self.end(id, Span::ms(25_000))
+    }
+
+    /// Sends the same call to node after node, as an operator does who hears nothing clear.
+    pub fn insist(&mut self, base: u64, text: &str) -> u16 {
+        for n in (0..self.w.nodes.len()).cycle().take(40) {
+            if !self.w.nodes[n].alive {
+                continue;
+            }
+            let id = self.send(n, base, text);
+            match self.end(id, Span::ms(1000)) {
+                Some(status) if status < 500 => return status,
+                _ => self.w.run_for(Span::ms(200)),
+            }
+        }
+        panic!("no clear answer to {text}")
+    }
+
+    pub fn head(&self) -> usize {
+        let views = self.w.nodes.iter().filter(|n| n.alive).filter_map(|n| n.node.as_ref());
+        let view = views.filter_map(|n| n.views.view.clone()).max_by_key(|v| v.no).expect("a view");
+        let is = |n: &spindledock::sim::nodes::SimNode| n.node.as_ref().map(|x| x.me.node) == view.head();
+        self.w.nodes.iter().position(is).expect("a head")
+    }
+
+    pub fn told(&self, what: &str) -> usize {
+        let rows = self.w.record.rows.iter();
+        rows.filter(|r| matches!(&r.1, Fact::Told { what: w, .. } if *w == what)).count()
+    }
+
+    pub fn source(&self, place: usize) -> &str {
+        self.w.nodes[place].node.as_ref().map_or("", |n| n.views.state.config.source.as_str())
+    }
+
+    /// What each change makes, in the order of revisions, as far as it may have been taken.
+    fn taken(&self) -> (Vec<(u64, u64, FleetConfig)>, Vec<String>) {
+        let mut rows: Vec<&Sent> = self.sent.values().filter(|s| !s.refused()).collect();
+        rows.sort_by_key(|s| (s.base, s.text.clone()));
+        let mut out = vec![(0, routes_print(&[]), FleetConfig::default())];
+        let mut bad = Vec::new();
+        let mut at = 0;
+        loop {
+            let next: Vec<&&Sent> = rows.iter().filter(|s| s.base == at).collect();
+            let sure = next.iter().filter(|s| s.ends.contains(&200)).count();
+            if sure > 1 {
+                bad.push(format!("{sure} changes on {at} were acknowledged"));
+            }
+            let Some(s) = next.iter().max_by_key(|s| s.ends.contains(&200)) else { return (out, bad) };
+            let old = &out.last().expect("a first").2;
+            let new = Lines.read(old, &s.text, s.part).expect("it was taken, so it reads");
+            at = new.revision;
+            out.push((at, routes_print(&route_rows(&new)), new));
+        }
+    }
+
+    pub fn judge(&self) {
+        let (taken, mut bad) = self.taken();
+        let all = self.sent.values().filter(|s| s.ends.contains(&200)).count();
+        if all > taken.len() - 1 {
+            bad.push(format!("{all} changes were acknowledged, but they make {} steps", taken.len() - 1));
+        }
+        for s in self.sent.values().filter(|s| s.refused() && s.ends.contains(&200)) {
+            bad.push(format!("{:?} on {} was refused and acknowledged", s.text, s.base));
+        }
+        let mut seen: BTreeMap<usize, usize> = BTreeMap::new();
+        for (t, f) in &self.w.record.rows {
+            match f {
+                Fact::Up { place } => drop(seen.remove(place)),
+                Fact::Learnt { place, scope, print, .. } if scope == "routes" => {
+                    let Some(step) = taken.iter().position(|r| r.1 == *print) else {
+                        bad.push(format!("node {place} learnt at {t:?} what was never taken"));
+                        continue;
+                    };
+                    if seen.insert(*place, step).is_some_and(|old| old > step) {
+                        bad.push(format!("node {place} went back to {} at {t:?}", taken[step].0));
+                    }
+                }
+                _ => {}
+            }
+        }
+        assert!(bad.is_empty(), "{}", bad.join("\n"));
+    }
+
+    /// Every ready node ends with `source`, and every router with its routes.
+    pub fn all_have(&mut self, source: &str) {
+        let all: Vec<usize> = (0..self.w.nodes.len()).filter(|n| self.w.nodes[*n].alive).collect();
+        let config = Lines.read(&FleetConfig::default(), source.trim_end(), false).expect("good");
+        let print = routes_print(&route_rows(&config));
+        let (core, want) = (self.w.controllers(), source.to_string());
+        let same = self.w.until(Span::ms(20_000), |w| {
+            all.iter().all(|n| {
+                let now = w.local(*n);
+                let node = w.nodes[*n].node.as_ref();
+                let kept = node.is_some_and(|x| x.views.state.config.source == want);
+                let routes = w.nodes[*n].table.fresh_routes(now);
+                if core.contains(n) { kept } else { routes.is_some_and(|r| routes_print(&r.1.rows) == print) }
+            })
+        });
+        assert!(same.is_some(), "all have {source}; the head has {}", self.source(self.head()));
+        self.judge();
+    }
+}
+
+impl Sent {
+    pub fn refused(&self) -> bool {
+        self.ends.iter().any(|s| (400..500).contains(s) && *s != 429 && *s != 408)
+    }
+}
