A runner's 408, 429 or 503 without its word that it did not run is an unclear end

Cause: such an answer was passed on as it came, and so promised a caller of a run-once order that it had not run and never would, though the runner had not said so. Excluded: passing it on for idempotent orders only (they are better tried elsewhere); 421, which is a word by itself. Conclusion: it counts as lost: tried again where that may be, else outcome-unknown. One row of tests/platform_words.rs that held the old reading is replaced by two as strict; tests/platform_road.rs failed before.

--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -68,6 +68,10 @@
         if heads.contains_key("x-not-executed") {
             return Verdict::NotRun;
         }
+        // Without the runner's word these statuses would promise what isn't known.
+        if matches!(status, 408 | 429 | 503) {
+            return Verdict::Stray;
+        }
         let bare = !heads.contains_key("x-server-seal") || heads.contains_key("content-encoding");
         if (200..300).contains(&status) && bare {
             return Verdict::Stray;
