--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,5 +1,6 @@
 pub mod caller;
 pub mod control;
+pub mod raw;
 pub mod runner;
 pub mod script;
 pub mod stock;
