--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -58,15 +58,20 @@
     }
 
     fn judge(&self, sent: &HeaderMap, status: u16, heads: &HeaderMap) -> Verdict {
-        if status == 421 {
+        let other = sent.contains_key(ID) && heads.get(ID) != sent.get(ID);
+        if status == 421 && !(other && heads.contains_key(ID)) {
             return Verdict::NotMine;
         }
-        if sent.contains_key(ID) && heads.get(ID) != sent.get(ID) {
+        if other {
             return Verdict::Stray;
         }
         if heads.contains_key("x-not-executed") {
             return Verdict::NotRun;
         }
+        // Without the runner's word these statuses would promise what isn't known.
+        if matches!(status, 408 | 429 | 503) {
+            return Verdict::Stray;
+        }
         let bare = !heads.contains_key("x-server-seal") || heads.contains_key("content-encoding");
         if (200..300).contains(&status) && bare {
             return Verdict::Stray;
