Copies follow what runs by both routers and reports; a model with a run is dear to unload

Cause: the process story's four streams of m00 met a second copy, made since tells of three routers, up to 250 ms old, sum to more than runs at once, and past waits counted too. Rare waits over 2.5 s were loads behind unloads that waited for a run of 1.6 s (409 eleven times): a run was priced 400 ms and read from a report up to 1 s old. Now: the load of a model is the lesser of routers' and reports' word, waits count only where no holder has a free slot; runs before an unload are the greater of both words and cost 1500 ms each. Excluded: no unload where anything runs (all three models of a runner may run).

--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -6,7 +6,7 @@
 use crate::kernel::time::{Span, Time};
 
 const FEW: u64 = 3;
-const RUN_MS: f64 = 400.0;
+const RUN_MS: f64 = 1500.0;
 const SOON_S: f64 = 5.0;
 const AGAIN_MS: f64 = 2000.0;
 const UNLOAD_MS: f64 = 40.0;
@@ -23,6 +23,8 @@
     /// (runner, name) that must stay: just loaded, waited for, or part of a plan.
     pub stays: &'a dyn Fn(&Name, &Name) -> bool,
     pub kept: &'a dyn Fn(&Name, &Name) -> bool,
+    /// Runs that routers tell of; a report may be older.
+    pub runs: &'a dyn Fn(&Name, &Name) -> u64,
     pub copies: &'a dyn Fn(&Name) -> u64,
 }
 
@@ -52,7 +54,7 @@
         }
         let runs = match self.config.adapter(name) {
             Some(_) => 0,
-            None => o.report.runs_of(name),
+            None => o.report.runs_of(name).max((self.runs)(&o.runner.instance, name)),
         };
         if runs > FEW {
             return None;
--- a/src/placement/quick.rs
+++ b/src/placement/quick.rs
@@ -105,6 +105,10 @@
         now: Time,
     ) -> Option<Choice> {
         let uses = self.uses(now);
+        let mut told: BTreeMap<(&Name, &Name), u64> = BTreeMap::new();
+        for (r, n, k) in self.tells.values().flat_map(|t| &t.1.active) {
+            *told.entry((r, n)).or_default() += k;
+        }
         let planned = self.busy(s, now);
         let counted = self.counted(s, now);
         let board = Board {
@@ -119,6 +123,7 @@
                 new.is_some_and(|t| now.since(*t) < SETTLED) || self.flights.has(r, n)
             },
             kept: &|r, n| self.is_kept(s, r, n),
+            runs: &|r, n| told.get(&(r, n)).copied().unwrap_or(0),
             copies: &|n| self.copies(n, &uses, s),
         };
         board.choose(service, name)
@@ -128,8 +133,10 @@
     pub fn copies(&self, name: &Name, uses: &Uses, s: &DutySlice) -> u64 {
         let Some(u) = uses.get(name) else { return 1 };
         let Some(service) = s.config.services.iter().find(|x| x.models.contains(name)) else { return 1 };
-        let rows = self.reports.values().map(|r| &r.1).filter(|r| r.has(name));
-        let (runs, tokens) = rows.fold((0, 0), |a, r| (a.0 + r.running, a.1 + r.tokens));
+        let rows = || self.reports.values().map(|r| &r.1).filter(|r| r.has(name));
+        let (runs, tokens) = rows().fold((0, 0), |a, r| (a.0 + r.running, a.1 + r.tokens));
+        let free = rows().any(|r| r.running + r.waiting < service.slots);
+        let load = u.runs.min(runs) + if free { 0 } else { u.waits };
         let each = tokens.checked_div(runs).unwrap_or(0);
         let by_tokens = if each > 0 && service.tokens > 0 { service.tokens / each } else { u64::MAX };
         let able = (service.slots.min(by_tokens) * 3 / 4).max(1);
@@ -137,7 +144,7 @@
         let tuned = tuned.filter(|a| uses.get(&a.name).is_some_and(|u| u.per_s > 0.0)).count() as u64;
         let places = if service.places > 0 { tuned.div_ceil(service.places) } else { 0 };
         let mates = s.runners.iter().filter(|r| r.service == service.name && !r.leaving).count() as u64;
-        (u.runs + u.waits).div_ceil(able).max(places).min(mates * 2 / 3).max(1)
+        load.div_ceil(able).max(places).min(mates * 2 / 3).max(1)
     }
 
     /// More copies of what is hot, where that costs little.
