--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -1,7 +1,8 @@
 use super::assemble::{Place, controller, router};
-use super::config::{HELP, NodeConfig, Start, from_args};
+use super::config::{HELP, NodeConfig, Start};
 use super::driver::{Driver, Hand, Input};
 use super::links::Links;
+use super::reload::Origin;
 use super::{logs, poll, serve::serve};
 use crate::gate::Table;
 use crate::http::pool::Pool;
@@ -12,6 +13,7 @@
 use crate::kernel::registry::Registry;
 use crate::kernel::time::{BootClock, Clock, Span};
 use crate::msg::*;
+use crate::seam::Sides;
 use error_stack::{Report, ResultExt};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -24,7 +26,8 @@
 
 pub fn main(role: Role) -> std::process::ExitCode {
     let name = if role == Role::Router { "spindledock-router" } else { "spindledock-controller" };
-    let config = match from_args(role, pico_args::Arguments::from_env()) {
+    let origin = Origin::new(role, pico_args::Arguments::from_env());
+    let config = match (origin.read)() {
         Ok(Start::Help) => {
             println!("{name}: one node of a spindledock fleet\n\n{HELP}");
             return 0.into();
@@ -45,9 +48,12 @@
         }
     };
     logs::start();
-    let rt = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let rt = match config.lean {
+        true => tokio::runtime::Builder::new_current_thread().enable_all().build(),
+        false => tokio::runtime::Builder::new_multi_thread().enable_all().build(),
+    };
     let rt = rt.expect("the machine must let this process start threads");
-    match rt.block_on(run(config)) {
+    match rt.block_on(run(config, origin)) {
         Ok(()) => 0.into(),
         Err(e) => {
             eprintln!("{name}: {e:?}");
@@ -70,10 +76,11 @@
         seeds: c.seeds.clone(),
         core: c.core,
         policy: super::assemble::Policy::Move,
+        sides: c.sides.clone(),
     }
 }
 
-async fn run(c: NodeConfig) -> Result<(), Report<Fault>> {
+async fn run(c: NodeConfig, origin: Origin) -> Result<(), Report<Fault>> {
     let start = || Fault::new(Kind::Config, "start", "this node did not start", "mend the cause below");
     let links_socket = bind(c.addr, "address").await.change_context_lazy(start)?;
     let admin_socket = bind(c.admin, "admin").await.change_context_lazy(start)?;
@@ -88,7 +95,10 @@
     let clock: Arc<dyn Clock> = Arc::new(BootClock);
     let services = Arc::new(Registry::default());
     let links = Links::new(tokio::runtime::Handle::current());
-    let table = Arc::new(Table::new(c.domain.clone()));
+    let table = Arc::new(match c.sides.runner.plain_reports() {
+        true => Table::new(c.domain.clone()),
+        false => Table::bare(c.domain.clone()),
+    });
     services.add(links.clone());
     services.add(table.clone());
     let pool = Arc::new(Pool::default());
@@ -97,7 +107,8 @@
     let routers = Arc::new(AtomicU64::new(1));
     let runners: Runners = Arc::default();
     let fit = Arc::new(AtomicBool::new(false));
-    let act = act(&table, &clock, &pool, &hand, &routers, &runners, &fit);
+    let list = super::roster::Roster::new(&c.sides, pool.clone(), hand.clone());
+    let act = act(&table, &clock, &pool, &hand, &routers, (&runners, &fit), (&c.sides, list));
     let (spot, role, ticks) = (place(&c), c.role, clock.clone());
     let build = Box::new(move |records| {
         let now = ticks.now();
@@ -117,10 +128,12 @@
         table: table.clone(),
         pool: pool.clone(),
         clock: clock.clone(),
+        leaving: AtomicBool::new(false),
         stopping: AtomicBool::new(false),
         next: AtomicU64::new(1),
         open: AtomicU64::new(0),
         seen: Default::default(),
+        sides: c.sides.clone(),
     });
     super::status::admin(&c, &hand, &front, &links, (stopping.clone(), fit), admin_socket);
     if let Some(socket) = http_socket {
@@ -131,6 +144,7 @@
         router_tasks(&table, &clock, &hand, &front, &routers);
     }
     log::info!(event = "started", address = c.addr.to_string(), admin = c.admin.to_string(), domain = c.domain.to_string(), services = services.names().join(","); "");
+    tokio::spawn(super::reload::watch(origin, c.clone(), hand.clone()));
     let mut term = signal(SignalKind::terminate()).expect("signals can be caught");
     let mut int = signal(SignalKind::interrupt()).expect("signals can be caught");
     tokio::select! {
@@ -139,10 +153,12 @@
     }
     log::info!(event = "warned", drain_ms = c.drain_ms; "");
     stopping.store(true, Ordering::SeqCst);
-    front.stopping.store(true, Ordering::SeqCst);
-    table.stop(clock.now());
+    front.leaving.store(true, Ordering::SeqCst);
     hand.feed(Event::Warned);
     let due = clock.now() + Span::ms(c.drain_ms);
+    tokio::time::sleep(Duration::from_millis(c.lame_ms)).await;
+    front.stopping.store(true, Ordering::SeqCst);
+    table.stop(clock.now());
     tokio::time::sleep(Duration::from_millis(400)).await;
     while front.open.load(Ordering::SeqCst) > 0 && clock.now() < due {
         tokio::time::sleep(Duration::from_millis(50)).await;
@@ -160,33 +176,34 @@
     pool: &Arc<Pool>,
     hand: &Hand,
     routers: &Arc<AtomicU64>,
-    runners: &Runners,
-    fit: &Arc<AtomicBool>,
+    (runners, fit): (&Runners, &Arc<AtomicBool>),
+    (sides, list): (&Sides, Option<Arc<super::roster::Roster>>),
 ) -> super::driver::Act {
     let (table, clock, pool, hand, routers) =
         (table.clone(), clock.clone(), pool.clone(), hand.clone(), routers.clone());
-    let (runners, fit) = (runners.clone(), fit.clone());
+    let (runners, fit, side) = (runners.clone(), fit.clone(), sides.runner.clone());
     let rt = tokio::runtime::Handle::current();
     Box::new(move |e| match e {
         Effect::Learn { scope, at, slice, proven } => table.learn(clock.now(), &scope, at, slice, proven),
         Effect::Mark(name) => table.mark(clock.now(), &name),
         Effect::Routers(n) => routers.store(n, Ordering::SeqCst),
         Effect::Watch(list) => *runners.lock().unwrap() = list,
+        Effect::Holds(on) => drop(list.as_ref().map(|l| l.switch(on))),
         Effect::Held(rows) => table.held(clock.now(), &rows),
         Effect::Look(name) => {
             let found = runners.lock().unwrap().iter().find(|r| r.instance == name).cloned();
             let Some(r) = found else { return };
-            let (pool, hand) = (pool.clone(), hand.clone());
+            let (pool, hand, side) = (pool.clone(), hand.clone(), side.clone());
             rt.spawn(async move {
-                let report = poll::report(&pool, &r).await;
+                let report = poll::report(&pool, &*side, &r).await;
                 hand.feed(Event::Report { instance: r.instance, report });
             });
         }
         Effect::Ready(ready) => fit.store(ready, Ordering::SeqCst),
         Effect::Drive(order) => {
-            let (pool, clock, hand) = (pool.clone(), clock.clone(), hand.clone());
+            let (pool, clock, hand, side) = (pool.clone(), clock.clone(), hand.clone(), side.clone());
             rt.spawn(async move {
-                let status = poll::drive(&pool, clock, &order).await;
+                let status = poll::drive(&pool, &*side, clock, &order).await;
                 hand.feed(Event::Ordered { order: order.order, status });
             });
         }
--- a/src/gate/core.rs
+++ b/src/gate/core.rs
@@ -2,11 +2,12 @@
 use super::health::Health;
 use super::held::{Asker, Used};
 use super::inbox::{Inbox, Waiter, Wake};
+use super::kept::Kept;
 use super::order::{Order, Plan, Refusal, Why};
 use super::pace::Pace;
-use super::wait::{QUIET, retry_s};
+use super::wait::retry_s;
 use crate::fleet::routes::RouteTable;
-use crate::fleet::runner::{Report, Runner};
+use crate::fleet::runner::Runner;
 use crate::fleet::slice::ServiceSlice;
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
@@ -40,6 +41,8 @@
     pub pace: Pace,
     pub waits: Span,
     pub counts: BTreeMap<&'static str, u64>,
+    pub kept: Kept,
+    pub bare_plain: bool,
 }
 
 impl Gate {
@@ -66,6 +69,8 @@
             pace: Pace::default(),
             waits: Span(0),
             counts: BTreeMap::new(),
+            kept: Kept::default(),
+            bare_plain: false,
         }
     }
 
@@ -141,6 +146,7 @@
         let h = self.health.entry(r.instance.clone()).or_default();
         h.mine += 1;
         self.pace.sent(now, &order.model);
+        self.kept.sent(&r.instance, order);
         *self.active.entry((r.instance.clone(), Name(order.model.to_string()))).or_default() += 1;
     }
 
@@ -219,31 +225,4 @@
             }
         }
     }
-
-    pub fn report(&mut self, now: Time, runner: &Name, report: Report) {
-        self.pace.told(now, &report);
-        self.health.entry(runner.clone()).or_default().told(now, report);
-    }
-
-    pub fn learn(&mut self, at: Version, slice: ServiceSlice, now: Time) {
-        if at < self.at {
-            return;
-        }
-        self.at = at;
-        self.gone = false;
-        let old = self.slice.as_ref().map(|s| s.duty);
-        if old.is_some_and(|t| t != slice.duty) {
-            self.pace.quiet_until = now + QUIET;
-        }
-        self.pace.learn(&slice);
-        self.tries.percent = slice.budget.percent as f64;
-        self.tries.share = slice.budget.allowance as f64 / self.routers.max(1) as f64;
-        self.health.retain(|name, _| slice.runners.iter().any(|r| r.instance == *name));
-        for r in &slice.runners {
-            self.health.entry(r.instance.clone()).or_default();
-        }
-        self.moves.retain(|id, _| slice.moves.iter().any(|m| m.id == *id));
-        self.slice = Some(Arc::new(slice));
-        self.wake(now);
-    }
 }
--- a/src/gate/health.rs
+++ b/src/gate/health.rs
@@ -2,8 +2,12 @@
 use crate::fleet::runner::Report;
 use crate::kernel::ids::Name;
 use crate::kernel::time::{Span, Time};
+use crate::seam::Load;
 
 pub const DARK: Span = Span::ms(2500);
+const FULL: Span = Span::ms(150);
+const OLD: Span = Span::ms(500);
+const AWAY: Span = Span::ms(700);
 const FAILS: u32 = 3;
 const OUT: Span = Span::ms(2000);
 const OUT_MOST: u32 = 4;
@@ -19,6 +23,9 @@
     fails: u32,
     outs: u32,
     out_until: Time,
+    full_until: Time,
+    pub slots: u64,
+    load_at: Time,
 }
 
 impl Health {
@@ -73,6 +80,38 @@
         }
     }
 
+    pub fn told_load(&mut self, now: Time, load: Load) {
+        self.others = (load.running + load.waiting).saturating_sub(self.mine);
+        self.slots = load.slots;
+        self.load_at = now;
+        if let Some((at, r)) = &mut self.report {
+            *at = now;
+            r.running = load.running;
+            r.waiting = load.waiting;
+        }
+    }
+
+    /// What runs there by the runner's own last word; an old word counts less.
+    pub fn burden(&self, now: Time) -> u64 {
+        let old = now.since(self.load_at).0 / OLD.0;
+        self.mine + (self.others >> old.min(8))
+    }
+
+    pub fn full(&mut self, now: Time) {
+        self.full_until = now + FULL;
+    }
+
+    pub fn is_full(&self, now: Time) -> bool {
+        now < self.full_until
+    }
+
+    /// It could not be reached, or is silent: nothing more is sent there for a while.
+    pub fn away(&mut self, now: Time) {
+        self.out_until = self.out_until.max(now + Span(AWAY.0 << self.outs.min(2)));
+        self.outs = (self.outs + 1).min(OUT_MOST);
+        self.fails = 0;
+    }
+
     pub fn load(&self, now: Time) -> u64 {
         if self.fresh(now).is_none() {
             return u64::MAX;
--- a/src/gate/table.rs
+++ b/src/gate/table.rs
@@ -14,10 +14,11 @@
 
 pub struct Table {
     pub domain: Name,
+    pub(super) bare_plain: bool,
     gates: RwLock<BTreeMap<Name, Arc<Mutex<Gate>>>>,
     routes: RwLock<(Version, Time, Arc<RouteTable>)>,
     trial: Mutex<(Version, Option<Candidate>)>,
-    marks: Mutex<BTreeSet<Name>>,
+    pub(super) marks: Mutex<BTreeSet<Name>>,
     held: Mutex<BTreeMap<Name, HeldRow>>,
     asker: Mutex<Option<Asker>>,
 }
@@ -32,6 +33,7 @@
     pub fn new(domain: Name) -> Table {
         Table {
             domain,
+            bare_plain: false,
             gates: RwLock::default(),
             routes: RwLock::new((Version(0), Time(0), Arc::default())),
             trial: Mutex::new((Version(0), None)),
@@ -41,6 +43,11 @@
         }
     }
 
+    /// A table of gates whose plain services have runners that don't report.
+    pub fn bare(domain: Name) -> Table {
+        Table { bare_plain: true, ..Table::new(domain) }
+    }
+
     pub fn gates(&self) -> Vec<Arc<Mutex<Gate>>> {
         self.gates.read().unwrap().values().cloned().collect()
     }
@@ -57,6 +64,7 @@
         let new = || {
             let mut g = Gate::new(name.clone(), self.domain.clone());
             g.asker = self.asker.lock().unwrap().clone();
+            g.bare_plain = self.bare_plain;
             Arc::new(Mutex::new(g))
         };
         gates.entry(name.clone()).or_insert_with(new).clone()
@@ -192,45 +200,4 @@
         }
         out
     }
-
-    pub fn stop(&self, now: Time) {
-        for g in self.gates() {
-            let mut g = g.lock().unwrap();
-            g.stopping = true;
-            g.wake(now);
-        }
-    }
-
-    pub fn mark(&self, now: Time, name: &Name) {
-        self.marks.lock().unwrap().insert(name.clone());
-        for g in self.gates() {
-            let mut g = g.lock().unwrap();
-            if let Some(h) = g.health.get_mut(name) {
-                h.leaving = true;
-                g.wake(now);
-            }
-        }
-    }
-
-    pub fn runners(&self) -> Vec<(Name, crate::fleet::runner::Runner)> {
-        let mut out = Vec::new();
-        for g in self.gates() {
-            let g = g.lock().unwrap();
-            if let Some(s) = &g.slice {
-                out.extend(s.runners.iter().map(|r| (g.name.clone(), r.clone())));
-            }
-        }
-        out
-    }
-
-    pub fn tick(&self, now: Time, routers: u64) {
-        for g in self.gates() {
-            let mut g = g.lock().unwrap();
-            g.routers = routers.max(1);
-            if let Some(s) = g.slice.clone() {
-                g.tries.share = s.budget.allowance as f64 / g.routers as f64;
-            }
-            g.wake(now);
-        }
-    }
 }
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -1,10 +1,11 @@
 use crate::chain::view::View;
-use crate::fleet::holdings::{HeldRow, HeldTell, UseTell, Want};
+use crate::fleet::holdings::{HeldRow, HeldTell, Want};
 use crate::fleet::runner::{Report, Runner};
 use crate::fleet::slice::Slice;
 use crate::fleet::state::*;
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
+pub use crate::tell::*;
 use bitcode::{Decode, Encode};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -84,6 +85,7 @@
 pub enum Op {
     Whole { base: Option<Version>, text: String },
     Part { base: Option<Version>, text: String },
+    Foreign { base: u64, part: bool, text: String },
     Runners(Vec<Runner>),
     Leaving(Name),
     Propose,
@@ -119,39 +121,6 @@
     TermGrant { view: ViewNo, sent: Time },
 }
 
-#[derive(Clone, PartialEq, Debug, Default, Encode, Decode)]
-pub struct RouterTell {
-    pub trial_seen: ChangeId,
-    pub routes_at: Version,
-    pub rehearsal: Option<Rehearsal>,
-    pub moves: Vec<MoveTell>,
-    pub demand: Vec<(Name, Name, u64)>,
-    pub tries: Vec<(Name, u64, u64, u64)>,
-    pub leaving: Vec<Name>,
-    pub uses: Vec<UseTell>,
-    pub active: Vec<(Name, Name, u64)>,
-}
-
-#[derive(Clone, PartialEq, Debug, Default, Encode, Decode)]
-pub struct Rehearsal {
-    pub id: ChangeId,
-    pub planned: u64,
-    pub refused: u64,
-    pub without_holder: u64,
-    pub worst_us: u64,
-    pub why: String,
-}
-
-#[derive(Clone, PartialEq, Debug, Default, Encode, Decode)]
-pub struct MoveTell {
-    pub id: MoveId,
-    pub left: u64,
-    pub moved: u64,
-    pub aborted: u64,
-    pub tries: u64,
-    pub postponed: u64,
-}
-
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub enum Record {
     Ident { node: NodeId },
@@ -200,6 +169,7 @@
     Report { instance: Name, report: Option<Report> },
     Ordered { order: OrderId, status: u16 },
     RouterState(Box<RouterTell>),
+    Listed(Vec<Runner>),
     Wanted(Want),
     Warned,
     Note(Note),
@@ -227,6 +197,7 @@
     Drive(RunnerOrder),
     Routers(u64),
     Watch(Vec<Runner>),
+    Holds(bool),
     Look(Name),
     Held(Vec<HeldRow>),
     Mark(Name),
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -17,8 +17,6 @@
 use crate::news::reader::Topic;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-const ASK: Span = Span::ms(200);
-const ASK_SOON: Span = Span::ms(60);
 pub const ORDER_FRESH: Span = Span::ms(1000);
 pub const QUIET: Span = Span::ms(4000);
 pub const REPORT: Span = Span::ms(2500);
@@ -52,9 +50,10 @@
     pub refused_at: Time,
     pub asked_plan: Option<(ChangeId, Time)>,
     pub checked: Time,
-    asked: Time,
+    pub asked: Time,
     pub named: Time,
     pub warned: bool,
+    pub bare_plain: bool,
 }
 
 impl Placement {
@@ -93,6 +92,7 @@
             asked: Time(0),
             named: Time(0),
             warned: false,
+            bare_plain: false,
         }
     }
 
@@ -166,19 +166,6 @@
         self.tells.insert(from, (now, tell.clone()));
         self.tells.retain(|_, row| now.since(row.0) < Span::ms(5000));
     }
-
-    fn ask(&mut self, kit: &mut Kit) {
-        let lively =
-            self.term != Term(0) && self.slice.as_ref().is_some_and(|s| s.plans.iter().any(|p| p.live()));
-        if kit.now.since(self.asked) < if lively { ASK_SOON } else { ASK } {
-            return;
-        }
-        self.asked = kit.now;
-        let Some(tail) = kit.views.view.as_ref().and_then(|v| v.tail()) else { return };
-        let nonce = self.reader.ask(kit.now);
-        let have = vec![(Scope::Duty, self.reader.have(&Scope::Duty))];
-        kit.send(tail, Msg::NewsAsk { nonce, direct: true, have });
-    }
 }
 
 impl Part for Placement {
@@ -203,9 +190,12 @@
             Event::Mail { msg: Msg::NewsTell { nonce, items }, .. } => {
                 for l in self.reader.told(*nonce, items) {
                     if let Some(Slice::Duty(s)) = l.slice {
-                        let list = s.runners.clone();
+                        let s = *s;
+                        let list = self.reporting(&s);
                         self.learn(kit.me.node, s);
-                        kit.out.push(Effect::Watch(if self.term > Term(0) { list } else { vec![] }));
+                        let mine = self.term > Term(0);
+                        kit.out.push(Effect::Watch(if mine { list } else { vec![] }));
+                        kit.out.push(Effect::Holds(mine));
                         self.look(kit);
                     }
                     self.proven = self.proven.max(l.proven);
@@ -221,6 +211,7 @@
                 self.quick(kit);
                 self.check_held(*from, rows, kit);
             }
+            Event::Listed(list) => self.listed(list, kit),
             Event::Mail { from, msg: Msg::HeldAsk, .. } => self.push_whole(*from, kit),
             Event::Report { instance, report } if self.term > Term(0) => {
                 if let Some(r) = report {
--- a/src/placement/holder.rs
+++ b/src/placement/holder.rs
@@ -7,6 +7,9 @@
 use crate::msg::*;
 use std::sync::Arc;
 
+const ASK: Span = Span::ms(200);
+const ASK_SOON: Span = Span::ms(60);
+
 impl Placement {
     pub fn name_holder(&mut self, kit: &mut Kit) {
         let post = kit.views.post;
@@ -41,4 +44,17 @@
             self.tell_head(Change::Duty { holder: next }, kit);
         }
     }
+
+    pub fn ask(&mut self, kit: &mut Kit) {
+        let lively =
+            self.term != Term(0) && self.slice.as_ref().is_some_and(|s| s.plans.iter().any(|p| p.live()));
+        if kit.now.since(self.asked) < if lively { ASK_SOON } else { ASK } {
+            return;
+        }
+        self.asked = kit.now;
+        let Some(tail) = kit.views.view.as_ref().and_then(|v| v.tail()) else { return };
+        let nonce = self.reader.ask(kit.now);
+        let have = vec![(Scope::Duty, self.reader.have(&Scope::Duty))];
+        kit.send(tail, Msg::NewsAsk { nonce, direct: true, have });
+    }
 }
--- a/src/placement/look.rs
+++ b/src/placement/look.rs
@@ -33,7 +33,7 @@
         if self.term == Term(0) {
             return;
         }
-        for r in &s.runners {
+        for r in &self.reporting(s) {
             let l = self.looks.entry(r.instance.clone()).or_default();
             let open = l.asked.is_some_and(|t| kit.now.since(t) < LOST);
             if kit.now < l.next || open {
--- a/src/placement/quick.rs
+++ b/src/placement/quick.rs
@@ -12,6 +12,8 @@
 
 const WANTED: Span = Span::ms(1500);
 const LOSS: u64 = 1000;
+const SPREAD_LOSS: u64 = 1700;
+const EASY: u64 = 10;
 const COPIES: usize = 2;
 
 pub struct Wanted {
@@ -139,7 +141,8 @@
         let load = u.runs.min(runs) + if free { 0 } else { u.waits };
         let each = tokens.checked_div(runs).unwrap_or(0);
         let by_tokens = if each > 0 && service.tokens > 0 { service.tokens / each } else { u64::MAX };
-        let able = (service.slots.min(by_tokens) * 3 / 4).max(1);
+        let most = service.slots.min(by_tokens);
+        let able = (most / 4).max((most * 3 / 4).min(EASY)).max(1);
         let tuned = s.config.adapters.iter().filter(|a| a.model == *name);
         let tuned = tuned.filter(|a| uses.get(&a.name).is_some_and(|u| u.per_s > 0.0)).count() as u64;
         let places = if service.places > 0 { tuned.div_ceil(service.places) } else { 0 };
@@ -169,7 +172,7 @@
         }
         let offers = self.offers(kit.now);
         let Some(choice) = self.choose(&offers, &service.name, name, s, kit.now) else { return };
-        if choice.loss > LOSS {
+        if choice.loss > SPREAD_LOSS {
             return;
         }
         let name = name.clone();
--- a/src/sim/effects.rs
+++ b/src/sim/effects.rs
@@ -41,6 +41,7 @@
             }
             Effect::Routers(n) => self.nodes[place].routers = n,
             Effect::Watch(list) => self.nodes[place].watch = list,
+            Effect::Holds(_) => {}
             Effect::Look(runner) => self.later(Span(1), Event::Looked { place, life, runner }),
             Effect::Held(rows) => {
                 let now = self.local(place);
