Nothing is unloaded before the holder knows what is used; the last copy of a model is dearer

Cause: rare models asked for in the first 100 ms of traffic unloaded m00 (hot, its last copy) from a1 and m01 from a2, as no router had told of its use yet; m00 was away for 3.4 s, its backlog then filled a2's 64 slots, and at the holder's loss hot calls waited again. Now: until any use is told, for at most 400 ms after a want, only free room is taken; the last holder's copy costs 100 ms more. Excluded: the pushed holdings (they were right; the runner was full).

--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -7,6 +7,7 @@
 
 const FEW: u64 = 3;
 const RUN_MS: f64 = 1500.0;
+const LAST_MS: f64 = 100.0;
 const SOON_S: f64 = 5.0;
 const AGAIN_MS: f64 = 2000.0;
 const UNLOAD_MS: f64 = 40.0;
@@ -63,6 +64,7 @@
         let others = self.holders(name, &o.runner.instance);
         let mut loss = runs as f64 * RUN_MS + self.tuned(o, name) * 100.0;
         if others == 0 {
+            loss += LAST_MS;
             let fresh = 1.0 / (1.0 + u.idle.0 as f64 / 4e6);
             loss += AGAIN_MS * ((u.per_s * SOON_S).min(1.0) * 0.7 + fresh * 0.3);
             loss += if u.waits > 0 { AGAIN_MS } else { 0.0 };
--- a/src/placement/quick.rs
+++ b/src/placement/quick.rs
@@ -15,6 +15,7 @@
 const SPREAD_LOSS: u64 = 1700;
 const EASY: u64 = 10;
 const COPIES: usize = 2;
+const BLIND: Span = Span::ms(400);
 
 pub struct Wanted {
     pub service: Name,
@@ -74,6 +75,11 @@
         let Some(service) = self.wants.get(name).map(|w| w.service.clone()) else { return };
         let held = offers.iter().any(|o| o.report.has(name) && !o.runner.leaving);
         let Some(choice) = self.choose(&offers, &service, name, s, kit.now) else { return };
+        let since = self.wants.get(name).map_or(kit.now, |w| w.since);
+        let blind = self.used.is_empty() && kit.now.since(since) < BLIND;
+        if blind && !choice.unloads.is_empty() {
+            return;
+        }
         if held && choice.loss > LOSS {
             return;
         }
