Simulator counts what idle nodes send and spend (--cost N)

Cause: what nodes say to each other must carry 95 nodes and later 410; no figure of it stood anywhere.

--- a/src/bin/spindledock-simulator.rs
+++ b/src/bin/spindledock-simulator.rs
@@ -25,6 +25,7 @@
   --seeds N           runs of each kind, for the spread (default 5)
   --soak SEED         instead: the mixed-fault soak of that seed, its record and its checkers' words
   --trace SEED        also print the what-if's record for that seed
+  --cost N            instead: what N idle nodes send and spend, a node a second, over --seconds
   --kinds             list the faults
 Each answer stands beside the same seeds without the what-if: median (least..most).";
 
@@ -184,6 +185,11 @@
         println!("{HELP}");
         return 0.into();
     }
+    if let Ok(Some(nodes)) = args.opt_value_from_str::<_, usize>("--cost") {
+        let seconds = args.opt_value_from_str("--seconds").ok().flatten().unwrap_or(10);
+        print!("{}", spindledock::sim::cost::measure(nodes.clamp(6, 900), seconds, 1));
+        return 0.into();
+    }
     if args.contains("--kinds") {
         let names: Vec<String> = ALL.iter().map(|k| format!("{k:?}")).collect();
         println!("{}", names.join("\n"));
--- a/src/sim/effects.rs
+++ b/src/sim/effects.rs
@@ -50,6 +50,9 @@
     fn post(&mut self, place: usize, to: NodeId, addr: SocketAddr, msg: Msg) {
         let Some(node) = &self.nodes[place].node else { return };
         let letter = Letter { from: node.me.node, to, fleet: node.views.fleet, addr: node.me.addr, msg };
+        if let Some(c) = &mut self.cost {
+            c.sent(place, &letter);
+        }
         let dest = self.nodes.iter().position(|n| n.place.addr == addr);
         let cut = dest.is_some_and(|d| self.cuts.contains(&(place, d)));
         let lost = self.loss;
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -4,6 +4,7 @@
 pub mod check_config;
 pub mod check_news;
 pub mod check_tries;
+pub mod cost;
 pub mod disk;
 pub mod effects;
 pub mod faults;
--- a/src/sim/nodes.rs
+++ b/src/sim/nodes.rs
@@ -168,7 +168,7 @@
             table.tick(now, routers);
             self.tick_rides(place, life);
         }
-        self.feed(place, msg::Event::Tick);
+        self.timed(place, |w| w.feed(place, msg::Event::Tick));
         self.later(TICK, Event::Tick { place, life });
     }
 
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -54,6 +54,7 @@
     pub turn: Option<u64>,
     pub marks: Option<Vec<(Time, &'static str)>>,
     pub shows: BTreeMap<ChangeId, (usize, Time)>,
+    pub cost: Option<Box<super::cost::Cost>>,
 }
 
 impl World {
@@ -80,6 +81,7 @@
             turn: None,
             marks: None,
             shows: BTreeMap::new(),
+            cost: None,
         }
     }
 
@@ -148,7 +150,10 @@
     pub fn act(&mut self, ev: Event) {
         match ev {
             Event::Tick { place, life } => self.tick(place, life),
-            Event::Letter { to, letter } => self.letter(to, *letter),
+            Event::Letter { to, letter } => {
+                let place = self.nodes.iter().position(|n| n.place.addr == to).unwrap_or(0);
+                self.timed(place, |w| w.letter(to, *letter));
+            }
             Event::Release { place, life, out } => self.release(place, life, out),
             Event::Poll { place, life } => self.poll(place, life),
             Event::Reported { place, life, runner, report } => self.reported(place, life, runner, report),
