Membership: digests and changes in pings, cached watched sets, whole table on demand

Cause: every watcher sent its whole table five times a second and sorted all nodes for each node at each ping; the book was rebuilt and journaled every second. Excluded: counters of life for every node in each ping (grows with the fleet as well, only slower); the table by news homes (a node must know others before it has a home).

--- a/src/colleagues/marks.rs
+++ b/src/colleagues/marks.rs
@@ -1,37 +1,65 @@
 use crate::kernel::ids::Name;
 use crate::kernel::part::Kit;
+use crate::kernel::rand::hash;
 use crate::kernel::time::{Span, Time};
 use crate::msg::{Effect, Mark};
 use std::collections::BTreeMap;
 
 const KEEP: Span = Span::ms(600_000);
-const MOST: usize = 256;
+const MOST: usize = 2048;
 
 #[derive(Default)]
 pub struct Marks {
-    rows: BTreeMap<Name, Time>,
+    rows: BTreeMap<Name, (Time, u64)>,
+    order: BTreeMap<u64, Name>,
+    pub seq: u64,
+    pub digest: u64,
 }
 
 impl Marks {
-    pub fn add(&mut self, name: &Name, kit: &mut Kit) {
-        if self.rows.insert(name.clone(), kit.now).is_none() {
-            kit.say("runner-marked", name.to_string());
-            kit.out.push(Effect::Mark(name.clone()));
+    pub fn add(&mut self, name: &Name, age: Span, kit: &mut Kit) {
+        if age >= KEEP || self.rows.contains_key(name) {
+            return;
+        }
+        if self.rows.len() >= MOST
+            && let Some(old) = self.rows.iter().min_by_key(|r| r.1.0).map(|r| r.0.clone())
+        {
+            self.drop(&old);
+        }
+        self.seq += 1;
+        self.rows.insert(name.clone(), (kit.now - age, self.seq));
+        self.order.insert(self.seq, name.clone());
+        self.digest ^= hash(&name.0, 3);
+        kit.say("runner-marked", name.to_string());
+        kit.out.push(Effect::Mark(name.clone()));
+    }
+
+    fn drop(&mut self, name: &Name) {
+        if let Some((_, seq)) = self.rows.remove(name) {
+            self.order.remove(&seq);
+            self.digest ^= hash(&name.0, 3);
         }
     }
 
     pub fn learn(&mut self, marks: &[Mark], kit: &mut Kit) {
-        for m in marks.iter().filter(|m| m.age < KEEP) {
-            if !self.rows.contains_key(&m.instance) && self.rows.len() < MOST {
-                self.rows.insert(m.instance.clone(), kit.now - m.age);
-                kit.say("runner-marked", m.instance.to_string());
-                kit.out.push(Effect::Mark(m.instance.clone()));
-            }
+        for m in marks {
+            self.add(&m.instance, m.age, kit);
         }
     }
 
-    pub fn rows(&mut self, now: Time) -> Vec<Mark> {
-        self.rows.retain(|_, t| now.since(*t) < KEEP);
-        self.rows.iter().map(|(n, t)| Mark { instance: n.clone(), age: now.since(*t) }).collect()
+    pub fn forget(&mut self, now: Time) {
+        let old: Vec<Name> =
+            self.rows.iter().filter(|r| now.since(r.1.0) >= KEEP).map(|r| r.0.clone()).collect();
+        old.iter().for_each(|n| self.drop(n));
+    }
+
+    pub fn since(&self, seq: u64, most: usize, now: Time) -> (Vec<Mark>, u64) {
+        let rows: Vec<(&u64, &Name)> = self.order.range(seq + 1..).take(most).collect();
+        let upto = if rows.len() < most { self.seq } else { rows.last().map_or(self.seq, |r| *r.0) };
+        let mark = |n: &Name| {
+            let (t, _) = self.rows.get(n)?;
+            Some(Mark { instance: n.clone(), age: now.since(*t) })
+        };
+        (rows.into_iter().filter_map(|r| mark(r.1)).collect(), upto)
     }
 }
--- a/src/colleagues/rendezvous.rs
+++ b/src/colleagues/rendezvous.rs
@@ -1,5 +1,6 @@
 use crate::kernel::ids::NodeId;
 use crate::kernel::rand::{hash, mix};
+use std::collections::{BTreeMap, BTreeSet};
 
 pub const WATCHERS: usize = 3;
 
@@ -7,15 +8,82 @@
     mix(of.0 ^ mix(by.0))
 }
 
-pub fn watchers(of: NodeId, all: &[NodeId]) -> Vec<NodeId> {
-    let mut rows: Vec<NodeId> = all.iter().copied().filter(|n| *n != of).collect();
-    rows.sort_by_key(|n| (weight(of, *n), *n));
-    rows.truncate(WATCHERS);
-    rows
+pub fn homes(scope: &str, all: &[NodeId]) -> Vec<NodeId> {
+    let mut rows: Vec<(u64, NodeId)> = all.iter().map(|n| (hash(scope, n.0), *n)).collect();
+    rows.sort();
+    rows.into_iter().map(|r| r.1).collect()
 }
 
-pub fn homes(scope: &str, all: &[NodeId]) -> Vec<NodeId> {
-    let mut rows = all.to_vec();
-    rows.sort_by_key(|n| (hash(scope, n.0), *n));
-    rows
+pub fn home(scope: &str, all: &[NodeId]) -> Option<NodeId> {
+    all.iter().copied().min_by_key(|n| (hash(scope, n.0), *n))
+}
+
+#[derive(Default)]
+pub struct Watch {
+    pool: BTreeSet<NodeId>,
+    top: BTreeMap<NodeId, Vec<(u64, NodeId)>>,
+    pub turn: u64,
+}
+
+impl Watch {
+    fn best(&self, of: NodeId) -> Vec<(u64, NodeId)> {
+        let mut best = Vec::with_capacity(WATCHERS + 1);
+        for by in &self.pool {
+            place(&mut best, of, *by);
+        }
+        best
+    }
+
+    pub fn add(&mut self, of: NodeId) {
+        if !self.top.contains_key(&of) {
+            self.turn += 1;
+            self.top.insert(of, self.best(of));
+        }
+    }
+
+    pub fn drop(&mut self, of: NodeId) {
+        self.leave(of);
+        if self.top.remove(&of).is_some() {
+            self.turn += 1;
+        }
+    }
+
+    pub fn join(&mut self, by: NodeId) {
+        if self.pool.insert(by) {
+            self.turn += 1;
+            for (of, best) in &mut self.top {
+                place(best, *of, by);
+            }
+        }
+    }
+
+    pub fn leave(&mut self, by: NodeId) {
+        if !self.pool.remove(&by) {
+            return;
+        }
+        self.turn += 1;
+        let hit = |best: &Vec<(u64, NodeId)>| best.iter().any(|r| r.1 == by);
+        let lost: Vec<NodeId> = self.top.iter().filter(|r| hit(r.1)).map(|r| *r.0).collect();
+        for of in lost {
+            self.top.insert(of, self.best(of));
+        }
+    }
+
+    pub fn watchers(&self, of: NodeId) -> impl Iterator<Item = NodeId> {
+        self.top.get(&of).into_iter().flatten().map(|r| r.1)
+    }
+
+    pub fn watched(&self, by: NodeId) -> Vec<NodeId> {
+        self.top.iter().filter(|r| r.1.iter().any(|w| w.1 == by)).map(|r| *r.0).collect()
+    }
+}
+
+fn place(best: &mut Vec<(u64, NodeId)>, of: NodeId, by: NodeId) {
+    let new = (weight(of, by), by);
+    if of == by || best.len() == WATCHERS && best.last().is_some_and(|w| *w < new) {
+        return;
+    }
+    let at = best.partition_point(|w| *w < new);
+    best.insert(at, new);
+    best.truncate(WATCHERS);
 }
--- a/src/kernel/part.rs
+++ b/src/kernel/part.rs
@@ -7,6 +7,7 @@
 use crate::msg::*;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 #[derive(Clone, Debug)]
 pub struct Me {
@@ -35,7 +36,7 @@
 #[derive(Default)]
 pub struct Views {
     pub fleet: FleetId,
-    pub book: Vec<Row>,
+    pub book: Arc<Vec<Row>>,
     pub view: Option<View>,
     pub state: FleetState,
     pub post: Post,
@@ -100,7 +101,9 @@
         if let Note::Post(_) = note {
             return;
         }
-        self.journal.add(self.now, note.clone());
+        if !matches!(note, Note::Book(_)) {
+            self.journal.add(self.now, note.clone());
+        }
         self.notes.push_back(note);
     }
 
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -1,4 +1,5 @@
 use crate::chain::view::View;
+pub use crate::colleagues::card::*;
 use crate::fleet::runner::{Report, Runner};
 use crate::fleet::slice::Slice;
 use crate::fleet::state::*;
@@ -8,21 +9,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Encode, Decode)]
-pub enum Role {
-    Router,
-    Controller,
-}
-
-#[derive(Clone, PartialEq, Debug, Encode, Decode)]
-pub struct Colleague {
-    pub node: NodeId,
-    pub role: Role,
-    pub domain: Name,
-    pub addr: SocketAddr,
-    pub admin: SocketAddr,
-}
-
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub struct Letter {
     pub from: NodeId,
@@ -39,24 +25,15 @@
     pub change: Change,
 }
 
-#[derive(Clone, PartialEq, Debug, Encode, Decode)]
-pub struct Row {
-    pub who: Colleague,
-    pub quiet: Span,
-}
-
-#[derive(Clone, PartialEq, Debug, Encode, Decode)]
-pub struct Mark {
-    pub instance: Name,
-    pub age: Span,
-}
-
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub enum Msg {
-    Hello { me: Colleague, empty: bool },
-    Welcome { empty: bool, rows: Vec<Row>, view: Option<View> },
-    Ping { rows: Vec<Row>, view: Option<View>, marks: Vec<Mark> },
-    Pong { rows: Vec<Row>, view: Option<View>, marks: Vec<Mark> },
+    Hello { me: Colleague, empty: bool, digest: u64 },
+    Welcome { empty: bool, gossip: Option<Box<Gossip>> },
+    Ping(Box<Gossip>),
+    Pong(Box<Gossip>),
+    Gossip(Box<Gossip>),
+    Doubt { who: Vec<NodeId> },
+    Sync,
     Chain(ChainMsg),
     NewsAsk { nonce: u64, direct: bool, have: Vec<(Scope, Version)> },
     NewsTell { nonce: u64, items: Vec<NewsItem> },
@@ -173,7 +150,7 @@
 #[derive(Clone, Debug)]
 pub enum Note {
     Fleet(FleetId),
-    Book(Vec<Row>),
+    Book(Arc<Vec<Row>>),
     Heard(View),
     View(View),
     Fold { at: Version, change: Arc<Change> },
