How long a router serves without proof is a setting of the node (proof_ms)

Cause: 2 s stood fixed in the reader; a deployment's own rules may ask for another bound. Excluded: a figure of the fleet's configuration (a router that is cut off would not hear of its change).

--- a/src/daemon/assemble.rs
+++ b/src/daemon/assemble.rs
@@ -5,7 +5,7 @@
 use crate::kernel::node::Node;
 use crate::kernel::part::Me;
 use crate::kernel::rand::Rand;
-use crate::kernel::time::Time;
+use crate::kernel::time::{Span, Time};
 use crate::msg::{Record, Role};
 use crate::news::News;
 use crate::placement::Placement;
@@ -20,6 +20,7 @@
     pub domain: Name,
     pub seeds: Vec<SocketAddr>,
     pub core: usize,
+    pub proof: Span,
     pub policy: Policy,
 }
 
@@ -39,6 +40,7 @@
         admin: place.admin,
         seeds: place.seeds.clone(),
         core: place.core,
+        proof: place.proof,
         started: now,
     }
 }
--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -17,9 +17,11 @@
     pub core: usize,
     pub data: Option<PathBuf>,
     pub drain_ms: u64,
+    pub proof_ms: u64,
 }
 
-const KEYS: [&str; 8] = ["address", "admin", "http", "domain", "seeds", "core", "data", "drain_ms"];
+const KEYS: [&str; 9] =
+    ["address", "admin", "http", "domain", "seeds", "core", "data", "drain_ms", "proof_ms"];
 
 const WORD: &str = "I-KNOW-THE-OTHERS-ARE-LOST";
 
@@ -33,6 +35,7 @@
   --core N            how many controllers found the fleet (default 3)
   --data DIR          its data folder (controller only)
   --drain-ms N        how long it may finish streams after a warning (default 8000)
+  --proof-ms N        how long a router serves after its last proof that it knows the newest (default 2000)
   --check             check the settings, print the faults and end
   --inspect           tell what this controller's data folder holds and end
   --restore-as-only I-KNOW-THE-OTHERS-ARE-LOST
@@ -79,7 +82,7 @@
         let Some(got) = got else { continue };
         let value = match key {
             "seeds" => Tree::List(got.split(',').map(Tree::from).collect()),
-            "core" | "drain_ms" => got.parse::<u64>().map_or(Tree::Text(got), Tree::from),
+            "core" | "drain_ms" | "proof_ms" => got.parse::<u64>().map_or(Tree::Text(got), Tree::from),
             _ => Tree::Text(got),
         };
         if let Tree::Map(rows) = &mut tree {
@@ -179,6 +182,7 @@
         }
     };
     let drain_ms = r.num("drain_ms", Some(8000), 0, 600_000);
+    let proof_ms = r.num("proof_ms", Some(2000), 1000, 60_000);
     if let (Some(a), Some(b)) = (addr, admin)
         && (a == b || http == Some(a) || http == Some(b))
     {
@@ -188,7 +192,7 @@
     match (addr, admin) {
         (Some(addr), Some(admin)) if bad.is_empty() => {
             let domain = Name(domain);
-            Ok(NodeConfig { role, addr, admin, http, domain, seeds, core, data, drain_ms })
+            Ok(NodeConfig { role, addr, admin, http, domain, seeds, core, data, drain_ms, proof_ms })
         }
         _ => Err(bad),
     }
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -69,6 +69,7 @@
         domain: c.domain.clone(),
         seeds: c.seeds.clone(),
         core: c.core,
+        proof: Span::ms(c.proof_ms),
         policy: super::assemble::Policy::Move,
     }
 }
@@ -88,7 +89,7 @@
     let clock: Arc<dyn Clock> = Arc::new(BootClock);
     let services = Arc::new(Registry::default());
     let links = Links::new(tokio::runtime::Handle::current());
-    let table = Arc::new(Table::new(c.domain.clone()));
+    let table = Arc::new(Table::new(c.domain.clone(), Span::ms(c.proof_ms)));
     services.add(links.clone());
     services.add(table.clone());
     let pool = Arc::new(Pool::default());
--- a/src/gate/core.rs
+++ b/src/gate/core.rs
@@ -22,6 +22,7 @@
     pub domain: Name,
     pub at: Version,
     pub slice: Option<Arc<ServiceSlice>>,
+    pub proof: Span,
     pub proven: Time,
     pub routes_proven: Time,
     pub routes: (Version, Arc<Vec<RouteRow>>),
@@ -46,6 +47,7 @@
             domain,
             at: Version(0),
             slice: None,
+            proof: FRESH,
             proven: Time(0),
             routes_proven: Time(0),
             routes: Default::default(),
@@ -65,7 +67,9 @@
     }
 
     pub fn is_fresh(&self, now: Time) -> bool {
-        self.slice.is_some() && now.since(self.proven) < FRESH && now.since(self.routes_proven) < FRESH
+        self.slice.is_some()
+            && now.since(self.proven) < self.proof
+            && now.since(self.routes_proven) < self.proof
     }
 
     pub fn count(&mut self, what: &'static str) {
--- a/src/gate/table.rs
+++ b/src/gate/table.rs
@@ -3,14 +3,14 @@
 use crate::fleet::state::{Candidate, Scope};
 use crate::kernel::ids::*;
 use crate::kernel::registry::Service;
-use crate::kernel::time::Time;
+use crate::kernel::time::{Span, Time};
 use crate::msg::RouterTell;
-use crate::news::reader::FRESH;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, RwLock};
 
 pub struct Table {
     pub domain: Name,
+    pub proof: Span,
     gates: RwLock<BTreeMap<Name, Arc<Mutex<Gate>>>>,
     routes: RwLock<(Version, Time, Arc<Vec<RouteRow>>)>,
     trial: Mutex<(Version, Option<Candidate>)>,
@@ -24,9 +24,10 @@
 }
 
 impl Table {
-    pub fn new(domain: Name) -> Table {
+    pub fn new(domain: Name, proof: Span) -> Table {
         Table {
             domain,
+            proof,
             gates: RwLock::default(),
             routes: RwLock::new((Version(0), Time(0), Arc::default())),
             trial: Mutex::new((Version(0), None)),
@@ -47,13 +48,17 @@
             return g;
         }
         let mut gates = self.gates.write().unwrap();
-        let new = || Arc::new(Mutex::new(Gate::new(name.clone(), self.domain.clone())));
+        let new = || {
+            let mut gate = Gate::new(name.clone(), self.domain.clone());
+            gate.proof = self.proof;
+            Arc::new(Mutex::new(gate))
+        };
         gates.entry(name.clone()).or_insert_with(new).clone()
     }
 
     pub fn fresh_routes(&self, now: Time) -> Option<(Version, Arc<Vec<RouteRow>>)> {
         let row = self.routes.read().unwrap();
-        (now.since(row.1) < FRESH).then(|| (row.0, row.2.clone()))
+        (now.since(row.1) < self.proof).then(|| (row.0, row.2.clone()))
     }
 
     pub fn find(&self, now: Time, host: &str, path: &str) -> Option<(Version, Option<RouteRow>)> {
--- a/src/kernel/part.rs
+++ b/src/kernel/part.rs
@@ -1,7 +1,7 @@
 use super::ids::*;
 use super::journal::Journal;
 use super::rand::Rand;
-use super::time::Time;
+use super::time::{Span, Time};
 use crate::chain::view::View;
 use crate::fleet::FleetState;
 use crate::msg::*;
@@ -18,6 +18,7 @@
     pub admin: SocketAddr,
     pub seeds: Vec<SocketAddr>,
     pub core: usize,
+    pub proof: Span,
     pub started: Time,
 }
 
--- a/src/sim/nodes.rs
+++ b/src/sim/nodes.rs
@@ -43,7 +43,7 @@
 
 impl SimNode {
     pub fn new(place: Place, role: Role, rand: &mut Seeded) -> SimNode {
-        let table = Arc::new(Table::new(place.domain.clone()));
+        let table = Arc::new(Table::new(place.domain.clone(), place.proof));
         SimNode {
             place,
             role,
@@ -96,7 +96,7 @@
         n.held.clear();
         n.ready = false;
         n.rehearsed = None;
-        n.table = Arc::new(Table::new(n.place.domain.clone()));
+        n.table = Arc::new(Table::new(n.place.domain.clone(), n.place.proof));
         n.seen = Arc::default();
         let node = match n.role {
             Role::Router => router(&n.place, now, rand),
--- a/src/sim/setup.rs
+++ b/src/sim/setup.rs
@@ -10,6 +10,7 @@
 use crate::kernel::time::{Span, Time};
 use crate::launch::deployment::Deployment;
 use crate::msg::{self, Op, Role};
+use crate::news::reader::FRESH;
 use crate::standin::stock::Stock;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -32,6 +33,7 @@
                 domain: Name(plan.zone(k)),
                 seeds: seeds.collect(),
                 core: plan.core,
+                proof: FRESH,
                 policy: plan.policy,
             };
             let node = SimNode::new(place, role, &mut w.rand);
