--- a/src/chain/desk.rs
+++ b/src/chain/desk.rs
@@ -7,6 +7,7 @@
 use crate::kernel::rand::hash;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
+use crate::news::askers::Source;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
@@ -21,6 +22,7 @@
     waits: BTreeMap<ChangeId, NodeId>,
     sent: BTreeMap<ChangeId, Time>,
     trying: Option<Time>,
+    source: Source,
 }
 
 impl Desk {
@@ -190,16 +192,19 @@
             let view = kit.views.view.clone();
             return kit.send(from, Msg::NewsNo { nonce, view });
         }
-        let state = &kit.views.state;
-        let items = have.iter().map(|(scope, old)| {
-            let at = state.scope_at(scope);
-            let slice = (at > *old || *old == Version(0)).then(|| state.slice(scope));
-            NewsItem { scope: scope.clone(), at, age: Span(0), slice }
-        });
-        let items = items.collect();
+        let items = self.source.answer(from, have, &kit.views.state, kit.now);
         kit.send(from, Msg::NewsTell { nonce, items });
     }
 
+    fn push(&mut self, kit: &mut Kit) {
+        if kit.now >= kit.views.post.until {
+            return self.source.clear();
+        }
+        for (to, items) in self.source.pushes(&kit.views.state, kit.now) {
+            kit.send(to, Msg::NewsPush { items });
+        }
+    }
+
     fn ask(&mut self, from: NodeId, id: ChangeId, path: &str, kit: &mut Kit) {
         if kit.now < kit.views.post.until {
             let answer = super::show::answer(path, kit.views);
@@ -228,7 +233,10 @@
                 }
                 self.settle(kit);
             }
-            Event::Tick => self.settle(kit),
+            Event::Tick => {
+                self.settle(kit);
+                self.push(kit);
+            }
             _ => {}
         }
     }
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -5,6 +5,7 @@
 use crate::fleet::state::*;
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
+use crate::news::past::Body;
 use bitcode::{Decode, Encode};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -37,6 +38,7 @@
     Chain(ChainMsg),
     NewsAsk { nonce: u64, direct: bool, have: Vec<(Scope, Version)> },
     NewsTell { nonce: u64, items: Vec<NewsItem> },
+    NewsPush { items: Vec<NewsItem> },
     NewsNo { nonce: u64, view: Option<View> },
     Op { id: ChangeId, op: Op },
     OpEnd { id: ChangeId, answer: Answer },
@@ -50,7 +52,7 @@
     pub scope: Scope,
     pub at: Version,
     pub age: Span,
-    pub slice: Option<Slice>,
+    pub body: Body,
 }
 
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
--- /dev/null
+++ b/src/news/past.rs
@@ -0,0 +1,83 @@
+use super::delta::Delta;
+use crate::fleet::slice::Slice;
+use crate::kernel::ids::Version;
+use bitcode::{Decode, Encode};
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+const STEPS: usize = 16;
+
+#[derive(Clone, PartialEq, Debug, Encode, Decode)]
+pub struct Step {
+    pub from: Version,
+    pub at: Version,
+    pub print: u32,
+    pub delta: Delta,
+}
+
+#[derive(Clone, PartialEq, Debug, Encode, Decode)]
+pub enum Body {
+    Same,
+    Whole(Arc<Slice>),
+    Steps(Vec<Arc<Step>>),
+}
+
+#[derive(Default)]
+pub struct Past {
+    pub at: Version,
+    pub slice: Option<Arc<Slice>>,
+    steps: VecDeque<(Arc<Step>, usize)>,
+    size: usize,
+}
+
+impl Past {
+    pub fn raise(&mut self, at: Version, slice: Arc<Slice>) {
+        let raw = bitcode::encode(&*slice);
+        let (from, print) = (self.at, crc32fast::hash(&raw));
+        let old = self.slice.as_ref().filter(|_| from < at);
+        match old.and_then(|old| Delta::of(old, &slice)) {
+            Some(delta) => self.push(Step { from, at, print, delta }),
+            None => self.steps.clear(),
+        }
+        (self.at, self.size, self.slice) = (at, raw.len(), Some(slice));
+    }
+
+    fn push(&mut self, step: Step) {
+        let size = bitcode::encode(&step).len();
+        self.steps.push_back((Arc::new(step), size));
+        if self.steps.len() > STEPS {
+            self.steps.pop_front();
+        }
+    }
+
+    pub fn follow(&mut self, steps: &[Arc<Step>]) -> bool {
+        let first = steps.iter().position(|s| s.from == self.at);
+        let (Some(first), Some(old)) = (first, &self.slice) else { return false };
+        let mut slice = Slice::clone(old);
+        let mut at = self.at;
+        for s in &steps[first..] {
+            let Some(new) = s.delta.apply(&slice).filter(|_| s.from == at) else { return false };
+            (slice, at) = (new, s.at);
+        }
+        let raw = bitcode::encode(&slice);
+        if steps.last().is_none_or(|s| s.print != crc32fast::hash(&raw)) {
+            return false;
+        }
+        steps[first..].iter().for_each(|s| self.push(Step::clone(s)));
+        (self.at, self.size, self.slice) = (at, raw.len(), Some(Arc::new(slice)));
+        true
+    }
+
+    pub fn body(&self, old: Version) -> Body {
+        let Some(slice) = &self.slice else { return Body::Same };
+        if old == self.at && old > Version(0) {
+            return Body::Same;
+        }
+        let first = self.steps.iter().position(|s| s.0.from == old && old > Version(0));
+        let steps = first.map(|n| self.steps.range(n..));
+        match steps.filter(|s| s.clone().map(|s| s.1).sum::<usize>() < self.size) {
+            Some(steps) => Body::Steps(steps.map(|s| s.0.clone()).collect()),
+            None => Body::Whole(slice.clone()),
+        }
+    }
+}
--- a/src/news/reader.rs
+++ b/src/news/reader.rs
@@ -1,3 +1,4 @@
+use super::past::{Body, Past};
 use crate::fleet::slice::Slice;
 use crate::fleet::state::Scope;
 use crate::kernel::ids::*;
@@ -10,11 +11,9 @@
 
 #[derive(Default)]
 pub struct Topic {
-    pub at: Version,
-    pub slice: Option<Slice>,
+    pub past: Past,
     pub proven: Option<Time>,
-    pub tries: usize,
-    pub wanted: Time,
+    pub torn: bool,
 }
 
 #[derive(Default)]
@@ -32,6 +31,21 @@
     pub proven: Time,
 }
 
+impl Topic {
+    fn take(&mut self, item: &NewsItem) -> bool {
+        let done = match &item.body {
+            Body::Same => return false,
+            Body::Whole(slice) => {
+                self.past.raise(item.at, slice.clone());
+                true
+            }
+            Body::Steps(steps) => steps.last().is_some_and(|s| s.at == item.at) && self.past.follow(steps),
+        };
+        self.torn = !done;
+        done
+    }
+}
+
 impl Reader {
     pub fn new(started: Time) -> Reader {
         Reader { started, ..Reader::default() }
@@ -47,7 +61,8 @@
     }
 
     pub fn have(&self, scope: &Scope) -> Version {
-        self.topics.get(scope).filter(|t| t.slice.is_some()).map_or(Version(0), |t| t.at)
+        let topic = self.topics.get(scope).filter(|t| t.past.slice.is_some() && !t.torn);
+        topic.map_or(Version(0), |t| t.past.at)
     }
 
     pub fn told(&mut self, nonce: u64, items: &[NewsItem]) -> Vec<Learnt> {
@@ -56,28 +71,31 @@
         for item in items {
             let proven = sent - item.age;
             let Some(topic) = self.topics.get_mut(&item.scope) else { continue };
-            if proven < self.started || item.at < topic.at {
+            let at = topic.past.at;
+            if proven < self.started || item.at < at {
                 continue;
             }
-            if topic.proven.is_some_and(|p| p >= proven) && item.at == topic.at {
+            if topic.proven.is_some_and(|p| p >= proven) && item.at == at {
                 continue;
             }
-            if item.at > topic.at || topic.slice.is_none() {
-                let Some(slice) = &item.slice else { continue };
-                topic.slice = Some(slice.clone());
-                topic.at = item.at;
-                out.push(Learnt {
-                    scope: item.scope.clone(),
-                    at: item.at,
-                    slice: Some(slice.clone()),
-                    proven,
-                });
-            } else {
-                let scope = item.scope.clone();
-                out.push(Learnt { scope, at: item.at, slice: None, proven });
+            let new = item.at > at || topic.past.slice.is_none();
+            if new && !topic.take(item) {
+                continue;
             }
             topic.proven = topic.proven.max(Some(proven));
-            topic.tries = 0;
+            out.push(learnt(item, topic, new, proven));
+        }
+        out
+    }
+
+    pub fn pushed(&mut self, items: &[NewsItem]) -> Vec<Learnt> {
+        let mut out = Vec::new();
+        for item in items {
+            let Some(topic) = self.topics.get_mut(&item.scope) else { continue };
+            let Some(proven) = topic.proven else { continue };
+            if item.at > topic.past.at && topic.take(item) {
+                out.push(learnt(item, topic, true, proven));
+            }
         }
         out
     }
@@ -87,3 +105,8 @@
         Some(now.since(topic.proven?))
     }
 }
+
+fn learnt(item: &NewsItem, topic: &Topic, new: bool, proven: Time) -> Learnt {
+    let slice = topic.past.slice.as_ref().filter(|_| new).map(|s| Slice::clone(s));
+    Learnt { scope: item.scope.clone(), at: topic.past.at, slice, proven }
+}
--- a/src/sim/cost.rs
+++ b/src/sim/cost.rs
@@ -22,7 +22,7 @@
     match msg {
         Msg::Hello { .. } | Msg::Welcome { .. } => "greeting",
         Msg::Chain(_) => "chain",
-        Msg::NewsAsk { .. } | Msg::NewsTell { .. } | Msg::NewsNo { .. } => "news",
+        Msg::NewsAsk { .. } | Msg::NewsTell { .. } | Msg::NewsPush { .. } | Msg::NewsNo { .. } => "news",
         Msg::Op { .. } | Msg::OpEnd { .. } | Msg::Ask { .. } => "relay",
         Msg::Tell(_) | Msg::Nudge => "tell",
         _ => "membership",
--- a/src/sim/steps.rs
+++ b/src/sim/steps.rs
@@ -2,6 +2,7 @@
 use super::world::World;
 use crate::kernel::time::{Span, Time};
 use crate::msg::{ChainMsg, Effect, Msg};
+use crate::news::past::Body;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -44,15 +45,19 @@
         },
         Msg::Op { .. } => Some("op"),
         Msg::OpEnd { .. } => Some("op-end"),
-        Msg::NewsTell { items, .. } if items.iter().any(|i| i.slice.is_some()) => Some("news"),
+        Msg::NewsTell { items, .. } | Msg::NewsPush { items }
+            if items.iter().any(|i| i.body != Body::Same) =>
+        {
+            Some("news")
+        }
         _ => None,
     }
 }
 
 pub fn steps(build: &Build, act: &Act, span: Span) -> Vec<(Time, &'static str)> {
     let mut w = build();
-    act(&mut w);
     w.marks = Some(Vec::new());
+    act(&mut w);
     w.run_for(span);
     let mut rows = w.marks.take().unwrap_or_default();
     for (t, f) in &w.record.rows {
--- /dev/null
+++ b/tests/delta.rs
@@ -0,0 +1,145 @@
+use spindledock::fleet::config::{Class, Route};
+use spindledock::fleet::slice::{RouteRow, Slice};
+use spindledock::fleet::state::Scope;
+use spindledock::kernel::ids::*;
+use spindledock::kernel::rand::{Rand, Seeded};
+use spindledock::kernel::time::{Span, Time};
+use spindledock::msg::NewsItem;
+use spindledock::news::Reader;
+use spindledock::news::past::{Body, Past, Step};
+use spindledock::news::reader::Topic;
+use std::sync::Arc;
+
+fn row(n: u64, due_ms: u64) -> RouteRow {
+    let route = Route {
+        prefix: format!("/r{n}"),
+        host: String::new(),
+        class: Class::Chat,
+        resumable: false,
+        due_ms,
+        body_kb: 64,
+    };
+    RouteRow { service: Name::from("s"), route }
+}
+
+fn routes(rows: impl Iterator<Item = u64>) -> Arc<Slice> {
+    Arc::new(Slice::Routes(rows.map(|n| row(n, 1000)).collect()))
+}
+
+fn item(at: u64, age: Span, body: Body) -> NewsItem {
+    NewsItem { scope: Scope::Routes, at: Version(at), age, body }
+}
+
+fn reader() -> Reader {
+    let mut r = Reader::new(Time(1_000_000));
+    r.topics.insert(Scope::Routes, Topic::default());
+    r
+}
+
+#[test]
+fn given_a_thousand_routes_when_twenty_change_then_the_change_is_small_and_gives_the_same_list() {
+    let mut rand = Seeded(7);
+    let (mut home, mut reader) = (Past::default(), Past::default());
+    let mut rows: Vec<RouteRow> = (0..1000).map(|n| row(n, 1000)).collect();
+    home.raise(Version(1), Arc::new(Slice::Routes(rows.clone())));
+    reader.raise(Version(1), home.slice.clone().expect("held"));
+    let whole = bitcode::encode(&home.body(Version(0))).len();
+    for at in 2..40u64 {
+        for _ in 0..20 {
+            let n = rand.below(rows.len() as u64) as usize;
+            match rand.below(3) {
+                0 => drop(rows.remove(n)),
+                1 => rows.insert(n, row(10_000 + at * 100 + rand.below(90), 500)),
+                _ => rows[n].route.due_ms = rand.below(9000),
+            }
+        }
+        home.raise(Version(at), Arc::new(Slice::Routes(rows.clone())));
+        let Body::Steps(steps) = home.body(reader.at) else { panic!("steps are smaller") };
+        assert!(bitcode::encode(&Body::Steps(steps.clone())).len() * 5 < whole, "a fifth at most");
+        assert!(reader.follow(&steps));
+        assert_eq!(reader.slice, home.slice);
+    }
+    assert!(matches!(home.body(Version(2)), Body::Whole(_)), "too far behind");
+}
+
+#[test]
+fn given_a_copy_that_differs_when_a_change_is_applied_then_it_is_refused_and_the_whole_is_asked_for() {
+    let mut home = Past::default();
+    home.raise(Version(3), routes(0..50));
+    home.raise(Version(5), routes(0..60));
+    let mut r = reader();
+    let other = Arc::new(Slice::Routes((100..150).map(|n| row(n, 1000)).collect()));
+    let nonce = r.ask(Time(2_000_000));
+    assert_eq!(r.told(nonce, &[item(3, Span(0), Body::Whole(other))]).len(), 1);
+    let nonce = r.ask(Time(2_100_000));
+    assert!(r.told(nonce, &[item(5, Span(0), home.body(Version(3)))]).is_empty(), "not taken");
+    assert_eq!(r.have(&Scope::Routes), Version(0), "it asks for the whole");
+    assert_eq!(r.age(&Scope::Routes, Time(2_100_000)), Some(Span(100_000)), "and proves nothing");
+    let nonce = r.ask(Time(2_200_000));
+    let got = r.told(nonce, &[item(5, Span(0), home.body(r.have(&Scope::Routes)))]);
+    assert_eq!(got.len(), 1);
+    assert_eq!(r.topics[&Scope::Routes].past.slice, home.slice);
+    assert_eq!(r.have(&Scope::Routes), Version(5));
+}
+
+#[test]
+fn given_an_unasked_push_when_it_comes_then_it_raises_the_version_and_proves_nothing() {
+    let mut r = reader();
+    let push = |at| [item(at, Span(0), Body::Whole(routes(0..at)))];
+    assert!(r.pushed(&push(4)).is_empty(), "nothing before the first own proof");
+    let nonce = r.ask(Time(2_000_000));
+    r.told(nonce, &push(4));
+    let got = r.pushed(&push(6));
+    assert_eq!((got.len(), got[0].at, got[0].proven), (1, Version(6), Time(2_000_000)));
+    assert_eq!(r.age(&Scope::Routes, Time(3_000_000)), Some(Span(1_000_000)));
+    assert!(r.pushed(&push(5)).is_empty(), "never back");
+    assert!(r.pushed(&push(6)).is_empty());
+    let nonce = r.ask(Time(2_500_000));
+    assert!(r.told(nonce, &push(5)).is_empty(), "an answer that is older proves nothing either");
+    assert_eq!(r.have(&Scope::Routes), Version(6));
+}
+
+#[test]
+fn given_answers_pushes_and_repeats_in_any_order_when_read_then_the_version_never_goes_back() {
+    for seed in 1..40 {
+        let mut rand = Seeded(seed);
+        let mut home = Past::default();
+        let mut bodies: Vec<(u64, Vec<NewsItem>)> = Vec::new();
+        for at in 1..20u64 {
+            home.raise(Version(at), routes(0..200 + at * rand.below(4)));
+            for back in [0, 1, 3] {
+                let body = home.body(Version(at.saturating_sub(back)));
+                bodies.push((at, vec![item(at, Span(rand.below(500_000)), body)]));
+            }
+        }
+        let mut r = reader();
+        let mut top = Version(0);
+        for _ in 0..400 {
+            let (_, items) = &bodies[rand.below(bodies.len() as u64) as usize];
+            let now = Time(2_000_000 + rand.below(1_000_000));
+            let nonce = r.ask(now);
+            let got = if rand.below(2) == 0 { r.told(nonce, items) } else { r.pushed(items) };
+            for l in got {
+                assert!(l.at >= top, "seed {seed}: {} after {top}", l.at);
+                top = l.at;
+            }
+        }
+        assert!(top > Version(10), "seed {seed} reached {top}");
+    }
+}
+
+#[test]
+fn given_steps_that_do_not_join_when_followed_then_nothing_is_taken() {
+    let mut home = Past::default();
+    for at in 1..6u64 {
+        home.raise(Version(at), routes(0..100 + at));
+    }
+    let Body::Steps(steps) = home.body(Version(2)) else { panic!("steps") };
+    let mut reader = Past::default();
+    reader.raise(Version(2), routes(0..102));
+    let torn: Vec<Arc<Step>> = steps.iter().enumerate().filter(|s| s.0 != 1).map(|s| s.1.clone()).collect();
+    assert!(!reader.follow(&torn));
+    assert_eq!(reader.at, Version(2));
+    assert!(reader.follow(&steps));
+    assert_eq!(reader.at, Version(5));
+}
