Links drop silent peers and old letters; routers tick 50 ms when idle

Cause: a peer without power kept its link for the kernel's time-out; letters to it were kept, newest lost first; a router's thread woke 50 times a second. Figures: TCP_USER_TIMEOUT 2 s, 256 letters and 2 s of age a peer, 32 reaches at once, pause 0.1 to 0.8 s after a failed reach, links without a letter for 60 s close. Not measured on sockets yet. Conclusion: what waits for a dead peer is bounded and a returned one hears only what is new.

--- a/src/daemon/driver.rs
+++ b/src/daemon/driver.rs
@@ -14,6 +14,7 @@
 use tokio::sync::oneshot;
 
 const TICK: Duration = Duration::from_millis(20);
+const ROUTER_TICK: Duration = Duration::from_millis(50);
 const BATCH: usize = 256;
 
 pub enum Input {
@@ -116,7 +117,8 @@
                 }
                 continue;
             };
-            let first = if r.own.is_empty() { rx.recv_timeout(TICK) } else { Err(RecvTimeoutError::Timeout) };
+            let tick = if self.disk.is_some() { TICK } else { ROUTER_TICK };
+            let first = if r.own.is_empty() { rx.recv_timeout(tick) } else { Err(RecvTimeoutError::Timeout) };
             let mut inputs = Vec::new();
             match first {
                 Ok(input) => inputs.push(input),
--- a/src/daemon/links.rs
+++ b/src/daemon/links.rs
@@ -1,22 +1,60 @@
 use crate::kernel::registry::Service;
+use crate::kernel::time::{BootClock, Clock, Span, Time};
 use crate::msg::Letter;
 use crate::wire;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
+use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, Semaphore};
 
 const REACH: Duration = Duration::from_millis(500);
 const WRITE: Duration = Duration::from_secs(2);
-const INBOX: usize = 1024;
+const AGAIN: Duration = Duration::from_millis(100);
+const AGAIN_MOST: Duration = Duration::from_millis(800);
+const IDLE: Duration = Duration::from_secs(60);
+const UNHEARD: Duration = Duration::from_secs(90);
+const SILENT_MS: libc::c_int = 2000;
+const OLD: Span = Span::ms(2000);
+const INBOX: usize = 256;
+const REACHES: usize = 32;
+
+#[derive(Default)]
+pub struct Queue {
+    rows: Mutex<VecDeque<(Time, Vec<u8>)>>,
+    bell: Notify,
+}
+
+impl Queue {
+    pub fn add(&self, now: Time, raw: Vec<u8>) -> u64 {
+        let mut rows = self.rows.lock().unwrap();
+        rows.push_back((now, raw));
+        let over = rows.len().saturating_sub(INBOX);
+        rows.drain(..over);
+        self.bell.notify_one();
+        over as u64
+    }
+
+    pub fn next(&self, now: Time) -> (Option<Vec<u8>>, u64) {
+        let mut rows = self.rows.lock().unwrap();
+        let old = rows.iter().take_while(|r| now.since(r.0) > OLD).count();
+        rows.drain(..old);
+        (rows.pop_front().map(|r| r.1), old as u64)
+    }
+
+    fn is_empty(&self) -> bool {
+        self.rows.lock().unwrap().is_empty()
+    }
+}
 
 pub struct Links {
     rt: tokio::runtime::Handle,
-    outs: Mutex<BTreeMap<SocketAddr, mpsc::Sender<Vec<u8>>>>,
+    outs: Mutex<BTreeMap<SocketAddr, Arc<Queue>>>,
+    reaches: Semaphore,
     pub bad: AtomicU64,
     pub lost: AtomicU64,
 }
@@ -31,28 +69,24 @@
 
 impl Links {
     pub fn new(rt: tokio::runtime::Handle) -> Arc<Links> {
-        Arc::new(Links { rt, outs: Mutex::default(), bad: AtomicU64::new(0), lost: AtomicU64::new(0) })
+        Arc::new(Links {
+            rt,
+            outs: Mutex::default(),
+            reaches: Semaphore::new(REACHES),
+            bad: AtomicU64::new(0),
+            lost: AtomicU64::new(0),
+        })
     }
 
-    pub fn send(&self, addr: SocketAddr, raw: Vec<u8>) {
+    pub fn send(self: &Arc<Links>, addr: SocketAddr, raw: Vec<u8>) {
         let mut outs = self.outs.lock().unwrap();
-        let tx = outs.entry(addr).or_insert_with(|| {
-            let (tx, rx) = mpsc::channel(INBOX);
-            self.rt.spawn(write(addr, rx));
-            tx
+        let queue = outs.entry(addr).or_insert_with(|| {
+            let queue = Arc::new(Queue::default());
+            self.rt.spawn(self.clone().write(addr, queue.clone()));
+            queue
         });
-        match tx.try_send(raw) {
-            Ok(()) => {}
-            Err(mpsc::error::TrySendError::Full(_)) => {
-                self.lost.fetch_add(1, Ordering::Relaxed);
-            }
-            Err(mpsc::error::TrySendError::Closed(raw)) => {
-                let (tx, rx) = mpsc::channel(INBOX);
-                let _ = tx.try_send(raw);
-                self.rt.spawn(write(addr, rx));
-                outs.insert(addr, tx);
-            }
-        }
+        let lost = queue.add(BootClock.now(), raw);
+        self.lost.fetch_add(lost, Ordering::Relaxed);
     }
 
     pub async fn listen(self: Arc<Links>, socket: TcpListener, take: Take) {
@@ -61,6 +95,7 @@
                 tokio::time::sleep(Duration::from_millis(20)).await;
                 continue;
             };
+            drop_when_silent(&tcp);
             let (me, take) = (self.clone(), take.clone());
             tokio::spawn(async move {
                 if let Err(f) = read(tcp, &take).await {
@@ -70,12 +105,69 @@
             });
         }
     }
+
+    fn ends(&self, addr: &SocketAddr, queue: &Queue) -> bool {
+        let mut outs = self.outs.lock().unwrap();
+        queue.is_empty() && outs.remove(addr).is_some()
+    }
+
+    async fn reach(&self, addr: SocketAddr) -> Option<TcpStream> {
+        let _permit = self.reaches.acquire().await.ok()?;
+        let tcp = tokio::time::timeout(REACH, TcpStream::connect(addr)).await.ok()?.ok()?;
+        let _ = tcp.set_nodelay(true);
+        drop_when_silent(&tcp);
+        Some(tcp)
+    }
+
+    async fn write(self: Arc<Links>, addr: SocketAddr, queue: Arc<Queue>) {
+        let (mut tcp, mut again): (Option<TcpStream>, Duration) = (None, AGAIN);
+        loop {
+            if queue.is_empty() {
+                let idle = tokio::time::timeout(IDLE, queue.bell.notified()).await.is_err();
+                if idle && self.ends(&addr, &queue) {
+                    return;
+                }
+                continue;
+            }
+            if tcp.as_ref().is_some_and(closed) {
+                tcp = None;
+            }
+            if tcp.is_none() {
+                tcp = self.reach(addr).await;
+            }
+            let Some(t) = &mut tcp else {
+                tokio::time::sleep(again).await;
+                again = (again * 2).min(AGAIN_MOST);
+                continue;
+            };
+            again = AGAIN;
+            let (next, old) = queue.next(BootClock.now());
+            self.lost.fetch_add(old, Ordering::Relaxed);
+            let Some(raw) = next else { continue };
+            if !matches!(tokio::time::timeout(WRITE, t.write_all(&raw)).await, Ok(Ok(()))) {
+                self.lost.fetch_add(1, Ordering::Relaxed);
+                tcp = None;
+            }
+        }
+    }
+}
+
+fn drop_when_silent(tcp: &TcpStream) {
+    let ms = SILENT_MS;
+    let size = std::mem::size_of_val(&ms) as libc::socklen_t;
+    let at = (&raw const ms).cast();
+    let rc =
+        unsafe { libc::setsockopt(tcp.as_raw_fd(), libc::IPPROTO_TCP, libc::TCP_USER_TIMEOUT, at, size) };
+    if rc != 0 {
+        log::warn!(event = "no-user-timeout", fault = std::io::Error::last_os_error().to_string(); "");
+    }
 }
 
 async fn read(mut tcp: TcpStream, take: &Take) -> Result<(), crate::kernel::fault::Fault> {
     loop {
         let mut head = [0u8; wire::HEAD];
-        if tcp.read_exact(&mut head).await.is_err() {
+        let came = tokio::time::timeout(UNHEARD, tcp.read_exact(&mut head)).await;
+        if !matches!(came, Ok(Ok(_))) {
             return Ok(());
         }
         let len = wire::size(&head, wire::NET_MAX)?;
@@ -87,27 +179,6 @@
     }
 }
 
-async fn write(addr: SocketAddr, mut rx: mpsc::Receiver<Vec<u8>>) {
-    let mut tcp: Option<TcpStream> = None;
-    while let Some(raw) = rx.recv().await {
-        if tcp.as_ref().is_some_and(closed) {
-            tcp = None;
-        }
-        if tcp.is_none() {
-            let Ok(Ok(new)) = tokio::time::timeout(REACH, TcpStream::connect(addr)).await else {
-                while rx.try_recv().is_ok() {}
-                continue;
-            };
-            let _ = new.set_nodelay(true);
-            tcp = Some(new);
-        }
-        let Some(t) = &mut tcp else { continue };
-        if !matches!(tokio::time::timeout(WRITE, t.write_all(&raw)).await, Ok(Ok(()))) {
-            tcp = None;
-        }
-    }
-}
-
 fn closed(tcp: &TcpStream) -> bool {
     let mut one = [0u8; 1];
     matches!(tcp.try_read(&mut one), Ok(0))
