--- a/src/chain/desk.rs
+++ b/src/chain/desk.rs
@@ -7,6 +7,7 @@
 use crate::kernel::rand::hash;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
+use crate::news::askers::Source;
 use crate::seam::OperatorSide;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -24,6 +25,7 @@
     sent: BTreeMap<ChangeId, Time>,
     trying: Option<Time>,
     pub(super) foreign: Foreign,
+    pub(super) source: Source,
 }
 
 impl Desk {
@@ -227,7 +229,10 @@
                 }
                 self.settle(kit);
             }
-            Event::Tick => self.settle(kit),
+            Event::Tick => {
+                self.settle(kit);
+                self.push(kit);
+            }
             _ => {}
         }
     }
--- a/src/chain/tell.rs
+++ b/src/chain/tell.rs
@@ -2,7 +2,6 @@
 use crate::fleet::state::Scope;
 use crate::kernel::ids::*;
 use crate::kernel::part::Kit;
-use crate::kernel::time::Span;
 use crate::msg::*;
 
 impl Desk {
@@ -11,13 +10,16 @@
             let view = kit.views.view.clone();
             return kit.send(from, Msg::NewsNo { nonce, view });
         }
-        let state = &kit.views.state;
-        let items = have.iter().map(|(scope, old)| {
-            let at = state.scope_at(scope);
-            let slice = (at > *old || *old == Version(0)).then(|| state.slice(scope));
-            NewsItem { scope: scope.clone(), at, age: Span(0), slice }
-        });
-        let items = items.collect();
+        let items = self.source.answer(from, have, &kit.views.state, kit.now);
         kit.send(from, Msg::NewsTell { nonce, items });
     }
+
+    pub(super) fn push(&mut self, kit: &mut Kit) {
+        if kit.now >= kit.views.post.until {
+            return self.source.clear();
+        }
+        for (to, items) in self.source.pushes(&kit.views.state, kit.now) {
+            kit.send(to, Msg::NewsPush { items });
+        }
+    }
 }
--- a/src/daemon/assemble.rs
+++ b/src/daemon/assemble.rs
@@ -5,7 +5,7 @@
 use crate::kernel::node::Node;
 use crate::kernel::part::Me;
 use crate::kernel::rand::Rand;
-use crate::kernel::time::Time;
+use crate::kernel::time::{Span, Time};
 use crate::msg::{Record, Role};
 use crate::news::News;
 use crate::placement::Placement;
@@ -23,6 +23,7 @@
     pub core: usize,
     pub bear: usize,
     pub first: bool,
+    pub proof: Span,
     pub policy: Policy,
     pub sides: Sides,
 }
@@ -46,6 +47,7 @@
         core: place.core,
         bear: place.bear,
         first: place.first,
+        proof: place.proof,
         started: now,
     }
 }
--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -21,12 +21,15 @@
     pub data: Option<PathBuf>,
     pub drain_ms: u64,
     pub lame_ms: u64,
+    pub proof_ms: u64,
     pub sides: Sides,
     pub lean: bool,
 }
 
-const KEYS: [&str; 11] =
-    ["address", "admin", "http", "domain", "seeds", "core", "bear", "first", "data", "drain_ms", "lame_ms"];
+const KEYS: [&str; 12] = [
+    "address", "admin", "http", "domain", "seeds", "core", "bear", "first", "data", "drain_ms", "lame_ms",
+    "proof_ms",
+];
 
 const WORD: &str = "I-KNOW-THE-OTHERS-ARE-LOST";
 
@@ -43,6 +46,7 @@
   --data DIR          its data folder (controller only)
   --drain-ms N        how long it may finish streams after a warning (default 8000)
   --lame-ms N         after a warning, how long it goes on taking orders (default 0)
+  --proof-ms N        how long a router serves after its last proof that it knows the newest (default 2000)
   --check             check the settings, print the faults and end
   --inspect           tell what this controller's data folder holds and end
   --restore-as-only I-KNOW-THE-OTHERS-ARE-LOST
@@ -89,7 +93,7 @@
         let Some(got) = got else { continue };
         let value = match key {
             "seeds" => Tree::List(got.split(',').map(Tree::from).collect()),
-            "core" | "bear" | "drain_ms" | "lame_ms" => {
+            "core" | "bear" | "drain_ms" | "lame_ms" | "proof_ms" => {
                 got.parse::<u64>().map_or(Tree::Text(got), Tree::from)
             }
             "first" => got.parse::<bool>().map_or(Tree::Text(got), Tree::Bool),
@@ -194,6 +198,7 @@
     };
     let lame_ms = r.num("lame_ms", Some(0), 0, 600_000);
     let drain_ms = r.num("drain_ms", Some(8000), 0, 600_000);
+    let proof_ms = r.num("proof_ms", Some(2000), 1000, 60_000);
     if let (Some(a), Some(b)) = (addr, admin)
         && (a == b || http == Some(a) || http == Some(b))
     {
@@ -217,6 +222,7 @@
                 data,
                 drain_ms,
                 lame_ms,
+                proof_ms,
                 sides,
                 lean,
             })
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -78,6 +78,7 @@
         core: c.core,
         bear: c.bear,
         first: c.first,
+        proof: Span::ms(c.proof_ms),
         policy: super::assemble::Policy::Move,
         sides: c.sides.clone(),
     }
@@ -99,8 +100,8 @@
     let services = Arc::new(Registry::default());
     let links = Links::new(tokio::runtime::Handle::current());
     let table = Arc::new(match c.sides.runner.plain_reports() {
-        true => Table::new(c.domain.clone()),
-        false => Table::bare(c.domain.clone()),
+        true => Table::new(c.domain.clone(), Span::ms(c.proof_ms)),
+        false => Table::bare(c.domain.clone(), Span::ms(c.proof_ms)),
     });
     services.add(links.clone());
     services.add(table.clone());
--- a/src/fleet/slice.rs
+++ b/src/fleet/slice.rs
@@ -52,7 +52,7 @@
             Scope::Routes => Slice::Routes(route_rows(&self.config)),
             Scope::Trial => Slice::Trial(self.trial.clone()),
             Scope::Duty => Slice::Duty(Box::new(DutySlice {
-                config: self.config.clone(),
+                config: FleetConfig { source: String::new(), ..self.config.clone() },
                 duty: self.duty.clone(),
                 runners: self.runners.clone(),
                 moves: self.moves.iter().filter(|m| m.live() || self.planned(m.id)).cloned().collect(),
--- a/src/gate/core.rs
+++ b/src/gate/core.rs
@@ -24,6 +24,7 @@
     pub domain: Name,
     pub at: Version,
     pub slice: Option<Arc<ServiceSlice>>,
+    pub proof: Span,
     pub proven: Time,
     pub routes_proven: Time,
     pub routes: (Version, Arc<RouteTable>),
@@ -52,6 +53,7 @@
             domain,
             at: Version(0),
             slice: None,
+            proof: FRESH,
             proven: Time(0),
             routes_proven: Time(0),
             routes: Default::default(),
@@ -75,7 +77,9 @@
     }
 
     pub fn is_fresh(&self, now: Time) -> bool {
-        self.slice.is_some() && now.since(self.proven) < FRESH && now.since(self.routes_proven) < FRESH
+        self.slice.is_some()
+            && now.since(self.proven) < self.proof
+            && now.since(self.routes_proven) < self.proof
     }
 
     pub fn count(&mut self, what: &'static str) {
--- a/src/gate/table.rs
+++ b/src/gate/table.rs
@@ -6,15 +6,15 @@
 use crate::fleet::state::{Candidate, Scope};
 use crate::kernel::ids::*;
 use crate::kernel::registry::Service;
-use crate::kernel::time::Time;
+use crate::kernel::time::{Span, Time};
 use crate::msg::RouterTell;
-use crate::news::reader::FRESH;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, RwLock};
 
 pub struct Table {
     pub domain: Name,
     pub(super) bare_plain: bool,
+    pub proof: Span,
     gates: RwLock<BTreeMap<Name, Arc<Mutex<Gate>>>>,
     routes: RwLock<(Version, Time, Arc<RouteTable>)>,
     trial: Mutex<(Version, Option<Candidate>)>,
@@ -30,10 +30,11 @@
 }
 
 impl Table {
-    pub fn new(domain: Name) -> Table {
+    pub fn new(domain: Name, proof: Span) -> Table {
         Table {
             domain,
             bare_plain: false,
+            proof,
             gates: RwLock::default(),
             routes: RwLock::new((Version(0), Time(0), Arc::default())),
             trial: Mutex::new((Version(0), None)),
@@ -44,8 +45,8 @@
     }
 
     /// A table of gates whose plain services have runners that don't report.
-    pub fn bare(domain: Name) -> Table {
-        Table { bare_plain: true, ..Table::new(domain) }
+    pub fn bare(domain: Name, proof: Span) -> Table {
+        Table { bare_plain: true, ..Table::new(domain, proof) }
     }
 
     pub fn gates(&self) -> Vec<Arc<Mutex<Gate>>> {
@@ -65,6 +66,7 @@
             let mut g = Gate::new(name.clone(), self.domain.clone());
             g.asker = self.asker.lock().unwrap().clone();
             g.bare_plain = self.bare_plain;
+            g.proof = self.proof;
             Arc::new(Mutex::new(g))
         };
         gates.entry(name.clone()).or_insert_with(new).clone()
@@ -108,7 +110,7 @@
 
     pub fn fresh_routes(&self, now: Time) -> Option<(Version, Arc<RouteTable>)> {
         let row = self.routes.read().unwrap();
-        (now.since(row.1) < FRESH).then(|| (row.0, row.2.clone()))
+        (now.since(row.1) < self.proof).then(|| (row.0, row.2.clone()))
     }
 
     pub fn find(&self, now: Time, host: &str, path: &str) -> Option<(Version, Option<RouteRow>)> {
--- a/src/kernel/part.rs
+++ b/src/kernel/part.rs
@@ -1,12 +1,13 @@
 use super::ids::*;
 use super::journal::Journal;
 use super::rand::Rand;
-use super::time::Time;
+use super::time::{Span, Time};
 use crate::chain::view::View;
 use crate::fleet::FleetState;
 use crate::msg::*;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 #[derive(Clone, Debug)]
 pub struct Me {
@@ -20,6 +21,7 @@
     pub core: usize,
     pub bear: usize,
     pub first: bool,
+    pub proof: Span,
     pub started: Time,
 }
 
@@ -50,7 +52,7 @@
 #[derive(Default)]
 pub struct Views {
     pub fleet: FleetId,
-    pub book: Vec<Row>,
+    pub book: Arc<Vec<Row>>,
     pub view: Option<View>,
     pub state: FleetState,
     pub post: Post,
@@ -116,7 +118,9 @@
         if let Note::Post(_) = note {
             return;
         }
-        self.journal.add(self.now, note.clone());
+        if !matches!(note, Note::Book(_)) {
+            self.journal.add(self.now, note.clone());
+        }
         self.notes.push_back(note);
     }
 
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -133,6 +133,7 @@
         first,
         data,
         drain_ms: (grace * 0.85) as u64,
+        proof_ms: 2000,
         lame_ms: if role == Role::Router { LAME_MS } else { 0 },
         sides,
         lean: true,
--- a/src/sim/setup.rs
+++ b/src/sim/setup.rs
@@ -10,6 +10,7 @@
 use crate::kernel::time::{Span, Time};
 use crate::launch::deployment::Deployment;
 use crate::msg::{self, Op, Role};
+use crate::news::reader::FRESH;
 use crate::standin::stock::Stock;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -34,6 +35,7 @@
                 core: plan.core,
                 bear: 1,
                 first: true,
+                proof: FRESH,
                 policy: plan.policy,
                 sides: Default::default(),
             };
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -57,6 +57,7 @@
     pub turn: Option<u64>,
     pub marks: Option<Vec<(Time, &'static str)>>,
     pub shows: BTreeMap<ChangeId, (usize, Time)>,
+    pub cost: Option<Box<super::cost::Cost>>,
 }
 
 impl World {
@@ -84,6 +85,7 @@
             turn: None,
             marks: None,
             shows: BTreeMap::new(),
+            cost: None,
         }
     }
 
@@ -158,7 +160,10 @@
     pub fn act(&mut self, ev: Event) {
         match ev {
             Event::Tick { place, life } => self.tick(place, life),
-            Event::Letter { to, letter } => self.letter(to, *letter),
+            Event::Letter { to, letter } => {
+                let place = self.nodes.iter().position(|n| n.place.addr == to).unwrap_or(0);
+                self.timed(place, |w| w.letter(to, *letter));
+            }
             Event::Looked { place, life, runner } => self.look(place, life, &runner),
             Event::Synced { place, life, upto } => self.synced(place, life, upto),
             Event::Reported { place, life, runner, report } => self.reported(place, life, runner, report),
