Hollow fleet: many nodes' own parts in one process, measured by role

Real membership, news, chain, rollout and placement; letters are packed and unpacked as on the wire; simulated time, links, zones and regions; processor time is the thread's own, state is what a node's own work allocated and did not free. A tick comes 50 times a second; the daemons tick after each batch of letters too, so their processor time is higher.

--- a/src/bin/spindledock-fleet.rs
+++ b/src/bin/spindledock-fleet.rs
@@ -1,8 +1,12 @@
+use spindledock::hollow;
 use spindledock::launch::deployment::by_name;
 use spindledock::launch::procs::Fleet;
 use spindledock::launch::trial::Trial;
 use std::time::Duration;
 
+#[global_allocator]
+static HEAP: hollow::heap::Counting = hollow::heap::Counting;
+
 const HELP: &str = "\
 spindledock-fleet: start a whole fleet on this machine for tests and trials
   --deployment vanua|quebec|small   (default vanua)
@@ -87,12 +91,33 @@
     Ok(())
 }
 
+fn hollow_run(nodes: usize, mut args: pico_args::Arguments) -> Result<(), String> {
+    let size = hollow::flags::read(nodes, &mut args)?;
+    let rest = args.finish();
+    if !rest.is_empty() {
+        return Err(format!("{rest:?} is not known; see --help"));
+    }
+    let w = hollow::Hollow::new(size);
+    hollow::flags::guard(w.doing.clone(), &w.size);
+    let w = hollow::play(w, &mut |line| println!("{line}"));
+    w.over.map_or(Ok(()), Err)
+}
+
 fn main() -> std::process::ExitCode {
     let mut args = pico_args::Arguments::from_env();
     if args.contains(["-h", "--help"]) {
-        println!("{HELP}");
+        println!("{HELP}\n{}", hollow::flags::HELP);
         return 0.into();
     }
+    if let Ok(Some(nodes)) = args.opt_value_from_str("--hollow") {
+        return match hollow_run(nodes, args) {
+            Ok(()) => 0.into(),
+            Err(why) => {
+                eprintln!("spindledock-fleet: {why}");
+                1.into()
+            }
+        };
+    }
     let rt = tokio::runtime::Runtime::new().expect("threads");
     match rt.block_on(run(args)) {
         Ok(()) => 0.into(),
--- /dev/null
+++ b/src/hollow/mod.rs
@@ -0,0 +1,14 @@
+pub mod days;
+pub mod doing;
+pub mod flags;
+pub mod heap;
+pub mod judge;
+pub mod meter;
+pub mod node;
+pub mod page;
+pub mod runners;
+pub mod size;
+pub mod world;
+pub use days::{play, run};
+pub use size::Size;
+pub use world::Hollow;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod daemon;
 pub mod fleet;
 pub mod gate;
+pub mod hollow;
 pub mod http;
 pub mod json;
 pub mod kernel;
--- /dev/null
+++ b/tests/hollow.rs
@@ -0,0 +1,80 @@
+use spindledock::hollow::{Hollow, Size, run};
+use spindledock::kernel::time::Span;
+
+fn few() -> Size {
+    Size {
+        adapters: 40,
+        models: 20,
+        rest_s: 3,
+        changes: 1,
+        gap_s: 4,
+        losses: 2,
+        replaced: 4,
+        zone_s: 8,
+        cut_s: 8,
+        wall_s: 300,
+        ..Size::of(12)
+    }
+}
+
+fn told(size: Size) -> (Hollow, Vec<String>) {
+    let mut rows = Vec::new();
+    let w = run(size, &mut |line| rows.push(line));
+    (w, rows)
+}
+
+fn figures(rows: &[String]) -> Vec<String> {
+    let judged = |r: &&String| r.trim_start().starts_with("losses known") || r.starts_with("  change");
+    rows.iter().filter(judged).cloned().collect()
+}
+
+#[test]
+fn given_a_small_hollow_fleet_when_everything_happens_to_it_then_it_is_whole_at_the_end() {
+    let (w, rows) = told(few());
+    let all = rows.join("\n");
+    assert!(w.over.is_none(), "{all}");
+    assert!(w.whole(), "{all}");
+    assert!(!all.contains("never"), "{all}");
+    assert!(!all.contains("not within"), "{all}");
+    assert_eq!(w.judge.losses.len(), 0, "every loss was known everywhere\n{all}");
+    for role in ["head", "tail", "holder", "router"] {
+        assert!(all.contains(&format!("\n  {role} ")), "{role} has a row\n{all}");
+    }
+}
+
+#[test]
+fn given_one_seed_when_it_is_run_twice_then_the_judgements_are_the_same() {
+    let (a, b) = (told(few()).1, told(few()).1);
+    assert!(!figures(&a).is_empty());
+    assert_eq!(figures(&a), figures(&b));
+    let other = told(Size { seed: 2, ..few() }).1;
+    assert_ne!(figures(&a), figures(&other), "another seed is another run");
+}
+
+#[test]
+fn given_a_change_when_it_is_answered_then_routers_told_of_it_hold_that_version() {
+    let mut w = told(Size { losses: 0, replaced: 0, zone_s: 0, cut_s: 0, ..few() }).0;
+    let top = w.top();
+    assert!(top.0 > 0 && w.in_force(top));
+    assert!(!w.in_force(top.next()), "nobody holds a version that was never decided");
+    w.run_for(Span::ms(1000));
+    assert!(w.whole());
+}
+
+#[test]
+fn given_a_dead_router_when_the_rest_hears_nothing_then_its_loss_is_known_and_not_before() {
+    let mut w = told(Size { losses: 0, replaced: 0, zone_s: 0, cut_s: 0, ..few() }).0;
+    w.lose(w.size.nodes - 1);
+    w.run_for(Span::ms(500));
+    assert_eq!(w.judge.losses.len(), 1, "half a second of quiet is no loss yet");
+    w.run_for(Span::ms(10_000));
+    assert_eq!((w.judge.losses.len(), w.judge.known.len()), (0, 1));
+    assert!(w.judge.known[0] >= Span::ms(500));
+}
+
+#[test]
+fn given_a_run_without_time_left_when_it_goes_on_then_it_says_so_and_ends() {
+    let (w, rows) = told(Size { wall_s: 0, ..few() });
+    assert!(w.over.is_some());
+    assert!(rows.last().is_some_and(|r| r.starts_with("ended early")), "{rows:?}");
+}
