Hollow fleet: sizes and adapters as lists, slopes with a range, and what the chain did in a cut

Cause: one size tells no slope; and a cut that left every router refusing had no trace in the output. A wanted adapter is now wanted together with its model, as routers tell it. At the end of a cut: each controller's view and bids. Excluded: a fit with a constant part; four points don't carry three unknowns, so the last two sizes bound it. Before: a wanted adapter was never held unless its model happened to be.

--- a/src/bin/spindledock-fleet.rs
+++ b/src/bin/spindledock-fleet.rs
@@ -91,16 +91,24 @@
     Ok(())
 }
 
-fn hollow_run(nodes: usize, mut args: pico_args::Arguments) -> Result<(), String> {
-    let size = hollow::flags::read(nodes, &mut args)?;
+fn hollow_run(nodes: &str, mut args: pico_args::Arguments) -> Result<(), String> {
+    let sweep = hollow::flags::sweep(nodes, &mut args)?;
     let rest = args.finish();
     if !rest.is_empty() {
         return Err(format!("{rest:?} is not known; see --help"));
     }
-    let w = hollow::Hollow::new(size);
-    hollow::flags::guard(w.doing.clone(), &w.size);
-    let w = hollow::play(w, &mut |line| println!("{line}"));
-    w.over.map_or(Ok(()), Err)
+    let (mut rows, mut over) = (Vec::new(), None);
+    for (x, size) in sweep.sizes {
+        let w = hollow::Hollow::new(size);
+        hollow::flags::guard(w.doing.clone(), &w.size);
+        let w = hollow::play(w, &mut |line| println!("{line}"));
+        over = over.or(w.over);
+        rows.push((x, w.rest));
+    }
+    if rows.len() > 1 {
+        println!("{}", hollow::fit::table(&rows, sweep.aim));
+    }
+    over.map_or(Ok(()), Err)
 }
 
 fn main() -> std::process::ExitCode {
@@ -109,8 +117,8 @@
         println!("{HELP}\n{}", hollow::flags::HELP);
         return 0.into();
     }
-    if let Ok(Some(nodes)) = args.opt_value_from_str("--hollow") {
-        return match hollow_run(nodes, args) {
+    if let Ok(Some(nodes)) = args.opt_value_from_str::<_, String>("--hollow") {
+        return match hollow_run(&nodes, args) {
             Ok(()) => 0.into(),
             Err(why) => {
                 eprintln!("spindledock-fleet: {why}");
--- a/src/hollow/days.rs
+++ b/src/hollow/days.rs
@@ -54,7 +54,11 @@
             rows.extend(self.role(k).into_iter().map(|r| (r, spent)));
         }
         let took = self.began.elapsed() - wall;
-        say(page::phase(name, span, took, &lines(&rows, span)));
+        let rows = lines(&rows, span);
+        say(page::phase(name, span, took, &rows));
+        if name == "rest" {
+            self.rest = rows;
+        }
         say(page::judged(&self.judge, span, self.size.nodes - self.size.core));
     }
 
@@ -195,6 +199,7 @@
             "  the other regions serve and place after {text}; {stale} of {} routers refuse at the end",
             cut.len()
         ));
+        say(self.core_line(began));
         self.cut.clear();
         self.mended("healed", Span::ms(60_000), say);
     }
--- a/src/hollow/flags.rs
+++ b/src/hollow/flags.rs
@@ -2,16 +2,50 @@
 use super::size::Size;
 use std::time::Duration;
 
+pub struct Sweep {
+    pub sizes: Vec<(f64, Size)>,
+    pub aim: f64,
+}
+
+fn list(text: &str) -> Result<Vec<u64>, String> {
+    let bad = |t: &str| format!("\"{t}\" is no whole number; see --help");
+    text.split(',').map(|t| t.trim().parse().map_err(|_| bad(t))).collect()
+}
+
+pub fn sweep(nodes: &str, args: &mut pico_args::Arguments) -> Result<Sweep, String> {
+    let told = |e: pico_args::Error| format!("{e}; see --help");
+    let aim: u64 = args.opt_value_from_str("--aim").map_err(told)?.unwrap_or(410);
+    let far: u64 = args.opt_value_from_str("--aim-adapters").map_err(told)?.unwrap_or(86_000);
+    let adapters: Option<String> = args.opt_value_from_str("--adapters").map_err(told)?;
+    let adapters = list(&adapters.unwrap_or("86000".into()))?;
+    let nodes = list(nodes)?;
+    let mut sizes = Vec::new();
+    for n in &nodes {
+        let size = read(*n as usize, &mut args.clone())?;
+        for a in &adapters {
+            let x = if adapters.len() > 1 { *a } else { *n };
+            sizes.push((x as f64, Size { adapters: *a as usize, ..size.clone() }));
+        }
+    }
+    if nodes.len() > 1 && adapters.len() > 1 {
+        return Err("give a list of nodes or of adapters, not both".into());
+    }
+    read(nodes[0] as usize, args)?;
+    Ok(Sweep { sizes, aim: if adapters.len() > 1 { far as f64 } else { aim as f64 } })
+}
+
 pub const HELP: &str = "\
   --hollow N     instead: N nodes' own state machines in one process, no traffic, simulated time;
                  for each role messages, bytes, processor time, state, and how long things take.
+                 N may be a list (10,30,100,300): then also slopes and what they lead to at --aim N
+                 (or --adapters as a list at one N, with --aim-adapters N).
                  With it: --controllers N, --zones N, --regions N, --runners N, --models N,
                  --adapters N, --loads PER_HOUR, --seed N, --rest SECONDS, --changes N,
                  --gap SECONDS, --losses N, --replaced N, --pack MS, --zone-lost SECONDS,
                  --cut SECONDS (0 leaves that part out), --link MBIT, --wall SECONDS, --memory MB,
                  --charge PERCENT (a node has so much of a core; 0: its time is not counted)";
 
-pub fn read(nodes: usize, args: &mut pico_args::Arguments) -> Result<Size, String> {
+fn read(nodes: usize, args: &mut pico_args::Arguments) -> Result<Size, String> {
     let mut s = Size::of(nodes.clamp(6, 2000));
     let mut one = |key: &'static str, to: &mut u64| -> Result<(), String> {
         let told = |e: pico_args::Error| format!("{e}; see --help");
@@ -20,13 +54,12 @@
         }
         Ok(())
     };
-    let rows: [(&'static str, &mut usize); 8] = [
+    let rows: [(&'static str, &mut usize); 7] = [
         ("--controllers", &mut s.core),
         ("--zones", &mut s.zones),
         ("--regions", &mut s.regions),
         ("--runners", &mut s.runners),
         ("--models", &mut s.models),
-        ("--adapters", &mut s.adapters),
         ("--losses", &mut s.losses),
         ("--replaced", &mut s.replaced),
     ];
--- a/src/hollow/judge.rs
+++ b/src/hollow/judge.rs
@@ -89,6 +89,18 @@
         self.all_fresh() && self.core_whole() && self.in_force(self.top()) && self.may_order()
     }
 
+    pub fn core_line(&self, since: Time) -> String {
+        let row = |(k, n): (usize, &Node)| {
+            let view =
+                n.views.view.as_ref().map_or("no view".into(), |v| format!("{} of {}", v.no, v.chain.len()));
+            let bids = n.journal.since(0).filter(|r| r.1 >= since);
+            let bids = bids.filter(|r| r.2.text().is_some_and(|(what, _)| what == "bid")).count();
+            format!("z{}: {view} in chain, {bids} bids", self.size.zone(k))
+        };
+        let core = self.up().filter(|(k, _)| self.nodes[*k].role == Role::Controller);
+        format!("  controllers in {}", core.map(row).collect::<Vec<_>>().join("; "))
+    }
+
     pub fn sample(&mut self) {
         let (now, ms) = (self.now, SAMPLE.as_ms());
         let mut j = std::mem::take(&mut self.judge);
--- a/src/hollow/mod.rs
+++ b/src/hollow/mod.rs
@@ -1,5 +1,6 @@
 pub mod days;
 pub mod doing;
+pub mod fit;
 pub mod flags;
 pub mod heap;
 pub mod judge;
--- a/src/hollow/runners.rs
+++ b/src/hollow/runners.rs
@@ -85,6 +85,7 @@
         let live: Vec<usize> = self.live(Role::Router);
         if let Some(k) = live.get(self.rand.below(live.len().max(1) as u64) as usize) {
             let until = self.now + Span::ms(10_000);
+            self.nodes[*k].demand.extend(self.size.base(&name).map(|m| (m, until)));
             self.nodes[*k].demand.push((name.clone(), until));
             self.judge.wants.push((name, self.now));
         }
--- a/src/hollow/size.rs
+++ b/src/hollow/size.rs
@@ -98,6 +98,11 @@
         if k < self.models { Name(format!("m{k:03}")) } else { Name(format!("a{:05}", k - self.models)) }
     }
 
+    pub fn base(&self, name: &Name) -> Option<Name> {
+        let n: usize = name.0.strip_prefix('a')?.parse().ok()?;
+        Some(Name(format!("m{:03}", n % self.models)))
+    }
+
     pub fn latency(&self, a: usize, b: usize) -> Span {
         let (a, b) = (self.zone(a), self.zone(b));
         match (a == b, self.region(a) == self.region(b)) {
--- a/src/hollow/world.rs
+++ b/src/hollow/world.rs
@@ -46,6 +46,7 @@
     pub over: Option<String>,
     pub too_long: u64,
     pub resets: u64,
+    pub rest: Vec<super::meter::Line>,
     steps: u64,
 }
 
@@ -68,6 +69,7 @@
             over: None,
             too_long: 0,
             resets: 0,
+            rest: vec![],
             steps: 0,
             size,
         };
--- a/tests/hollow.rs
+++ b/tests/hollow.rs
@@ -1,3 +1,4 @@
+use spindledock::hollow::fit::fit;
 use spindledock::hollow::{Hollow, Size, run};
 use spindledock::kernel::time::Span;
 
@@ -78,3 +79,15 @@
     assert!(w.over.is_some());
     assert!(rows.last().is_some_and(|r| r.starts_with("ended early")), "{rows:?}");
 }
+
+#[test]
+fn given_figures_of_a_known_law_when_they_are_fitted_then_the_law_and_its_range_come_back() {
+    let rows: Vec<(f64, f64)> = [10.0, 30.0, 100.0, 300.0].iter().map(|n| (*n, 0.5 * n * n)).collect();
+    let f = fit(&rows, 410.0).expect("four sizes");
+    assert!((f.slope - 2.0).abs() < 1e-9 && (f.mid - 84_050.0).abs() < 1e-3, "{f:?}");
+    assert!((f.most - f.least).abs() < 1e-3, "an exact law has no range: {f:?}");
+    let bent = [rows[0], rows[1], rows[2], (300.0, 90_000.0)];
+    let g = fit(&bent, 410.0).expect("four sizes");
+    assert!(g.slope > 2.0 && g.least < 84_051.0 && g.most > g.mid, "{g:?}");
+    assert!(fit(&rows[..1], 410.0).is_none(), "one point is no slope");
+}
