--- a/src/hollow/days.rs
+++ b/src/hollow/days.rs
@@ -71,9 +71,10 @@
         let done = self.until(Span::ms(60_000), &|w| w.answers.contains_key(&id) || w.top() > old);
         let top = self.top();
         let all = if done.is_some() { self.until(Span::ms(60_000), &|w| w.in_force(top)) } else { None };
+        let whole = all.map(|_| self.now.since(asked));
+        self.until(Span::ms(2000), &|w| w.answers.contains_key(&id));
         let status = self.answers.get(&id).map_or(0, |a| a.1);
         let ms = |s: Option<Span>| s.map_or("never".into(), |s| s.to_string());
-        let whole = all.map(|_| self.now.since(asked));
         say(format!(
             "  change: answer {status}, decided after {}, then in force everywhere after {}, in all {}",
             ms(done),
