--- a/src/bin/spindledock-fleet.rs
+++ b/src/bin/spindledock-fleet.rs
@@ -1,8 +1,12 @@
+use spindledock::hollow;
 use spindledock::launch::deployment::by_name;
 use spindledock::launch::procs::Fleet;
 use spindledock::launch::trial::Trial;
 use std::time::Duration;
 
+#[global_allocator]
+static HEAP: hollow::heap::Counting = hollow::heap::Counting;
+
 const HELP: &str = "\
 spindledock-fleet: start a whole fleet on this machine for tests and trials
   --deployment vanua|quebec|small   (default vanua)
@@ -87,12 +91,41 @@
     Ok(())
 }
 
+fn hollow_run(nodes: &str, mut args: pico_args::Arguments) -> Result<(), String> {
+    let sweep = hollow::flags::sweep(nodes, &mut args)?;
+    let rest = args.finish();
+    if !rest.is_empty() {
+        return Err(format!("{rest:?} is not known; see --help"));
+    }
+    let (mut rows, mut over) = (Vec::new(), None);
+    for (x, size) in sweep.sizes {
+        let w = hollow::Hollow::new(size);
+        hollow::flags::guard(w.doing.clone(), &w.size);
+        let w = hollow::play(w, &mut |line| println!("{line}"));
+        over = over.or(w.over);
+        rows.push((x, w.rest));
+    }
+    if rows.len() > 1 {
+        println!("{}", hollow::fit::table(&rows, sweep.aim));
+    }
+    over.map_or(Ok(()), Err)
+}
+
 fn main() -> std::process::ExitCode {
     let mut args = pico_args::Arguments::from_env();
     if args.contains(["-h", "--help"]) {
-        println!("{HELP}");
+        println!("{HELP}\n{}", hollow::flags::HELP);
         return 0.into();
     }
+    if let Ok(Some(nodes)) = args.opt_value_from_str::<_, String>("--hollow") {
+        return match hollow_run(&nodes, args) {
+            Ok(()) => 0.into(),
+            Err(why) => {
+                eprintln!("spindledock-fleet: {why}");
+                1.into()
+            }
+        };
+    }
     let rt = tokio::runtime::Runtime::new().expect("threads");
     match rt.block_on(run(args)) {
         Ok(()) => 0.into(),
