--- a/src/daemon/poll.rs
+++ b/src/daemon/poll.rs
@@ -41,7 +41,7 @@
         tick.tick().await;
         let mut tell = table.tell(clock.now());
         rounds += 1;
-        if rounds % LIVE_EVERY == 0 {
+        if rounds.is_multiple_of(LIVE_EVERY) {
             tell.live = crate::gate::rehearse::live(&table, clock.now(), &seen());
         }
         if let (at, Some(t)) = table.trial() {
--- a/src/hollow/node.rs
+++ b/src/hollow/node.rs
@@ -146,11 +146,7 @@
         let kept = disk.held();
         let ((out, posts, saves), ns) = timed(&mut n.spent, || {
             let out = f(node, now);
-            let mut keeper: Option<Box<dyn Disk>> = Some(Box::new(disk.clone()));
-            let saves = out.iter().any(|e| matches!(e, Effect::Save(_) | Effect::Rewrite(_)));
-            if saves {
-                let _ = keep::keep(&mut keeper, &out);
-            }
+            let saves = keep_all(&mut disk.clone(), &out);
             let posts: Vec<_> = out.iter().filter_map(|e| pack(node, e)).collect();
             (out, posts, saves)
         });
@@ -227,3 +223,24 @@
         Letter { from: node.me.node, to, fleet: node.views.fleet, addr: node.me.addr, msg: msg.clone() };
     Some((addr, wire::pack(&letter)))
 }
+
+fn keep_all(disk: &mut dyn Disk, out: &[Effect]) -> bool {
+    let mut rows = Vec::new();
+    let mut saves = false;
+    for e in out {
+        match e {
+            Effect::Save(r) => rows.push(r.clone()),
+            Effect::Rewrite(all) => {
+                rows.clear();
+                let _ = disk.rewrite(all);
+                saves = true;
+            }
+            _ => {}
+        }
+    }
+    if !rows.is_empty() {
+        let _ = disk.add(&rows);
+        saves = true;
+    }
+    saves
+}
--- a/src/hollow/size.rs
+++ b/src/hollow/size.rs
@@ -2,6 +2,7 @@
 use crate::fleet::runner::Runner;
 use crate::kernel::ids::Name;
 use crate::kernel::time::Span;
+use crate::news::reader::FRESH;
 use std::net::SocketAddr;
 
 #[derive(Clone, Debug)]
@@ -77,6 +78,9 @@
             domain: Name(format!("z{}", self.zone(place))),
             seeds: seeds.collect(),
             core: self.core,
+            bear: (self.core - 1) / 2,
+            first: true,
+            proof: FRESH,
             policy: Policy::Move,
             sides: Default::default(),
         }
