--- a/tests/must_never_too.rs
+++ b/tests/must_never_too.rs
@@ -47,6 +47,9 @@
         w.runners[k].stock.holds.clear();
         w.run_for(Span::ms(400));
     }
+    if differ {
+        w.note(Fact::Told { what: "differs", text: to.to_string() });
+    }
     w.runners[k].differ = differ;
     let from = w.runners[from].card.instance.clone();
     let op =
