Orders to runners leave at once while the disk works; what a save holds back has its own story

Cause: an order was held behind any save under way and left in a burst when a hung disk answered, later than the holder had counted it against the weight store. An order rests on a proof that came by mail, which was itself held until synced, so it depends on no save of this node's.

--- a/src/kernel/hold.rs
+++ b/src/kernel/hold.rs
@@ -90,7 +90,7 @@
 fn apart(e: &Effect, bare: bool) -> bool {
     match e {
         Effect::Answer { .. } | Effect::Ready(_) | Effect::Routers(_) | Effect::Watch(_) => true,
-        Effect::Reset(_) => true,
+        Effect::Reset(_) | Effect::Drive(_) => true,
         Effect::Send { msg: Msg::Op { .. } | Msg::Ask { .. }, .. } => !bare,
         _ => false,
     }
--- /dev/null
+++ b/tests/hold.rs
@@ -0,0 +1,58 @@
+use spindledock::fleet::runner::Runner;
+use spindledock::kernel::hold::{Hold, STUCK};
+use spindledock::kernel::ids::*;
+use spindledock::kernel::time::{Span, Time};
+use spindledock::msg::*;
+
+fn send() -> Effect {
+    Effect::Send { to: NodeId(2), msg: Msg::Chain(ChainMsg::Met) }
+}
+
+fn save() -> Effect {
+    Effect::Save(Record::Ident { node: NodeId(1) })
+}
+
+fn drive(now: Time) -> Effect {
+    let addr = "10.0.0.1:1".parse().expect("an address");
+    let runner = Runner {
+        instance: Name::from("a1"),
+        service: Name::from("assistant"),
+        domain: Name::from("z1"),
+        addr,
+        leaving: false,
+    };
+    let (order, name) = (OrderId(1), Name::from("m00"));
+    Effect::Drive(RunnerOrder { order, term: Term(1), runner, load: true, name, adapter: false, due: now })
+}
+
+#[test]
+fn given_a_save_under_way_when_effects_follow_then_they_wait_in_order_and_orders_to_runners_do_not() {
+    let (mut hold, now) = (Hold::default(), Time(1_000_000));
+    let (out, job) = hold.take(now, vec![send()]);
+    assert!(out.len() == 1 && job.is_none(), "nothing is held without a save");
+    let (out, job) = hold.take(now, vec![save(), send()]);
+    let first = job.expect("a job").no;
+    assert!(out.is_empty());
+    let (out, job) = hold.take(now + Span::ms(20), vec![send(), drive(now)]);
+    assert!(job.is_none() && matches!(out[..], [Effect::Drive(_)]), "{out:?}");
+    let (_, job) = hold.take(now + Span::ms(40), vec![save(), send()]);
+    let second = job.expect("a job").no;
+    assert_eq!(hold.synced(now + Span::ms(60), first).len(), 2);
+    assert_eq!(hold.synced(now + Span::ms(80), second).len(), 1);
+    assert!(!hold.slow(now + Span::ms(80)));
+}
+
+#[test]
+fn given_a_save_that_hangs_when_messages_follow_then_they_are_dropped_until_it_is_synced() {
+    let (mut hold, now) = (Hold::default(), Time(1_000_000));
+    let (_, job) = hold.take(now, vec![save(), send()]);
+    let later = now + STUCK;
+    assert!(hold.stuck(later));
+    let (out, _) = hold.take(later, vec![send(), Effect::Ready(true)]);
+    assert!(matches!(out[..], [Effect::Ready(true)]), "{out:?}");
+    assert_eq!(hold.synced(later, job.expect("a job").no).len(), 1, "only what was sent before it hung");
+    assert!(hold.slow(later) && !hold.stuck(later), "it has to prove itself first");
+    let (_, job) = hold.take(later, vec![save()]);
+    hold.synced(later + Span::ms(5), job.expect("a job").no);
+    assert!(!hold.slow(later + Span::ms(5)));
+}
