--- a/tests/delta.rs
+++ b/tests/delta.rs
@@ -1,4 +1,4 @@
-use spindledock::fleet::config::{Class, Route};
+use spindledock::fleet::config::{Class, Route, RouteKind};
 use spindledock::fleet::slice::{RouteRow, Slice};
 use spindledock::fleet::state::Scope;
 use spindledock::kernel::ids::*;
@@ -18,6 +18,12 @@
         resumable: false,
         due_ms,
         body_kb: 64,
+        kind: RouteKind::Once,
+        tries: 16,
+        aim_ms: 0,
+        gap_ms: 0,
+        sticky: false,
+        split: vec![],
     };
     RouteRow { service: Name::from("s"), route }
 }
