--- a/src/chain/seat.rs
+++ b/src/chain/acceptor.rs
@@ -1,8 +1,8 @@
-use super::bid::BID;
-use super::core::{Chain, LOST};
+use super::core::{Chain, SILENCE_LIMIT};
 use super::view::View;
+use super::view_change::PROPOSAL_TIMEOUT;
+use crate::kernel::component::Context;
 use crate::kernel::ids::*;
-use crate::kernel::part::Kit;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 
@@ -11,7 +11,7 @@
 const LATER: Span = Span::ms(2000);
 
 #[derive(Default)]
-pub struct Seat {
+pub struct Acceptor {
     pub no: ViewNo,
     pub promised: Ballot,
     pub taken: Option<(Ballot, View)>,
@@ -23,8 +23,8 @@
     pub rest: Time,
 }
 
-impl Seat {
-    pub fn recall(&mut self, no: ViewNo, ballot: Ballot, view: Option<View>) {
+impl Acceptor {
+    pub fn restore_record(&mut self, no: ViewNo, ballot: Ballot, view: Option<View>) {
         self.no = no;
         self.promised = self.promised.max(ballot);
         self.top = self.top.max(ballot.round);
@@ -46,7 +46,7 @@
 
     pub fn reset(&mut self, view: &View) {
         let hold = self.hold;
-        *self = Seat { no: view.no.next(), hold, ..Seat::default() };
+        *self = Acceptor { no: view.no.next(), hold, ..Acceptor::default() };
     }
 
     pub fn may_grant(&self, now: Time) -> bool {
@@ -55,7 +55,7 @@
 }
 
 impl Chain {
-    pub fn vote(&mut self, from: NodeId, msg: &ChainMsg, kit: &mut Kit) {
+    pub fn vote(&mut self, from: NodeId, msg: &ChainMsg, ctx: &mut Context) {
         let (no, ballot) = match msg {
             ChainMsg::Prepare { no, ballot, .. } => (*no, *ballot),
             ChainMsg::Accept { ballot, view } => (view.no, *ballot),
@@ -63,69 +63,69 @@
         };
         let Some(view) = self.view.clone() else { return };
         if no <= view.no {
-            return kit.chain(from, ChainMsg::Decide { view });
+            return ctx.chain(from, ChainMsg::ViewDecided { view });
         }
         if no != view.no.next() || !view.voters.contains(&self.ident) {
             return;
         }
         if let ChainMsg::Prepare { lost: Some(lost), quiet, .. } = msg {
-            let heard = self.heard.get(lost).copied().unwrap_or_default();
-            let fine = *lost == self.ident || kit.now.since(heard) < LOST;
+            let heard = self.alive_at.get(lost).copied().unwrap_or_default();
+            let fine = *lost == self.ident || ctx.now.since(heard) < SILENCE_LIMIT;
             if fine && *quiet < LONG_LOST {
                 return;
             }
         }
-        let wait = kit.now < self.seat.hold || self.sits_out(kit.now);
-        if wait && ends_term(msg, &view) {
-            let old = self.seat.later.as_ref().map(|(_, m, _)| ballot_of(m));
+        let wait = ctx.now < self.acceptor.hold || self.in_restart_wait(ctx.now);
+        if wait && ends_lease(msg, &view) {
+            let old = self.acceptor.later.as_ref().map(|(_, m, _)| ballot_of(m));
             if old.is_none_or(|b| b <= ballot) {
-                self.seat.later = Some((from, msg.clone(), kit.now));
+                self.acceptor.later = Some((from, msg.clone(), ctx.now));
             }
             return;
         }
-        self.seat.top = self.seat.top.max(ballot.round);
-        if ballot < self.seat.promised {
-            return kit.chain(from, ChainMsg::Nack { no, ballot: self.seat.promised });
+        self.acceptor.top = self.acceptor.top.max(ballot.round);
+        if ballot < self.acceptor.promised {
+            return ctx.chain(from, ChainMsg::Nack { no, ballot: self.acceptor.promised });
         }
-        self.seat.no = no;
-        self.seat.promised = ballot;
+        self.acceptor.no = no;
+        self.acceptor.promised = ballot;
         match msg {
             ChainMsg::Accept { view, .. } => {
-                kit.save(Record::Accept { ballot, view: view.clone() });
-                self.seat.taken = Some((ballot, view.clone()));
-                self.seat.taken_at = kit.now;
-                kit.chain(from, ChainMsg::Accepted { no, ballot });
+                ctx.save(Record::Accept { ballot, view: view.clone() });
+                self.acceptor.taken = Some((ballot, view.clone()));
+                self.acceptor.taken_at = ctx.now;
+                ctx.chain(from, ChainMsg::Accepted { no, ballot });
             }
             _ => {
-                kit.save(Record::Promise { no, ballot });
-                self.seat.pause = kit.now + PAUSE;
-                let taken = self.seat.taken.clone();
-                kit.chain(from, ChainMsg::Promise { no, ballot, taken });
+                ctx.save(Record::Promise { no, ballot });
+                self.acceptor.pause = ctx.now + PAUSE;
+                let taken = self.acceptor.taken.clone();
+                ctx.chain(from, ChainMsg::Promise { no, ballot, taken });
             }
         }
     }
 
-    pub fn seat_tick(&mut self, kit: &mut Kit) {
-        if kit.now >= self.seat.hold
-            && !self.sits_out(kit.now)
-            && let Some((from, msg, since)) = self.seat.later.take()
-            && kit.now.since(since) < LATER
+    pub fn acceptor_tick(&mut self, ctx: &mut Context) {
+        if ctx.now >= self.acceptor.hold
+            && !self.in_restart_wait(ctx.now)
+            && let Some((from, msg, since)) = self.acceptor.later.take()
+            && ctx.now.since(since) < LATER
         {
-            self.vote(from, &msg, kit);
+            self.vote(from, &msg, ctx);
         }
-        if self.bid.as_ref().is_some_and(|b| kit.now.since(b.since) > BID) {
-            self.bid = None;
+        if self.proposal.as_ref().is_some_and(|b| ctx.now.since(b.since) > PROPOSAL_TIMEOUT) {
+            self.proposal = None;
         }
-        let Some((_, view)) = self.seat.taken.clone() else { return };
-        let wait = Span::ms(500 + kit.rand.below(700));
-        if self.bid.is_none() && kit.now.since(self.seat.taken_at) > wait {
-            self.seat.taken_at = kit.now;
-            self.bid_for(view, None, Span(0), kit);
+        let Some((_, view)) = self.acceptor.taken.clone() else { return };
+        let wait = Span::ms(500 + ctx.rand.below(700));
+        if self.proposal.is_none() && ctx.now.since(self.acceptor.taken_at) > wait {
+            self.acceptor.taken_at = ctx.now;
+            self.propose_view(view, None, Span(0), ctx);
         }
     }
 }
 
-fn ends_term(msg: &ChainMsg, old: &View) -> bool {
+fn ends_lease(msg: &ChainMsg, old: &View) -> bool {
     let ChainMsg::Accept { view, .. } = msg else { return false };
     view.tail() != old.tail() || view.voters != old.voters
 }
--- a/src/chain/foreign.rs
+++ b/src/chain/adoption.rs
@@ -1,11 +1,11 @@
-use super::desk::Desk;
+use super::change_queue::ChangeQueue;
 use super::reply::faults;
 use crate::fleet::FleetConfig;
 use crate::fleet::routes::RouteTable;
 use crate::fleet::slice::route_rows;
 use crate::fleet::state::{Change, StageFigure};
+use crate::kernel::component::Context;
 use crate::kernel::ids::*;
-use crate::kernel::part::Kit;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 use crate::seam::OperatorSide;
@@ -82,70 +82,70 @@
     }
 }
 
-impl Desk {
-    pub fn foreign_op(&mut self, id: ChangeId, op: &Op, kit: &mut Kit) {
+impl ChangeQueue {
+    pub fn foreign_op(&mut self, id: ChangeId, op: &Op, ctx: &mut Context) {
         let Op::Foreign { base, part, text } = op else { return };
         if self.foreign.rows.len() >= INBOX {
             let text = "too many changes wait; this one was not taken, send it again later";
-            return self.end(id, Answer::new(429, "inbox-full", text, 1), kit);
+            return self.end(id, Answer::new(429, "inbox-full", text, 1), ctx);
         }
-        let row = Waiting { id, base: *base, part: *part, text: text.clone(), since: kit.now };
+        let row = Waiting { id, base: *base, part: *part, text: text.clone(), since: ctx.now };
         self.foreign.rows.push(row);
-        self.foreign_work(kit);
+        self.foreign_work(ctx);
     }
 
-    pub fn foreign_work(&mut self, kit: &mut Kit) {
-        if self.foreign.going.is_some_and(|g| kit.now.since(g.1) < AGAIN) {
+    pub fn foreign_work(&mut self, ctx: &mut Context) {
+        if self.foreign.going.is_some_and(|g| ctx.now.since(g.1) < AGAIN) {
             return;
         }
         self.foreign.going = None;
-        let now = kit.views.state.config.revision;
+        let now = ctx.views.state.config.revision;
         let mut n = 0;
         while n < self.foreign.rows.len() {
             let w = &self.foreign.rows[n];
-            if w.base > now && w.base != u64::MAX && kit.now.since(w.since) < EARLY {
+            if w.base > now && w.base != u64::MAX && ctx.now.since(w.since) < EARLY {
                 n += 1;
                 continue;
             }
             let w = self.foreign.rows.remove(n);
-            if self.foreign_try(w, now, kit) {
+            if self.foreign_try(w, now, ctx) {
                 return;
             }
         }
     }
 
-    fn foreign_try(&mut self, w: Waiting, now: u64, kit: &mut Kit) -> bool {
+    fn foreign_try(&mut self, w: Waiting, now: u64, ctx: &mut Context) -> bool {
         let Some(side) = self.foreign.side.clone() else {
             let text = "this node takes configurations in the product's own format only";
-            self.end(w.id, Answer::new(400, "bad-order", text, 0), kit);
+            self.end(w.id, Answer::new(400, "bad-order", text, 0), ctx);
             return false;
         };
         if w.base != now && w.base != u64::MAX {
             let text =
                 format!("it builds on {}; the current revision is {now}; read it and send again", w.base);
-            self.end(w.id, Answer::new(409, "stale-base", &text, 0), kit);
+            self.end(w.id, Answer::new(409, "stale-base", &text, 0), ctx);
             return false;
         }
-        let config = match side.read(&kit.views.state.config, &w.text, w.part) {
+        let config = match side.read(&ctx.views.state.config, &w.text, w.part) {
             Ok(c) => c,
             Err(bad) => {
-                kit.say("change-refused", format!("{} {}", w.id, bad[0]));
-                self.end(w.id, faults(&bad), kit);
+                ctx.log_event("change-refused", format!("{} {}", w.id, bad[0]));
+                self.end(w.id, faults(&bad), ctx);
                 return false;
             }
         };
         if config.revision <= now {
             let text = format!("its revision {} is not above the current {now}; raise it", config.revision);
-            self.end(w.id, Answer::new(400, "old-revision", &text, 0), kit);
+            self.end(w.id, Answer::new(400, "old-revision", &text, 0), ctx);
             return false;
         }
-        let stage = self.foreign.rehearse(&config, kit.now);
-        kit.say("change-taken-in", format!("{} revision {} {}", w.id, config.revision, stage.note));
-        self.foreign.going = Some((w.id, kit.now));
+        let stage = self.foreign.rehearse(&config, ctx.now);
+        ctx.log_event("change-taken-in", format!("{} revision {} {}", w.id, config.revision, stage.note));
+        self.foreign.going = Some((w.id, ctx.now));
         self.submit(
             w.id,
             Change::Adopt { id: w.id, base: now, config: Box::new(config), stages: vec![stage] },
-            kit,
+            ctx,
         );
         true
     }
--- a/src/chain/found.rs
+++ b/src/chain/founding.rs
@@ -1,7 +1,7 @@
 use super::core::Chain;
 use super::view::View;
+use crate::kernel::component::Context;
 use crate::kernel::ids::*;
-use crate::kernel::part::Kit;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 use std::collections::BTreeMap;
@@ -31,7 +31,7 @@
 }
 
 impl Chain {
-    pub fn adopt(&mut self, fleet: FleetId, kit: &mut Kit) {
+    pub fn adopt(&mut self, fleet: FleetId, ctx: &mut Context) {
         if fleet == FleetId(0) || self.fleet != FleetId(0) {
             return;
         }
@@ -42,28 +42,28 @@
             }
         }
         self.fleet = fleet;
-        kit.save(Record::Fleet { fleet });
-        kit.note(Note::Fleet(fleet));
-        kit.say("fleet-joined", fleet.to_string());
+        ctx.save(Record::Fleet { fleet });
+        ctx.publish(JournalEvent::Fleet(fleet));
+        ctx.log_event("fleet-joined", fleet.to_string());
     }
 
-    fn seeds_empty(&self, kit: &Kit) -> bool {
+    fn seeds_empty(&self, ctx: &Context) -> bool {
         let seen = |addr: &std::net::SocketAddr| {
-            let Some(row) = kit.views.book.iter().find(|r| r.who.addr == *addr) else { return false };
+            let Some(row) = ctx.views.members.iter().find(|r| r.who.addr == *addr) else { return false };
             let got = self.founder.answers.get(&row.who.node);
-            got.is_some_and(|(empty, at)| *empty && kit.now.since(*at) < Span(STALE.0 * 3))
+            got.is_some_and(|(empty, at)| *empty && ctx.now.since(*at) < Span(STALE.0 * 3))
         };
-        (kit.me.seed || !kit.me.seeds.is_empty()) && kit.me.seeds.iter().all(seen)
+        (ctx.me.seed || !ctx.me.seeds.is_empty()) && ctx.me.seeds.iter().all(seen)
     }
 
-    fn members(&self, kit: &Kit) -> Option<Vec<NodeId>> {
-        let me = kit.me;
+    fn members(&self, ctx: &Context) -> Option<Vec<NodeId>> {
+        let me = ctx.me;
         let seed = |r: &Row| r.who.addr == me.addr || me.seeds.contains(&r.who.addr);
-        let live = kit.views.controllers().filter(|r| r.quiet < LIVE);
+        let live = ctx.views.controllers().filter(|r| r.quiet < LIVE);
         let mut all: Vec<(bool, NodeId)> = live.map(|r| (me.core == 0 && !seed(r), r.who.node)).collect();
         all.sort();
-        let calm = kit.now.since(self.founder.grown.max(me.started)) >= CALM;
-        let whole = all.len() == kit.views.controllers().count();
+        let calm = ctx.now.since(self.founder.grown.max(me.started)) >= CALM;
+        let whole = all.len() == ctx.views.controllers().count();
         if me.core == 0 && !me.seed && !calm {
             return None;
         }
@@ -75,91 +75,98 @@
         let mut all: Vec<NodeId> = all.into_iter().map(|r| r.1).collect();
         let rank = all.iter().position(|n| *n == self.ident)?;
         let turn = Span(TURN.0 * rank as u64);
-        if rank > 0 && (me.core > 0 || kit.now.since(self.founder.grown.max(me.started)) < turn) {
+        if rank > 0 && (me.core > 0 || ctx.now.since(self.founder.grown.max(me.started)) < turn) {
             return None;
         }
         all.swap(0, rank);
         Some(all)
     }
 
-    pub fn found(&mut self, kit: &mut Kit) {
-        let known = kit.views.controllers().count();
+    pub fn found(&mut self, ctx: &mut Context) {
+        let known = ctx.views.controllers().count();
         if known > self.founder.known {
-            self.founder.grown = kit.now;
+            self.founder.grown = ctx.now;
         }
         self.founder.known = known;
         let begun = self.founder.pledge.as_ref().is_some_and(|p| p.0 != FleetId(0));
-        if !kit.me.first && !begun {
+        if !ctx.me.first && !begun {
             return;
         }
-        if self.fleet != FleetId(0) || kit.now.since(self.founder.asked) < Span::ms(300) {
+        if self.fleet != FleetId(0) || ctx.now.since(self.founder.asked) < Span::ms(300) {
             return;
         }
-        self.founder.asked = kit.now;
+        self.founder.asked = ctx.now;
         if let Some((_, members)) = &self.founder.pledge
             && let Some(first) = members.first()
             && *first != self.ident
         {
-            let quiet = kit.now.since(self.founder.heard.max(kit.me.started));
+            let quiet = ctx.now.since(self.founder.heard.max(ctx.me.started));
             if quiet > GIVE_UP {
                 self.founder.pledge = None;
-                kit.save(Record::Pledge { fleet: FleetId(0), members: vec![] });
+                ctx.save(Record::Pledge { fleet: FleetId(0), members: vec![] });
             }
             return;
         }
-        if !self.seeds_empty(kit) {
+        if !self.seeds_empty(ctx) {
             return;
         }
         let (fleet, members) = match &self.founder.pledge {
-            Some((f, m)) if f.0 != 0 && kit.now.since(self.founder.began) < GIVE_UP => (*f, m.clone()),
+            Some((f, m)) if f.0 != 0 && ctx.now.since(self.founder.began) < GIVE_UP => (*f, m.clone()),
             _ => {
-                let Some(all) = self.members(kit) else { return };
-                self.founder.began = kit.now;
+                let Some(all) = self.members(ctx) else { return };
+                self.founder.began = ctx.now;
                 self.founder.pledges.clear();
                 self.founder.pledge = None;
-                (FleetId(kit.rand.next() | 1), all)
+                (FleetId(ctx.rand.next() | 1), all)
             }
         };
         for node in &members {
-            kit.chain(*node, ChainMsg::Pledge { fleet, members: members.clone(), sent: kit.now });
+            ctx.chain(*node, ChainMsg::Pledge { fleet, members: members.clone(), sent: ctx.now });
         }
     }
 
-    pub fn pledge(&mut self, from: NodeId, fleet: FleetId, members: &[NodeId], sent: Time, kit: &mut Kit) {
+    pub fn pledge(
+        &mut self,
+        from: NodeId,
+        fleet: FleetId,
+        members: &[NodeId],
+        sent: Time,
+        ctx: &mut Context,
+    ) {
         let lowest = members.first() == Some(&from) && members.contains(&self.ident);
-        if self.fleet != FleetId(0) || !lowest || !self.seeds_empty(kit) {
+        if self.fleet != FleetId(0) || !lowest || !self.seeds_empty(ctx) {
             return;
         }
         match &self.founder.pledge {
             Some((f, m)) if f.0 != 0 && *f != fleet && !gives_way(m, from, self.ident) => return,
             Some((f, _)) if *f == fleet => {}
             _ => {
-                kit.save(Record::Pledge { fleet, members: members.to_vec() });
+                ctx.save(Record::Pledge { fleet, members: members.to_vec() });
                 self.founder.pledge = Some((fleet, members.to_vec()));
             }
         }
-        self.founder.heard = kit.now;
-        kit.chain(from, ChainMsg::Pledged { fleet, sent });
+        self.founder.heard = ctx.now;
+        ctx.chain(from, ChainMsg::Pledged { fleet, sent });
     }
 
-    pub fn pledged(&mut self, from: NodeId, fleet: FleetId, sent: Time, kit: &mut Kit) {
+    pub fn pledged(&mut self, from: NodeId, fleet: FleetId, sent: Time, ctx: &mut Context) {
         let Some((mine, members)) = self.founder.pledge.clone() else { return };
         if mine != fleet || self.fleet != FleetId(0) || members.first() != Some(&self.ident) {
             return;
         }
         self.founder.pledges.insert(from, sent);
-        let fresh = |n: &NodeId| self.founder.pledges.get(n).is_some_and(|t| kit.now.since(*t) < STALE);
+        let fresh = |n: &NodeId| self.founder.pledges.get(n).is_some_and(|t| ctx.now.since(*t) < STALE);
         if !members.iter().all(fresh) {
             return;
         }
         self.fleet = fleet;
-        kit.save(Record::Fleet { fleet });
-        kit.note(Note::Fleet(fleet));
-        kit.say("founded", fleet.to_string());
-        let view = View::founded(members.clone(), kit.me);
-        self.install(view.clone(), kit);
+        ctx.save(Record::Fleet { fleet });
+        ctx.publish(JournalEvent::Fleet(fleet));
+        ctx.log_event("founded", fleet.to_string());
+        let view = View::founded(members.clone(), ctx.me);
+        self.install(view.clone(), ctx);
         for node in members.iter().filter(|n| **n != self.ident) {
-            kit.chain(*node, ChainMsg::Decide { view: view.clone() });
+            ctx.chain(*node, ChainMsg::ViewDecided { view: view.clone() });
         }
     }
 }
--- /dev/null
+++ b/src/chain/heartbeat.rs
@@ -0,0 +1,95 @@
+use super::core::{Chain, HEARTBEAT_INTERVAL, SILENCE_LIMIT};
+use crate::kernel::component::Context;
+use crate::kernel::ids::*;
+use crate::kernel::time::{Span, Time};
+use crate::msg::*;
+
+const GAP: Span = Span::ms(300);
+pub const ROOM: u64 = 4 << 20;
+
+impl Chain {
+    pub fn tick(&mut self, ctx: &mut Context) {
+        let slept = ctx.now.since(self.ticked) > GAP;
+        self.ticked = ctx.now;
+        self.found(ctx);
+        let Some(view) = self.view.clone() else {
+            return self.join(ctx);
+        };
+        let isolated = !self.hears_majority(ctx.now);
+        if slept || (self.isolated && !isolated) {
+            for node in view.all() {
+                self.mark_alive(node, ctx.now);
+            }
+        }
+        self.isolated = isolated;
+        self.speak(&view.all(), view.no, isolated, ctx);
+        if !isolated {
+            self.renew_lease(ctx);
+        }
+        self.acceptor_tick(ctx);
+        self.repair(ctx);
+        self.join(ctx);
+        self.trim(ctx);
+    }
+
+    fn speak(&mut self, all: &[NodeId], no: ViewNo, isolated: bool, ctx: &mut Context) {
+        if ctx.now.since(self.beat_at) < HEARTBEAT_INTERVAL {
+            return;
+        }
+        self.beat_at = ctx.now;
+        let room = ctx.room >= ROOM;
+        for node in all.iter().filter(|n| **n != self.ident) {
+            ctx.chain(*node, ChainMsg::Heartbeat { view: no, room, isolated });
+        }
+        if !isolated {
+            self.announce(ctx);
+            self.report_progress(ctx);
+        }
+    }
+
+    pub fn beat(&mut self, from: NodeId, no: ViewNo, room: bool, ctx: &mut Context) {
+        self.spare.insert(from, room);
+        let Some(view) = self.view.clone() else { return };
+        if no < view.no {
+            ctx.chain(from, ChainMsg::ViewDecided { view });
+        }
+    }
+
+    pub fn quiet(&self, node: NodeId, now: Time) -> Span {
+        now.since(self.alive_at.get(&node).copied().unwrap_or_default())
+    }
+
+    pub fn mark_alive(&mut self, node: NodeId, now: Time) {
+        self.alive_at.insert(node, now);
+        self.reached_at.insert(node, now);
+    }
+
+    pub fn hears(&self, node: NodeId, now: Time) -> bool {
+        node == self.ident || self.quiet(node, now) < SILENCE_LIMIT
+    }
+
+    pub fn hears_majority(&self, now: Time) -> bool {
+        let Some(view) = &self.view else { return false };
+        let near = |v: &NodeId| self.reached_at.get(v).is_some_and(|t| now.since(*t) < SILENCE_LIMIT);
+        let n = view.voters.iter().filter(|v| **v == self.ident || near(v)).count();
+        n >= view.majority()
+    }
+
+    pub fn lowest(&self) -> Version {
+        match self.view.as_ref().and_then(|v| v.after(self.ident)) {
+            Some(_) => self.chain_synced.min(self.log.last()),
+            None => self.log.last(),
+        }
+    }
+
+    pub fn safe(&self, ctx: &Context) -> bool {
+        let copies = self.view.as_ref().map_or(0, |v| v.chain.len());
+        copies >= ctx.me.need() && self.lowest() >= self.committed
+    }
+
+    pub fn spared(&self, ctx: &Context) -> bool {
+        let Some(view) = &self.view else { return false };
+        let fine = |n: &&NodeId| self.hears(**n, ctx.now) && self.spare.get(*n) == Some(&true);
+        view.chain.iter().filter(|n| **n != self.ident).filter(fine).count() >= ctx.me.need()
+    }
+}
--- a/src/chain/join.rs
+++ b/src/chain/join.rs
@@ -1,8 +1,8 @@
-use super::core::{Chain, LOST};
-use super::log::{Fit, Log};
+use super::core::{Chain, SILENCE_LIMIT};
+use super::replication_log::{Fit, ReplicationLog};
 use crate::fleet::FleetState;
+use crate::kernel::component::Context;
 use crate::kernel::ids::*;
-use crate::kernel::part::Kit;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 use std::collections::BTreeMap;
@@ -31,81 +31,81 @@
 }
 
 impl Chain {
-    pub fn join(&mut self, kit: &mut Kit) {
-        if self.in_chain() || self.fleet == FleetId(0) || kit.now.since(self.joiner.asked) < KNOCK {
+    pub fn join(&mut self, ctx: &mut Context) {
+        if self.in_chain() || self.fleet == FleetId(0) || ctx.now.since(self.joiner.asked) < KNOCK {
             return;
         }
-        if kit.slow {
-            return self.try_disk(kit);
+        if ctx.slow {
+            return self.try_disk(ctx);
         }
-        let Some(view) = kit.views.view.clone() else { return };
-        self.joiner.asked = kit.now;
-        let met = |n: &NodeId| self.joiner.met.get(n).is_some_and(|t| kit.now.since(*t) < LOST);
+        let Some(view) = ctx.views.view.clone() else { return };
+        self.joiner.asked = ctx.now;
+        let met = |n: &NodeId| self.joiner.met.get(n).is_some_and(|t| ctx.now.since(*t) < SILENCE_LIMIT);
         let (tail, all) = (view.tail(), view.chain.iter().all(|n| view.tail() == Some(*n) || met(n)));
         let (have, following) = (self.log.last(), self.joiner.following);
         for node in view.chain.iter().copied().filter(|n| all || Some(*n) != tail) {
-            kit.chain(node, ChainMsg::Join { have, following });
+            ctx.chain(node, ChainMsg::Join { have, following });
         }
         if !all {
-            self.joiner.asked = kit.now - Span(KNOCK.0 - SOON.0);
+            self.joiner.asked = ctx.now - Span(KNOCK.0 - SOON.0);
         }
     }
 
-    fn try_disk(&mut self, kit: &mut Kit) {
-        if kit.now.since(self.joiner.tried) >= TRY {
-            self.joiner.tried = kit.now;
-            kit.save(Record::Ident { node: self.ident });
+    fn try_disk(&mut self, ctx: &mut Context) {
+        if ctx.now.since(self.joiner.tried) >= TRY {
+            self.joiner.tried = ctx.now;
+            ctx.save(Record::Ident { node: self.ident });
         }
     }
 
-    pub fn join_asked(&mut self, from: NodeId, have: Version, following: bool, kit: &mut Kit) {
+    pub fn join_asked(&mut self, from: NodeId, have: Version, following: bool, ctx: &mut Context) {
         let Some(view) = self.view.clone() else { return };
         if !self.is_tail() || view.has(from) {
-            kit.chain(from, ChainMsg::Met);
-            return kit.chain(from, ChainMsg::Decide { view });
+            ctx.chain(from, ChainMsg::JoinHeard);
+            return ctx.chain(from, ChainMsg::ViewDecided { view });
         }
-        if !self.ready || kit.now >= self.tail.until {
+        if !self.ready || ctx.now >= self.lease.until {
             return;
         }
-        let Some(want) = view.with(from, kit.me) else { return };
+        let Some(want) = view.with(from, ctx.me) else { return };
         let rows = if following { self.log.after(have, 64) } else { None };
         let Some(entries) = rows else {
-            let state = Box::new(kit.views.state.clone());
-            return kit.chain(from, ChainMsg::Snapshot { at: self.done, state });
+            let state = Box::new(ctx.views.state.clone());
+            return ctx.chain(from, ChainMsg::Snapshot { at: self.committed, state });
         };
-        let near = have.0 + NEAR >= self.done.0;
-        kit.chain(from, ChainMsg::Follow { entries, done: self.done });
-        if near && self.bid.is_none() && !self.sits_out(kit.now) {
-            self.bid_for(want, None, Span(0), kit);
+        let near = have.0 + NEAR >= self.committed.0;
+        ctx.chain(from, ChainMsg::Follow { entries, done: self.committed });
+        if near && self.proposal.is_none() && !self.in_restart_wait(ctx.now) {
+            self.propose_view(want, None, Span(0), ctx);
         }
     }
 
-    pub fn snapshot(&mut self, from: NodeId, at: Version, state: &FleetState, kit: &mut Kit) {
+    pub fn snapshot(&mut self, from: NodeId, at: Version, state: &FleetState, ctx: &mut Context) {
         let pred = self.view.as_ref().and_then(|v| v.before(self.ident));
-        if self.in_chain() && (pred != Some(from) || at <= self.done) {
+        if self.in_chain() && (pred != Some(from) || at <= self.committed) {
             return;
         }
         if !self.in_chain() && self.joiner.following && at <= self.log.last() {
             return;
         }
-        let tag = kit.views.view.as_ref().map_or(ViewNo(0), |v| v.no);
-        self.log = Log { base: at, tag, rows: Default::default() };
-        self.done = at;
+        let tag = ctx.views.view.as_ref().map_or(ViewNo(0), |v| v.no);
+        self.log = ReplicationLog { base: at, tag, entries: Default::default() };
+        self.committed = at;
         self.joiner.following = true;
         let rows = self.records(state);
-        kit.out.push(Effect::Rewrite(rows));
-        kit.say("snapshot", format!("{at} from {from}"));
-        kit.note(Note::Load(Arc::new(state.clone())));
+        ctx.out.push(Effect::Rewrite(rows));
+        ctx.log_event("snapshot", format!("{at} from {from}"));
+        ctx.publish(JournalEvent::StateLoaded(Arc::new(state.clone())));
     }
 
-    pub fn follow(&mut self, from: NodeId, entries: &[Entry], kit: &mut Kit) {
-        let tail = kit.views.view.as_ref().and_then(|v| v.tail());
+    pub fn follow(&mut self, from: NodeId, entries: &[Entry], ctx: &mut Context) {
+        let tail = ctx.views.view.as_ref().and_then(|v| v.tail());
         if self.in_chain() || !self.joiner.following || tail != Some(from) {
             return;
         }
         for e in entries {
             match self.log.fit(e) {
-                Fit::Next => self.keep(e.clone(), kit),
+                Fit::Next => self.append_entry(e.clone(), ctx),
                 Fit::Known => {}
                 Fit::Gap => break,
                 Fit::Clash => {
@@ -114,7 +114,7 @@
                 }
             }
         }
-        self.fold_to(self.log.last(), kit);
+        self.apply_up_to(self.log.last(), ctx);
         self.joiner.asked = Time(0);
     }
 }
--- /dev/null
+++ b/src/chain/messages.rs
@@ -0,0 +1,68 @@
+//! Messages between controllers, and the records that they keep on disk.
+
+use super::view::View;
+use crate::fleet::FleetState;
+use crate::fleet::state::Change;
+use crate::kernel::ids::*;
+use crate::kernel::time::{Span, Time};
+use crate::membership::messages::Member;
+use bitcode::{Decode, Encode};
+
+/// A change at its place in the chain, and the view in which the head placed it there.
+#[derive(Clone, PartialEq, Debug, Encode, Decode)]
+pub struct Entry {
+    pub at: Version,
+    pub view: ViewNo,
+    pub change: Change,
+}
+
+/// What controllers say to each other about the view, the chain and its lease.
+#[derive(Clone, PartialEq, Debug, Encode, Decode)]
+pub enum ChainMsg {
+    Pledge { fleet: FleetId, members: Vec<NodeId>, sent: Time },
+    Pledged { fleet: FleetId, sent: Time },
+    Append { view: ViewNo, first: bool, upto: Version, entries: Vec<Entry> },
+    Progress { view: ViewNo, synced: Version, committed: Version, chain_synced: Version },
+    Heartbeat { view: ViewNo, room: bool, isolated: bool },
+    Join { have: Version, following: bool },
+    JoinHeard,
+    Snapshot { at: Version, state: Box<FleetState> },
+    Follow { entries: Vec<Entry>, done: Version },
+    Prepare { no: ViewNo, ballot: Ballot, lost: Option<NodeId>, quiet: Span },
+    Promise { no: ViewNo, ballot: Ballot, taken: Option<(Ballot, View)> },
+    Accept { ballot: Ballot, view: View },
+    Accepted { no: ViewNo, ballot: Ballot },
+    Nack { no: ViewNo, ballot: Ballot },
+    ViewDecided { view: View },
+    LeaseRequest { view: ViewNo, sent: Time },
+    LeaseGrant { view: ViewNo, sent: Time },
+}
+
+/// What a controller keeps on its disk.
+#[derive(Clone, PartialEq, Debug, Encode, Decode)]
+pub enum Record {
+    Ident { node: NodeId },
+    Fleet { fleet: FleetId },
+    Pledge { fleet: FleetId, members: Vec<NodeId> },
+    View { view: View },
+    Promise { no: ViewNo, ballot: Ballot },
+    Accept { ballot: Ballot, view: View },
+    Entry { entry: Box<Entry> },
+    Ready { view: ViewNo },
+    Snapshot { at: Version, tag: ViewNo, state: Box<FleetState> },
+    Book { rows: Vec<Member> },
+}
+
+/// What this node is in the chain at this moment, for its other components.
+#[derive(Clone, Copy, PartialEq, Debug, Default)]
+pub struct ChainRole {
+    pub head: bool,
+    pub tail: bool,
+    pub ready: bool,
+    pub copies: usize,
+    pub need: usize,
+    pub safe: bool,
+    pub spare: bool,
+    pub until: Time,
+    pub last: Version,
+}
--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -1,17 +1,23 @@
-pub mod beat;
-pub mod bid;
+//! The replicated control state: a chain of controllers, and the agreement on the view that orders it.
+//!
+//! Changes enter at the head, are synced by each member in turn and are committed when the tail has synced
+//! them. Reads are answered by the tail, under a lease that a majority of the voters grants.
+
+pub mod acceptor;
+pub mod adoption;
+pub mod change_queue;
 pub mod core;
-pub mod desk;
-pub mod foreign;
-pub mod found;
+pub mod founding;
+pub mod heartbeat;
 pub mod join;
-pub mod log;
-pub mod pass;
-pub mod recall;
+pub mod lease;
+pub mod messages;
+pub mod publish;
+pub mod recovery;
+pub mod replicate;
+pub mod replication_log;
 pub mod reply;
-pub mod seat;
 pub mod show;
-pub mod tell;
-pub mod term;
 pub mod view;
+pub mod view_change;
 pub use self::core::Chain;
--- a/src/chain/recall.rs
+++ b/src/chain/recovery.rs
@@ -1,6 +1,6 @@
+use super::acceptor::Acceptor;
 use super::core::Chain;
-use super::log::Log;
-use super::seat::Seat;
+use super::replication_log::ReplicationLog;
 use super::view::View;
 use crate::fleet::FleetState;
 use crate::kernel::ids::*;
@@ -9,21 +9,21 @@
 use std::sync::Arc;
 
 impl Chain {
-    pub fn recall(&mut self, record: Record) {
+    pub fn restore_record(&mut self, record: Record) {
         match record {
             Record::Ident { node } => self.ident = node,
             Record::Fleet { fleet } => self.fleet = fleet,
             Record::Pledge { fleet, members } => self.founder.pledge = Some((fleet, members)),
             Record::View { view } => {
-                self.seat = Seat::default();
+                self.acceptor = Acceptor::default();
                 self.view = Some(view);
             }
-            Record::Promise { no, ballot } => self.seat.recall(no, ballot, None),
-            Record::Accept { ballot, view } => self.seat.recall(view.no, ballot, Some(view)),
-            Record::Entry { entry } => self.log.rows.push_back(*entry),
+            Record::Promise { no, ballot } => self.acceptor.restore_record(no, ballot, None),
+            Record::Accept { ballot, view } => self.acceptor.restore_record(view.no, ballot, Some(view)),
+            Record::Entry { entry } => self.log.entries.push_back(*entry),
             Record::Snapshot { at, tag, state } => {
-                self.log = Log { base: at, tag, rows: Default::default() };
-                self.done = at;
+                self.log = ReplicationLog { base: at, tag, entries: Default::default() };
+                self.committed = at;
                 self.load = Some(Arc::new(*state));
             }
             Record::Ready { view } => self.ready_in = Some(view),
@@ -42,10 +42,10 @@
         if let Some(view) = self.ready_in {
             rows.push(Record::Ready { view });
         }
-        rows.extend(self.seat.records());
+        rows.extend(self.acceptor.records());
         let state = Box::new(state.clone());
         rows.push(Record::Snapshot { at: self.log.base, tag: self.log.tag, state });
-        rows.extend(self.log.rows.iter().map(|e| Record::Entry { entry: Box::new(e.clone()) }));
+        rows.extend(self.log.entries.iter().map(|e| Record::Entry { entry: Box::new(e.clone()) }));
         rows
     }
 }
@@ -63,7 +63,7 @@
 pub fn inspect(records: &[Record]) -> Copy {
     let c = Chain::new(NodeId(0), records.to_vec(), Time(0));
     let mut state = c.load.as_deref().cloned().unwrap_or_default();
-    for e in &c.log.rows {
+    for e in &c.log.entries {
         state.fold(e.at, &e.change);
     }
     Copy { node: c.ident, fleet: c.fleet, view: c.view, synced: c.log.last(), config_at: state.config_at }
@@ -74,7 +74,7 @@
     let old = c.view.clone()?;
     let me = c.ident;
     let no = ViewNo(old.no.0 + LEAP);
-    c.seat = Seat::default();
+    c.acceptor = Acceptor::default();
     c.view = Some(View { no, chain: vec![me], voters: vec![me] });
     c.ready_in = Some(no);
     let state = c.load.as_deref().cloned().unwrap_or_default();
--- a/src/chain/pass.rs
+++ b/src/chain/replicate.rs
@@ -1,59 +1,60 @@
 use super::core::Chain;
-use super::log::Fit;
+use super::replication_log::Fit;
+use crate::kernel::component::Context;
 use crate::kernel::ids::*;
-use crate::kernel::part::Kit;
 use crate::msg::*;
 use std::sync::Arc;
 
 const BATCH: usize = 64;
 
 impl Chain {
-    pub fn submit(&mut self, change: &Shared, kit: &mut Kit) {
+    pub fn submit(&mut self, change: &Shared, ctx: &mut Context) {
         let Some(view) = self.view.clone() else { return };
-        if !self.is_head() || !self.ready || view.chain.len() < kit.me.need() {
+        if !self.is_head() || !self.ready || view.chain.len() < ctx.me.need() {
             return;
         }
         let entry = Entry { at: self.log.last().next(), view: view.no, change: (**change).clone() };
-        self.keep(entry.clone(), kit);
-        self.commit_if_tail(kit);
+        self.append_entry(entry.clone(), ctx);
+        self.commit_if_tail(ctx);
         if let Some(next) = view.after(self.ident) {
             let upto = self.log.last();
-            kit.chain(next, ChainMsg::Append { view: view.no, first: false, upto, entries: vec![entry] });
+            ctx.chain(next, ChainMsg::Append { view: view.no, first: false, upto, entries: vec![entry] });
         }
     }
 
-    pub fn keep(&mut self, entry: Entry, kit: &mut Kit) {
-        kit.save(Record::Entry { entry: Box::new(entry.clone()) });
-        self.log.rows.push_back(entry);
+    pub fn append_entry(&mut self, entry: Entry, ctx: &mut Context) {
+        ctx.save(Record::Entry { entry: Box::new(entry.clone()) });
+        self.log.entries.push_back(entry);
     }
 
-    pub fn greet(&mut self, kit: &mut Kit) {
+    pub fn announce(&mut self, ctx: &mut Context) {
         let Some(view) = &self.view else { return };
         let Some(next) = view.after(self.ident) else { return };
         let upto = self.log.last();
-        kit.chain(next, ChainMsg::Append { view: view.no, first: true, upto, entries: vec![] });
+        ctx.chain(next, ChainMsg::Append { view: view.no, first: true, upto, entries: vec![] });
     }
 
-    pub fn report(&mut self, kit: &mut Kit) {
+    pub fn report_progress(&mut self, ctx: &mut Context) {
         let Some(view) = &self.view else { return };
         let Some(prev) = view.before(self.ident) else { return };
-        let (view, synced, done, low) = (view.no, self.log.last(), self.done, self.lowest());
-        kit.chain(prev, ChainMsg::Have { view, synced, done, low });
+        let (view, synced) = (view.no, self.log.last());
+        let (committed, chain_synced) = (self.committed, self.lowest());
+        ctx.chain(prev, ChainMsg::Progress { view, synced, committed, chain_synced });
     }
 
-    pub fn append(&mut self, from: NodeId, no: ViewNo, upto: Version, rows: &[Entry], kit: &mut Kit) {
+    pub fn append(&mut self, from: NodeId, no: ViewNo, upto: Version, rows: &[Entry], ctx: &mut Context) {
         let Some(view) = self.view.clone() else { return };
         if view.no != no || view.before(self.ident) != Some(from) {
             return;
         }
         for e in rows {
             match self.log.fit(e) {
-                Fit::Next => self.keep(e.clone(), kit),
+                Fit::Next => self.append_entry(e.clone(), ctx),
                 Fit::Known => {}
                 Fit::Gap => break,
                 Fit::Clash => {
                     let why = format!("entry {} differs from the one before it in the chain", e.at);
-                    kit.out.push(Effect::Reset(why));
+                    ctx.out.push(Effect::Reset(why));
                     return;
                 }
             }
@@ -62,63 +63,63 @@
         if !self.ready && last >= upto {
             self.ready = true;
             self.ready_in = Some(no);
-            kit.save(Record::Ready { view: no });
-            kit.say("chain-ready", format!("{last} in {no}"));
+            ctx.save(Record::Ready { view: no });
+            ctx.log_event("chain-ready", format!("{last} in {no}"));
         }
         if let (Some(next), false) = (view.after(self.ident), rows.is_empty()) {
             let entries = rows.to_vec();
-            kit.chain(next, ChainMsg::Append { view: no, first: false, upto: last, entries });
+            ctx.chain(next, ChainMsg::Append { view: no, first: false, upto: last, entries });
         }
-        self.commit_if_tail(kit);
-        self.report(kit);
+        self.commit_if_tail(ctx);
+        self.report_progress(ctx);
     }
 
-    pub fn have(&mut self, from: NodeId, msg: &ChainMsg, kit: &mut Kit) {
-        let ChainMsg::Have { view: no, synced, done, low } = *msg else { return };
+    pub fn have(&mut self, from: NodeId, msg: &ChainMsg, ctx: &mut Context) {
+        let ChainMsg::Progress { view: no, synced, committed, chain_synced } = *msg else { return };
         let Some(view) = self.view.clone() else { return };
         if view.no != no || view.after(self.ident) != Some(from) {
             return;
         }
         if synced > self.log.last() {
             let why = format!("the next in the chain holds {synced}, this node only {}", self.log.last());
-            kit.out.push(Effect::Reset(why));
+            ctx.out.push(Effect::Reset(why));
             return;
         }
-        self.below = synced;
-        self.low = self.low.max(low);
-        self.fold_to(done, kit);
+        self.successor_synced = synced;
+        self.chain_synced = self.chain_synced.max(chain_synced);
+        self.apply_up_to(committed, ctx);
         if synced == self.log.last() {
             return;
         }
         match self.log.after(synced, BATCH) {
             Some(entries) => {
                 let upto = self.log.last();
-                kit.chain(from, ChainMsg::Append { view: no, first: false, upto, entries });
+                ctx.chain(from, ChainMsg::Append { view: no, first: false, upto, entries });
             }
             None => {
-                let at = self.done;
-                let state = Box::new(kit.views.state.clone());
-                kit.chain(from, ChainMsg::Snapshot { at, state });
+                let at = self.committed;
+                let state = Box::new(ctx.views.state.clone());
+                ctx.chain(from, ChainMsg::Snapshot { at, state });
             }
         }
     }
 
-    pub fn commit_if_tail(&mut self, kit: &mut Kit) {
+    pub fn commit_if_tail(&mut self, ctx: &mut Context) {
         if self.is_tail() && self.ready {
-            self.fold_to(self.log.last(), kit);
+            self.apply_up_to(self.log.last(), ctx);
         }
     }
 
-    pub fn fold_to(&mut self, upto: Version, kit: &mut Kit) {
-        let before = self.done;
-        while self.done < upto {
-            let Some(e) = self.log.get(self.done.next()) else { break };
+    pub fn apply_up_to(&mut self, upto: Version, ctx: &mut Context) {
+        let before = self.committed;
+        while self.committed < upto {
+            let Some(e) = self.log.get(self.committed.next()) else { break };
             let (at, change) = (e.at, Arc::new(e.change.clone()));
-            self.done = at;
-            kit.note(Note::Fold { at, change });
+            self.committed = at;
+            ctx.publish(JournalEvent::Committed { at, change });
         }
-        if self.done != before && !self.is_tail() {
-            self.report(kit);
+        if self.committed != before && !self.is_tail() {
+            self.report_progress(ctx);
         }
     }
 }
--- a/src/chain/log.rs
+++ b/src/chain/replication_log.rs
@@ -3,10 +3,11 @@
 use std::collections::VecDeque;
 
 #[derive(Default)]
-pub struct Log {
+/// The entries a member holds, from the one after `base`.
+pub struct ReplicationLog {
     pub base: Version,
     pub tag: ViewNo,
-    pub rows: VecDeque<Entry>,
+    pub entries: VecDeque<Entry>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -17,14 +18,14 @@
     Clash,
 }
 
-impl Log {
+impl ReplicationLog {
     pub fn last(&self) -> Version {
-        self.rows.back().map_or(self.base, |e| e.at)
+        self.entries.back().map_or(self.base, |e| e.at)
     }
 
     pub fn get(&self, at: Version) -> Option<&Entry> {
         let n = at.0.checked_sub(self.base.0 + 1)?;
-        self.rows.get(n as usize)
+        self.entries.get(n as usize)
     }
 
     pub fn fit(&self, e: &Entry) -> Fit {
@@ -45,12 +46,12 @@
             return None;
         }
         let skip = (at.0 - self.base.0) as usize;
-        Some(self.rows.iter().skip(skip).take(most).cloned().collect())
+        Some(self.entries.iter().skip(skip).take(most).cloned().collect())
     }
 
     pub fn trim(&mut self, at: Version) {
-        while self.rows.front().is_some_and(|e| e.at <= at) {
-            if let Some(e) = self.rows.pop_front() {
+        while self.entries.front().is_some_and(|e| e.at <= at) {
+            if let Some(e) = self.entries.pop_front() {
                 self.base = e.at;
                 self.tag = e.view;
             }
--- a/src/chain/show.rs
+++ b/src/chain/show.rs
@@ -1,15 +1,15 @@
-use super::desk::Desk;
+use super::change_queue::ChangeQueue;
 use crate::json::Tree;
 use crate::json::tree::map;
+use crate::kernel::component::{Context, Views};
 use crate::kernel::ids::*;
-use crate::kernel::part::{Kit, Views};
 use crate::msg::{Answer, Msg, Role};
 
-impl Desk {
-    pub fn ask(&mut self, from: NodeId, id: ChangeId, path: &str, kit: &mut Kit) {
-        if kit.now < kit.views.post.until {
-            let answer = answer(path, kit.views);
-            kit.send(from, Msg::OpEnd { id, answer });
+impl ChangeQueue {
+    pub fn ask(&mut self, from: NodeId, id: ChangeId, path: &str, ctx: &mut Context) {
+        if ctx.now < ctx.views.role.until {
+            let answer = answer(path, ctx.views);
+            ctx.send(from, Msg::OpEnd { id, answer });
         }
     }
 }
@@ -81,5 +81,5 @@
             ("quiet_ms", r.quiet.as_ms().into()),
         ])
     };
-    views.book.iter().map(row).collect::<Vec<_>>().into()
+    views.members.iter().map(row).collect::<Vec<_>>().into()
 }
--- a/src/chain/view.rs
+++ b/src/chain/view.rs
@@ -1,5 +1,5 @@
+use crate::kernel::component::Me;
 use crate::kernel::ids::*;
-use crate::kernel::part::Me;
 use bitcode::{Decode, Encode};
 
 #[derive(Clone, PartialEq, Eq, Debug, Encode, Decode)]
@@ -59,7 +59,7 @@
         Some(next)
     }
 
-    pub fn reseated(&self, me: &Me) -> Option<View> {
+    pub fn with_votes_filled(&self, me: &Me) -> Option<View> {
         let mut next = self.next();
         next.fill(me);
         (next.voters != self.voters).then_some(next)
@@ -80,9 +80,9 @@
     fn fill(&mut self, me: &Me) {
         let mut free: Vec<NodeId> =
             self.chain.iter().copied().filter(|n| !self.voters.contains(n)).rev().collect();
-        for seat in &mut self.voters {
-            if !self.chain.contains(seat) && !free.is_empty() {
-                *seat = free.remove(0);
+        for acceptor in &mut self.voters {
+            if !self.chain.contains(acceptor) && !free.is_empty() {
+                *acceptor = free.remove(0);
             }
         }
         let step = if me.core > 0 { 1 } else { 2 };
--- a/src/daemon/assemble.rs
+++ b/src/daemon/assemble.rs
@@ -1,13 +1,13 @@
 use crate::chain::Chain;
-use crate::chain::desk::Desk;
-use crate::colleagues::Colleagues;
+use crate::chain::change_queue::ChangeQueue;
+use crate::distribution::Distribution;
+use crate::kernel::component::Me;
 use crate::kernel::ids::*;
 use crate::kernel::node::Node;
-use crate::kernel::part::Me;
 use crate::kernel::rand::Rand;
 use crate::kernel::time::{Span, Time};
+use crate::membership::Membership;
 use crate::msg::{Record, Role};
-use crate::news::News;
 use crate::placement::Placement;
 use crate::relay::Relay;
 use crate::rollout::Rollout;
@@ -54,9 +54,9 @@
 
 pub fn router(place: &Place, now: Time, mut rand: Box<dyn Rand>) -> Node {
     let mut node = Node::new(me(place, NodeId(rand.next() | 1), Role::Router, now), rand);
-    node.add(Box::new(Colleagues::default()));
+    node.add(Box::new(Membership::default()));
     node.add(Box::new(Relay::default()));
-    node.add(Box::new(News::new(now)));
+    node.add(Box::new(Distribution::new(now)));
     node.add(Box::new(crate::rollout::tell::Teller));
     node.add(Box::new(crate::placement::seeker::Seeker::default()));
     node
@@ -76,9 +76,9 @@
     let first = if known.is_none() { vec![Record::Ident { node: ident }] } else { vec![] };
     let mut node = Node::new(me(place, ident, Role::Controller, now), rand);
     let chain = Chain::new(ident, records, now);
-    node.add(Box::new(Colleagues::default()));
+    node.add(Box::new(Membership::default()));
     node.add(Box::new(chain));
-    node.add(Box::new(Desk::new(place.sides.operator.clone())));
+    node.add(Box::new(ChangeQueue::new(place.sides.operator.clone())));
     node.add(Box::new(Relay::default()));
     node.add(Box::new(Rollout::default()));
     let bare_plain = !place.sides.runner.plain_reports();
--- a/src/daemon/driver.rs
+++ b/src/daemon/driver.rs
@@ -20,7 +20,7 @@
 
 pub enum Input {
     Event(Event),
-    Letter(Box<Letter>),
+    Envelope(Box<Envelope>),
     Ask(ChangeId, Event, oneshot::Sender<Answer>),
     Status(oneshot::Sender<String>),
     Seeds(Vec<SocketAddr>),
@@ -150,7 +150,7 @@
                 match input {
                     Input::Stop => return,
                     Input::Event(ev) => out.extend(r.node.feed(now, ev)),
-                    Input::Letter(l) => out.extend(letter(&mut r.node, now, *l)),
+                    Input::Envelope(l) => out.extend(letter(&mut r.node, now, *l)),
                     Input::Ask(id, ev, tx) => {
                         r.asks.insert(id, tx);
                         out.extend(r.node.feed(now, ev));
@@ -200,7 +200,7 @@
                     r.own.push_back(Event::Mail { from: to, fleet, msg });
                 }
                 Effect::Send { to, msg } => {
-                    if let Some(addr) = r.node.views.card(to).map(|c| c.addr) {
+                    if let Some(addr) = r.node.views.member(to).map(|c| c.addr) {
                         self.post(&r.node, to, addr, msg);
                     }
                 }
@@ -218,7 +218,7 @@
 
     fn post(&self, node: &Node, to: NodeId, addr: SocketAddr, msg: Msg) {
         let (from, fleet) = (node.me.node, node.views.fleet);
-        let letter = Letter { from, to, fleet, addr: node.me.addr, msg };
+        let letter = Envelope { from, to, fleet, addr: node.me.addr, msg };
         self.links.send(addr, wire::pack(&letter));
     }
 }
--- a/src/daemon/keep.rs
+++ b/src/daemon/keep.rs
@@ -3,7 +3,7 @@
 use crate::kernel::time::Span;
 use crate::msg::*;
 
-pub fn letter(node: &mut Node, now: crate::kernel::time::Time, l: Letter) -> Vec<Effect> {
+pub fn letter(node: &mut Node, now: crate::kernel::time::Time, l: Envelope) -> Vec<Effect> {
     let mine = node.views.fleet;
     let other = mine.0 != 0 && l.fleet.0 != 0 && mine != l.fleet;
     if other || (l.to.0 != 0 && l.to != node.me.node) {
@@ -16,8 +16,8 @@
     let at = *shown;
     for (_, _, note) in node.journal.since(at) {
         match note {
-            Note::Text(what, text) => log::info!(event = *what, note = text.clone(); ""),
-            Note::View(v) => log::info!(event = "view-installed", view = v.to_string(); ""),
+            JournalEvent::Text(what, text) => log::info!(event = *what, note = text.clone(); ""),
+            JournalEvent::ViewInstalled(v) => log::info!(event = "view-installed", view = v.to_string(); ""),
             _ => {}
         }
     }
--- a/src/daemon/links.rs
+++ b/src/daemon/links.rs
@@ -1,6 +1,6 @@
 use crate::kernel::registry::Service;
 use crate::kernel::time::{BootClock, Clock, Span, Time};
-use crate::msg::Letter;
+use crate::msg::Envelope;
 use crate::wire;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -65,7 +65,7 @@
     }
 }
 
-pub type Take = Arc<dyn Fn(Letter) + Send + Sync>;
+pub type Take = Arc<dyn Fn(Envelope) + Send + Sync>;
 
 impl Links {
     pub fn new(rt: tokio::runtime::Handle) -> Arc<Links> {
--- a/src/daemon/restore.rs
+++ b/src/daemon/restore.rs
@@ -1,5 +1,5 @@
 use super::config::NodeConfig;
-use crate::chain::recall::{inspect, restore};
+use crate::chain::recovery::{inspect, restore};
 use crate::kernel::disk::{Disk, LogFile};
 use std::process::ExitCode;
 
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -124,7 +124,7 @@
     let thread = std::thread::Builder::new().name("node".into()).spawn(move || driver.run(rx));
     let thread = thread.expect("the machine must let this process start threads");
     let inbox = Mutex::new(tx.clone());
-    let take = Arc::new(move |l: Letter| drop(inbox.lock().unwrap().send(Input::Letter(Box::new(l)))));
+    let take = Arc::new(move |l: Envelope| drop(inbox.lock().unwrap().send(Input::Envelope(Box::new(l)))));
     tokio::spawn(links.clone().listen(links_socket, take));
     let stopping = Arc::new(AtomicBool::new(false));
     let front = Arc::new(Front {
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -3,7 +3,7 @@
 use super::links::Links;
 use super::serve::serve;
 use crate::gate::Table;
-use crate::http::admin::Desk;
+use crate::http::admin::ChangeQueue;
 use crate::http::serve::Front;
 use crate::kernel::time::Time;
 use crate::msg::Role;
@@ -44,7 +44,7 @@
         let _ = writeln!(out, "spindledock_dropped_letters {}", l.lost.load(Ordering::Relaxed));
         out
     };
-    let desk = Arc::new(Desk {
+    let desk = Arc::new(ChangeQueue {
         hand: hand.clone(),
         ready: Box::new(ready),
         metrics: Box::new(metrics),
--- a/src/daemon/writer.rs
+++ b/src/daemon/writer.rs
@@ -11,21 +11,21 @@
 const MOST: usize = 256;
 
 #[derive(Clone)]
-struct Desk {
+struct ChangeQueue {
     disk: Arc<Mutex<Box<dyn Disk>>>,
     life: Arc<AtomicU64>,
     room: Arc<AtomicU64>,
 }
 
 pub struct Writer {
-    desk: Desk,
+    desk: ChangeQueue,
     tx: Sender<(u64, Job)>,
 }
 
 impl Writer {
     pub fn start(disk: Box<dyn Disk>, back: Sender<Input>) -> Writer {
         let room = Arc::new(AtomicU64::new(disk.room()));
-        let desk = Desk { disk: Arc::new(Mutex::new(disk)), life: Arc::default(), room };
+        let desk = ChangeQueue { disk: Arc::new(Mutex::new(disk)), life: Arc::default(), room };
         let (tx, rx) = channel();
         let work = desk.clone();
         let thread = std::thread::Builder::new().name("disk".into()).spawn(move || work.run(rx, back));
@@ -51,7 +51,7 @@
     }
 }
 
-impl Desk {
+impl ChangeQueue {
     fn run(self, rx: Receiver<(u64, Job)>, back: Sender<Input>) {
         loop {
             let first = match rx.recv_timeout(LOOK) {
--- a/src/news/past.rs
+++ b/src/distribution/history.rs
@@ -23,14 +23,14 @@
 }
 
 #[derive(Default)]
-pub struct Past {
+pub struct ChangeHistory {
     pub at: Version,
     pub slice: Option<Arc<Slice>>,
     steps: VecDeque<(Arc<Step>, usize)>,
     size: usize,
 }
 
-impl Past {
+impl ChangeHistory {
     pub fn raise(&mut self, at: Version, slice: Arc<Slice>) {
         let raw = bitcode::encode(&*slice);
         let (from, print) = (self.at, crc32fast::hash(&raw));
--- /dev/null
+++ b/src/distribution/mod.rs
@@ -0,0 +1,10 @@
+//! Distribution of committed state from the tail of the chain, by relay nodes, to all routers.
+
+pub mod delta;
+pub mod history;
+pub mod messages;
+pub mod reader;
+pub mod relay_node;
+pub mod subscribers;
+pub use reader::Reader;
+pub use relay_node::Distribution;
--- a/src/news/reader.rs
+++ b/src/distribution/reader.rs
@@ -1,9 +1,9 @@
-use super::past::{Body, Past};
+use super::history::{Body, ChangeHistory};
 use crate::fleet::slice::Slice;
 use crate::fleet::state::Scope;
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
-use crate::msg::NewsItem;
+use crate::msg::TopicUpdate;
 use std::collections::BTreeMap;
 
 pub const FRESH: Span = Span::ms(2000);
@@ -11,7 +11,7 @@
 
 #[derive(Default)]
 pub struct Topic {
-    pub past: Past,
+    pub history: ChangeHistory,
     pub proven: Option<Time>,
     pub torn: bool,
 }
@@ -32,14 +32,14 @@
 }
 
 impl Topic {
-    fn take(&mut self, item: &NewsItem) -> bool {
+    fn take(&mut self, item: &TopicUpdate) -> bool {
         let done = match &item.body {
             Body::Same => return false,
             Body::Whole(slice) => {
-                self.past.raise(item.at, slice.clone());
+                self.history.raise(item.at, slice.clone());
                 true
             }
-            Body::Steps(steps) => steps.last().is_some_and(|s| s.at == item.at) && self.past.follow(steps),
+            Body::Steps(steps) => steps.last().is_some_and(|s| s.at == item.at) && self.history.follow(steps),
         };
         self.torn = !done;
         done
@@ -61,24 +61,24 @@
     }
 
     pub fn have(&self, scope: &Scope) -> Version {
-        let topic = self.topics.get(scope).filter(|t| t.past.slice.is_some() && !t.torn);
-        topic.map_or(Version(0), |t| t.past.at)
+        let topic = self.topics.get(scope).filter(|t| t.history.slice.is_some() && !t.torn);
+        topic.map_or(Version(0), |t| t.history.at)
     }
 
-    pub fn told(&mut self, nonce: u64, items: &[NewsItem]) -> Vec<Learnt> {
+    pub fn told(&mut self, nonce: u64, items: &[TopicUpdate]) -> Vec<Learnt> {
         let Some(sent) = self.asks.get(&nonce).copied() else { return vec![] };
         let mut out = Vec::new();
         for item in items {
             let proven = sent - item.age;
             let Some(topic) = self.topics.get_mut(&item.scope) else { continue };
-            let at = topic.past.at;
+            let at = topic.history.at;
             if proven < self.started || item.at < at {
                 continue;
             }
             if topic.proven.is_some_and(|p| p >= proven) && item.at == at {
                 continue;
             }
-            let new = item.at > at || topic.past.slice.is_none();
+            let new = item.at > at || topic.history.slice.is_none();
             if new && !topic.take(item) {
                 continue;
             }
@@ -88,12 +88,12 @@
         out
     }
 
-    pub fn pushed(&mut self, items: &[NewsItem]) -> Vec<Learnt> {
+    pub fn pushed(&mut self, items: &[TopicUpdate]) -> Vec<Learnt> {
         let mut out = Vec::new();
         for item in items {
             let Some(topic) = self.topics.get_mut(&item.scope) else { continue };
             let Some(proven) = topic.proven else { continue };
-            if item.at > topic.past.at && topic.take(item) {
+            if item.at > topic.history.at && topic.take(item) {
                 out.push(learnt(item, topic, true, proven));
             }
         }
@@ -106,7 +106,7 @@
     }
 }
 
-fn learnt(item: &NewsItem, topic: &Topic, new: bool, proven: Time) -> Learnt {
-    let slice = topic.past.slice.as_ref().filter(|_| new).map(|s| Slice::clone(s));
-    Learnt { scope: item.scope.clone(), at: topic.past.at, slice, proven }
+fn learnt(item: &TopicUpdate, topic: &Topic, new: bool, proven: Time) -> Learnt {
+    let slice = topic.history.slice.as_ref().filter(|_| new).map(|s| Slice::clone(s));
+    Learnt { scope: item.scope.clone(), at: topic.history.at, slice, proven }
 }
--- a/src/news/home.rs
+++ b/src/distribution/relay_node.rs
@@ -1,13 +1,13 @@
-use super::askers::Askers;
 use super::reader::{Learnt, Reader, Topic};
-use crate::colleagues::part::SUSPECT;
-use crate::colleagues::rendezvous::home;
+use super::subscribers::Subscribers;
 use crate::fleet::slice::Slice;
 use crate::fleet::state::Scope;
+use crate::kernel::component::{Component, Context};
 use crate::kernel::ids::*;
-use crate::kernel::part::{Kit, Part};
 use crate::kernel::rand::mix;
 use crate::kernel::time::{Span, Time};
+use crate::membership::rendezvous::home;
+use crate::membership::service::SUSPECT;
 use crate::msg::*;
 use std::collections::BTreeMap;
 
@@ -25,16 +25,16 @@
 }
 
 impl Due {
-    fn came(&mut self, wait: Span, kit: &mut Kit) -> bool {
-        let came = kit.now >= self.at;
+    fn came(&mut self, wait: Span, ctx: &mut Context) -> bool {
+        let came = ctx.now >= self.at;
         if came {
-            self.at = kit.now + wait + Span(kit.rand.below(wait.0 / 8));
+            self.at = ctx.now + wait + Span(ctx.rand.below(wait.0 / 8));
         }
         came
     }
 }
 
-pub struct News {
+pub struct Distribution {
     pub reader: Reader,
     tail: Due,
     home: Due,
@@ -42,7 +42,7 @@
     rounds: u64,
     learnt: Time,
     mine: BTreeMap<Scope, Time>,
-    askers: Askers,
+    subscribers: Subscribers,
 }
 
 pub fn scope_name(scope: &Scope) -> String {
@@ -54,12 +54,12 @@
     }
 }
 
-impl News {
-    pub fn new(started: Time) -> News {
+impl Distribution {
+    pub fn new(started: Time) -> Distribution {
         let mut reader = Reader::new(started);
         reader.topics.insert(Scope::Routes, Topic::default());
         reader.topics.insert(Scope::Trial, Topic::default());
-        News {
+        Distribution {
             reader,
             tail: Due::default(),
             home: Due::default(),
@@ -67,48 +67,48 @@
             rounds: 0,
             learnt: started,
             mine: BTreeMap::new(),
-            askers: Askers::default(),
+            subscribers: Subscribers::default(),
         }
     }
 
-    fn routers(&self, kit: &Kit) -> Vec<NodeId> {
-        let rows = kit
+    fn routers(&self, ctx: &Context) -> Vec<NodeId> {
+        let rows = ctx
             .views
-            .book
+            .members
             .iter()
-            .filter(|r| r.who.role == Role::Router && r.who.domain == kit.me.domain && r.quiet < SUSPECT);
+            .filter(|r| r.who.role == Role::Router && r.who.domain == ctx.me.domain && r.quiet < SUSPECT);
         rows.map(|r| r.who.node).collect()
     }
 
-    fn ask(&mut self, to: NodeId, direct: bool, have: Vec<(Scope, Version)>, kit: &mut Kit) {
+    fn ask(&mut self, to: NodeId, direct: bool, have: Vec<(Scope, Version)>, ctx: &mut Context) {
         if !have.is_empty() {
-            let nonce = self.reader.ask(kit.now);
-            kit.send(to, Msg::NewsAsk { nonce, direct, have });
+            let nonce = self.reader.ask(ctx.now);
+            ctx.send(to, Msg::UpdateRequest { nonce, direct, have });
         }
     }
 
-    fn tick(&mut self, kit: &mut Kit) {
-        let lively = kit.now.since(self.learnt) < LIVELY;
-        let to_tail = self.tail.came(ASK, kit);
-        let to_home = self.home.came(if lively { ASK } else { IDLE }, kit);
-        let late = self.late.came(ASK, kit);
+    fn tick(&mut self, ctx: &mut Context) {
+        let lively = ctx.now.since(self.learnt) < LIVELY;
+        let to_tail = self.tail.came(ASK, ctx);
+        let to_home = self.home.came(if lively { ASK } else { IDLE }, ctx);
+        let late = self.late.came(ASK, ctx);
         if !to_tail && !to_home && !late {
             return;
         }
-        self.mine.retain(|_, t| kit.now.since(*t) < WANTED);
-        let tail = kit.views.view.as_ref().and_then(|v| v.tail());
-        let routers = self.routers(kit);
-        let proof = kit.me.proof.0;
-        let patience = Span(LATE.0.min(proof * 35 / 100) + mix(kit.me.node.0) % SPREAD);
+        self.mine.retain(|_, t| ctx.now.since(*t) < WANTED);
+        let tail = ctx.views.view.as_ref().and_then(|v| v.tail());
+        let routers = self.routers(ctx);
+        let proof = ctx.me.proof.0;
+        let patience = Span(LATE.0.min(proof * 35 / 100) + mix(ctx.me.node.0) % SPREAD);
         let despair = Span(LOST.0.min(proof * 60 / 100));
         let mut homes: BTreeMap<NodeId, Vec<(Scope, Version)>> = BTreeMap::new();
         let (mut owned, mut missed, mut lost) = (Vec::new(), Vec::new(), Vec::new());
         for scope in self.reader.topics.keys() {
             let have = (scope.clone(), self.reader.have(scope));
-            let age = self.reader.age(scope, kit.now);
-            let home = home(&scope_name(scope), &routers).unwrap_or(kit.me.node);
-            let own = home == kit.me.node || self.mine.contains_key(scope);
-            if age.unwrap_or(kit.now.since(kit.me.started)) > despair {
+            let age = self.reader.age(scope, ctx.now);
+            let home = home(&scope_name(scope), &routers).unwrap_or(ctx.me.node);
+            let own = home == ctx.me.node || self.mine.contains_key(scope);
+            if age.unwrap_or(ctx.now.since(ctx.me.started)) > despair {
                 lost.push(have.clone());
             }
             match own {
@@ -122,47 +122,47 @@
         }
         owned.append(&mut missed);
         if let Some(tail) = tail {
-            self.ask(tail, true, owned, kit);
+            self.ask(tail, true, owned, ctx);
         }
         for (to, have) in homes {
-            self.ask(to, false, have, kit);
+            self.ask(to, false, have, ctx);
         }
         if late && !lost.is_empty() {
-            self.ask_around(tail, lost, kit);
+            self.ask_around(tail, lost, ctx);
         }
     }
 
-    fn ask_around(&mut self, tail: Option<NodeId>, have: Vec<(Scope, Version)>, kit: &mut Kit) {
+    fn ask_around(&mut self, tail: Option<NodeId>, have: Vec<(Scope, Version)>, ctx: &mut Context) {
         let all: Vec<NodeId> =
-            kit.views.controllers().map(|r| r.who.node).filter(|n| Some(*n) != tail).collect();
+            ctx.views.controllers().map(|r| r.who.node).filter(|n| Some(*n) != tail).collect();
         if all.is_empty() {
             return;
         }
-        let from = (mix(kit.me.node.0) % all.len() as u64 + self.rounds * 2) as usize;
+        let from = (mix(ctx.me.node.0) % all.len() as u64 + self.rounds * 2) as usize;
         self.rounds += 1;
         for n in 0..all.len().min(2) {
-            self.ask(all[(from + n) % all.len()], true, have.clone(), kit);
+            self.ask(all[(from + n) % all.len()], true, have.clone(), ctx);
         }
     }
 
-    fn asked(&mut self, from: NodeId, nonce: u64, have: &[(Scope, Version)], kit: &mut Kit) {
+    fn asked(&mut self, from: NodeId, nonce: u64, have: &[(Scope, Version)], ctx: &mut Context) {
         let mut items = Vec::new();
         for (scope, old) in have {
-            self.mine.insert(scope.clone(), kit.now);
+            self.mine.insert(scope.clone(), ctx.now);
             let topic = self.reader.topics.entry(scope.clone()).or_default();
-            self.askers.note(from, scope, topic.past.at.max(*old), kit.now);
-            let (Some(proven), true) = (topic.proven, topic.past.slice.is_some()) else { continue };
-            if topic.past.at < *old {
+            self.subscribers.note(from, scope, topic.history.at.max(*old), ctx.now);
+            let (Some(proven), true) = (topic.proven, topic.history.slice.is_some()) else { continue };
+            if topic.history.at < *old {
                 continue;
             }
-            let (at, body) = (topic.past.at, topic.past.body(*old));
-            items.push(NewsItem { scope: scope.clone(), at, age: kit.now.since(proven), body });
+            let (at, body) = (topic.history.at, topic.history.body(*old));
+            items.push(TopicUpdate { scope: scope.clone(), at, age: ctx.now.since(proven), body });
         }
-        kit.send(from, Msg::NewsTell { nonce, items });
+        ctx.send(from, Msg::UpdateReply { nonce, items });
     }
 
-    fn learn(&mut self, rows: Vec<Learnt>, kit: &mut Kit) {
-        let mut pushes: BTreeMap<NodeId, Vec<NewsItem>> = BTreeMap::new();
+    fn learn(&mut self, rows: Vec<Learnt>, ctx: &mut Context) {
+        let mut pushes: BTreeMap<NodeId, Vec<TopicUpdate>> = BTreeMap::new();
         for l in rows {
             if let Some(Slice::Routes(rows)) = &l.slice {
                 for r in rows {
@@ -172,50 +172,50 @@
                 }
             }
             if l.slice.is_some() {
-                self.learnt = kit.now;
-                kit.say("news", format!("{} {}", scope_name(&l.scope), l.at));
+                self.learnt = ctx.now;
+                ctx.log_event("distribution", format!("{} {}", scope_name(&l.scope), l.at));
                 if let Some(topic) = self.reader.topics.get(&l.scope) {
-                    for (to, item) in self.askers.behind(&l.scope, &topic.past, kit.now) {
+                    for (to, item) in self.subscribers.behind(&l.scope, &topic.history, ctx.now) {
                         pushes.entry(to).or_default().push(item);
                     }
                 }
             }
             let Learnt { scope, at, slice, proven } = l;
-            kit.out.push(Effect::Learn { scope, at, slice, proven });
+            ctx.out.push(Effect::Learn { scope, at, slice, proven });
         }
         for (to, items) in pushes {
-            kit.send(to, Msg::NewsPush { items });
+            ctx.send(to, Msg::UpdatePush { items });
         }
     }
 
-    fn hurry(&mut self, kit: &mut Kit) {
+    fn hurry(&mut self, ctx: &mut Context) {
         (self.tail, self.home, self.late) = Default::default();
-        self.tick(kit);
+        self.tick(ctx);
     }
 }
 
-impl Part for News {
+impl Component for Distribution {
     fn name(&self) -> &'static str {
-        "news"
+        "distribution"
     }
 
-    fn on(&mut self, ev: &Event, kit: &mut Kit) {
+    fn on(&mut self, ev: &Event, ctx: &mut Context) {
         match ev {
-            Event::Tick => self.tick(kit),
+            Event::Tick => self.tick(ctx),
             Event::Mail { from, msg, .. } => match msg {
-                Msg::NewsAsk { nonce, direct: false, have } => self.asked(*from, *nonce, have, kit),
-                Msg::NewsTell { nonce, items } => {
+                Msg::UpdateRequest { nonce, direct: false, have } => self.asked(*from, *nonce, have, ctx),
+                Msg::UpdateReply { nonce, items } => {
                     let rows = self.reader.told(*nonce, items);
-                    self.learn(rows, kit);
+                    self.learn(rows, ctx);
                 }
-                Msg::NewsPush { items } => {
+                Msg::UpdatePush { items } => {
                     let rows = self.reader.pushed(items);
-                    self.learn(rows, kit);
+                    self.learn(rows, ctx);
                 }
-                Msg::Nudge => self.hurry(kit),
-                Msg::NewsNo { view: Some(v), .. } if kit.views.older(v) => {
-                    kit.note(Note::Heard(v.clone()));
-                    self.hurry(kit);
+                Msg::Nudge => self.hurry(ctx),
+                Msg::UpdateRefused { view: Some(v), .. } if ctx.views.older(v) => {
+                    ctx.publish(JournalEvent::ViewHeard(v.clone()));
+                    self.hurry(ctx);
                 }
                 _ => {}
             },
@@ -226,7 +226,7 @@
     fn status(&self, now: Time) -> Vec<(&'static str, String)> {
         let row = |(s, t): (&Scope, &Topic)| {
             let age = t.proven.map_or("never".into(), |p| now.since(p).to_string());
-            format!("{}={}@{age}", scope_name(s), t.past.at)
+            format!("{}={}@{age}", scope_name(s), t.history.at)
         };
         let rows: Vec<String> = self.reader.topics.iter().map(row).collect();
         vec![("topics", rows.join(" ")), ("home_of", self.mine.len().to_string())]
--- /dev/null
+++ b/src/distribution/subscribers.rs
@@ -0,0 +1,95 @@
+use super::history::{Body, ChangeHistory};
+use crate::fleet::state::{FleetState, Scope};
+use crate::kernel::ids::*;
+use crate::kernel::time::{Span, Time};
+use crate::msg::TopicUpdate;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+pub const LATELY: Span = Span::ms(1000);
+
+#[derive(Default)]
+pub struct Subscribers {
+    rows: BTreeMap<NodeId, (Time, BTreeMap<Scope, Version>)>,
+}
+
+impl Subscribers {
+    pub fn note(&mut self, from: NodeId, scope: &Scope, at: Version, now: Time) {
+        let row = self.rows.entry(from).or_default();
+        row.0 = now;
+        row.1.insert(scope.clone(), at);
+    }
+
+    pub fn behind(
+        &mut self,
+        scope: &Scope,
+        history: &ChangeHistory,
+        now: Time,
+    ) -> Vec<(NodeId, TopicUpdate)> {
+        self.rows.retain(|_, r| now.since(r.0) < LATELY);
+        let mut out = Vec::new();
+        for (node, (_, have)) in &mut self.rows {
+            let Some(old) = have.get_mut(scope).filter(|v| **v < history.at) else { continue };
+            let body = history.body(*old);
+            *old = history.at;
+            out.push((*node, TopicUpdate { scope: scope.clone(), at: history.at, age: Span(0), body }));
+        }
+        out
+    }
+}
+
+#[derive(Default)]
+pub struct Publisher {
+    histories: BTreeMap<Scope, ChangeHistory>,
+    subscribers: Subscribers,
+}
+
+impl Publisher {
+    fn fresh(&mut self, scope: &Scope, state: &FleetState) -> &ChangeHistory {
+        let at = state.scope_at(scope);
+        let history = self.histories.entry(scope.clone()).or_default();
+        if history.slice.is_none() || history.at != at {
+            history.raise(at, Arc::new(state.slice(scope)));
+        }
+        history
+    }
+
+    pub fn answer(
+        &mut self,
+        from: NodeId,
+        have: &[(Scope, Version)],
+        state: &FleetState,
+        now: Time,
+    ) -> Vec<TopicUpdate> {
+        let mut items = Vec::new();
+        for (scope, old) in have {
+            let history = self.fresh(scope, state);
+            let at = history.at;
+            let body = if at < *old { Body::Same } else { history.body(*old) };
+            items.push(TopicUpdate { scope: scope.clone(), at, age: Span(0), body });
+            self.subscribers.note(from, scope, at.max(*old), now);
+        }
+        items
+    }
+
+    pub fn pushes(&mut self, state: &FleetState, now: Time) -> BTreeMap<NodeId, Vec<TopicUpdate>> {
+        let mut out: BTreeMap<NodeId, Vec<TopicUpdate>> = BTreeMap::new();
+        let scopes: Vec<Scope> = self.histories.keys().cloned().collect();
+        for scope in scopes {
+            let same = self.histories.get(&scope).is_none_or(|p| p.at == state.scope_at(&scope));
+            if same || scope == Scope::Duty {
+                continue;
+            }
+            self.fresh(&scope, state);
+            let Some(history) = self.histories.get(&scope) else { continue };
+            for (to, item) in self.subscribers.behind(&scope, history, now) {
+                out.entry(to).or_default().push(item);
+            }
+        }
+        out
+    }
+
+    pub fn clear(&mut self) {
+        *self = Publisher::default();
+    }
+}
--- a/src/gate/core.rs
+++ b/src/gate/core.rs
@@ -6,13 +6,13 @@
 use super::order::{Order, Plan, Refusal, Why};
 use super::pace::Pace;
 use super::wait::retry_s;
+use crate::distribution::reader::FRESH;
 use crate::fleet::routes::RouteTable;
 use crate::fleet::runner::Runner;
 use crate::fleet::slice::ServiceSlice;
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
 use crate::msg::MoveTell;
-use crate::news::reader::FRESH;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
--- a/src/hollow/days.rs
+++ b/src/hollow/days.rs
@@ -17,7 +17,7 @@
         let n = &self.nodes[place];
         let Some(node) = &n.node else { return vec![] };
         if n.role == Role::Router {
-            let part = node.find("news").map(|p| p.status(self.now)).unwrap_or_default();
+            let part = node.find("distribution").map(|p| p.status(self.now)).unwrap_or_default();
             let home = part.iter().any(|(k, v)| *k == "home_of" && v != "0");
             return vec![if home { "home" } else { "router" }];
         }
--- a/src/hollow/judge.rs
+++ b/src/hollow/judge.rs
@@ -1,8 +1,8 @@
 use super::world::{Hollow, SAMPLE};
-use crate::colleagues::part::SUSPECT;
 use crate::kernel::ids::*;
 use crate::kernel::node::Node;
 use crate::kernel::time::{Span, Time};
+use crate::membership::service::SUSPECT;
 use crate::msg::Role;
 use std::collections::BTreeSet;
 
@@ -44,7 +44,7 @@
 }
 
 fn lives(node: &Node, who: NodeId) -> bool {
-    node.views.book.iter().any(|r| r.who.node == who && r.quiet < SUSPECT)
+    node.views.members.iter().any(|r| r.who.node == who && r.quiet < SUSPECT)
 }
 
 impl Hollow {
--- a/src/hollow/node.rs
+++ b/src/hollow/node.rs
@@ -11,7 +11,7 @@
 use crate::kernel::node::Node;
 use crate::kernel::rand::{Rand, Seeded};
 use crate::kernel::time::{Span, Time};
-use crate::msg::{self, Effect, Letter, Msg, Rehearsal, Role, RouterTell};
+use crate::msg::{self, Effect, Envelope, Msg, Rehearsal, Role, RouterTell};
 use crate::sim::disk::SimDisk;
 use crate::wire;
 use std::collections::{BTreeMap, VecDeque};
@@ -104,8 +104,9 @@
     }
 
     pub fn is_fresh(&self, now: Time) -> bool {
-        let fresh =
-            |s: &Scope| self.proven.get(s).is_some_and(|t| now.since(*t) < crate::news::reader::FRESH);
+        let fresh = |s: &Scope| {
+            self.proven.get(s).is_some_and(|t| now.since(*t) < crate::distribution::reader::FRESH)
+        };
         fresh(&Scope::Routes) && fresh(&Scope::Service(Name::from("assistant")))
     }
 }
@@ -187,7 +188,7 @@
         let more = Span(self.rand.below(base.0 / 5 + 1));
         let due = self.nodes[place].link + base + more;
         let life = self.nodes[dest].life;
-        self.later(due.since(self.now), Event::Letter { place: dest, life, raw });
+        self.later(due.since(self.now), Event::Envelope { place: dest, life, raw });
     }
 
     fn effect(&mut self, place: usize, e: &Effect) {
@@ -215,12 +216,12 @@
 fn pack(node: &Node, e: &Effect) -> Option<(std::net::SocketAddr, Vec<u8>)> {
     let (to, addr, msg): (NodeId, _, &Msg) = match e {
         Effect::Send { to, msg } if *to == node.me.node => (*to, node.me.addr, msg),
-        Effect::Send { to, msg } => (*to, node.views.card(*to)?.addr, msg),
+        Effect::Send { to, msg } => (*to, node.views.member(*to)?.addr, msg),
         Effect::SendAt { addr, msg } => (NodeId(0), *addr, msg),
         _ => return None,
     };
     let letter =
-        Letter { from: node.me.node, to, fleet: node.views.fleet, addr: node.me.addr, msg: msg.clone() };
+        Envelope { from: node.me.node, to, fleet: node.views.fleet, addr: node.me.addr, msg: msg.clone() };
     Some((addr, wire::pack(&letter)))
 }
 
--- a/src/hollow/size.rs
+++ b/src/hollow/size.rs
@@ -1,8 +1,8 @@
 use crate::daemon::assemble::{Place, Policy};
+use crate::distribution::reader::FRESH;
 use crate::fleet::runner::Runner;
 use crate::kernel::ids::Name;
 use crate::kernel::time::Span;
-use crate::news::reader::FRESH;
 use std::net::SocketAddr;
 
 #[derive(Clone, Debug)]
--- a/src/hollow/world.rs
+++ b/src/hollow/world.rs
@@ -19,7 +19,7 @@
     Tick { place: usize, life: u64 },
     Tell { place: usize, life: u64 },
     Poll { place: usize, life: u64 },
-    Letter { place: usize, life: u64, raw: Vec<u8> },
+    Envelope { place: usize, life: u64, raw: Vec<u8> },
     Report { place: usize, life: u64, runner: usize },
     Driven { place: usize, life: u64, order: OrderId, status: u16 },
     Loaded { runner: usize, name: Name },
@@ -163,7 +163,7 @@
             Event::Tick { place, life }
             | Event::Tell { place, life }
             | Event::Poll { place, life }
-            | Event::Letter { place, life, .. }
+            | Event::Envelope { place, life, .. }
             | Event::Report { place, life, .. }
             | Event::Driven { place, life, .. } => (*place, *life),
             Event::Wake { place, life } if self.nodes[*place].life == *life => return self.wake(*place),
@@ -224,7 +224,7 @@
             Event::Driven { place, order, status, .. } => {
                 self.feed(place, "ordered", msg::Event::Ordered { order, status });
             }
-            Event::Letter { place, raw, .. } => self.letter(place, raw),
+            Event::Envelope { place, raw, .. } => self.letter(place, raw),
             Event::Loaded { runner, name } => self.runners[runner].loaded(&name),
             Event::Sample => {
                 self.sample();
--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -12,7 +12,7 @@
 
 const BODY: usize = 8 << 20;
 
-pub struct Desk {
+pub struct ChangeQueue {
     pub hand: Hand,
     pub ready: Box<dyn Fn() -> Result<(), String> + Send + Sync>,
     pub metrics: Box<dyn Fn() -> String + Send + Sync>,
@@ -30,7 +30,7 @@
     Answer::new(400, "bad-order", text, 0)
 }
 
-impl Desk {
+impl ChangeQueue {
     fn ready_answer(&self) -> Response<OutBody> {
         match (self.ready)() {
             Ok(()) => own(200, "ready", "this node is ready", 0, "answered"),
@@ -51,7 +51,7 @@
         Some(response)
     }
 
-    pub async fn answer(self: Arc<Desk>, order: Request<Incoming>) -> Response<OutBody> {
+    pub async fn answer(self: Arc<ChangeQueue>, order: Request<Incoming>) -> Response<OutBody> {
         let path = order.uri().path().trim_matches('/').to_string();
         let base = order.headers().get("if-match").and_then(|v| v.to_str().ok()).map(|s| s.to_string());
         let id = order.headers().get("x-change-id").and_then(|v| v.to_str().ok()).and_then(ChangeId::parse);
--- a/src/kernel/part.rs
+++ b/src/kernel/component.rs
@@ -38,8 +38,8 @@
         self.bear + 1
     }
 
-    pub fn card(&self) -> Colleague {
-        Colleague {
+    pub fn member(&self) -> Member {
+        Member {
             node: self.node,
             role: self.role,
             domain: self.domain.clone(),
@@ -52,26 +52,26 @@
 #[derive(Default)]
 pub struct Views {
     pub fleet: FleetId,
-    pub book: Arc<Vec<Row>>,
+    pub members: Arc<Vec<Row>>,
     pub view: Option<View>,
     pub state: FleetState,
-    pub post: Post,
+    pub role: ChainRole,
 }
 
 impl Views {
-    pub fn fold(&mut self, note: &Note) {
-        match note {
-            Note::Fleet(f) => self.fleet = *f,
-            Note::Book(rows) => self.book = rows.clone(),
-            Note::Heard(v) | Note::View(v) => {
+    pub fn apply(&mut self, event: &JournalEvent) {
+        match event {
+            JournalEvent::Fleet(f) => self.fleet = *f,
+            JournalEvent::Members(rows) => self.members = rows.clone(),
+            JournalEvent::ViewHeard(v) | JournalEvent::ViewInstalled(v) => {
                 if self.older(v) {
                     self.view = Some(v.clone());
                 }
             }
-            Note::Fold { at, change } => self.state.fold(*at, change),
-            Note::Load(state) => self.state = FleetState::clone(state),
-            Note::Post(post) => self.post = *post,
-            Note::Text(..) | Note::Submit(_) | Note::Marked(_) => {}
+            JournalEvent::Committed { at, change } => self.state.fold(*at, change),
+            JournalEvent::StateLoaded(state) => self.state = FleetState::clone(state),
+            JournalEvent::Role(role) => self.role = *role,
+            JournalEvent::Text(..) | JournalEvent::Submitted(_) | JournalEvent::RunnerMarked(_) => {}
         }
     }
 
@@ -79,16 +79,16 @@
         self.view.as_ref().is_none_or(|old| old.no < v.no)
     }
 
-    pub fn card(&self, node: NodeId) -> Option<&Colleague> {
-        self.book.iter().find(|r| r.who.node == node).map(|r| &r.who)
+    pub fn member(&self, node: NodeId) -> Option<&Member> {
+        self.members.iter().find(|r| r.who.node == node).map(|r| &r.who)
     }
 
     pub fn controllers(&self) -> impl Iterator<Item = &Row> {
-        self.book.iter().filter(|r| r.who.role == Role::Controller)
+        self.members.iter().filter(|r| r.who.role == Role::Controller)
     }
 }
 
-pub struct Kit<'a> {
+pub struct Context<'a> {
     pub now: Time,
     pub me: &'a Me,
     pub room: u64,
@@ -96,11 +96,11 @@
     pub rand: &'a mut dyn Rand,
     pub views: &'a mut Views,
     pub journal: &'a mut Journal,
-    pub notes: &'a mut VecDeque<Note>,
+    pub events: &'a mut VecDeque<JournalEvent>,
     pub out: &'a mut Vec<Effect>,
 }
 
-impl Kit<'_> {
+impl Context<'_> {
     pub fn send(&mut self, to: NodeId, msg: Msg) {
         self.out.push(Effect::Send { to, msg });
     }
@@ -113,19 +113,19 @@
         self.out.push(Effect::Save(record));
     }
 
-    pub fn note(&mut self, note: Note) {
-        self.views.fold(&note);
-        if let Note::Post(_) = note {
+    pub fn publish(&mut self, event: JournalEvent) {
+        self.views.apply(&event);
+        if let JournalEvent::Role(_) = event {
             return;
         }
-        if !matches!(note, Note::Book(_)) {
-            self.journal.add(self.now, note.clone());
+        if !matches!(event, JournalEvent::Members(_)) {
+            self.journal.add(self.now, event.clone());
         }
-        self.notes.push_back(note);
+        self.events.push_back(event);
     }
 
-    pub fn say(&mut self, what: &'static str, text: String) {
-        self.note(Note::Text(what, text));
+    pub fn log_event(&mut self, what: &'static str, text: String) {
+        self.publish(JournalEvent::Text(what, text));
     }
 
     pub fn answer(&mut self, id: ChangeId, answer: Answer) {
@@ -133,9 +133,9 @@
     }
 }
 
-pub trait Part: Send {
+pub trait Component: Send {
     fn name(&self) -> &'static str;
-    fn on(&mut self, ev: &Event, kit: &mut Kit);
+    fn on(&mut self, ev: &Event, ctx: &mut Context);
     fn status(&self, _now: Time) -> Vec<(&'static str, String)> {
         Vec::new()
     }
--- /dev/null
+++ b/src/kernel/event.rs
@@ -0,0 +1,89 @@
+//! What enters a node, what its components tell each other, and what leaves it.
+
+use crate::chain::messages::{ChainRole, Record};
+use crate::chain::view::View;
+use crate::fleet::FleetState;
+use crate::fleet::holdings::{HeldRow, Want};
+use crate::fleet::runner::{Report, Runner};
+use crate::fleet::slice::Slice;
+use crate::fleet::state::{Change, Scope};
+use crate::kernel::ids::*;
+use crate::kernel::time::Time;
+use crate::membership::messages::Row;
+use crate::msg::{Answer, Msg, Op};
+use crate::tell::RouterTell;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// What the components of a node tell each other; views are derived from it.
+#[derive(Clone, Debug)]
+pub enum JournalEvent {
+    Fleet(FleetId),
+    Members(Arc<Vec<Row>>),
+    ViewHeard(View),
+    ViewInstalled(View),
+    Committed { at: Version, change: Arc<Change> },
+    StateLoaded(Arc<FleetState>),
+    Submitted(Arc<Change>),
+    Role(ChainRole),
+    RunnerMarked(Name),
+    Text(&'static str, String),
+}
+
+/// What a node reacts to.
+#[derive(Clone, Debug)]
+pub enum Event {
+    Start,
+    Tick,
+    Mail { from: NodeId, fleet: FleetId, msg: Msg },
+    Op { id: ChangeId, op: Op },
+    Ask { id: ChangeId, path: String },
+    Report { instance: Name, report: Option<Report> },
+    Ordered { order: OrderId, status: u16 },
+    RouterState(Box<RouterTell>),
+    Listed(Vec<Runner>),
+    Wanted(Want),
+    Warned,
+    Journal(JournalEvent),
+}
+
+/// An order to a runner to load or unload, under the term of the placement duty.
+#[derive(Clone, Debug)]
+pub struct RunnerOrder {
+    pub order: OrderId,
+    pub term: Term,
+    pub runner: Runner,
+    pub load: bool,
+    pub name: Name,
+    pub adapter: bool,
+    pub due: Time,
+}
+
+/// What a node asks its driver (daemon, simulator or explorer) to do.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    Send { to: NodeId, msg: Msg },
+    SendAt { addr: SocketAddr, msg: Msg },
+    Save(Record),
+    Rewrite(Vec<Record>),
+    Reset(String),
+    Answer { id: ChangeId, answer: Answer },
+    Drive(RunnerOrder),
+    Routers(u64),
+    Watch(Vec<Runner>),
+    Holds(bool),
+    Look(Name),
+    Held(Vec<HeldRow>),
+    Mark(Name),
+    Ready(bool),
+    Learn { scope: Scope, at: Version, slice: Option<Slice>, proven: Time },
+}
+
+impl JournalEvent {
+    pub fn text(&self) -> Option<(&'static str, String)> {
+        match self {
+            JournalEvent::Text(what, text) => Some((what, text.clone())),
+            _ => None,
+        }
+    }
+}
--- a/src/kernel/journal.rs
+++ b/src/kernel/journal.rs
@@ -1,17 +1,17 @@
 use super::time::Time;
-use crate::msg::Note;
+use crate::msg::JournalEvent;
 use std::collections::VecDeque;
 
 pub const KEEP: usize = 4096;
 
 #[derive(Default)]
 pub struct Journal {
-    rows: VecDeque<(u64, Time, Note)>,
+    rows: VecDeque<(u64, Time, JournalEvent)>,
     next: u64,
 }
 
 impl Journal {
-    pub fn add(&mut self, now: Time, note: Note) -> u64 {
+    pub fn add(&mut self, now: Time, note: JournalEvent) -> u64 {
         let at = self.next;
         self.next += 1;
         self.rows.push_back((at, now, note));
@@ -21,7 +21,7 @@
         at
     }
 
-    pub fn since(&self, at: u64) -> impl Iterator<Item = &(u64, Time, Note)> {
+    pub fn since(&self, at: u64) -> impl Iterator<Item = &(u64, Time, JournalEvent)> {
         self.rows.iter().filter(move |r| r.0 >= at)
     }
 
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -1,10 +1,11 @@
+pub mod component;
 pub mod disk;
+pub mod event;
 pub mod fault;
 pub mod hold;
 pub mod ids;
 pub mod journal;
 pub mod node;
-pub mod part;
 pub mod rand;
 pub mod registry;
 pub mod time;
--- a/src/kernel/node.rs
+++ b/src/kernel/node.rs
@@ -1,15 +1,15 @@
+use super::component::{Component, Context, Me, Views};
 use super::journal::Journal;
-use super::part::{Kit, Me, Part, Views};
 use super::rand::Rand;
 use super::time::Time;
-use crate::msg::{Effect, Event, Note};
+use crate::msg::{Effect, Event, JournalEvent};
 use std::collections::VecDeque;
 
 pub struct Node {
     pub me: Me,
     pub views: Views,
     pub journal: Journal,
-    parts: Vec<Box<dyn Part>>,
+    components: Vec<Box<dyn Component>>,
     rand: Box<dyn Rand>,
     pub room: u64,
     pub slow: bool,
@@ -21,25 +21,25 @@
             me,
             views: Views::default(),
             journal: Journal::default(),
-            parts: Vec::new(),
+            components: Vec::new(),
             rand,
             room: u64::MAX,
             slow: false,
         }
     }
 
-    pub fn add(&mut self, part: Box<dyn Part>) {
-        assert!(self.find(part.name()).is_none(), "part {} is there already", part.name());
-        self.parts.push(part);
+    pub fn add(&mut self, component: Box<dyn Component>) {
+        assert!(self.find(component.name()).is_none(), "component {} is there already", component.name());
+        self.components.push(component);
     }
 
-    pub fn find(&self, name: &str) -> Option<&dyn Part> {
-        self.parts.iter().find(|p| p.name() == name).map(|p| &**p)
+    pub fn find(&self, name: &str) -> Option<&dyn Component> {
+        self.components.iter().find(|p| p.name() == name).map(|p| &**p)
     }
 
     pub fn status(&self, now: Time) -> Vec<(&'static str, &'static str, String)> {
         let mut rows = Vec::new();
-        for p in &self.parts {
+        for p in &self.components {
             rows.extend(p.status(now).into_iter().map(|(k, v)| (p.name(), k, v)));
         }
         rows
@@ -47,11 +47,11 @@
 
     pub fn feed(&mut self, now: Time, ev: Event) -> Vec<Effect> {
         let mut out = Vec::new();
-        let mut notes: VecDeque<Note> = VecDeque::new();
+        let mut events: VecDeque<JournalEvent> = VecDeque::new();
         let mut next = Some(ev);
         while let Some(ev) = next {
-            for p in &mut self.parts {
-                let mut kit = Kit {
+            for p in &mut self.components {
+                let mut ctx = Context {
                     now,
                     me: &self.me,
                     room: self.room,
@@ -59,12 +59,12 @@
                     rand: &mut *self.rand,
                     views: &mut self.views,
                     journal: &mut self.journal,
-                    notes: &mut notes,
+                    events: &mut events,
                     out: &mut out,
                 };
-                p.on(&ev, &mut kit);
+                p.on(&ev, &mut ctx);
             }
-            next = notes.pop_front().map(Event::Note);
+            next = events.pop_front().map(Event::Journal);
         }
         out
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 pub mod chain;
 pub mod cli;
-pub mod colleagues;
 pub mod daemon;
+pub mod distribution;
 pub mod fleet;
 pub mod gate;
 pub mod hollow;
@@ -9,8 +9,8 @@
 pub mod json;
 pub mod kernel;
 pub mod launch;
+pub mod membership;
 pub mod msg;
-pub mod news;
 pub mod pass;
 pub mod placement;
 pub mod platform;
--- a/src/colleagues/marks.rs
+++ b/src/membership/marks.rs
@@ -1,5 +1,5 @@
+use crate::kernel::component::Context;
 use crate::kernel::ids::Name;
-use crate::kernel::part::Kit;
 use crate::kernel::rand::hash;
 use crate::kernel::time::{Span, Time};
 use crate::msg::{Effect, Mark};
@@ -17,7 +17,7 @@
 }
 
 impl Marks {
-    pub fn add(&mut self, name: &Name, age: Span, kit: &mut Kit) {
+    pub fn add(&mut self, name: &Name, age: Span, ctx: &mut Context) {
         if age >= KEEP || self.rows.contains_key(name) {
             return;
         }
@@ -27,11 +27,11 @@
             self.drop(&old);
         }
         self.seq += 1;
-        self.rows.insert(name.clone(), (kit.now - age, self.seq));
+        self.rows.insert(name.clone(), (ctx.now - age, self.seq));
         self.order.insert(self.seq, name.clone());
         self.digest ^= hash(&name.0, 3);
-        kit.say("runner-marked", name.to_string());
-        kit.out.push(Effect::Mark(name.clone()));
+        ctx.log_event("runner-marked", name.to_string());
+        ctx.out.push(Effect::Mark(name.clone()));
     }
 
     fn drop(&mut self, name: &Name) {
@@ -41,9 +41,9 @@
         }
     }
 
-    pub fn learn(&mut self, marks: &[Mark], kit: &mut Kit) {
+    pub fn learn(&mut self, marks: &[Mark], ctx: &mut Context) {
         for m in marks {
-            self.add(&m.instance, m.age, kit);
+            self.add(&m.instance, m.age, ctx);
         }
     }
 
--- a/src/colleagues/card.rs
+++ b/src/membership/messages.rs
@@ -11,7 +11,7 @@
 }
 
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
-pub struct Colleague {
+pub struct Member {
     pub node: NodeId,
     pub role: Role,
     pub domain: Name,
@@ -21,13 +21,13 @@
 
 #[derive(Clone, PartialEq, Debug)]
 pub struct Row {
-    pub who: Colleague,
+    pub who: Member,
     pub quiet: Span,
 }
 
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub struct Claim {
-    pub who: Colleague,
+    pub who: Member,
     pub live: bool,
     pub age: Span,
 }
--- a/src/colleagues/part.rs
+++ b/src/membership/service.rs
@@ -2,8 +2,8 @@
 use super::marks::Marks;
 use super::table::Table;
 pub use super::table::{FORGET, SUSPECT};
+use crate::kernel::component::{Component, Context};
 use crate::kernel::ids::*;
-use crate::kernel::part::{Kit, Part};
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 use std::collections::BTreeMap;
@@ -24,7 +24,7 @@
 }
 
 #[derive(Default)]
-pub struct Colleagues {
+pub struct Membership {
     pub table: Table,
     pub marks: Marks,
     pub partners: BTreeMap<NodeId, Partner>,
@@ -43,54 +43,54 @@
     book_at: Time,
 }
 
-impl Colleagues {
-    fn refresh(&mut self, kit: &Kit) {
+impl Membership {
+    fn refresh(&mut self, ctx: &Context) {
         if self.turn == self.table.watch.turn {
             return;
         }
         self.turn = self.table.watch.turn;
         let mut old = std::mem::take(&mut self.watched);
-        for n in self.table.watch.watched(kit.me.node) {
-            self.watched.insert(n, old.remove(&n).unwrap_or(kit.now));
+        for n in self.table.watch.watched(ctx.me.node) {
+            self.watched.insert(n, old.remove(&n).unwrap_or(ctx.now));
         }
-        let watchers: Vec<NodeId> = self.table.watch.watchers(kit.me.node).collect();
+        let watchers: Vec<NodeId> = self.table.watch.watchers(ctx.me.node).collect();
         self.partners.retain(|n, _| self.watched.contains_key(n) || watchers.contains(n));
     }
 
-    fn ping(&mut self, kit: &mut Kit) {
+    fn ping(&mut self, ctx: &mut Context) {
         self.rounds += 1;
-        self.refresh(kit);
+        self.refresh(ctx);
         let mut doubts: BTreeMap<NodeId, Vec<NodeId>> = BTreeMap::new();
         for (n, since) in self.watched.clone() {
             let Some(k) = self.table.rows.get(&n) else { continue };
-            let quiet = kit.now.since(k.heard.max(since));
+            let quiet = ctx.now.since(k.heard.max(since));
             if k.live && quiet >= SUSPECT {
-                self.table.quiet(n, kit.now);
-                kit.say("colleague-missed", n.to_string());
+                self.table.quiet(n, ctx.now);
+                ctx.log_event("member-missed", n.to_string());
             } else if k.live && quiet >= DOUBT {
-                for w in self.table.watch.watchers(n).filter(|w| *w != kit.me.node) {
+                for w in self.table.watch.watchers(n).filter(|w| *w != ctx.me.node) {
                     doubts.entry(w).or_default().push(n);
                 }
             } else if !k.live && !(self.rounds + n.0).is_multiple_of(3) {
                 continue;
             }
-            let g = self.gossip(n, kit);
-            kit.send(n, Msg::Ping(Box::new(g)));
+            let g = self.gossip(n, ctx);
+            ctx.send(n, Msg::Ping(Box::new(g)));
         }
         for (to, who) in doubts {
-            kit.send(to, Msg::Doubt { who });
+            ctx.send(to, Msg::Doubt { who });
         }
     }
 
-    fn flush(&mut self, kit: &mut Kit) {
-        if kit.now.since(self.flushed) < FLUSH {
+    fn flush(&mut self, ctx: &mut Context) {
+        if ctx.now.since(self.flushed) < FLUSH {
             return;
         }
-        self.flushed = kit.now;
-        self.refresh(kit);
-        let no = view_no(kit);
+        self.flushed = ctx.now;
+        self.refresh(ctx);
+        let no = view_no(ctx);
         let mut all: Vec<NodeId> = self.watched.keys().copied().collect();
-        all.extend(self.table.watch.watchers(kit.me.node));
+        all.extend(self.table.watch.watchers(ctx.me.node));
         all.sort();
         all.dedup();
         for n in all {
@@ -99,19 +99,19 @@
                 .get(&n)
                 .is_some_and(|p| p.sent < self.table.seq || p.marked < self.marks.seq || p.view < no);
             if behind && self.table.rows.get(&n).is_some_and(|k| k.live) {
-                let g = self.gossip(n, kit);
-                kit.send(n, Msg::Gossip(Box::new(g)));
+                let g = self.gossip(n, ctx);
+                ctx.send(n, Msg::Gossip(Box::new(g)));
             }
         }
     }
 
-    fn show(&mut self, kit: &mut Kit) {
+    fn show(&mut self, ctx: &mut Context) {
         let any = self.shown.values().any(|live| !live);
-        let due = any && kit.now.since(self.book_at) >= AGED;
+        let due = any && ctx.now.since(self.book_at) >= AGED;
         if !self.table.dirty && !due {
             return;
         }
-        let rows = self.table.book(kit.me, kit.now);
+        let rows = self.table.book(ctx.me, ctx.now);
         let now: BTreeMap<NodeId, bool> = rows.iter().map(|r| (r.who.node, r.quiet < SUSPECT)).collect();
         self.table.dirty = self.table.rows.iter().any(|(n, k)| !k.live && now.get(n) == Some(&true));
         if self.table.dirty && now == self.shown {
@@ -119,54 +119,54 @@
         }
         for (node, live) in &now {
             if self.shown.get(node) != Some(live) {
-                let what = if *live { "colleague-up" } else { "colleague-quiet" };
-                kit.say(what, node.to_string());
+                let what = if *live { "member-up" } else { "member-quiet" };
+                ctx.log_event(what, node.to_string());
             }
         }
         self.shown = now;
-        self.book_at = kit.now;
-        kit.note(Note::Book(Arc::new(rows)));
+        self.book_at = ctx.now;
+        ctx.publish(JournalEvent::Members(Arc::new(rows)));
     }
 
-    fn tick(&mut self, kit: &mut Kit) {
-        if kit.now.since(self.ticked) >= STALL {
-            self.watched.values_mut().for_each(|t| *t = kit.now);
+    fn tick(&mut self, ctx: &mut Context) {
+        if ctx.now.since(self.ticked) >= STALL {
+            self.watched.values_mut().for_each(|t| *t = ctx.now);
         }
-        self.ticked = kit.now;
-        if kit.now.since(self.cleared) >= Span::ms(1000) {
-            self.cleared = kit.now;
-            self.table.forget(kit.now);
-            self.marks.forget(kit.now);
+        self.ticked = ctx.now;
+        if ctx.now.since(self.cleared) >= Span::ms(1000) {
+            self.cleared = ctx.now;
+            self.table.forget(ctx.now);
+            self.marks.forget(ctx.now);
         }
-        self.greet(kit);
-        if kit.now.since(self.pinged) >= PING {
-            self.pinged = kit.now;
-            self.ping(kit);
+        self.greet(ctx);
+        if ctx.now.since(self.pinged) >= PING {
+            self.pinged = ctx.now;
+            self.ping(ctx);
         }
     }
 }
 
-impl Part for Colleagues {
+impl Component for Membership {
     fn name(&self) -> &'static str {
-        "colleagues"
+        "membership"
     }
 
-    fn on(&mut self, ev: &Event, kit: &mut Kit) {
+    fn on(&mut self, ev: &Event, ctx: &mut Context) {
         match ev {
-            Event::Start => self.table.start(kit.me),
-            Event::Tick => self.tick(kit),
-            Event::Note(Note::Marked(name)) => self.marks.add(name, Span(0), kit),
+            Event::Start => self.table.start(ctx.me),
+            Event::Tick => self.tick(ctx),
+            Event::Journal(JournalEvent::RunnerMarked(name)) => self.marks.add(name, Span(0), ctx),
             Event::Mail { from, msg, fleet } => {
-                if kit.me.role == Role::Router && kit.views.fleet == FleetId(0) && fleet.0 != 0 {
-                    kit.note(Note::Fleet(*fleet));
+                if ctx.me.role == Role::Router && ctx.views.fleet == FleetId(0) && fleet.0 != 0 {
+                    ctx.publish(JournalEvent::Fleet(*fleet));
                 }
-                self.table.heard(*from, kit.now);
-                self.mail(*from, msg, kit);
+                self.table.heard(*from, ctx.now);
+                self.mail(*from, msg, ctx);
             }
             _ => return,
         }
-        self.flush(kit);
-        self.show(kit);
+        self.flush(ctx);
+        self.show(ctx);
     }
 
     fn status(&self, _now: Time) -> Vec<(&'static str, String)> {
--- a/src/colleagues/table.rs
+++ b/src/membership/table.rs
@@ -1,9 +1,9 @@
 use super::rendezvous::Watch;
+use crate::kernel::component::Me;
 use crate::kernel::ids::*;
-use crate::kernel::part::Me;
 use crate::kernel::rand::mix;
 use crate::kernel::time::{Span, Time};
-use crate::msg::{Claim, Colleague, Row};
+use crate::msg::{Claim, Member, Row};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 
@@ -13,7 +13,7 @@
 pub const SETTLE: Span = Span::ms(150);
 
 pub struct Known {
-    pub who: Colleague,
+    pub who: Member,
     pub heard: Time,
     pub live: bool,
     turned: Time,
@@ -32,7 +32,7 @@
     pub dirty: bool,
 }
 
-fn print(who: &Colleague) -> u64 {
+fn print(who: &Member) -> u64 {
     let ip = match who.addr.ip() {
         IpAddr::V4(ip) => u32::from(ip) as u64,
         IpAddr::V6(ip) => mix(u128::from(ip) as u64),
@@ -42,7 +42,7 @@
 
 impl Table {
     pub fn start(&mut self, me: &Me) {
-        self.digest = print(&me.card());
+        self.digest = print(&me.member());
         self.watch.join(me.node);
         self.watch.add(me.node);
     }
@@ -162,7 +162,7 @@
 
     pub fn claim(&self, node: NodeId, me: &Me, now: Time) -> Option<Claim> {
         if node == me.node {
-            return Some(Claim { who: me.card(), live: true, age: Span(0) });
+            return Some(Claim { who: me.member(), live: true, age: Span(0) });
         }
         let k = self.rows.get(&node)?;
         Some(Claim { who: k.who.clone(), live: k.live, age: now.since(k.heard) })
@@ -180,7 +180,7 @@
     }
 
     pub fn book(&self, me: &Me, now: Time) -> Vec<Row> {
-        let mut rows = vec![Row { who: me.card(), quiet: Span(0) }];
+        let mut rows = vec![Row { who: me.member(), quiet: Span(0) }];
         for k in self.rows.values() {
             let held = k.live || now.since(k.turned) < SETTLE;
             let quiet = if held { Span(0) } else { now.since(k.heard).max(SUSPECT) };
--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -8,8 +8,8 @@
 use crate::fleet::plan::*;
 use crate::fleet::slice::DutySlice;
 use crate::fleet::state::Change;
+use crate::kernel::component::Context;
 use crate::kernel::ids::*;
-use crate::kernel::part::Kit;
 use crate::kernel::time::{Span, Time};
 use std::collections::BTreeMap;
 
@@ -19,15 +19,15 @@
 const IDLE_MOST: usize = 4;
 
 impl Placement {
-    fn credit(&self, service: &Name, kit: &Kit) -> u64 {
-        let live = self.tells.values().filter(|t| kit.now.since(t.0) < FRESH_TELL);
+    fn credit(&self, service: &Name, ctx: &Context) -> u64 {
+        let live = self.tells.values().filter(|t| ctx.now.since(t.0) < FRESH_TELL);
         live.flat_map(|t| &t.1.tries).filter(|r| r.0 == *service).map(|r| r.3).sum()
     }
 
-    fn demand(&self, kit: &Kit) -> Vec<(Name, Name, u64)> {
+    fn demand(&self, ctx: &Context) -> Vec<(Name, Name, u64)> {
         let mut sum: BTreeMap<(Name, Name), u64> = BTreeMap::new();
         for (at, tell) in self.tells.values() {
-            if kit.now.since(*at) < FRESH_TELL {
+            if ctx.now.since(*at) < FRESH_TELL {
                 for (service, model, n) in &tell.demand {
                     *sum.entry((service.clone(), model.clone())).or_default() += n;
                 }
@@ -79,33 +79,33 @@
         all
     }
 
-    pub fn propose(&mut self, s: &DutySlice, kit: &mut Kit) {
-        let demand = self.demand(kit);
+    pub fn propose(&mut self, s: &DutySlice, ctx: &mut Context) {
+        let demand = self.demand(ctx);
         let hot: Vec<Name> = demand.iter().map(|d| d.1.clone()).collect();
         self.wanted.retain(|n, _| hot.contains(n));
         for n in &hot {
-            self.wanted.entry(n.clone()).or_insert(kit.now);
+            self.wanted.entry(n.clone()).or_insert(ctx.now);
         }
-        self.claims.retain(|_, t| kit.now.since(*t) < LEAVE);
-        self.unseen.retain(|id, r| kit.now.since(r.0) < CLAIM && !s.plans.iter().any(|p| p.id == *id));
+        self.claims.retain(|_, t| ctx.now.since(*t) < LEAVE);
+        self.unseen.retain(|id, r| ctx.now.since(r.0) < CLAIM && !s.plans.iter().any(|p| p.id == *id));
         if let Some(id) = s.plan_ask {
-            self.answer_ask(id, s, &demand, kit);
+            self.answer_ask(id, s, &demand, ctx);
         }
         let open = s.plans.iter().any(|p| p.state == PlanState::Proposed);
         if !s.config.placement.auto && open {
             return;
         }
-        let offers = self.offers(kit.now);
+        let offers = self.offers(ctx.now);
         let going = |o: &Offer| o.runner.leaving && !(o.report.runs.is_empty() && o.report.holds.is_empty());
-        if let Some(o) = offers.iter().find(|o| going(o) && !self.claimed(&o.runner.instance, kit.now))
-            && kit.now.since(self.cleared) >= LEAVE
+        if let Some(o) = offers.iter().find(|o| going(o) && !self.claimed(&o.runner.instance, ctx.now))
+            && ctx.now.since(self.cleared) >= LEAVE
         {
-            self.cleared = kit.now;
+            self.cleared = ctx.now;
             let why = format!("{} is leaving; it is planned empty", o.runner.instance);
-            self.offer_whole(&why, IDLE_MOST, s, &demand, kit);
+            self.offer_whole(&why, IDLE_MOST, s, &demand, ctx);
         }
         for (service, want, _) in &demand {
-            self.meet(service, want, &hot, s, &demand, kit);
+            self.meet(service, want, &hot, s, &demand, ctx);
         }
         let quiet = demand.is_empty()
             && self.jobs.is_empty()
@@ -113,7 +113,7 @@
             && self.flights.rows.is_empty()
             && !s.plans.iter().any(|p| p.live());
         if quiet && self.claims.is_empty() {
-            self.offer_whole("room is free and nothing is waited for", IDLE_MOST, s, &demand, kit);
+            self.offer_whole("room is free and nothing is waited for", IDLE_MOST, s, &demand, ctx);
         }
     }
 
@@ -124,25 +124,25 @@
         hot: &[Name],
         s: &DutySlice,
         demand: &[(Name, Name, u64)],
-        kit: &mut Kit,
+        ctx: &mut Context,
     ) {
         let offers: Vec<_> =
-            self.offers(kit.now).into_iter().filter(|o| o.runner.service == *service).collect();
+            self.offers(ctx.now).into_iter().filter(|o| o.runner.service == *service).collect();
         let free = |o: &Offer| o.report.running + o.report.waiting < o.report.slots;
         let held = offers.iter().any(|o| o.report.has(want) && !o.runner.leaving && free(o));
         let plain = s.config.weight(want).is_none();
-        if held || plain || self.coming(want, s) || self.claimed(want, kit.now) {
+        if held || plain || self.coming(want, s) || self.claimed(want, ctx.now) {
             return;
         }
-        if self.choose(&offers, service, want, s, kit.now).is_some() {
+        if self.choose(&offers, service, want, s, ctx.now).is_some() {
             return;
         }
         let wanted = |n: &Name| hot.contains(n);
-        let busy = self.busy(s, kit.now);
-        let counted = self.counted(s, kit.now);
-        let rows = estimates(&s.config, &offers, &counted, want, kit.now, &wanted, &|n| busy.contains(n));
-        let credit = self.credit(service, kit);
-        let waited = self.wanted.get(want).map_or(0, |t| kit.now.since(*t).as_ms());
+        let busy = self.busy(s, ctx.now);
+        let counted = self.counted(s, ctx.now);
+        let rows = estimates(&s.config, &offers, &counted, want, ctx.now, &wanted, &|n| busy.contains(n));
+        let credit = self.credit(service, ctx);
+        let waited = self.wanted.get(want).map_or(0, |t| ctx.now.since(*t).as_ms());
         let runs = |from: &Name, model: &Name| {
             offers.iter().find(|o| o.runner.instance == *from).map_or(0, |o| o.report.runs_of(model))
         };
@@ -153,13 +153,13 @@
             _ => false,
         };
         let Some(best) = rows.iter().find(able).cloned() else {
-            return self.preempt(s, &offers, want, hot, kit);
+            return self.preempt(s, &offers, want, hot, ctx);
         };
-        let id = PlanId(kit.rand.next() | 1);
-        let p = self.picture(s, demand, &counted, kit);
+        let id = PlanId(ctx.rand.next() | 1);
+        let p = self.picture(s, demand, &counted, ctx);
         let plan = small(&p, id, want, &best.way, service, best.ms);
         let tried = rehearse(&p, &plan);
-        self.submit(plan, tried, s, kit, Some(want));
+        self.submit(plan, tried, s, ctx, Some(want));
     }
 
     pub fn picture<'a>(
@@ -167,22 +167,22 @@
         s: &'a DutySlice,
         demand: &[(Name, Name, u64)],
         flights: &'a Flights,
-        kit: &Kit,
+        ctx: &Context,
     ) -> Picture<'a> {
         let mut sum: BTreeMap<Name, u64> = BTreeMap::new();
         for (_, name, n) in demand {
             *sum.entry(name.clone()).or_default() += n;
         }
-        let credit = s.config.services.iter().map(|x| (x.name.clone(), self.credit(&x.name, kit)));
+        let credit = s.config.services.iter().map(|x| (x.name.clone(), self.credit(&x.name, ctx)));
         Picture {
             config: &s.config,
             config_at: s.config_at,
-            offers: self.offers(kit.now),
+            offers: self.offers(ctx.now),
             flights,
-            now: kit.now,
+            now: ctx.now,
             demand: sum,
             credit: credit.collect(),
-            busy: self.busy(s, kit.now),
+            busy: self.busy(s, ctx.now),
         }
     }
 
@@ -192,31 +192,31 @@
         most: usize,
         s: &DutySlice,
         demand: &[(Name, Name, u64)],
-        kit: &mut Kit,
+        ctx: &mut Context,
     ) {
-        let id = PlanId(kit.rand.next() | 1);
-        let counted = self.counted(s, kit.now);
-        let p = self.picture(s, demand, &counted, kit);
+        let id = PlanId(ctx.rand.next() | 1);
+        let counted = self.counted(s, ctx.now);
+        let p = self.picture(s, demand, &counted, ctx);
         let plan = whole(&p, id, why, most);
         if plan.stages.is_empty() {
             return;
         }
         let tried = rehearse(&p, &plan);
-        self.submit(plan, tried, s, kit, None);
+        self.submit(plan, tried, s, ctx, None);
     }
 
-    fn answer_ask(&mut self, id: ChangeId, s: &DutySlice, demand: &[(Name, Name, u64)], kit: &mut Kit) {
-        if self.asked_plan.is_some_and(|a| a.0 == id && kit.now.since(a.1) < CLAIM) {
+    fn answer_ask(&mut self, id: ChangeId, s: &DutySlice, demand: &[(Name, Name, u64)], ctx: &mut Context) {
+        if self.asked_plan.is_some_and(|a| a.0 == id && ctx.now.since(a.1) < CLAIM) {
             return;
         }
-        self.asked_plan = Some((id, kit.now));
-        let counted = self.counted(s, kit.now);
-        let p = self.picture(s, demand, &counted, kit);
+        self.asked_plan = Some((id, ctx.now));
+        let counted = self.counted(s, ctx.now);
+        let p = self.picture(s, demand, &counted, ctx);
         let mut plan = whole(&p, PlanId(id.0), "asked for by an operator", usize::MAX);
         let tried = rehearse(&p, &plan);
         plan.state = if tried.faults.is_empty() { PlanState::Proposed } else { PlanState::Stopped };
         plan.rehearsal = format!("{} {}", tried.note, tried.faults.join("; "));
-        self.tell_head(Change::Plan { term: self.term, plan, asked: Some(id) }, kit);
+        self.tell_head(Change::Plan { term: self.term, plan, asked: Some(id) }, ctx);
     }
 
     fn submit(
@@ -224,25 +224,25 @@
         mut plan: PlacementPlan,
         tried: super::trial::Rehearsed,
         s: &DutySlice,
-        kit: &mut Kit,
+        ctx: &mut Context,
         want: Option<&Name>,
     ) {
         if !tried.faults.is_empty() {
-            if kit.now.since(self.refused_at) > CLAIM {
-                self.refused_at = kit.now;
-                kit.say("plan-refused", format!("{}: {}", plan.why, tried.faults.join("; ")));
+            if ctx.now.since(self.refused_at) > CLAIM {
+                self.refused_at = ctx.now;
+                ctx.log_event("plan-refused", format!("{}: {}", plan.why, tried.faults.join("; ")));
             }
             return;
         }
         let steps = plan.now().map_or(vec![], |st| st.steps.clone());
-        self.unseen.insert(plan.id, (kit.now, plan.steps().cloned().collect()));
+        self.unseen.insert(plan.id, (ctx.now, plan.steps().cloned().collect()));
         let closed = steps.iter().filter(|x| !matches!(x, Step::Load { .. }));
         for name in closed.flat_map(|x| x.runners()).chain(want) {
-            self.claims.insert(name.clone(), kit.now);
+            self.claims.insert(name.clone(), ctx.now);
         }
         plan.rehearsal = tried.note;
         plan.state = if s.config.placement.auto { PlanState::Running } else { PlanState::Proposed };
-        kit.say("plan-proposed", format!("{} {} {}", plan.id, plan.why, plan.rehearsal));
-        self.tell_head(Change::Plan { term: self.term, plan, asked: None }, kit);
+        ctx.log_event("plan-proposed", format!("{} {} {}", plan.id, plan.why, plan.rehearsal));
+        self.tell_head(Change::Plan { term: self.term, plan, asked: None }, ctx);
     }
 }
--- a/src/placement/drive.rs
+++ b/src/placement/drive.rs
@@ -6,8 +6,8 @@
 use crate::fleet::runner::Report;
 use crate::fleet::slice::DutySlice;
 use crate::fleet::state::*;
+use crate::kernel::component::Context;
 use crate::kernel::ids::*;
-use crate::kernel::part::Kit;
 use crate::kernel::time::{Span, Time};
 
 const AGAIN: Span = Span::ms(600);
@@ -26,68 +26,68 @@
 }
 
 impl Placement {
-    pub fn run_plans(&mut self, s: &DutySlice, kit: &mut Kit) {
+    pub fn run_plans(&mut self, s: &DutySlice, ctx: &mut Context) {
         self.rows.retain(|id, _| s.plans.iter().any(|p| p.id == *id && p.live()));
         for p in s.plans.iter().filter(|p| p.live()) {
-            self.run_plan(p, s, kit);
+            self.run_plan(p, s, ctx);
         }
     }
 
-    fn run_plan(&mut self, p: &PlacementPlan, s: &DutySlice, kit: &mut Kit) {
+    fn run_plan(&mut self, p: &PlacementPlan, s: &DutySlice, ctx: &mut Context) {
         let Some(stage) = p.now() else { return };
-        let new = Row { stage: p.stage, since: kit.now, tries: 0, told: Time(0) };
+        let new = Row { stage: p.stage, since: ctx.now, tries: 0, told: Time(0) };
         let row = self.rows.entry(p.id).or_insert(new);
         if row.stage != p.stage {
-            *row = Row { stage: p.stage, since: kit.now, tries: 0, told: Time(0) };
+            *row = Row { stage: p.stage, since: ctx.now, tries: 0, told: Time(0) };
         }
-        if kit.now.since(row.told) < AGAIN && row.told != Time(0) {
+        if ctx.now.since(row.told) < AGAIN && row.told != Time(0) {
             return;
         }
-        let (ms, tries) = (kit.now.since(row.since).as_ms(), row.tries);
+        let (ms, tries) = (ctx.now.since(row.since).as_ms(), row.tries);
         let rule = &s.config.placement.stage;
         let most = Allowance { ms: stage.ms + rule.ms, tries: rule.tries * stage.steps.len() as u64 };
         let mut open = 0;
         for step in &stage.steps {
-            match self.run_step(p, step, s, kit) {
+            match self.run_step(p, step, s, ctx) {
                 At::Done => {}
                 At::Open => open += 1,
-                At::Lost(why) => return self.close(p, PlanState::Stopped, &why, (ms, tries, most), kit),
+                At::Lost(why) => return self.close(p, PlanState::Stopped, &why, (ms, tries, most), ctx),
             }
         }
         if open == 0 {
-            return self.close(p, PlanState::Running, "kept", (ms, tries, most), kit);
+            return self.close(p, PlanState::Running, "kept", (ms, tries, most), ctx);
         }
         if ms > most.ms || tries > most.tries {
             let why = format!(
                 "{open} step(s) left when the allowance was spent; what runs is untouched, propose again or raise placement.stage"
             );
-            self.close(p, PlanState::Stopped, &why, (ms, tries, most), kit);
+            self.close(p, PlanState::Stopped, &why, (ms, tries, most), ctx);
         }
     }
 
-    fn run_step(&mut self, p: &PlacementPlan, step: &Step, s: &DutySlice, kit: &mut Kit) -> At {
+    fn run_step(&mut self, p: &PlacementPlan, step: &Step, s: &DutySlice, ctx: &mut Context) -> At {
         match step {
             Step::Load { runner, name } => {
-                let Some(r) = self.heard(runner, kit.now) else { return self.absent(runner, s) };
+                let Some(r) = self.heard(runner, ctx.now) else { return self.absent(runner, s) };
                 if r.has(name) {
                     return At::Done;
                 }
                 let there =
                     |o: &Offer| o.runner.instance == *runner && fits(&s.config, o, &self.flights, name);
-                if self.offers(kit.now).iter().any(there) && self.order(runner, name, true, kit) {
+                if self.offers(ctx.now).iter().any(there) && self.order(runner, name, true, ctx) {
                     self.tried(p);
                 }
                 At::Open
             }
             Step::Unload { runner, name } => {
-                let Some(r) = self.heard(runner, kit.now) else { return self.absent(runner, s) };
+                let Some(r) = self.heard(runner, ctx.now) else { return self.absent(runner, s) };
                 if !r.has(name) {
                     return At::Done;
                 }
                 if r.runs_of(name) > 0 {
                     return At::Lost(format!("streams of {name} began on {runner}; it keeps them"));
                 }
-                if self.order(runner, name, false, kit) {
+                if self.order(runner, name, false, ctx) {
                     self.tried(p);
                 }
                 At::Open
@@ -114,12 +114,12 @@
                 if s.moves.iter().any(|m| m.live() && m.clashes(&plan)) {
                     return At::Open;
                 }
-                let sent = self.sent.get(id).is_some_and(|t| kit.now.since(*t) < AGAIN);
+                let sent = self.sent.get(id).is_some_and(|t| ctx.now.since(*t) < AGAIN);
                 if !sent {
-                    self.sent.insert(*id, kit.now);
-                    kit.say("move-planned", format!("{id} {} {}>{}", plan.model, plan.from, plan.to));
-                    let id = ChangeId(kit.rand.next() | 1);
-                    self.tell_head(Change::Move { id, plan }, kit);
+                    self.sent.insert(*id, ctx.now);
+                    ctx.log_event("move-planned", format!("{id} {} {}>{}", plan.model, plan.from, plan.to));
+                    let id = ChangeId(ctx.rand.next() | 1);
+                    self.tell_head(Change::Move { id, plan }, ctx);
                     self.tried(p);
                 }
                 At::Open
@@ -151,10 +151,10 @@
         to: PlanState,
         note: &str,
         (ms, tries, most): (u64, u64, Allowance),
-        kit: &mut Kit,
+        ctx: &mut Context,
     ) {
         if let Some(row) = self.rows.get_mut(&p.id) {
-            row.told = kit.now;
+            row.told = ctx.now;
         }
         let name = p.now().map_or(String::new(), |s| s.name.clone());
         let figure = StageFigure {
@@ -165,8 +165,8 @@
             tries_allowed: most.tries,
             note: note.into(),
         };
-        kit.say("plan-stage", format!("{} {} {to} after {ms}ms {note}", p.at, figure.name));
+        ctx.log_event("plan-stage", format!("{} {} {to} after {ms}ms {note}", p.at, figure.name));
         let change = Change::PlanStage { id: p.id, term: self.term, state: to, figure };
-        self.tell_head(change, kit);
+        self.tell_head(change, ctx);
     }
 }
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -4,17 +4,17 @@
 use super::push::Push;
 use super::quick::Wanted;
 use crate::daemon::assemble::Policy;
+use crate::distribution::Reader;
+use crate::distribution::reader::Topic;
 use crate::fleet::holdings::Want;
 use crate::fleet::plan::{PlacementPlan, Step};
 use crate::fleet::runner::Report;
 use crate::fleet::slice::{DutySlice, Slice};
 use crate::fleet::state::*;
+use crate::kernel::component::{Component, Context};
 use crate::kernel::ids::*;
-use crate::kernel::part::{Kit, Part};
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
-use crate::news::Reader;
-use crate::news::reader::Topic;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 pub const ORDER_FRESH: Span = Span::ms(1000);
@@ -136,20 +136,20 @@
         self.push_anew();
     }
 
-    fn reported(&mut self, instance: &Name, r: &Report, kit: &mut Kit) {
-        if self.is_old(kit.now, r) {
+    fn reported(&mut self, instance: &Name, r: &Report, ctx: &mut Context) {
+        if self.is_old(ctx.now, r) {
             return;
         }
         if r.leaving {
-            kit.note(Note::Marked(instance.clone()));
+            ctx.publish(JournalEvent::RunnerMarked(instance.clone()));
         }
-        self.flights.told(kit.now, r);
-        let old = self.reports.insert(instance.clone(), (kit.now, r.clone()));
+        self.flights.told(ctx.now, r);
+        let old = self.reports.insert(instance.clone(), (ctx.now, r.clone()));
         let new = |n: &&Name| old.as_ref().is_some_and(|o| !o.1.has(n));
         for n in r.holds.iter().filter(new) {
-            self.settled.insert((instance.clone(), n.clone()), kit.now);
+            self.settled.insert((instance.clone(), n.clone()), ctx.now);
         }
-        self.settled.retain(|_, t| kit.now.since(*t) < super::choose::SETTLED);
+        self.settled.retain(|_, t| ctx.now.since(*t) < super::choose::SETTLED);
         self.kept.entry(instance.clone()).or_default().extend(r.holds.iter().cloned());
     }
 
@@ -168,61 +168,61 @@
     }
 }
 
-impl Part for Placement {
+impl Component for Placement {
     fn name(&self) -> &'static str {
         "placement"
     }
 
-    fn on(&mut self, ev: &Event, kit: &mut Kit) {
-        self.flights.pacer.tick(kit.now);
+    fn on(&mut self, ev: &Event, ctx: &mut Context) {
+        self.flights.pacer.tick(ctx.now);
         match ev {
             Event::Tick => {
-                self.ask(kit);
-                self.name_holder(kit);
-                self.look(kit);
-                self.flights.arrive(kit.now);
-                self.quick(kit);
-                if self.may_order(kit.now) {
-                    self.work(kit);
+                self.ask(ctx);
+                self.name_holder(ctx);
+                self.look(ctx);
+                self.flights.arrive(ctx.now);
+                self.quick(ctx);
+                if self.may_order(ctx.now) {
+                    self.work(ctx);
                 }
-                self.push(kit);
+                self.push(ctx);
             }
-            Event::Mail { msg: Msg::NewsTell { nonce, items }, .. } => {
+            Event::Mail { msg: Msg::UpdateReply { nonce, items }, .. } => {
                 for l in self.reader.told(*nonce, items) {
                     if let Some(Slice::Duty(s)) = l.slice {
                         let s = *s;
                         let list = self.reporting(&s);
-                        self.learn(kit.me.node, s);
+                        self.learn(ctx.me.node, s);
                         let mine = self.term > Term(0);
-                        kit.out.push(Effect::Watch(if mine { list } else { vec![] }));
-                        kit.out.push(Effect::Holds(mine));
-                        self.look(kit);
+                        ctx.out.push(Effect::Watch(if mine { list } else { vec![] }));
+                        ctx.out.push(Effect::Holds(mine));
+                        self.look(ctx);
                     }
                     self.proven = self.proven.max(l.proven);
                 }
             }
             Event::Mail { from, msg: Msg::Tell(tell), .. } => {
-                self.told(*from, tell, kit.now);
+                self.told(*from, tell, ctx.now);
             }
             Event::Mail { from, msg: Msg::Want(rows), .. } if self.term > Term(0) => {
                 for want in rows {
-                    self.wanted(*from, want, kit.now);
+                    self.wanted(*from, want, ctx.now);
                 }
-                self.quick(kit);
-                self.check_held(*from, rows, kit);
+                self.quick(ctx);
+                self.check_held(*from, rows, ctx);
             }
-            Event::Listed(list) => self.listed(list, kit),
-            Event::Mail { from, msg: Msg::HeldAsk, .. } => self.push_whole(*from, kit),
+            Event::Listed(list) => self.listed(list, ctx),
+            Event::Mail { from, msg: Msg::HeldAsk, .. } => self.push_whole(*from, ctx),
             Event::Report { instance, report } if self.term > Term(0) => {
                 if let Some(r) = report {
-                    self.reported(instance, r, kit);
+                    self.reported(instance, r, ctx);
                 }
-                self.looked(instance, report.as_ref(), kit);
-                self.push(kit);
-                self.quick(kit);
+                self.looked(instance, report.as_ref(), ctx);
+                self.push(ctx);
+                self.quick(ctx);
             }
-            Event::Ordered { order, status } => self.ordered(*order, *status, kit),
-            Event::Warned => self.hand_over(kit),
+            Event::Ordered { order, status } => self.ordered(*order, *status, ctx),
+            Event::Warned => self.hand_over(ctx),
             _ => {}
         }
     }
--- a/src/placement/fill.rs
+++ b/src/placement/fill.rs
@@ -5,13 +5,13 @@
 use crate::fleet::runner::Runner;
 use crate::fleet::slice::DutySlice;
 use crate::fleet::state::Change;
+use crate::kernel::component::Context;
 use crate::kernel::ids::{ChangeId, Name, Term};
-use crate::kernel::part::Kit;
 use crate::kernel::time::Time;
 use crate::msg::*;
 
 impl Placement {
-    pub fn preempt(&mut self, s: &DutySlice, offers: &[Offer], want: &Name, hot: &[Name], kit: &mut Kit) {
+    pub fn preempt(&mut self, s: &DutySlice, offers: &[Offer], want: &Name, hot: &[Name], ctx: &mut Context) {
         if self.policy != Policy::Preempt || is_adapter(&s.config, want) {
             return;
         }
@@ -21,12 +21,12 @@
         let least = names.min_by_key(|n| o.report.runs_of(n)).cloned();
         if let Some(name) = least {
             let runner = o.runner.instance.clone();
-            self.order(&runner, &name, false, kit);
+            self.order(&runner, &name, false, ctx);
         }
     }
 
     /// Takes what the list of runners says now, if it differs from what the fleet has recorded.
-    pub fn listed(&mut self, list: &[Runner], kit: &mut Kit) {
+    pub fn listed(&mut self, list: &[Runner], ctx: &mut Context) {
         let Some(s) = &self.slice else { return };
         if self.term == Term(0) || list.is_empty() && s.runners.is_empty() {
             return;
@@ -42,16 +42,16 @@
         if list.iter().all(known) && s.runners.iter().all(here) {
             return;
         }
-        let id = ChangeId(kit.rand.next() | 1);
-        let Some(head) = kit.views.view.as_ref().and_then(|v| v.head()) else { return };
-        kit.say("runners-listed", list.len().to_string());
-        kit.send(head, Msg::Op { id, op: Op::Runners(list.to_vec()) });
+        let id = ChangeId(ctx.rand.next() | 1);
+        let Some(head) = ctx.views.view.as_ref().and_then(|v| v.head()) else { return };
+        ctx.log_event("runners-listed", list.len().to_string());
+        ctx.send(head, Msg::Op { id, op: Op::Runners(list.to_vec()) });
     }
 
-    pub fn tell_head(&mut self, change: Change, kit: &mut Kit) {
-        let Some(head) = kit.views.view.as_ref().and_then(|v| v.head()) else { return };
-        let id = ChangeId(kit.rand.next() | 1);
-        kit.send(head, Msg::Op { id, op: Op::Internal(change) });
+    pub fn tell_head(&mut self, change: Change, ctx: &mut Context) {
+        let Some(head) = ctx.views.view.as_ref().and_then(|v| v.head()) else { return };
+        let id = ChangeId(ctx.rand.next() | 1);
+        ctx.send(head, Msg::Op { id, op: Op::Internal(change) });
     }
 
     /// The runners whose reports tell what they hold.
--- a/src/placement/job.rs
+++ b/src/placement/job.rs
@@ -4,8 +4,8 @@
 use super::flights::is_adapter;
 use crate::fleet::plan::*;
 use crate::fleet::slice::DutySlice;
+use crate::kernel::component::Context;
 use crate::kernel::ids::*;
-use crate::kernel::part::Kit;
 use crate::kernel::time::{Span, Time};
 use std::collections::VecDeque;
 
@@ -37,12 +37,12 @@
 }
 
 impl Placement {
-    pub fn begin(&mut self, want: &Name, choice: Choice, why: &str, kit: &mut Kit) {
-        let id = PlanId(kit.rand.next() | 1);
+    pub fn begin(&mut self, want: &Name, choice: Choice, why: &str, ctx: &mut Context) {
+        let id = PlanId(ctx.rand.next() | 1);
         let at = self.slice.as_ref().map_or(Version(0), |s| s.config_at);
         let plan = decision(id, at, want, &choice, why);
         let gone = choice.unloads.iter().map(|n| n.to_string()).collect::<Vec<_>>().join(",");
-        kit.say("plan-small", format!("{id} {} on {} instead of [{gone}]", plan.why, choice.runner));
+        ctx.log_event("plan-small", format!("{id} {} on {} instead of [{gone}]", plan.why, choice.runner));
         self.decided.push_back(plan);
         if self.decided.len() > KEPT {
             self.decided.pop_front();
@@ -58,19 +58,19 @@
             steps,
             order: None,
             behind: false,
-            since: kit.now,
-            next: kit.now,
+            since: ctx.now,
+            next: ctx.now,
             gap: AGAIN,
         };
         self.jobs.insert(choice.runner, job);
-        self.push(kit);
+        self.push(ctx);
     }
 
-    pub fn run_jobs(&mut self, s: &DutySlice, kit: &mut Kit) {
+    pub fn run_jobs(&mut self, s: &DutySlice, ctx: &mut Context) {
         let runners: Vec<Name> = self.jobs.keys().cloned().collect();
         for r in runners {
             let Some(job) = self.jobs.remove(&r) else { continue };
-            let end = match self.run_job(&r, job, s, kit) {
+            let end = match self.run_job(&r, job, s, ctx) {
                 Ok(job) => {
                     self.jobs.insert(r, job);
                     continue;
@@ -82,7 +82,7 @@
                 p.state = to;
             }
             if to == PlanState::Stopped {
-                kit.say("plan-stopped", format!("{id} at {r}: {why}"));
+                ctx.log_event("plan-stopped", format!("{id} at {r}: {why}"));
                 self.push.closing.remove(&r);
             }
         }
@@ -93,16 +93,16 @@
         runner: &Name,
         mut job: Job,
         s: &DutySlice,
-        kit: &mut Kit,
+        ctx: &mut Context,
     ) -> Result<Job, (PlanId, PlanState, &'static str)> {
         let id = job.id;
-        if kit.now.since(job.since) > ALLOWED {
+        if ctx.now.since(job.since) > ALLOWED {
             return Err((id, PlanState::Stopped, "its time was spent"));
         }
         if !s.runners.iter().any(|r| r.instance == *runner && !r.leaving) {
             return Err((id, PlanState::Stopped, "the runner left"));
         }
-        if job.order.is_some_and(|o| self.flights.rows.contains_key(&o)) || kit.now < job.next {
+        if job.order.is_some_and(|o| self.flights.rows.contains_key(&o)) || ctx.now < job.next {
             return Ok(job);
         }
         let Some(report) = self.reports.get(runner).map(|r| self.known(s, &r.1)) else { return Ok(job) };
@@ -120,19 +120,19 @@
         if !load && report.runs_of(&name) > 0 && !report.runs.is_empty() && !is_adapter(&s.config, &name) {
             let own = self.reports.get(runner).is_some_and(|r| r.1.runs_of(&name) > 0);
             if own {
-                self.look_at(runner, kit.now + Span::ms(100));
+                self.look_at(runner, ctx.now + Span::ms(100));
                 return Ok(job);
             }
         }
-        job.order = self.send_order(runner, &name, load, job.behind, kit);
+        job.order = self.send_order(runner, &name, load, job.behind, ctx);
         if job.order.is_none() {
-            job.next = kit.now + AGAIN;
+            job.next = ctx.now + AGAIN;
         }
         Ok(job)
     }
 
     /// An answer to an order of a job: the next step, the same again, or the end.
-    pub fn job_answered(&mut self, order: OrderId, status: u16, kit: &mut Kit) {
+    pub fn job_answered(&mut self, order: OrderId, status: u16, ctx: &mut Context) {
         let Some((runner, mut job)) = self.job_of(order) else { return };
         let Some((load, name)) = job.steps.front().cloned() else { return };
         job.order = None;
@@ -140,7 +140,7 @@
             200..=299 => {
                 job.steps.pop_front();
                 job.behind |= !load;
-                (job.next, job.gap) = (kit.now, AGAIN);
+                (job.next, job.gap) = (ctx.now, AGAIN);
                 if load {
                     if let Some(p) = self.decided.iter_mut().find(|p| p.id == job.id) {
                         p.state = PlanState::Done;
@@ -150,22 +150,22 @@
                 }
             }
             409 if !job.behind && job.gap >= TIRED => {
-                kit.say("plan-stopped", format!("{} at {runner}: refused again and again", job.id));
+                ctx.log_event("plan-stopped", format!("{} at {runner}: refused again and again", job.id));
                 self.push.closing.remove(&runner);
                 return;
             }
             409 | 499 => {
                 self.flights.refused.remove(&(runner.clone(), name));
-                job.next = kit.now + job.gap;
+                job.next = ctx.now + job.gap;
                 job.gap = Span((job.gap.0 * 2).min(Span::ms(160).0));
-                self.look_at(&runner, kit.now);
+                self.look_at(&runner, ctx.now);
             }
             0 => {
                 job.order = Some(order);
-                self.look_at(&runner, kit.now + Span::ms(50));
+                self.look_at(&runner, ctx.now + Span::ms(50));
             }
             _ => {
-                kit.say("plan-stopped", format!("{} at {runner}: answered {status}", job.id));
+                ctx.log_event("plan-stopped", format!("{} at {runner}: answered {status}", job.id));
                 self.push.closing.remove(&runner);
                 return;
             }
--- a/src/placement/look.rs
+++ b/src/placement/look.rs
@@ -1,8 +1,8 @@
 use super::duty::Placement;
 use crate::fleet::holdings::Want;
 use crate::fleet::runner::Report;
+use crate::kernel::component::Context;
 use crate::kernel::ids::*;
-use crate::kernel::part::Kit;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 use std::collections::BTreeMap;
@@ -28,47 +28,47 @@
         }
     }
 
-    pub fn look(&mut self, kit: &mut Kit) {
+    pub fn look(&mut self, ctx: &mut Context) {
         let Some(s) = &self.slice else { return };
         if self.term == Term(0) {
             return;
         }
         for r in &self.reporting(s) {
             let l = self.looks.entry(r.instance.clone()).or_default();
-            let open = l.asked.is_some_and(|t| kit.now.since(t) < LOST);
-            if kit.now < l.next || open {
+            let open = l.asked.is_some_and(|t| ctx.now.since(t) < LOST);
+            if ctx.now < l.next || open {
                 continue;
             }
-            l.asked = Some(kit.now);
-            l.next = kit.now + REST;
-            kit.out.push(Effect::Look(r.instance.clone()));
+            l.asked = Some(ctx.now);
+            l.next = ctx.now + REST;
+            ctx.out.push(Effect::Look(r.instance.clone()));
         }
     }
 
-    pub fn ordered(&mut self, order: OrderId, status: u16, kit: &mut Kit) {
-        self.flights.answered(kit.now, order, status);
+    pub fn ordered(&mut self, order: OrderId, status: u16, ctx: &mut Context) {
+        self.flights.answered(ctx.now, order, status);
         if let Some(f) = self.flights.rows.get(&order) {
             let (runner, end) = (f.runner.clone(), f.end);
-            self.look_at(&runner, if status == 200 { kit.now } else { end });
+            self.look_at(&runner, if status == 200 { ctx.now } else { end });
         }
-        self.job_answered(order, status, kit);
-        self.quick(kit);
-        self.push(kit);
+        self.job_answered(order, status, ctx);
+        self.quick(ctx);
+        self.push(ctx);
     }
 
     /// A router misses what is known as held: both may be wrong.
-    pub fn check_held(&mut self, from: NodeId, rows: &[Want], kit: &mut Kit) {
+    pub fn check_held(&mut self, from: NodeId, rows: &[Want], ctx: &mut Context) {
         let known = |w: &&Want| self.reports.values().any(|r| r.1.has(&w.name));
         let names: Vec<Name> = rows.iter().filter(known).map(|w| w.name.clone()).collect();
-        if names.is_empty() || kit.now.since(self.checked) < STALE {
+        if names.is_empty() || ctx.now.since(self.checked) < STALE {
             return;
         }
-        self.checked = kit.now;
-        self.push_whole(from, kit);
+        self.checked = ctx.now;
+        self.push_whole(from, ctx);
         let holds = |r: &Report| names.iter().any(|n| r.has(n));
         let runners: Vec<Name> = self.reports.iter().filter(|r| holds(&r.1.1)).map(|r| r.0.clone()).collect();
         for r in runners {
-            self.look_at(&r, kit.now);
+            self.look_at(&r, ctx.now);
         }
     }
 
@@ -78,13 +78,13 @@
         r.orders < old.orders && now.since(*at) < STALE
     }
 
-    pub fn looked(&mut self, runner: &Name, report: Option<&Report>, kit: &Kit) {
+    pub fn looked(&mut self, runner: &Name, report: Option<&Report>, ctx: &Context) {
         let ends = self.flights.rows.values().filter(|f| f.runner == *runner && f.answered);
-        let soon = ends.map(|f| f.end.max(kit.now + AGAIN)).min();
+        let soon = ends.map(|f| f.end.max(ctx.now + AGAIN)).min();
         let busy = report.is_some_and(|r| r.running + r.waiting > 0);
         let Some(l) = self.looks.get_mut(runner) else { return };
         l.asked = None;
-        l.next = kit.now + if busy { WORK } else { REST };
+        l.next = ctx.now + if busy { WORK } else { REST };
         if let Some(t) = soon {
             l.next = l.next.min(t);
         }
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -3,16 +3,16 @@
 use super::room::fits;
 use crate::fleet::runner::Report;
 use crate::fleet::slice::DutySlice;
+use crate::kernel::component::Context;
 use crate::kernel::ids::*;
-use crate::kernel::part::Kit;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 
 const TINY: Span = Span::ms(5);
 
 impl Placement {
-    pub fn order(&mut self, runner: &Name, name: &Name, load: bool, kit: &mut Kit) -> bool {
-        self.send_order(runner, name, load, false, kit).is_some()
+    pub fn order(&mut self, runner: &Name, name: &Name, load: bool, ctx: &mut Context) -> bool {
+        self.send_order(runner, name, load, false, ctx).is_some()
     }
 
     /// `behind`: sent while an unload of this runner, which it has taken, may still be under way.
@@ -22,11 +22,11 @@
         name: &Name,
         load: bool,
         behind: bool,
-        kit: &mut Kit,
+        ctx: &mut Context,
     ) -> Option<OrderId> {
         let s = self.slice.as_ref()?;
         let r = s.runners.iter().find(|r| r.instance == *runner).cloned()?;
-        if self.flights.has(runner, name) || !self.may_order(kit.now) || self.flights.open(runner) {
+        if self.flights.has(runner, name) || !self.may_order(ctx.now) || self.flights.open(runner) {
             return None;
         }
         let report = self.reports.get(runner).map(|r| self.known(s, &r.1))?;
@@ -41,13 +41,13 @@
         if counted && !self.flights.may_load(rule) {
             return None;
         }
-        let order = OrderId(kit.rand.next() | 1);
+        let order = OrderId(ctx.rand.next() | 1);
         let ms = if kept && !adapter { rule.kept_ms } else { s.config.load_ms(name) };
         let flight = Flight {
             runner: runner.clone(),
             name: name.clone(),
             load,
-            since: kit.now,
+            since: ctx.now,
             mb: s.config.weight(name).unwrap_or(0),
             adapter,
             answered: false,
@@ -60,14 +60,14 @@
         };
         let due = self.proven + ORDER_FRESH;
         if counted {
-            self.flights.pacer.took(order, due.since(kit.now));
+            self.flights.pacer.took(order, due.since(ctx.now));
         }
         self.flights.rows.insert(order, flight);
         let term = self.term;
         let what = if load { "load" } else { "unload" };
-        kit.say("runner-order", format!("{what} {name} on {runner} under {term}"));
+        ctx.log_event("runner-order", format!("{what} {name} on {runner} under {term}"));
         let (name, runner) = (name.clone(), offer.runner);
-        kit.out.push(Effect::Drive(RunnerOrder { order, term, runner, load, name, adapter, due }));
+        ctx.out.push(Effect::Drive(RunnerOrder { order, term, runner, load, name, adapter, due }));
         Some(order)
     }
 
--- a/src/placement/planner.rs
+++ b/src/placement/planner.rs
@@ -7,7 +7,7 @@
 use crate::kernel::ids::*;
 use std::collections::BTreeMap;
 
-struct Desk {
+struct ChangeQueue {
     runner: Name,
     free: u64,
     slots: u64,
@@ -58,7 +58,8 @@
 }
 
 pub fn whole(p: &Picture, id: PlanId, why: &str, most: usize) -> PlacementPlan {
-    let mut desks: Vec<Desk> = p.offers.iter().filter(|o| !o.runner.leaving).map(|o| desk(p, o)).collect();
+    let mut desks: Vec<ChangeQueue> =
+        p.offers.iter().filter(|o| !o.runner.leaving).map(|o| desk(p, o)).collect();
     let evacuate = leave(p, &mut desks, id);
     let mut unplaced = Vec::new();
     for s in &p.config.services {
@@ -96,7 +97,7 @@
     plan
 }
 
-fn step(d: &Desk, names: &[Name], load: bool) -> Vec<Step> {
+fn step(d: &ChangeQueue, names: &[Name], load: bool) -> Vec<Step> {
     let one = |name: &Name| {
         let (runner, name) = (d.runner.clone(), name.clone());
         if load { Step::Load { runner, name } } else { Step::Unload { runner, name } }
@@ -104,9 +105,9 @@
     names.iter().map(one).collect()
 }
 
-fn desk(p: &Picture, o: &super::flights::Offer) -> Desk {
+fn desk(p: &Picture, o: &super::flights::Offer) -> ChangeQueue {
     let busy = p.busy.contains(&o.runner.instance);
-    let mut d = Desk {
+    let mut d = ChangeQueue {
         runner: o.runner.instance.clone(),
         free: if busy { 0 } else { free_mb(p.config, o, p.flights) },
         slots: if busy { 0 } else { super::room::adapters_free(p.config, o, p.flights) },
@@ -126,14 +127,16 @@
     d
 }
 
-fn place(p: &Picture, s: &Service, desks: &mut [Desk], name: &Name) -> bool {
-    let of = |d: &Desk| p.offers.iter().any(|o| o.runner.instance == d.runner && o.runner.service == s.name);
+fn place(p: &Picture, s: &Service, desks: &mut [ChangeQueue], name: &Name) -> bool {
+    let of = |d: &ChangeQueue| {
+        p.offers.iter().any(|o| o.runner.instance == d.runner && o.runner.service == s.name)
+    };
     if desks.iter().any(|d| of(d) && (d.held.contains(name) || d.load.contains(name))) {
         return true;
     }
     let Some(mb) = p.config.weight(name) else { return false };
     let base = p.config.adapter(name).map(|a| a.model.clone());
-    let fits = |d: &&mut Desk| {
+    let fits = |d: &&mut ChangeQueue| {
         let based = base.as_ref().is_none_or(|m| d.slots > 0 && d.held.contains(m));
         of(d) && d.free >= mb && based
     };
@@ -154,7 +157,7 @@
     true
 }
 
-fn leave(p: &Picture, desks: &mut [Desk], id: PlanId) -> Vec<Step> {
+fn leave(p: &Picture, desks: &mut [ChangeQueue], id: PlanId) -> Vec<Step> {
     let mut out = Vec::new();
     let mut taken: BTreeMap<&Name, u64> = BTreeMap::new();
     for o in p.offers.iter().filter(|o| o.runner.leaving && !p.busy.contains(&o.runner.instance)) {
--- a/src/placement/push.rs
+++ b/src/placement/push.rs
@@ -1,7 +1,7 @@
 use super::duty::{Placement, REPORT};
 use crate::fleet::holdings::{HeldRow, HeldTell};
+use crate::kernel::component::Context;
 use crate::kernel::ids::*;
-use crate::kernel::part::Kit;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -39,28 +39,28 @@
         self.reports.iter().map(row).collect()
     }
 
-    fn routers(&self, kit: &Kit) -> Vec<NodeId> {
-        let live = kit.views.book.iter().filter(|r| r.who.role == Role::Router && r.quiet < GONE);
+    fn routers(&self, ctx: &Context) -> Vec<NodeId> {
+        let live = ctx.views.members.iter().filter(|r| r.who.role == Role::Router && r.quiet < GONE);
         live.map(|r| r.who.node).collect()
     }
 
-    pub fn push(&mut self, kit: &mut Kit) {
+    pub fn push(&mut self, ctx: &mut Context) {
         if self.term == Term(0) {
             return;
         }
-        let rows = self.rows(kit.now);
+        let rows = self.rows(ctx.now);
         let old = &self.push.sent;
         let news: Vec<HeldRow> = rows.values().filter_map(|r| r.after(old.get(&r.runner))).collect();
         let minor = news.iter().all(|r| rows[&r.runner].minor(old.get(&r.runner)));
-        let beat = kit.now.since(self.push.beat) >= BEAT;
-        let due = !news.is_empty() && (!minor || kit.now.since(self.push.minor) >= MINOR);
+        let beat = ctx.now.since(self.push.beat) >= BEAT;
+        let due = !news.is_empty() && (!minor || ctx.now.since(self.push.minor) >= MINOR);
         if !beat && !due && !self.push.whole {
             return;
         }
         let whole = std::mem::take(&mut self.push.whole);
         self.push.seq += 1;
-        self.push.beat = kit.now;
-        self.push.minor = kit.now;
+        self.push.beat = ctx.now;
+        self.push.minor = ctx.now;
         let tell = HeldTell {
             term: self.term,
             seq: self.push.seq,
@@ -68,18 +68,18 @@
             rows: if whole { rows.values().cloned().collect() } else { news },
         };
         self.push.sent = rows;
-        for to in self.routers(kit) {
-            kit.send(to, Msg::Held(Box::new(tell.clone())));
+        for to in self.routers(ctx) {
+            ctx.send(to, Msg::Held(Box::new(tell.clone())));
         }
     }
 
-    pub fn push_whole(&mut self, to: NodeId, kit: &mut Kit) {
+    pub fn push_whole(&mut self, to: NodeId, ctx: &mut Context) {
         if self.term == Term(0) {
             return;
         }
         let rows = self.push.sent.values().cloned().collect();
         let tell = HeldTell { term: self.term, seq: self.push.seq, whole: true, rows };
-        kit.send(to, Msg::Held(Box::new(tell)));
+        ctx.send(to, Msg::Held(Box::new(tell)));
     }
 
     pub fn close_to(&mut self, runner: &Name, name: &Name, closed: bool) {
--- a/src/placement/quick.rs
+++ b/src/placement/quick.rs
@@ -5,8 +5,8 @@
 use crate::fleet::config::Class;
 use crate::fleet::holdings::Want;
 use crate::fleet::slice::DutySlice;
+use crate::kernel::component::Context;
 use crate::kernel::ids::*;
-use crate::kernel::part::Kit;
 use crate::kernel::time::{Span, Time};
 use std::collections::BTreeMap;
 
@@ -46,13 +46,13 @@
         self.wants.retain(|_, w| !w.rows.is_empty());
     }
 
-    pub fn quick(&mut self, kit: &mut Kit) {
-        self.gather(kit.now);
+    pub fn quick(&mut self, ctx: &mut Context) {
+        self.gather(ctx.now);
         let Some(s) = self.slice.clone() else { return };
-        if !self.may_order(kit.now) {
+        if !self.may_order(ctx.now) {
             return;
         }
-        self.run_jobs(&s, kit);
+        self.run_jobs(&s, ctx);
         if !s.config.placement.auto || self.wants.is_empty() {
             return;
         }
@@ -60,31 +60,31 @@
             self.wants.iter().map(|(n, w)| (w.class, w.since, n.clone())).collect();
         names.sort();
         for (_, _, name) in names {
-            self.meet_quick(&name, &s, kit);
+            self.meet_quick(&name, &s, ctx);
         }
     }
 
-    fn meet_quick(&mut self, name: &Name, s: &DutySlice, kit: &mut Kit) {
+    fn meet_quick(&mut self, name: &Name, s: &DutySlice, ctx: &mut Context) {
         if s.config.weight(name).is_none() || self.coming(name, s) {
             return;
         }
-        let offers = self.offers(kit.now);
+        let offers = self.offers(ctx.now);
         if self.served(&offers, name, s) {
             return;
         }
         let Some(service) = self.wants.get(name).map(|w| w.service.clone()) else { return };
         let held = offers.iter().any(|o| o.report.has(name) && !o.runner.leaving);
-        let Some(choice) = self.choose(&offers, &service, name, s, kit.now) else { return };
-        let since = self.wants.get(name).map_or(kit.now, |w| w.since);
-        let blind = self.used.is_empty() && kit.now.since(since) < BLIND;
+        let Some(choice) = self.choose(&offers, &service, name, s, ctx.now) else { return };
+        let since = self.wants.get(name).map_or(ctx.now, |w| w.since);
+        let blind = self.used.is_empty() && ctx.now.since(since) < BLIND;
         if blind && !choice.unloads.is_empty() {
             return;
         }
         if held && choice.loss > LOSS {
             return;
         }
-        self.begin(name, choice, "is wanted and no runner can take it", kit);
-        self.run_jobs(s, kit);
+        self.begin(name, choice, "is wanted and no runner can take it", ctx);
+        self.run_jobs(s, ctx);
     }
 
     pub fn coming(&self, name: &Name, s: &DutySlice) -> bool {
@@ -157,14 +157,14 @@
     }
 
     /// More copies of what is hot, where that costs little.
-    pub fn spread(&mut self, s: &DutySlice, kit: &mut Kit) {
-        if !s.config.placement.auto || !self.may_order(kit.now) || self.jobs.len() >= COPIES {
+    pub fn spread(&mut self, s: &DutySlice, ctx: &mut Context) {
+        if !s.config.placement.auto || !self.may_order(ctx.now) || self.jobs.len() >= COPIES {
             return;
         }
         if self.flights.pacer.left(&s.config.store) < 2.0 {
             return;
         }
-        let uses = self.uses(kit.now);
+        let uses = self.uses(ctx.now);
         let models = s.config.models.iter().filter_map(|m| Some((uses.get(&m.name)?, &m.name)));
         let Some((_, name)) = models
             .filter(|(u, n)| u.runs > 0 && self.held_by(n) > 0)
@@ -174,14 +174,14 @@
             return;
         };
         let Some(service) = s.config.services.iter().find(|x| x.models.contains(name)) else { return };
-        let offers = self.offers(kit.now);
-        let Some(choice) = self.choose(&offers, &service.name, name, s, kit.now) else { return };
+        let offers = self.offers(ctx.now);
+        let Some(choice) = self.choose(&offers, &service.name, name, s, ctx.now) else { return };
         if choice.loss > SPREAD_LOSS {
             return;
         }
         let name = name.clone();
-        self.begin(&name, choice, "is hot", kit);
-        self.run_jobs(s, kit);
+        self.begin(&name, choice, "is hot", ctx);
+        self.run_jobs(s, ctx);
     }
 
     fn under_way(&self, name: &Name) -> u64 {
--- a/src/placement/seeker.rs
+++ b/src/placement/seeker.rs
@@ -1,6 +1,6 @@
 use crate::fleet::holdings::{HeldTell, Want};
+use crate::kernel::component::{Component, Context};
 use crate::kernel::ids::*;
-use crate::kernel::part::{Kit, Part};
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 use std::collections::BTreeMap;
@@ -23,10 +23,10 @@
 }
 
 impl Seeker {
-    fn holders(&self, kit: &Kit) -> Vec<NodeId> {
+    fn holders(&self, ctx: &Context) -> Vec<NodeId> {
         match self.holder {
-            Some(n) if kit.now.since(self.heard) < HEARD => vec![n],
-            _ => kit.views.controllers().map(|r| r.who.node).collect(),
+            Some(n) if ctx.now.since(self.heard) < HEARD => vec![n],
+            _ => ctx.views.controllers().map(|r| r.who.node).collect(),
         }
     }
 
@@ -36,8 +36,8 @@
         row.class = row.class.min(want.class);
     }
 
-    fn flush(&mut self, kit: &mut Kit) {
-        self.sent.retain(|_, t| kit.now.since(*t) < GATHER);
+    fn flush(&mut self, ctx: &mut Context) {
+        self.sent.retain(|_, t| ctx.now.since(*t) < GATHER);
         let held = |n: &Name| self.sent.contains_key(n);
         let rows: Vec<Want> = self.wants.values().filter(|w| !held(&w.name)).cloned().collect();
         if rows.is_empty() {
@@ -45,14 +45,14 @@
         }
         for w in &rows {
             self.wants.remove(&w.name);
-            self.sent.insert(w.name.clone(), kit.now);
+            self.sent.insert(w.name.clone(), ctx.now);
         }
-        for to in self.holders(kit) {
-            kit.send(to, Msg::Want(rows.clone()));
+        for to in self.holders(ctx) {
+            ctx.send(to, Msg::Want(rows.clone()));
         }
     }
 
-    fn told(&mut self, from: NodeId, tell: &HeldTell, kit: &mut Kit) {
+    fn told(&mut self, from: NodeId, tell: &HeldTell, ctx: &mut Context) {
         let newer = tell.term > self.term;
         if tell.term < self.term || (!newer && tell.seq < self.seq) {
             return;
@@ -60,7 +60,7 @@
         if newer {
             (self.term, self.seq, self.behind) = (tell.term, tell.seq, true);
         }
-        self.heard = kit.now;
+        self.heard = ctx.now;
         self.holder = Some(from);
         if tell.whole {
             self.behind = false;
@@ -70,38 +70,38 @@
         let old = !tell.whole && !newer && tell.seq == self.seq;
         self.seq = tell.seq;
         if !old && !tell.rows.is_empty() {
-            kit.out.push(Effect::Held(tell.rows.clone()));
+            ctx.out.push(Effect::Held(tell.rows.clone()));
         }
     }
 
-    fn tick(&mut self, kit: &mut Kit) {
-        self.flush(kit);
-        let quiet = kit.now.since(self.heard) >= HEARD;
-        if (self.behind || quiet) && kit.now.since(self.asked) >= ASK {
-            self.asked = kit.now;
-            for to in self.holders(kit) {
-                kit.send(to, Msg::HeldAsk);
+    fn tick(&mut self, ctx: &mut Context) {
+        self.flush(ctx);
+        let quiet = ctx.now.since(self.heard) >= HEARD;
+        if (self.behind || quiet) && ctx.now.since(self.asked) >= ASK {
+            self.asked = ctx.now;
+            for to in self.holders(ctx) {
+                ctx.send(to, Msg::HeldAsk);
             }
         }
     }
 }
 
-impl Part for Seeker {
+impl Component for Seeker {
     fn name(&self) -> &'static str {
         "seeker"
     }
 
-    fn on(&mut self, ev: &Event, kit: &mut Kit) {
+    fn on(&mut self, ev: &Event, ctx: &mut Context) {
         match ev {
             Event::Wanted(want) => {
                 self.add(want);
-                self.flush(kit);
+                self.flush(ctx);
             }
             Event::Mail { from, msg: Msg::Held(tell), .. } => {
-                self.told(*from, tell, kit);
-                self.tick(kit);
+                self.told(*from, tell, ctx);
+                self.tick(ctx);
             }
-            Event::Tick => self.tick(kit),
+            Event::Tick => self.tick(ctx),
             _ => {}
         }
     }
--- a/src/placement/stages.rs
+++ b/src/placement/stages.rs
@@ -1,12 +1,12 @@
 use super::duty::Placement;
 use super::room::fits;
-use crate::colleagues::part::SUSPECT;
 use crate::fleet::config::Allowance;
 use crate::fleet::slice::DutySlice;
 use crate::fleet::state::*;
+use crate::kernel::component::Context;
 use crate::kernel::ids::*;
-use crate::kernel::part::Kit;
 use crate::kernel::time::Span;
+use crate::membership::service::SUSPECT;
 use crate::msg::Role;
 
 const PLAN: Span = Span::ms(100);
@@ -20,26 +20,26 @@
 }
 
 impl Placement {
-    pub fn work(&mut self, kit: &mut Kit) {
-        if kit.now.since(self.planned) < PLAN {
+    pub fn work(&mut self, ctx: &mut Context) {
+        if ctx.now.since(self.planned) < PLAN {
             return;
         }
-        self.planned = kit.now;
+        self.planned = ctx.now;
         let Some(s) = self.slice.clone() else { return };
         self.phases.retain(|id, _| s.moves.iter().any(|m| m.id == *id));
         for m in s.moves.iter().filter(|m| m.live()) {
-            self.stage(m, &s, kit);
+            self.stage(m, &s, ctx);
         }
-        self.run_plans(&s, kit);
-        self.spread(&s, kit);
-        self.propose(&s, kit);
+        self.run_plans(&s, ctx);
+        self.spread(&s, ctx);
+        self.propose(&s, ctx);
     }
 
-    fn step(&mut self, m: &MovePlan, phase: Phase, why: &str, spent: &Spent, kit: &mut Kit) {
-        if self.sent.get(&m.id).is_some_and(|t| kit.now.since(*t) < AGAIN) {
+    fn step(&mut self, m: &MovePlan, phase: Phase, why: &str, spent: &Spent, ctx: &mut Context) {
+        if self.sent.get(&m.id).is_some_and(|t| ctx.now.since(*t) < AGAIN) {
             return;
         }
-        self.sent.insert(m.id, kit.now);
+        self.sent.insert(m.id, ctx.now);
         let note = why.to_string();
         let figure = StageFigure {
             name: m.phase.to_string(),
@@ -49,94 +49,94 @@
             tries_allowed: spent.most.tries,
             note: note.clone(),
         };
-        kit.say("move-stage", format!("{} {} to {phase} after {}ms {note}", m.id, m.phase, spent.ms));
+        ctx.log_event("move-stage", format!("{} {} to {phase} after {}ms {note}", m.id, m.phase, spent.ms));
         let change = Change::Step { id: m.id, term: self.term, phase, why: note, stage: Some(figure) };
-        self.tell_head(change, kit);
+        self.tell_head(change, ctx);
     }
 
-    fn stage(&mut self, m: &MovePlan, s: &DutySlice, kit: &mut Kit) {
-        let row = self.phases.entry(m.id).or_insert((m.phase, kit.now, 0));
+    fn stage(&mut self, m: &MovePlan, s: &DutySlice, ctx: &mut Context) {
+        let row = self.phases.entry(m.id).or_insert((m.phase, ctx.now, 0));
         if row.0 != m.phase {
-            *row = (m.phase, kit.now, 0);
+            *row = (m.phase, ctx.now, 0);
         }
-        let (ms, orders) = (kit.now.since(row.1).as_ms(), row.2);
+        let (ms, orders) = (ctx.now.since(row.1).as_ms(), row.2);
         let rule = &s.config.moving;
         let a = match m.phase {
             Phase::Load | Phase::Want => &rule.load,
             Phase::Warm => &rule.warm,
             _ => &rule.unload,
         };
-        let (streams, warmed, postponed) = self.progress(m.id, kit);
+        let (streams, warmed, postponed) = self.progress(m.id, ctx);
         let tries = if m.phase == Phase::Warm { warmed } else { orders };
         let spent = Spent { ms, tries, most: a.clone() };
         let known = |n: &Name| s.runners.iter().any(|r| r.instance == *n && !r.leaving);
         if m.phase != Phase::Want && m.phase != Phase::Unload && !known(&m.to) {
-            return self.step(m, Phase::Stopped, "the destination left", &spent, kit);
+            return self.step(m, Phase::Stopped, "the destination left", &spent, ctx);
         }
         if !s.runners.iter().any(|r| r.instance == m.from) {
-            return self.step(m, Phase::Stopped, "the source is gone", &spent, kit);
+            return self.step(m, Phase::Stopped, "the source is gone", &spent, ctx);
         }
         if ms > a.ms || tries > a.tries {
             let why =
                 format!("the stage overran its allowance; streams left {streams:?}, postponed {postponed}");
-            return self.step(m, Phase::Stopped, &why, &spent, kit);
+            return self.step(m, Phase::Stopped, &why, &spent, ctx);
         }
-        let report = |n: &Name| self.reports.get(n).filter(|r| kit.now.since(r.0) < super::duty::REPORT);
+        let report = |n: &Name| self.reports.get(n).filter(|r| ctx.now.since(r.0) < super::duty::REPORT);
         let (from, to) = (report(&m.from).map(|r| r.1.clone()), report(&m.to).map(|r| r.1.clone()));
         match m.phase {
             Phase::Load => {
                 if to.is_some_and(|r| r.has(&m.model)) {
-                    return self.step(m, Phase::Warm, "the destination holds the model", &spent, kit);
+                    return self.step(m, Phase::Warm, "the destination holds the model", &spent, ctx);
                 }
-                self.drive(m, &m.to, &m.model, true, kit);
+                self.drive(m, &m.to, &m.model, true, ctx);
             }
             Phase::Warm => {
                 let idle = from.is_some_and(|r| r.runs_of(&m.model) == 0);
                 if idle && streams == Some(0) {
                     let why = format!("no stream is left; postponed {postponed}");
-                    self.step(m, Phase::Unload, &why, &spent, kit);
+                    self.step(m, Phase::Unload, &why, &spent, ctx);
                 }
             }
             Phase::Unload => {
                 if m.want.0.is_empty() {
-                    return self.step(m, Phase::Done, "nothing else is wanted there", &spent, kit);
+                    return self.step(m, Phase::Done, "nothing else is wanted there", &spent, ctx);
                 }
                 match from {
-                    Some(r) if !r.has(&m.model) => self.step(m, Phase::Want, "unloaded", &spent, kit),
-                    Some(r) if r.runs_of(&m.model) == 0 => self.drive(m, &m.from, &m.model, false, kit),
+                    Some(r) if !r.has(&m.model) => self.step(m, Phase::Want, "unloaded", &spent, ctx),
+                    Some(r) if r.runs_of(&m.model) == 0 => self.drive(m, &m.from, &m.model, false, ctx),
                     _ => {}
                 }
             }
             Phase::Want => {
                 if from.is_some_and(|r| r.has(&m.want)) {
-                    return self.step(m, Phase::Done, "the wanted model is held", &spent, kit);
+                    return self.step(m, Phase::Done, "the wanted model is held", &spent, ctx);
                 }
-                self.drive(m, &m.from, &m.want, true, kit);
+                self.drive(m, &m.from, &m.want, true, ctx);
             }
             Phase::Done | Phase::Stopped => {}
         }
     }
 
-    fn drive(&mut self, m: &MovePlan, runner: &Name, name: &Name, load: bool, kit: &mut Kit) {
+    fn drive(&mut self, m: &MovePlan, runner: &Name, name: &Name, load: bool, ctx: &mut Context) {
         let Some(s) = &self.slice else { return };
-        let offers = self.offers(kit.now);
+        let offers = self.offers(ctx.now);
         let room =
             offers.iter().any(|o| o.runner.instance == *runner && fits(&s.config, o, &self.flights, name));
         if load && !room {
             return;
         }
-        if self.order(runner, name, load, kit)
+        if self.order(runner, name, load, ctx)
             && let Some(row) = self.phases.get_mut(&m.id)
         {
             row.2 += 1;
         }
     }
 
-    fn progress(&self, id: MoveId, kit: &Kit) -> (Option<u64>, u64, u64) {
-        let live = kit.views.book.iter().filter(|r| r.who.role == Role::Router && r.quiet < SUSPECT);
+    fn progress(&self, id: MoveId, ctx: &Context) -> (Option<u64>, u64, u64) {
+        let live = ctx.views.members.iter().filter(|r| r.who.role == Role::Router && r.quiet < SUSPECT);
         let (mut left, mut tries, mut postponed) = (Some(0), 0, 0);
         for r in live {
-            let tell = self.tells.get(&r.who.node).filter(|t| kit.now.since(t.0) < FRESH_TELL);
+            let tell = self.tells.get(&r.who.node).filter(|t| ctx.now.since(t.0) < FRESH_TELL);
             let row = tell.and_then(|t| t.1.moves.iter().find(|m| m.id == id));
             left = match (left, row) {
                 (Some(n), Some(m)) => Some(n + m.left),
--- a/src/query/select.rs
+++ b/src/query/select.rs
@@ -1,7 +1,7 @@
 use super::eval::{column, compare, text, truth, value};
 use super::tables::{NAMES, rows};
 use crate::json::Tree;
-use crate::kernel::part::Views;
+use crate::kernel::component::Views;
 use sqlparser::ast::*;
 use sqlparser::dialect::GenericDialect;
 use sqlparser::parser::Parser;
--- a/src/query/tables.rs
+++ b/src/query/tables.rs
@@ -1,6 +1,6 @@
 use crate::json::Tree;
 use crate::json::tree::map;
-use crate::kernel::part::Views;
+use crate::kernel::component::Views;
 
 pub const NAMES: [&str; 7] = ["nodes", "runners", "models", "adapters", "services", "moves", "history"];
 
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -1,5 +1,5 @@
+use crate::kernel::component::{Component, Context};
 use crate::kernel::ids::*;
-use crate::kernel::part::{Kit, Part};
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 use std::collections::BTreeMap;
@@ -25,26 +25,26 @@
 }
 
 impl Relay {
-    fn send(&mut self, id: ChangeId, kit: &mut Kit) {
+    fn send(&mut self, id: ChangeId, ctx: &mut Context) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.sent = kit.now;
-        let Some(view) = &kit.views.view else { return };
+        job.sent = ctx.now;
+        let Some(view) = &ctx.views.view else { return };
         let (to, msg) = match &job.work {
             Work::Write(op) => (view.head(), Msg::Op { id, op: Op::clone(op) }),
             Work::Read(path) => (view.tail(), Msg::Ask { id, path: path.clone() }),
         };
         if let Some(to) = to {
-            kit.send(to, msg);
+            ctx.send(to, msg);
         }
     }
 
-    fn add(&mut self, id: ChangeId, work: Work, kit: &mut Kit) {
-        self.jobs.insert(id, Job { work, since: kit.now, sent: kit.now });
-        self.send(id, kit);
+    fn add(&mut self, id: ChangeId, work: Work, ctx: &mut Context) {
+        self.jobs.insert(id, Job { work, since: ctx.now, sent: ctx.now });
+        self.send(id, ctx);
     }
 
-    fn tick(&mut self, kit: &mut Kit) {
-        let now = kit.now;
+    fn tick(&mut self, ctx: &mut Context) {
+        let now = ctx.now;
         let ids: Vec<ChangeId> = self.jobs.keys().copied().collect();
         for id in ids {
             let Some(job) = self.jobs.get(&id) else { continue };
@@ -52,7 +52,7 @@
                 (matches!(job.work, Work::Write(_)), now.since(job.since), now.since(job.sent));
             if age >= if write { WRITE_DUE } else { READ_DUE } {
                 self.jobs.remove(&id);
-                let known = kit.views.view.is_some();
+                let known = ctx.views.view.is_some();
                 let answer = match (write, known) {
                     (true, true) => Answer::new(
                         504,
@@ -73,9 +73,9 @@
                         2,
                     ),
                 };
-                kit.answer(id, answer);
+                ctx.answer(id, answer);
             } else if idle >= AGAIN {
-                self.send(id, kit);
+                self.send(id, ctx);
             }
         }
     }
@@ -92,24 +92,24 @@
     }
 }
 
-impl Part for Relay {
+impl Component for Relay {
     fn name(&self) -> &'static str {
         "relay"
     }
 
-    fn on(&mut self, ev: &Event, kit: &mut Kit) {
+    fn on(&mut self, ev: &Event, ctx: &mut Context) {
         match ev {
             Event::Op { id, op } => {
                 if let Op::Leaving(name) = op {
-                    kit.note(Note::Marked(name.clone()));
+                    ctx.publish(JournalEvent::RunnerMarked(name.clone()));
                 }
-                self.add(*id, Work::Write(Box::new(op.clone())), kit);
+                self.add(*id, Work::Write(Box::new(op.clone())), ctx);
             }
-            Event::Ask { id, path } => self.add(*id, Work::Read(path.clone()), kit),
+            Event::Ask { id, path } => self.add(*id, Work::Read(path.clone()), ctx),
             Event::Mail { msg: Msg::OpEnd { id, answer }, .. } if self.jobs.remove(id).is_some() => {
-                kit.answer(*id, answer.clone());
+                ctx.answer(*id, answer.clone());
             }
-            Event::Tick => self.tick(kit),
+            Event::Tick => self.tick(ctx),
             _ => {}
         }
     }
--- a/src/rollout/head.rs
+++ b/src/rollout/head.rs
@@ -1,9 +1,9 @@
-use crate::colleagues::part::SUSPECT;
 use crate::fleet::config::{Allowance, Rollout as Rules};
 use crate::fleet::state::*;
+use crate::kernel::component::{Component, Context};
 use crate::kernel::ids::*;
-use crate::kernel::part::{Kit, Part};
 use crate::kernel::time::{Span, Time};
+use crate::membership::service::SUSPECT;
 use crate::msg::*;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -37,51 +37,51 @@
 }
 
 impl Rollout {
-    fn routers(kit: &Kit) -> Vec<NodeId> {
-        let live = kit.views.book.iter().filter(|r| r.who.role == Role::Router && r.quiet < SUSPECT);
+    fn routers(ctx: &Context) -> Vec<NodeId> {
+        let live = ctx.views.members.iter().filter(|r| r.who.role == Role::Router && r.quiet < SUSPECT);
         live.map(|r| r.who.node).collect()
     }
 
-    fn rules(kit: &Kit, c: &Candidate) -> Rules {
-        let now = &kit.views.state;
+    fn rules(ctx: &Context, c: &Candidate) -> Rules {
+        let now = &ctx.views.state;
         if now.config_at > Version(0) { now.config.rollout.clone() } else { c.config.rollout.clone() }
     }
 
-    fn tick(&mut self, kit: &mut Kit) {
-        self.spread_tick(kit);
-        let Some(c) = kit.views.state.trial.clone() else {
+    fn tick(&mut self, ctx: &mut Context) {
+        self.spread_tick(ctx);
+        let Some(c) = ctx.views.state.trial.clone() else {
             self.trial = None;
             return;
         };
-        if !kit.views.post.head || !kit.views.post.ready {
+        if !ctx.views.role.head || !ctx.views.role.ready {
             self.trial = None;
             return;
         }
         if self.trial.as_ref().is_none_or(|t| t.id != c.id) {
-            let asked = self.asked.filter(|a| a.0 == c.id).map_or(kit.now, |a| a.1);
-            let ms = kit.now.since(asked).as_ms();
-            let rules = Self::rules(kit, &c);
+            let asked = self.asked.filter(|a| a.0 == c.id).map_or(ctx.now, |a| a.1);
+            let ms = ctx.now.since(asked).as_ms();
+            let rules = Self::rules(ctx, &c);
             let note = "no faults; recorded by every member of the chain".to_string();
             self.trial = Some(Trial {
                 id: c.id,
-                since: kit.now,
-                stage_since: kit.now,
-                nudged: kit.now,
+                since: ctx.now,
+                stage_since: ctx.now,
+                nudged: ctx.now,
                 tries: 1,
                 rehearsing: false,
                 stages: vec![figure("check", ms, 1, &rules.deliver, note)],
                 settled: None,
             });
         }
-        self.advance(&c, kit);
+        self.advance(&c, ctx);
     }
 
-    fn advance(&mut self, c: &Candidate, kit: &mut Kit) {
-        let rules = Self::rules(kit, c);
-        let routers = Self::routers(kit);
+    fn advance(&mut self, c: &Candidate, ctx: &mut Context) {
+        let rules = Self::rules(ctx, c);
+        let routers = Self::routers(ctx);
         let Some(t) = &mut self.trial else { return };
         if let Some(at) = t.settled {
-            if kit.now.since(at) > AGAIN {
+            if ctx.now.since(at) > AGAIN {
                 t.settled = None;
             }
             return;
@@ -89,10 +89,10 @@
         let fresh: BTreeMap<NodeId, &RouterTell> = self
             .tells
             .iter()
-            .filter(|(n, row)| routers.contains(n) && kit.now.since(row.0) < TELL && row.0 >= t.since)
+            .filter(|(n, row)| routers.contains(n) && ctx.now.since(row.0) < TELL && row.0 >= t.since)
             .map(|(n, row)| (*n, &row.1))
             .collect();
-        let ms = kit.now.since(t.stage_since).as_ms();
+        let ms = ctx.now.since(t.stage_since).as_ms();
         let a = if t.rehearsing { &rules.rehearse } else { &rules.deliver };
         let done = |n: &NodeId| {
             fresh.get(n).is_some_and(|r| match t.rehearsing {
@@ -115,14 +115,14 @@
                 };
                 t.stages.push(figure(name, ms, t.tries, a, what.clone()));
                 let (id, stages) = (t.id, t.stages.clone());
-                t.settled = Some(kit.now);
-                return Self::settle(id, Verdict::Refuse(what), stages, kit);
+                t.settled = Some(ctx.now);
+                return Self::settle(id, Verdict::Refuse(what), stages, ctx);
             }
-            if kit.now.since(t.nudged) > NUDGE {
-                t.nudged = kit.now;
+            if ctx.now.since(t.nudged) > NUDGE {
+                t.nudged = ctx.now;
                 t.tries += 1;
                 for n in late {
-                    kit.send(n, Msg::Nudge);
+                    ctx.send(n, Msg::Nudge);
                 }
             }
             return;
@@ -130,7 +130,7 @@
         if !t.rehearsing {
             t.stages.push(figure("deliver", ms, t.tries, a, format!("{} routers hold it", routers.len())));
             t.rehearsing = true;
-            t.stage_since = kit.now;
+            t.stage_since = ctx.now;
             t.tries = 1;
             return;
         }
@@ -144,7 +144,7 @@
             rows.len()
         );
         t.stages.push(figure("rehearse", ms, t.tries, a, note));
-        t.settled = Some(kit.now);
+        t.settled = Some(ctx.now);
         let over = refused * 100 > planned * rules.refused_percent;
         let verdict = if over {
             Verdict::Refuse(format!(
@@ -155,50 +155,50 @@
             Verdict::Commit
         };
         let (id, stages) = (t.id, t.stages.clone());
-        Self::settle(id, verdict, stages, kit);
+        Self::settle(id, verdict, stages, ctx);
     }
 
-    fn settle(id: ChangeId, verdict: Verdict, stages: Vec<StageFigure>, kit: &mut Kit) {
-        kit.note(Note::Submit(Arc::new(Change::Settle { id, verdict, stages })));
+    fn settle(id: ChangeId, verdict: Verdict, stages: Vec<StageFigure>, ctx: &mut Context) {
+        ctx.publish(JournalEvent::Submitted(Arc::new(Change::Settle { id, verdict, stages })));
     }
 
-    fn spread_tick(&mut self, kit: &mut Kit) {
+    fn spread_tick(&mut self, ctx: &mut Context) {
         let Some((at, since)) = self.spread else { return };
-        let routers = Self::routers(kit);
+        let routers = Self::routers(ctx);
         let all = routers.iter().all(|n| self.tells.get(n).is_some_and(|r| r.1.routes_at >= at));
         if all && !routers.is_empty() {
-            let ms = kit.now.since(since).as_ms();
+            let ms = ctx.now.since(since).as_ms();
             self.spread = None;
             self.spread_ms = Some((at, ms));
-            kit.say("configuration-spread", format!("{at} on {} routers after {ms}ms", routers.len()));
+            ctx.log_event("configuration-spread", format!("{at} on {} routers after {ms}ms", routers.len()));
         }
     }
 }
 
-impl Part for Rollout {
+impl Component for Rollout {
     fn name(&self) -> &'static str {
         "rollout"
     }
 
-    fn on(&mut self, ev: &Event, kit: &mut Kit) {
+    fn on(&mut self, ev: &Event, ctx: &mut Context) {
         match ev {
             Event::Mail { from, msg: Msg::Tell(tell), .. } => {
-                self.tells.insert(*from, (kit.now, (**tell).clone()));
-                self.tells.retain(|_, row| kit.now.since(row.0) < Span::ms(10_000));
-                self.tick(kit);
+                self.tells.insert(*from, (ctx.now, (**tell).clone()));
+                self.tells.retain(|_, row| ctx.now.since(row.0) < Span::ms(10_000));
+                self.tick(ctx);
             }
-            Event::Note(Note::Submit(change)) => {
+            Event::Journal(JournalEvent::Submitted(change)) => {
                 if let Change::Propose { id, .. } = &**change {
-                    self.asked = Some((*id, kit.now));
+                    self.asked = Some((*id, ctx.now));
                 }
             }
-            Event::Note(Note::Fold { at, change }) => {
+            Event::Journal(JournalEvent::Committed { at, change }) => {
                 if let Change::Settle { verdict: Verdict::Commit, .. } = &**change {
-                    self.spread = Some((*at, kit.now));
+                    self.spread = Some((*at, ctx.now));
                 }
-                self.tick(kit);
+                self.tick(ctx);
             }
-            Event::Tick => self.tick(kit),
+            Event::Tick => self.tick(ctx),
             _ => {}
         }
     }
--- a/src/sim/cost.rs
+++ b/src/sim/cost.rs
@@ -1,7 +1,7 @@
 use super::world::World;
 use crate::kernel::time::{BootClock, Clock, Span};
 use crate::launch::deployment::{Deployment, quebec};
-use crate::msg::{Letter, Msg, Role};
+use crate::msg::{Envelope, Msg, Role};
 use crate::wire;
 use std::collections::BTreeMap;
 
@@ -22,7 +22,10 @@
     match msg {
         Msg::Hello { .. } | Msg::Welcome { .. } => "greeting",
         Msg::Chain(_) => "chain",
-        Msg::NewsAsk { .. } | Msg::NewsTell { .. } | Msg::NewsPush { .. } | Msg::NewsNo { .. } => "news",
+        Msg::UpdateRequest { .. }
+        | Msg::UpdateReply { .. }
+        | Msg::UpdatePush { .. }
+        | Msg::UpdateRefused { .. } => "distribution",
         Msg::Op { .. } | Msg::OpEnd { .. } | Msg::Ask { .. } => "relay",
         Msg::Tell(_) | Msg::Nudge => "tell",
         _ => "membership",
@@ -30,7 +33,7 @@
 }
 
 impl Cost {
-    pub fn sent(&mut self, place: usize, letter: &Letter) {
+    pub fn sent(&mut self, place: usize, letter: &Envelope) {
         let bytes = wire::pack(letter).len() as u64;
         let kind = self.kinds.entry(kind(&letter.msg)).or_default();
         for row in [self.nodes.entry(place).or_default(), kind] {
--- a/src/sim/effects.rs
+++ b/src/sim/effects.rs
@@ -1,9 +1,9 @@
 use super::record::Fact;
 use super::world::{Event, World};
+use crate::distribution::relay_node::scope_name;
 use crate::kernel::ids::*;
 use crate::kernel::time::Span;
-use crate::msg::{Effect, Letter, Msg};
-use crate::news::home::scope_name;
+use crate::msg::{Effect, Envelope, Msg};
 use std::net::SocketAddr;
 
 impl World {
@@ -12,7 +12,7 @@
             Effect::Send { to, msg } => {
                 let Some(node) = &self.nodes[place].node else { return };
                 let own = to == node.me.node;
-                let addr = if own { Some(node.me.addr) } else { node.views.card(to).map(|c| c.addr) };
+                let addr = if own { Some(node.me.addr) } else { node.views.member(to).map(|c| c.addr) };
                 if let Some(addr) = addr {
                     self.post(place, to, addr, msg);
                 }
@@ -55,7 +55,7 @@
 
     fn post(&mut self, place: usize, to: NodeId, addr: SocketAddr, msg: Msg) {
         let Some(node) = &self.nodes[place].node else { return };
-        let letter = Letter { from: node.me.node, to, fleet: node.views.fleet, addr: node.me.addr, msg };
+        let letter = Envelope { from: node.me.node, to, fleet: node.views.fleet, addr: node.me.addr, msg };
         if let Some(c) = &mut self.cost {
             c.sent(place, &letter);
         }
@@ -66,6 +66,6 @@
             return;
         }
         let wait = if dest == Some(place) { Span(10) } else { self.delay() };
-        self.later(wait, Event::Letter { to: addr, letter: Box::new(letter) });
+        self.later(wait, Event::Envelope { to: addr, letter: Box::new(letter) });
     }
 }
--- a/src/sim/nodes.rs
+++ b/src/sim/nodes.rs
@@ -11,7 +11,7 @@
 use crate::kernel::node::Node;
 use crate::kernel::rand::{Rand, Seeded};
 use crate::kernel::time::{Span, Time};
-use crate::msg::{self, Letter, Role};
+use crate::msg::{self, Envelope, Role};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -194,7 +194,7 @@
         self.carry(place, out);
     }
 
-    pub fn letter(&mut self, to: SocketAddr, l: Letter) {
+    pub fn letter(&mut self, to: SocketAddr, l: Envelope) {
         let Some(place) = self.nodes.iter().position(|n| n.place.addr == to && n.alive) else { return };
         let now = self.local(place);
         let n = &mut self.nodes[place];
--- a/src/sim/steps.rs
+++ b/src/sim/steps.rs
@@ -1,8 +1,8 @@
 use super::check;
 use super::world::World;
+use crate::distribution::history::Body;
 use crate::kernel::time::{Span, Time};
 use crate::msg::{ChainMsg, Effect, Msg};
-use crate::news::past::Body;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -36,7 +36,7 @@
             ChainMsg::Promise { .. } => Some("promise"),
             ChainMsg::Accept { .. } => Some("accept"),
             ChainMsg::Accepted { .. } => Some("accepted"),
-            ChainMsg::Decide { .. } => Some("decide"),
+            ChainMsg::ViewDecided { .. } => Some("view-decided"),
             ChainMsg::Join { .. } => Some("join"),
             ChainMsg::Snapshot { .. } => Some("snapshot"),
             ChainMsg::Follow { .. } => Some("follow"),
@@ -45,10 +45,10 @@
         },
         Msg::Op { .. } => Some("op"),
         Msg::OpEnd { .. } => Some("op-end"),
-        Msg::NewsTell { items, .. } | Msg::NewsPush { items }
+        Msg::UpdateReply { items, .. } | Msg::UpdatePush { items }
             if items.iter().any(|i| i.body != Body::Same) =>
         {
-            Some("news")
+            Some("distribution")
         }
         _ => None,
     }
--- a/src/sim/whatif.rs
+++ b/src/sim/whatif.rs
@@ -1,10 +1,10 @@
 use super::faults::strike;
 use super::report::{Report, part_of};
 use super::world::World;
-use crate::colleagues::rendezvous::homes;
 use crate::kernel::ids::{Name, NodeId};
 use crate::kernel::time::{Span, Time};
 use crate::launch::deployment::Deployment;
+use crate::membership::rendezvous::homes;
 use crate::msg::Role;
 use crate::standin::tally::End;
 use std::collections::BTreeMap;
@@ -76,7 +76,7 @@
         "holder" => views.state.duty.as_ref().map(|d| d.holder),
         _ => {
             let zone = &w.nodes[w.routers()[0]].place.domain;
-            let mates = views.book.iter().filter(|r| r.who.role == Role::Router && r.who.domain == *zone);
+            let mates = views.members.iter().filter(|r| r.who.role == Role::Router && r.who.domain == *zone);
             let ids: Vec<NodeId> = mates.map(|r| r.who.node).collect();
             homes("service:assistant", &ids).first().copied()
         }
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -8,7 +8,7 @@
 use crate::kernel::rand::{Rand, Seeded};
 use crate::kernel::time::{Span, Time};
 use crate::launch::deployment::Deployment;
-use crate::msg::{Answer, Letter};
+use crate::msg::{Answer, Envelope};
 use crate::pass::In;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -20,7 +20,7 @@
 
 pub enum Event {
     Tick { place: usize, life: u64 },
-    Letter { to: SocketAddr, letter: Box<Letter> },
+    Envelope { to: SocketAddr, letter: Box<Envelope> },
     Looked { place: usize, life: u64, runner: Name },
     Synced { place: usize, life: u64, upto: u64 },
     Reported { place: usize, life: u64, runner: Name, report: Option<Box<crate::fleet::runner::Report>> },
@@ -160,7 +160,7 @@
     pub fn act(&mut self, ev: Event) {
         match ev {
             Event::Tick { place, life } => self.tick(place, life),
-            Event::Letter { to, letter } => {
+            Event::Envelope { to, letter } => {
                 let place = self.nodes.iter().position(|n| n.place.addr == to).unwrap_or(0);
                 self.timed(place, |w| w.letter(to, *letter));
             }
@@ -195,7 +195,7 @@
 
 fn place_of(w: &World, ev: &Event) -> Option<usize> {
     match ev {
-        Event::Letter { to, .. } => w.nodes.iter().position(|n| n.place.addr == *to),
+        Event::Envelope { to, .. } => w.nodes.iter().position(|n| n.place.addr == *to),
         Event::Tick { place, .. }
         | Event::Looked { place, .. }
         | Event::Synced { place, .. }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,5 +1,5 @@
 use crate::kernel::fault::{Fault, Kind};
-use crate::msg::Letter;
+use crate::msg::Envelope;
 
 pub const NET_MAX: usize = 32 << 20;
 pub const DISK_MAX: usize = 64 << 20;
@@ -60,13 +60,13 @@
     Ok((body(head, part)?, HEAD + len))
 }
 
-pub fn pack(letter: &Letter) -> Vec<u8> {
+pub fn pack(letter: &Envelope) -> Vec<u8> {
     let mut body = vec![EDITION];
     body.extend(bitcode::encode(letter));
     seal(&body)
 }
 
-pub fn unpack(body: &[u8]) -> Result<Letter, Fault> {
+pub fn unpack(body: &[u8]) -> Result<Envelope, Fault> {
     let bad = |what: &str| Fault::new(Kind::Wire, "letter", what, "run one release on all nodes");
     let Some((edition, rest)) = body.split_first() else { return Err(bad("it is empty")) };
     if *edition != EDITION {
--- a/tests/chain.rs
+++ b/tests/chain.rs
@@ -1,7 +1,7 @@
 mod common;
 
 use common::{seeded, sound};
-use spindledock::chain::recall::restore;
+use spindledock::chain::recovery::restore;
 use spindledock::kernel::disk::Disk;
 use spindledock::kernel::ids::*;
 use spindledock::kernel::time::Span;
--- a/tests/delta.rs
+++ b/tests/delta.rs
@@ -1,13 +1,13 @@
+use spindledock::distribution::Reader;
+use spindledock::distribution::history::{Body, ChangeHistory, Step};
+use spindledock::distribution::reader::Topic;
 use spindledock::fleet::config::{Class, Route, RouteKind};
 use spindledock::fleet::slice::{RouteRow, Slice};
 use spindledock::fleet::state::Scope;
 use spindledock::kernel::ids::*;
 use spindledock::kernel::rand::{Rand, Seeded};
 use spindledock::kernel::time::{Span, Time};
-use spindledock::msg::NewsItem;
-use spindledock::news::Reader;
-use spindledock::news::past::{Body, Past, Step};
-use spindledock::news::reader::Topic;
+use spindledock::msg::TopicUpdate;
 use std::sync::Arc;
 
 fn row(n: u64, due_ms: u64) -> RouteRow {
@@ -32,8 +32,8 @@
     Arc::new(Slice::Routes(rows.map(|n| row(n, 1000)).collect()))
 }
 
-fn item(at: u64, age: Span, body: Body) -> NewsItem {
-    NewsItem { scope: Scope::Routes, at: Version(at), age, body }
+fn item(at: u64, age: Span, body: Body) -> TopicUpdate {
+    TopicUpdate { scope: Scope::Routes, at: Version(at), age, body }
 }
 
 fn reader() -> Reader {
@@ -45,7 +45,7 @@
 #[test]
 fn given_a_thousand_routes_when_twenty_change_then_the_change_is_small_and_gives_the_same_list() {
     let mut rand = Seeded(7);
-    let (mut home, mut reader) = (Past::default(), Past::default());
+    let (mut home, mut reader) = (ChangeHistory::default(), ChangeHistory::default());
     let mut rows: Vec<RouteRow> = (0..1000).map(|n| row(n, 1000)).collect();
     home.raise(Version(1), Arc::new(Slice::Routes(rows.clone())));
     reader.raise(Version(1), home.slice.clone().expect("held"));
@@ -70,7 +70,7 @@
 
 #[test]
 fn given_a_copy_that_differs_when_a_change_is_applied_then_it_is_refused_and_the_whole_is_asked_for() {
-    let mut home = Past::default();
+    let mut home = ChangeHistory::default();
     home.raise(Version(3), routes(0..50));
     home.raise(Version(5), routes(0..60));
     let mut r = reader();
@@ -84,7 +84,7 @@
     let nonce = r.ask(Time(2_200_000));
     let got = r.told(nonce, &[item(5, Span(0), home.body(r.have(&Scope::Routes)))]);
     assert_eq!(got.len(), 1);
-    assert_eq!(r.topics[&Scope::Routes].past.slice, home.slice);
+    assert_eq!(r.topics[&Scope::Routes].history.slice, home.slice);
     assert_eq!(r.have(&Scope::Routes), Version(5));
 }
 
@@ -109,8 +109,8 @@
 fn given_answers_pushes_and_repeats_in_any_order_when_read_then_the_version_never_goes_back() {
     for seed in 1..40 {
         let mut rand = Seeded(seed);
-        let mut home = Past::default();
-        let mut bodies: Vec<(u64, Vec<NewsItem>)> = Vec::new();
+        let mut home = ChangeHistory::default();
+        let mut bodies: Vec<(u64, Vec<TopicUpdate>)> = Vec::new();
         for at in 1..20u64 {
             home.raise(Version(at), routes(0..200 + at * rand.below(4)));
             for back in [0, 1, 3] {
@@ -136,12 +136,12 @@
 
 #[test]
 fn given_steps_that_do_not_join_when_followed_then_nothing_is_taken() {
-    let mut home = Past::default();
+    let mut home = ChangeHistory::default();
     for at in 1..6u64 {
         home.raise(Version(at), routes(0..100 + at));
     }
     let Body::Steps(steps) = home.body(Version(2)) else { panic!("steps") };
-    let mut reader = Past::default();
+    let mut reader = ChangeHistory::default();
     reader.raise(Version(2), routes(0..102));
     let torn: Vec<Arc<Step>> = steps.iter().enumerate().filter(|s| s.0 != 1).map(|s| s.1.clone()).collect();
     assert!(!reader.follow(&torn));
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,11 +1,11 @@
 mod common;
 
 use common::{seeded, sound};
-use spindledock::colleagues::part::SUSPECT;
-use spindledock::colleagues::rendezvous::Watch;
 use spindledock::kernel::ids::*;
 use spindledock::kernel::time::{Span, Time};
 use spindledock::launch::deployment::Deployment;
+use spindledock::membership::rendezvous::Watch;
+use spindledock::membership::service::SUSPECT;
 use spindledock::msg::Op;
 use spindledock::sim::World;
 use spindledock::sim::cost::fleet_of;
@@ -24,7 +24,7 @@
 
 fn live(w: &World, place: usize) -> Vec<NodeId> {
     let Some(node) = &w.nodes[place].node else { return vec![] };
-    let rows = node.views.book.iter().filter(|r| r.quiet < SUSPECT);
+    let rows = node.views.members.iter().filter(|r| r.quiet < SUSPECT);
     let mut all: Vec<NodeId> = rows.map(|r| r.who.node).collect();
     all.sort();
     all
@@ -39,7 +39,7 @@
     let rows = w.record.rows.iter().filter(|r| r.0 >= from);
     let mut all: Vec<String> = rows
         .filter_map(|r| match &r.1 {
-            Fact::Told { what: "colleague-quiet" | "colleague-missed", text } => Some(text.clone()),
+            Fact::Told { what: "member-quiet" | "member-missed", text } => Some(text.clone()),
             _ => None,
         })
         .collect();
--- a/tests/hold.rs
+++ b/tests/hold.rs
@@ -5,7 +5,7 @@
 use spindledock::msg::*;
 
 fn send() -> Effect {
-    Effect::Send { to: NodeId(2), msg: Msg::Chain(ChainMsg::Met) }
+    Effect::Send { to: NodeId(2), msg: Msg::Chain(ChainMsg::JoinHeard) }
 }
 
 fn save() -> Effect {
--- a/tests/mend.rs
+++ b/tests/mend.rs
@@ -7,8 +7,12 @@
 use spindledock::sim::record::Fact;
 
 fn told(w: &World) -> String {
-    let rows =
-        w.record.rows.iter().rev().filter(|r| matches!(&r.1, Fact::Told { what, .. } if *what != "news"));
+    let rows = w
+        .record
+        .rows
+        .iter()
+        .rev()
+        .filter(|r| matches!(&r.1, Fact::Told { what, .. } if *what != "distribution"));
     rows.take(40).map(|(t, f)| format!("{} {f:?}\n", t.0 / 1000)).collect()
 }
 
--- a/tests/platform_given/road.rs
+++ b/tests/platform_given/road.rs
@@ -62,7 +62,7 @@
         let caller = Arc::new(Caller);
         let words = Arc::new(RunnerWords { node: "n".into() });
         let front = Arc::new(Front {
-            table: Arc::new(Table::bare(Name::from("hall-a"), spindledock::news::reader::FRESH)),
+            table: Arc::new(Table::bare(Name::from("hall-a"), spindledock::distribution::reader::FRESH)),
             pool: Default::default(),
             clock: clock.clone(),
             leaving: AtomicBool::new(false),
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -14,9 +14,9 @@
 refusal-truth|src/pass/ride.rs|\} else if self.sent \{|} else if false {|must_never none_runs_twice
 stray-legs|src/pass/ride.rs|if self.over \|\| self.is_stray\(&ev\)|if self.over|ride closed_leg
 last-check|src/gate/core.rs|if now >= order.due \{\s+return Err\(Why::Due\);|if true { return Ok(()); } if now >= order.due { return Err(Why::Due);|must_never after_the_thaw
-freshness|src/news/reader.rs|Span::ms\(2000\)|Span::ms(20000)|must_never that_router_refuses
-tail-term|src/chain/desk.rs|if kit.now >= kit.views.post.until|if false|must_never that_router_refuses
-restart-proof|src/news/reader.rs|proven < self.started \|\| ||news slides_back
+freshness|src/distribution/reader.rs|Span::ms\(2000\)|Span::ms(20000)|must_never that_router_refuses
+tail-term|src/chain/change_queue.rs|if ctx.now >= ctx.views.role.until|if false|must_never that_router_refuses
+restart-proof|src/distribution/reader.rs|proven < self.started \|\| ||news slides_back
 same-event|src/transfer/handover.rs|if a != b|if false|must_never_too source_keeps_it
 budget|src/gate/budget.rs|if self.credit < 1.0|if false|must_never_too in_the_budget
 holder-wait|src/placement/duty.rs|QUIET: Span = Span::ms\(4000\)|QUIET: Span = Span::ms(0)|must_never_too three_seconds_apart
@@ -25,10 +25,10 @@
 store-rate|src/placement/duty.rs|if self.flights.store < 1.0|if false|must_never_too never_overrun
 compare-swap|src/fleet/fold.rs|if \*base != self.config_at|if false|must_never one_wins
 sync-first|src/sim/nodes.rs|self.nodes\[place\].disk.synced\(\);||news before_it_is_synced
-ready-kept|src/chain/recall.rs|self.ready_in = Some\(view\)|drop(view)|must_never they_are_kept
-lead-folded|src/chain/core.rs|self.is_head\(\) && self.done >= self.lead_from|self.is_head()|lead the_rest_is_kept
+ready-kept|src/chain/recovery.rs|self.ready_in = Some\(view\)|drop(view)|must_never they_are_kept
+lead-folded|src/chain/core.rs|self.is_head\(\) && self.committed >= self.lead_from|self.is_head()|lead the_rest_is_kept
 ready-stays|src/chain/core.rs|went_on && self.ready && view.has\(self.ident\)|false|mend all_the_same
-mending|src/chain/seat.rs|if !self.in_chain\(\) \|\| !self.ready|if true|chain changes_go_on
+mending|src/chain/acceptor.rs|if !self.in_chain\(\) \|\| !self.ready|if true|chain changes_go_on
 return-time|src/placement/duty.rs|QUIET: Span = Span::ms\(4000\)|QUIET: Span = Span::ms(14000)|back each_herd
 wait-refused|src/gate/wait.rs|if now \+ wait < order.due \{|if true {|wait hear_it_early
 overlap|src/pass/resume.rs|if want == \*item \{|if true {|ride mixed
