--- a/src/chain/acceptor.rs
+++ b/src/chain/acceptor.rs
@@ -10,7 +10,7 @@
 const LONG_LOST: Span = Span::ms(1000);
 const LATER: Span = Span::ms(2000);
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Acceptor {
     pub no: ViewNo,
     pub promised: Ballot,
--- a/src/chain/adoption.rs
+++ b/src/chain/adoption.rs
@@ -17,6 +17,7 @@
 const INBOX: usize = 64;
 const LIVE: Span = Span::ms(6000);
 
+#[derive(Clone)]
 struct Waiting {
     id: ChangeId,
     base: u64,
@@ -26,7 +27,7 @@
 }
 
 /// Changes that come in an operator's own format: one is under way at a time, in the order of their bases.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Foreign {
     side: Option<Arc<dyn OperatorSide>>,
     rows: Vec<Waiting>,
--- a/src/chain/change_queue.rs
+++ b/src/chain/change_queue.rs
@@ -18,7 +18,7 @@
 const INBOX: usize = 64;
 const AGAIN: Span = Span::ms(2000);
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct ChangeQueue {
     inbox: VecDeque<(ChangeId, Op)>,
     waits: BTreeMap<ChangeId, NodeId>,
--- a/src/chain/core.rs
+++ b/src/chain/core.rs
@@ -17,6 +17,7 @@
 pub const SILENCE_LIMIT: Span = Span::ms(600);
 pub const COMPACT_AFTER: usize = 512;
 
+#[derive(Clone)]
 pub struct Chain {
     pub fleet: FleetId,
     pub view: Option<View>,
--- a/src/chain/founding.rs
+++ b/src/chain/founding.rs
@@ -12,7 +12,7 @@
 const TURN: Span = Span::ms(3000);
 const CALM: Span = Span::ms(2500);
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Founder {
     pub pledge: Option<(FleetId, Vec<NodeId>)>,
     pub answers: BTreeMap<NodeId, (bool, Time)>,
--- a/src/chain/join.rs
+++ b/src/chain/join.rs
@@ -13,7 +13,7 @@
 const TRY: Span = Span::ms(1000);
 const NEAR: u64 = 8;
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Joiner {
     pub following: bool,
     pub asked: Time,
--- a/src/chain/lease.rs
+++ b/src/chain/lease.rs
@@ -9,7 +9,7 @@
 pub const LEASE_PROMISE: Span = Span::ms(850);
 pub const ASK: Span = Span::ms(200);
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Lease {
     pub until: Time,
     pub asked: Time,
--- a/src/chain/replication_log.rs
+++ b/src/chain/replication_log.rs
@@ -2,7 +2,7 @@
 use crate::msg::Entry;
 use std::collections::VecDeque;
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 /// The entries a member holds, from the one after `base`.
 pub struct ReplicationLog {
     pub base: Version,
--- a/src/chain/view_change.rs
+++ b/src/chain/view_change.rs
@@ -10,6 +10,7 @@
 const AGAIN: Span = Span::ms(200);
 const RESEAT: Span = Span::ms(2000);
 
+#[derive(Clone)]
 pub struct ViewProposal {
     pub no: ViewNo,
     pub ballot: Ballot,
--- a/src/distribution/history.rs
+++ b/src/distribution/history.rs
@@ -22,7 +22,7 @@
     Steps(Vec<Arc<Step>>),
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct ChangeHistory {
     pub at: Version,
     pub slice: Option<Arc<Slice>>,
--- a/src/distribution/subscribers.rs
+++ b/src/distribution/subscribers.rs
@@ -8,7 +8,7 @@
 
 pub const LATELY: Span = Span::ms(1000);
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Subscribers {
     rows: BTreeMap<NodeId, (Time, BTreeMap<Scope, Version>)>,
 }
@@ -38,7 +38,7 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Publisher {
     histories: BTreeMap<Scope, ChangeHistory>,
     subscribers: Subscribers,
--- a/src/kernel/component.rs
+++ b/src/kernel/component.rs
@@ -49,7 +49,7 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Views {
     pub fleet: FleetId,
     pub members: Arc<Vec<Row>>,
--- a/src/kernel/hold.rs
+++ b/src/kernel/hold.rs
@@ -18,6 +18,7 @@
     pub rows: Vec<Save>,
 }
 
+#[derive(Clone)]
 struct Held {
     no: u64,
     since: Time,
@@ -25,7 +26,7 @@
     rest: Vec<Effect>,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Hold {
     next: u64,
     queue: VecDeque<Held>,
