--- a/src/bin/spindledock-simulator.rs
+++ b/src/bin/spindledock-simulator.rs
@@ -27,6 +27,7 @@
   --trace SEED        also print the what-if's record for that seed
   --cost N            instead: what N idle nodes send and spend, a node a second, over --seconds
   --kinds             list the faults
+  --explore           instead: explore the agreement (--explore --help)
 Each answer stands beside the same seeds without the what-if: median (least..most).";
 
 struct Job {
@@ -181,6 +182,9 @@
 
 fn main() -> ExitCode {
     let mut args = pico_args::Arguments::from_env();
+    if args.contains("--explore") {
+        return spindledock::explore::command::run(args);
+    }
     if args.contains(["-h", "--help"]) {
         println!("{HELP}");
         return 0.into();
--- /dev/null
+++ b/src/explore/digest.rs
@@ -0,0 +1,193 @@
+//! A canonical digest of a state, by which states that were already seen are recognized.
+//!
+//! Times are taken as ages, so that the same situation at another moment is the same state.
+
+use super::cluster::Cluster;
+use super::flight::Flight;
+use super::history::History;
+use super::replica::{Process, Replica};
+use crate::chain::Chain;
+use crate::chain::view::View;
+use crate::fleet::FleetState;
+use crate::kernel::ids::*;
+use crate::kernel::time::{Span, Time};
+use crate::msg::{ChainMsg, Msg};
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// Older than any time limit of the agreement except those of founding.
+const OLD: Span = Span::ms(12_000);
+
+/// The digest of a whole state.
+pub fn digest(cluster: &Cluster) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    for replica in &cluster.replicas {
+        hash_replica(replica, cluster.now, &mut hasher);
+    }
+    let flights = cluster.flights.iter().map(|f| hash_flight(f, cluster));
+    flights.fold(0u64, u64::wrapping_add).hash(&mut hasher);
+    hash_history(&cluster.history, &mut hasher);
+    cluster.spent.hash(&mut hasher);
+    hasher.finish()
+}
+
+struct Clock(Time);
+
+impl Clock {
+    /// How long ago, or how far ahead; "never" and "long ago" are the same.
+    fn of(&self, time: Time) -> i64 {
+        if time > self.0 {
+            return -(time.since(self.0).min(OLD).0 as i64);
+        }
+        self.0.since(time).min(OLD).0 as i64
+    }
+
+    fn of_all(&self, times: &BTreeMap<NodeId, Time>, hasher: &mut DefaultHasher) {
+        for (node, time) in times {
+            (node, self.of(*time)).hash(hasher);
+        }
+    }
+}
+
+fn hash_replica(replica: &Replica, now: Time, hasher: &mut DefaultHasher) {
+    (replica.place, replica.generation, replica.damaged, replica.stalled).hash(hasher);
+    bitcode::encode(&replica.disk.records).hash(hasher);
+    let Some(process) = &replica.process else { return false.hash(hasher) };
+    true.hash(hasher);
+    hash_process(process, &Clock(replica.clock(now)), hasher);
+}
+
+fn hash_process(process: &Process, clock: &Clock, hasher: &mut DefaultHasher) {
+    hash_chain(&process.chain, clock, hasher);
+    process.handed.hash(hasher);
+    process.jobs.len().hash(hasher);
+    process.views.fleet.hash(hasher);
+    process.views.view.as_ref().map(|v| v.no).hash(hasher);
+    clock.of(process.views.role.until).hash(hasher);
+    hash_state(&process.views.state, hasher);
+}
+
+fn hash_chain(chain: &Chain, clock: &Clock, hasher: &mut DefaultHasher) {
+    hash_view(chain.view.as_ref(), hasher);
+    (chain.fleet, chain.log.last(), chain.log.base, chain.committed, chain.lead_from).hash(hasher);
+    for entry in &chain.log.entries {
+        (entry.at, entry.view).hash(hasher);
+    }
+    (chain.ready, chain.ready_in, chain.successor_synced, chain.chain_synced, chain.isolated).hash(hasher);
+    clock.of_all(&chain.alive_at, hasher);
+    clock.of_all(&chain.reached_at, hasher);
+    for time in [chain.beat_at, chain.ticked, chain.viewed, chain.started, chain.lease.until] {
+        clock.of(time).hash(hasher);
+    }
+    clock.of(chain.lease.asked).hash(hasher);
+    clock.of_all(&chain.lease.grants, hasher);
+    hash_acceptor(chain, clock, hasher);
+    hash_proposal(chain, clock, hasher);
+    hash_newcomer(chain, clock, hasher);
+}
+
+fn hash_ballot(ballot: &Ballot, hasher: &mut DefaultHasher) {
+    (ballot.round, ballot.node).hash(hasher);
+}
+
+fn hash_view(view: Option<&View>, hasher: &mut DefaultHasher) {
+    if let Some(view) = view {
+        (view.no, &view.chain, &view.voters).hash(hasher);
+    }
+}
+
+fn hash_taken(taken: &Option<(Ballot, View)>, hasher: &mut DefaultHasher) {
+    if let Some((ballot, view)) = taken {
+        hash_ballot(ballot, hasher);
+        hash_view(Some(view), hasher);
+    }
+}
+
+fn hash_acceptor(chain: &Chain, clock: &Clock, hasher: &mut DefaultHasher) {
+    let acceptor = &chain.acceptor;
+    hash_ballot(&acceptor.promised, hasher);
+    hash_taken(&acceptor.taken, hasher);
+    for time in [acceptor.taken_at, acceptor.hold, acceptor.pause, acceptor.rest] {
+        clock.of(time).hash(hasher);
+    }
+    acceptor.top.hash(hasher);
+    if let Some((from, msg, since)) = &acceptor.later {
+        (from, bitcode::encode(msg), clock.of(*since)).hash(hasher);
+    }
+}
+
+fn hash_proposal(chain: &Chain, clock: &Clock, hasher: &mut DefaultHasher) {
+    let Some(proposal) = &chain.proposal else { return };
+    hash_ballot(&proposal.ballot, hasher);
+    hash_view(Some(&proposal.want), hasher);
+    hash_taken(&proposal.taken, hasher);
+    (&proposal.promises, &proposal.accepts, proposal.sent, proposal.lost).hash(hasher);
+    (clock.of(proposal.since), clock.of(proposal.asked)).hash(hasher);
+}
+
+fn hash_newcomer(chain: &Chain, clock: &Clock, hasher: &mut DefaultHasher) {
+    let (joiner, founder) = (&chain.joiner, &chain.founder);
+    (joiner.following, clock.of(joiner.asked)).hash(hasher);
+    clock.of_all(&joiner.met, hasher);
+    founder.pledge.hash(hasher);
+    clock.of_all(&founder.pledges, hasher);
+    for (node, (empty, at)) in &founder.answers {
+        (node, empty, clock.of(*at)).hash(hasher);
+    }
+    for time in [founder.asked, founder.heard, founder.began, founder.grown] {
+        clock.of(time).hash(hasher);
+    }
+    founder.known.hash(hasher);
+}
+
+fn hash_state(state: &FleetState, hasher: &mut DefaultHasher) {
+    state.at.hash(hasher);
+    for outcome in &state.outcomes {
+        (outcome.id, outcome.at).hash(hasher);
+    }
+}
+
+fn hash_history(history: &History, hasher: &mut DefaultHasher) {
+    (&history.acknowledged, &history.committed, history.submitted).hash(hasher);
+    for (key, view) in &history.decided {
+        key.hash(hasher);
+        hash_view(Some(view), hasher);
+    }
+}
+
+/// Messages under way are a set: their digests are added up, in whatever order they were sent.
+fn hash_flight(flight: &Flight, cluster: &Cluster) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (flight.from, flight.to, flight.fleet).hash(&mut hasher);
+    let (msg, sent) = without_time(&flight.msg);
+    bitcode::encode(&msg).hash(&mut hasher);
+    if let Some((node, sent)) = sent {
+        let owner = if node == Owner::Sender { flight.from } else { flight.to };
+        let replica = cluster.replicas.iter().find(|r| r.me.node == owner);
+        let age = replica.map(|r| Clock(r.clock(cluster.now)).of(sent));
+        age.hash(&mut hasher);
+    }
+    hasher.finish()
+}
+
+/// By whose clock a message's time counts.
+#[derive(PartialEq, Eq)]
+enum Owner {
+    Sender,
+    Receiver,
+}
+
+fn without_time(msg: &Msg) -> (Msg, Option<(Owner, Time)>) {
+    let mut copy = msg.clone();
+    let Msg::Chain(chain) = &mut copy else { return (copy, None) };
+    let time = match chain {
+        ChainMsg::LeaseRequest { sent, .. } | ChainMsg::Pledge { sent, .. } => {
+            Some((Owner::Sender, std::mem::take(sent)))
+        }
+        ChainMsg::LeaseGrant { sent, .. } | ChainMsg::Pledged { sent, .. } => {
+            Some((Owner::Receiver, std::mem::take(sent)))
+        }
+        _ => None,
+    };
+    (copy, time)
+}
--- /dev/null
+++ b/src/explore/memory_disk.rs
@@ -0,0 +1,42 @@
+//! A disk that keeps records in memory; what is in it counts as synced.
+
+use crate::kernel::disk::Disk;
+use crate::kernel::fault::Fault;
+use crate::msg::Record;
+
+const ROOM: u64 = 1 << 30;
+
+/// The synced records of one machine.
+#[derive(Clone, Default)]
+pub struct MemoryDisk {
+    pub records: Vec<Record>,
+}
+
+impl Disk for MemoryDisk {
+    fn load(&mut self) -> Result<Vec<Record>, Fault> {
+        Ok(self.records.clone())
+    }
+
+    fn add(&mut self, records: &[Record]) -> Result<(), Fault> {
+        self.records.extend_from_slice(records);
+        Ok(())
+    }
+
+    fn rewrite(&mut self, records: &[Record]) -> Result<(), Fault> {
+        self.records = records.to_vec();
+        Ok(())
+    }
+
+    fn set_aside(&mut self) -> Result<(), Fault> {
+        self.records.clear();
+        Ok(())
+    }
+
+    fn room(&self) -> u64 {
+        ROOM
+    }
+
+    fn len(&self) -> u64 {
+        self.records.len() as u64
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 pub mod cli;
 pub mod daemon;
 pub mod distribution;
+pub mod explore;
 pub mod fleet;
 pub mod gate;
 pub mod hollow;
