--- a/src/explore/cluster.rs
+++ b/src/explore/cluster.rs
@@ -253,7 +253,7 @@
         if carries_state(&msg) {
             self.counts.messages += 1;
         }
-        let flight = Flight { number: self.next_flight, from, to, fleet, msg: Arc::new(msg) };
+        let flight = Flight::new(self.next_flight, from, to, fleet, msg);
         self.next_flight += 1;
         self.flights.retain(|older| !flight.supersedes(older));
         self.flights.push(Arc::new(flight));
--- a/src/explore/command.rs
+++ b/src/explore/command.rs
@@ -145,7 +145,10 @@
     let begun = Instant::now();
     let sum = walk_many(scope, flags.seed, walks, flags.length);
     let seconds = begun.elapsed().as_secs_f64();
-    println!("{} of {}: {} walks, {} steps, {seconds:.1} s", scope.name, scope.members, sum.walks, sum.steps);
+    println!(
+        "{} of {}: {} walks, {} steps, {} views, {} changes acknowledged, {seconds:.1} s",
+        scope.name, scope.members, sum.walks, sum.steps, sum.views, sum.acknowledged,
+    );
     sum.counterexample
 }
 
--- a/src/explore/digest.rs
+++ b/src/explore/digest.rs
@@ -11,8 +11,8 @@
 use crate::fleet::FleetState;
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
-use crate::msg::{ChainMsg, Msg};
 use std::collections::BTreeMap;
+use std::fmt::{Debug, Write};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Older than any time limit of the agreement except those of founding.
@@ -31,6 +31,22 @@
     hasher.finish()
 }
 
+/// A digest of anything that can be printed.
+pub fn digest_of(value: &impl Debug) -> u64 {
+    let mut text = Digester(DefaultHasher::new());
+    write!(text, "{value:?}").expect("hashing takes any text");
+    text.0.finish()
+}
+
+struct Digester(DefaultHasher);
+
+impl Write for Digester {
+    fn write_str(&mut self, text: &str) -> std::fmt::Result {
+        self.0.write(text.as_bytes());
+        Ok(())
+    }
+}
+
 struct Clock(Time);
 
 impl Clock {
@@ -51,7 +67,7 @@
 
 fn hash_replica(replica: &Replica, now: Time, hasher: &mut DefaultHasher) {
     (replica.place, replica.generation, replica.damaged, replica.stalled).hash(hasher);
-    bitcode::encode(&replica.disk.records).hash(hasher);
+    replica.disk.digest.hash(hasher);
     let Some(process) = &replica.process else { return false.hash(hasher) };
     true.hash(hasher);
     hash_process(process, &Clock(replica.clock(now)), hasher);
@@ -112,7 +128,7 @@
     }
     acceptor.top.hash(hasher);
     if let Some((from, msg, since)) = &acceptor.later {
-        (from, bitcode::encode(msg), clock.of(*since)).hash(hasher);
+        (from, digest_of(msg), clock.of(*since)).hash(hasher);
     }
 }
 
@@ -158,36 +174,11 @@
 /// Messages under way are a set: their digests are added up, in whatever order they were sent.
 fn hash_flight(flight: &Flight, cluster: &Cluster) -> u64 {
     let mut hasher = DefaultHasher::new();
-    (flight.from, flight.to, flight.fleet).hash(&mut hasher);
-    let (msg, sent) = without_time(&flight.msg);
-    bitcode::encode(&msg).hash(&mut hasher);
-    if let Some((node, sent)) = sent {
-        let owner = if node == Owner::Sender { flight.from } else { flight.to };
+    (flight.from, flight.to, flight.fleet, flight.content()).hash(&mut hasher);
+    if let Some((owner, sent)) = flight.sent {
         let replica = cluster.replicas.iter().find(|r| r.me.node == owner);
         let age = replica.map(|r| Clock(r.clock(cluster.now)).of(sent));
         age.hash(&mut hasher);
     }
     hasher.finish()
 }
-
-/// By whose clock a message's time counts.
-#[derive(PartialEq, Eq)]
-enum Owner {
-    Sender,
-    Receiver,
-}
-
-fn without_time(msg: &Msg) -> (Msg, Option<(Owner, Time)>) {
-    let mut copy = msg.clone();
-    let Msg::Chain(chain) = &mut copy else { return (copy, None) };
-    let time = match chain {
-        ChainMsg::LeaseRequest { sent, .. } | ChainMsg::Pledge { sent, .. } => {
-            Some((Owner::Sender, std::mem::take(sent)))
-        }
-        ChainMsg::LeaseGrant { sent, .. } | ChainMsg::Pledged { sent, .. } => {
-            Some((Owner::Receiver, std::mem::take(sent)))
-        }
-        _ => None,
-    };
-    (copy, time)
-}
--- a/src/explore/flight.rs
+++ b/src/explore/flight.rs
@@ -1,8 +1,10 @@
 //! Messages under way between replicas.
 
+use super::digest::digest_of;
 use crate::kernel::ids::*;
+use crate::kernel::time::Time;
 use crate::msg::{ChainMsg, Msg};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 /// A message that was sent and may arrive at any later time, or never.
 #[derive(Clone)]
@@ -12,9 +14,26 @@
     pub to: NodeId,
     pub fleet: FleetId,
     pub msg: Arc<Msg>,
+    /// A digest of the message without the time in it, taken when it is first wanted.
+    content: OnceLock<u64>,
+    /// The time in it, and by whose clock it counts.
+    pub sent: Option<(NodeId, Time)>,
 }
 
 impl Flight {
+    pub fn new(number: u64, from: NodeId, to: NodeId, fleet: FleetId, msg: Msg) -> Flight {
+        let sent = time_of(&msg).map(|(owner, sent)| (if owner == Owner::Sender { from } else { to }, sent));
+        Flight { number, from, to, fleet, msg: Arc::new(msg), content: OnceLock::new(), sent }
+    }
+
+    pub fn content(&self) -> u64 {
+        *self.content.get_or_init(|| {
+            let mut timeless = Msg::clone(&self.msg);
+            clear_time(&mut timeless);
+            digest_of(&timeless)
+        })
+    }
+
     /// A message that only repeats the sender's present state: the newest one between two replicas stands for all.
     pub fn supersedes(&self, older: &Flight) -> bool {
         let same_link = self.from == older.from && self.to == older.to;
@@ -75,3 +94,30 @@
         _ => true,
     }
 }
+
+/// By whose clock a message's time counts.
+#[derive(PartialEq, Eq)]
+enum Owner {
+    Sender,
+    Receiver,
+}
+
+fn time_of(msg: &Msg) -> Option<(Owner, Time)> {
+    let Msg::Chain(msg) = msg else { return None };
+    match msg {
+        ChainMsg::LeaseRequest { sent, .. } | ChainMsg::Pledge { sent, .. } => Some((Owner::Sender, *sent)),
+        ChainMsg::LeaseGrant { sent, .. } | ChainMsg::Pledged { sent, .. } => Some((Owner::Receiver, *sent)),
+        _ => None,
+    }
+}
+
+fn clear_time(msg: &mut Msg) {
+    let Msg::Chain(msg) = msg else { return };
+    match msg {
+        ChainMsg::LeaseRequest { sent, .. }
+        | ChainMsg::Pledge { sent, .. }
+        | ChainMsg::LeaseGrant { sent, .. }
+        | ChainMsg::Pledged { sent, .. } => *sent = Time(0),
+        _ => {}
+    }
+}
--- a/src/explore/replica.rs
+++ b/src/explore/replica.rs
@@ -4,6 +4,7 @@
 use crate::chain::Chain;
 use crate::chain::change_queue::ChangeQueue;
 use crate::kernel::component::{Component, Context, Me, Views};
+use crate::kernel::disk::Disk;
 use crate::kernel::hold::{Hold, Job, write};
 use crate::kernel::ids::*;
 use crate::kernel::node::Node;
@@ -135,7 +136,7 @@
         let fresh = NodeId((self.place as u64 + 1) + IDENTS_PER_PLACE * self.generation);
         let node = known.unwrap_or(fresh);
         if known.is_none() {
-            self.disk.records.push(Record::Ident { node });
+            self.disk.add(&[Record::Ident { node }]).expect("a disk in memory takes all");
         }
         self.starts += 1;
         let clock = self.clock(now);
--- a/src/explore/schedule.rs
+++ b/src/explore/schedule.rs
@@ -14,6 +14,7 @@
     let mut steps = match scope.grain {
         Grain::Message => message_steps(state, scope),
         Grain::Exchange => exchange_steps(state, scope),
+        Grain::Mixed => [message_steps(state, scope), exchange_steps(state, scope)].concat(),
     };
     steps.extend(machine_steps(state, scope));
     steps
--- a/src/explore/scope.rs
+++ b/src/explore/scope.rs
@@ -11,6 +11,8 @@
     Message,
     /// A group of replicas talks for a while; one message or save in it may go wrong.
     Exchange,
+    /// Both.
+    Mixed,
 }
 
 /// How often each kind of trouble may come along one trace.
@@ -25,6 +27,11 @@
 }
 
 impl Spent {
+    /// The same number of each.
+    pub fn all(n: usize) -> Spent {
+        Spent { crashes: n, wipes: n, duplicates: n, disturbances: n, stalls: n, submits: n }
+    }
+
     pub fn count(&mut self, step: Step) {
         match step {
             Step::Exchange { disturbance: Some(Disturbance::Crash { .. }), .. } => {
--- a/src/explore/walk.rs
+++ b/src/explore/walk.rs
@@ -1,12 +1,13 @@
 //! Random walks over the same scheduler and checks, for what lies deeper than a search by levels gets.
 
 use super::cluster::Cluster;
-use super::replica::Unsynced;
+use super::replica::{Replica, Unsynced};
 use super::schedule::enabled;
-use super::scope::Scope;
+use super::scope::{Grain, Scope, Spent};
 use super::search::Counterexample;
 use super::step::{Disturbance, Step};
 use crate::kernel::rand::{Rand, Seeded};
+use std::sync::Arc;
 
 /// Messages under way beyond which the oldest is lost.
 const MOST_FLIGHTS: usize = 24;
@@ -14,24 +15,35 @@
 const DISTURBED_IN: u64 = 3;
 const MOST_MESSAGES: u64 = 40;
 const MOST_SAVES: u64 = 5;
-const MACHINE_IN: u64 = 4;
+const MACHINE_IN: u64 = 6;
+/// A machine that is down comes back rather than that another one goes.
+const RESTART_IN: u64 = 2;
+const SUBMIT_IN: u64 = 8;
+/// A walk is long, so that troubles may come more often along it than along a trace of a search.
+const MOST_TROUBLES: usize = 12;
 
 /// What a number of walks saw.
 #[derive(Clone, Debug, Default)]
 pub struct Walks {
     pub walks: u64,
     pub steps: usize,
+    /// Views decided and changes acknowledged in all walks together.
+    pub views: usize,
+    pub acknowledged: usize,
     pub counterexample: Option<Counterexample>,
 }
 
 /// Walks from `first` seed on, `walks` of them, each at most `length` steps long.
 pub fn walk_many(scope: &Scope, first: u64, walks: u64, length: usize) -> Walks {
+    let scope = &Scope { grain: Grain::Mixed, most: Spent::all(MOST_TROUBLES), ..scope.clone() };
     let root = scope.root_state();
     let mut sum = Walks::default();
     for seed in first..first + walks {
         let (trace, state) = walk(scope, &root, seed, length);
         sum.walks += 1;
         sum.steps += trace.len();
+        sum.views += state.history.decided.len();
+        sum.acknowledged += state.history.acknowledged.len();
         if let Some(violation) = state.violation.clone() {
             let trace = shortened(&root, trace);
             sum.counterexample = Some(Counterexample { violation, trace });
@@ -57,6 +69,15 @@
     if state.flights.len() > MOST_FLIGHTS {
         return state.flights.first().map(|f| Step::Drop { flight: f.number });
     }
+    let down: Vec<usize> = state.replicas.iter().filter(|r| !r.is_up()).map(|r| r.place).collect();
+    if !down.is_empty() && random.below(RESTART_IN) == 0 {
+        return Some(Step::Restart { place: down[random.below(down.len() as u64) as usize] });
+    }
+    if random.below(SUBMIT_IN) == 0
+        && let Some(head) = ready_head(state)
+    {
+        return Some(Step::Submit { place: head });
+    }
     let (machine, work): (Vec<Step>, Vec<Step>) =
         enabled(state, scope).into_iter().partition(is_machine_step);
     let steps = if random.below(MACHINE_IN) == 0 && !machine.is_empty() { machine } else { work };
@@ -67,6 +88,11 @@
     Some(perhaps_disturbed(state, scope, step, random))
 }
 
+fn ready_head(state: &Cluster) -> Option<usize> {
+    let is_ready_head = |r: &&Arc<Replica>| r.chain().is_some_and(|c| c.is_head() && c.ready);
+    state.replicas.iter().find(is_ready_head).map(|r| r.place)
+}
+
 fn is_machine_step(step: &Step) -> bool {
     matches!(
         step,
