--- a/src/chain/core.rs
+++ b/src/chain/core.rs
@@ -2,6 +2,7 @@
 use super::founding::Founder;
 use super::join::Joiner;
 use super::lease::Lease;
+use super::replicate::SuccessorProgress;
 use super::replication_log::ReplicationLog;
 use super::view::View;
 use super::view_change::ViewProposal;
@@ -15,7 +16,6 @@
 
 pub const HEARTBEAT_INTERVAL: Span = Span::ms(150);
 pub const SILENCE_LIMIT: Span = Span::ms(600);
-pub const COMPACT_AFTER: usize = 512;
 
 pub struct Chain {
     pub fleet: FleetId,
@@ -25,7 +25,7 @@
     pub lead_from: Version,
     pub ready: bool,
     pub ready_in: Option<ViewNo>,
-    pub successor_synced: Version,
+    pub successor: SuccessorProgress,
     pub alive_at: BTreeMap<NodeId, Time>,
     pub reached_at: BTreeMap<NodeId, Time>,
     pub acceptor: Acceptor,
@@ -55,7 +55,7 @@
             lead_from: Version(0),
             ready: false,
             ready_in: None,
-            successor_synced: Version(0),
+            successor: SuccessorProgress::default(),
             alive_at: BTreeMap::new(),
             reached_at: BTreeMap::new(),
             acceptor: Acceptor::default(),
@@ -101,7 +101,7 @@
         self.acceptor.reset(&view);
         self.proposal = None;
         self.lease = Lease::default();
-        self.successor_synced = Version(0);
+        self.successor = SuccessorProgress::default();
         self.chain_synced = Version(0);
         self.viewed = ctx.now;
         for node in view.all() {
@@ -160,9 +160,7 @@
     }
 
     pub fn trim(&mut self, ctx: &mut Context) {
-        if self.log.entries.len() < COMPACT_AFTER
-            || self.committed.0 < self.log.base.0 + COMPACT_AFTER as u64 / 2
-        {
+        if !self.log.is_trim_due(self.committed) {
             return;
         }
         self.log.trim(self.committed);
@@ -234,7 +232,8 @@
             ("committed", self.committed.to_string()),
             ("ready", self.ready.to_string()),
             ("term_left", self.lease.until.since(now).to_string()),
-            ("log_rows", self.log.entries.len().to_string()),
+            ("log_rows", self.log.rows().to_string()),
+            ("log_bytes", self.log.bytes().to_string()),
         ]
     }
 }
--- a/src/chain/join.rs
+++ b/src/chain/join.rs
@@ -12,6 +12,8 @@
 const SOON: Span = Span::ms(60);
 const TRY: Span = Span::ms(1000);
 const NEAR: u64 = 8;
+/// Behind by more bytes than this (and than two configurations), a member that joins is sent the snapshot.
+const SNAPSHOT_FROM: usize = 512 << 10;
 
 #[derive(Default)]
 pub struct Joiner {
@@ -68,7 +70,9 @@
             return;
         }
         let Some(want) = view.with(from, ctx.me) else { return };
-        let rows = if following { self.log.after(have, 64) } else { None };
+        let cheap =
+            self.log.bytes_after(have) <= SNAPSHOT_FROM.max(2 * ctx.views.state.config.size_estimate());
+        let rows = if following && cheap { self.log.after(have) } else { None };
         let Some(entries) = rows else {
             let state = Box::new(ctx.views.state.clone());
             return ctx.chain(from, ChainMsg::Snapshot { at: self.committed, state });
@@ -82,14 +86,14 @@
 
     pub fn snapshot(&mut self, from: NodeId, at: Version, state: &FleetState, ctx: &mut Context) {
         let pred = self.view.as_ref().and_then(|v| v.before(self.ident));
-        if self.in_chain() && (pred != Some(from) || at <= self.committed) {
+        if self.in_chain() && (pred != Some(from) || at <= self.log.last()) {
             return;
         }
         if !self.in_chain() && self.joiner.following && at <= self.log.last() {
             return;
         }
         let tag = ctx.views.view.as_ref().map_or(ViewNo(0), |v| v.no);
-        self.log = ReplicationLog { base: at, tag, entries: Default::default() };
+        self.log = ReplicationLog::behind(at, tag);
         self.committed = at;
         self.joiner.following = true;
         let rows = self.records(state);
--- a/src/chain/messages.rs
+++ b/src/chain/messages.rs
@@ -7,13 +7,14 @@
 use crate::kernel::time::{Span, Time};
 use crate::membership::messages::Member;
 use bitcode::{Decode, Encode};
+use std::sync::Arc;
 
 /// A change at its place in the chain, and the view in which the head placed it there.
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub struct Entry {
     pub at: Version,
     pub view: ViewNo,
-    pub change: Change,
+    pub change: Arc<Change>,
 }
 
 /// What controllers say to each other about the view, the chain and its lease.
--- a/src/chain/recovery.rs
+++ b/src/chain/recovery.rs
@@ -20,9 +20,9 @@
             }
             Record::Promise { no, ballot } => self.acceptor.restore_record(no, ballot, None),
             Record::Accept { ballot, view } => self.acceptor.restore_record(view.no, ballot, Some(view)),
-            Record::Entry { entry } => self.log.entries.push_back(*entry),
+            Record::Entry { entry } => self.log.push(*entry),
             Record::Snapshot { at, tag, state } => {
-                self.log = ReplicationLog { base: at, tag, entries: Default::default() };
+                self.log = ReplicationLog::behind(at, tag);
                 self.committed = at;
                 self.load = Some(Arc::new(*state));
             }
@@ -45,7 +45,7 @@
         rows.extend(self.acceptor.records());
         let state = Box::new(state.clone());
         rows.push(Record::Snapshot { at: self.log.base, tag: self.log.tag, state });
-        rows.extend(self.log.entries.iter().map(|e| Record::Entry { entry: Box::new(e.clone()) }));
+        rows.extend(self.log.iter().map(|e| Record::Entry { entry: Box::new(e.clone()) }));
         rows
     }
 }
@@ -63,7 +63,7 @@
 pub fn inspect(records: &[Record]) -> Copy {
     let c = Chain::new(NodeId(0), records.to_vec(), Time(0));
     let mut state = c.load.as_deref().cloned().unwrap_or_default();
-    for e in &c.log.entries {
+    for e in c.log.iter() {
         state.fold(e.at, &e.change);
     }
     Copy { node: c.ident, fleet: c.fleet, view: c.view, synced: c.log.last(), config_at: state.config_at }
--- a/src/chain/replicate.rs
+++ b/src/chain/replicate.rs
@@ -1,30 +1,81 @@
+//! Entries on their way down the chain, and progress on its way up.
+
 use super::core::Chain;
 use super::replication_log::Fit;
 use crate::kernel::component::Context;
 use crate::kernel::ids::*;
+use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 use std::sync::Arc;
 
-const BATCH: usize = 64;
+/// How long entries may be under way to the next member before they are sent again.
+const RESEND_AFTER: Span = Span::ms(200);
+/// How long a snapshot may be under way to the next member before it is sent again.
+const RESEND_SNAPSHOT_AFTER: Span = Span::ms(600);
+
+/// What the next member of the chain has, and what is under way to it.
+#[derive(Default)]
+pub struct SuccessorProgress {
+    synced: Version,
+    sent: Version,
+    /// Since when something is under way without any progress.
+    waits_since: Time,
+}
+
+impl SuccessorProgress {
+    fn note_synced(&mut self, synced: Version, now: Time) {
+        if synced > self.synced {
+            self.synced = synced;
+            self.waits_since = now;
+        }
+    }
+
+    /// All entries up to this one have been sent, and nothing behind it.
+    fn note_sent(&mut self, upto: Version, now: Time) {
+        if self.sent <= self.synced {
+            self.waits_since = now;
+        }
+        self.sent = upto;
+    }
+
+    /// Whether the entry follows what was sent, so that it fits without any other.
+    fn is_next(&self, at: Version) -> bool {
+        at == self.sent.max(self.synced).next()
+    }
+
+    fn is_under_way(&self, now: Time, span: Span) -> bool {
+        self.sent > self.synced && now.since(self.waits_since) < span
+    }
+}
 
 impl Chain {
     pub fn submit(&mut self, change: &Shared, ctx: &mut Context) {
         let Some(view) = self.view.clone() else { return };
-        if !self.is_head() || !self.ready || view.chain.len() < ctx.me.need() {
+        if !self.is_head() || !self.ready || view.chain.len() < ctx.me.need() || self.log.is_full() {
             return;
         }
-        let entry = Entry { at: self.log.last().next(), view: view.no, change: (**change).clone() };
+        let entry = Entry { at: self.log.last().next(), view: view.no, change: change.clone() };
         self.append_entry(entry.clone(), ctx);
         self.commit_if_tail(ctx);
         if let Some(next) = view.after(self.ident) {
-            let upto = self.log.last();
-            ctx.chain(next, ChainMsg::Append { view: view.no, first: false, upto, entries: vec![entry] });
+            self.forward(next, view.no, vec![entry], ctx);
+        }
+    }
+
+    /// Sends new entries on at once if the next member lacks none before them; else its progress asks for all.
+    fn forward(&mut self, to: NodeId, view: ViewNo, entries: Vec<Entry>, ctx: &mut Context) {
+        let (Some(first), Some(last)) = (entries.first(), entries.last()) else { return };
+        if !self.successor.is_next(first.at) {
+            return;
         }
+        self.successor.note_sent(last.at, ctx.now);
+        let upto = self.log.last();
+        ctx.chain(to, ChainMsg::Append { view, first: false, upto, entries });
     }
 
     pub fn append_entry(&mut self, entry: Entry, ctx: &mut Context) {
         ctx.save(Record::Entry { entry: Box::new(entry.clone()) });
-        self.log.entries.push_back(entry);
+        self.log.push(entry);
     }
 
     pub fn announce(&mut self, ctx: &mut Context) {
@@ -47,9 +98,13 @@
         if view.no != no || view.before(self.ident) != Some(from) {
             return;
         }
+        let mut added = Vec::new();
         for e in rows {
             match self.log.fit(e) {
-                Fit::Next => self.append_entry(e.clone(), ctx),
+                Fit::Next => {
+                    self.append_entry(e.clone(), ctx);
+                    added.push(e.clone());
+                }
                 Fit::Known => {}
                 Fit::Gap => break,
                 Fit::Clash => {
@@ -66,9 +121,8 @@
             ctx.save(Record::Ready { view: no });
             ctx.log_event("chain-ready", format!("{last} in {no}"));
         }
-        if let (Some(next), false) = (view.after(self.ident), rows.is_empty()) {
-            let entries = rows.to_vec();
-            ctx.chain(next, ChainMsg::Append { view: no, first: false, upto: last, entries });
+        if let Some(next) = view.after(self.ident) {
+            self.forward(next, no, added, ctx);
         }
         self.commit_if_tail(ctx);
         self.report_progress(ctx);
@@ -85,23 +139,39 @@
             ctx.out.push(Effect::Reset(why));
             return;
         }
-        self.successor_synced = synced;
+        self.successor.note_synced(synced, ctx.now);
         self.chain_synced = self.chain_synced.max(chain_synced);
         self.apply_up_to(committed, ctx);
         if synced == self.log.last() {
             return;
         }
-        match self.log.after(synced, BATCH) {
-            Some(entries) => {
-                let upto = self.log.last();
-                ctx.chain(from, ChainMsg::Append { view: no, first: false, upto, entries });
-            }
-            None => {
-                let at = self.committed;
-                let state = Box::new(ctx.views.state.clone());
-                ctx.chain(from, ChainMsg::Snapshot { at, state });
-            }
+        self.catch_up(from, no, synced, ctx);
+    }
+
+    /// Sends what the next member lacks, unless that is under way already.
+    fn catch_up(&mut self, to: NodeId, view: ViewNo, synced: Version, ctx: &mut Context) {
+        let Some(entries) = self.log.after(synced) else { return self.send_snapshot(to, ctx) };
+        if self.successor.is_under_way(ctx.now, RESEND_AFTER) {
+            return;
+        }
+        let upto = self.log.last();
+        if let Some(last) = entries.last() {
+            self.successor.waits_since = ctx.now;
+            self.successor.note_sent(last.at, ctx.now);
+        }
+        ctx.chain(to, ChainMsg::Append { view, first: false, upto, entries });
+    }
+
+    fn send_snapshot(&mut self, to: NodeId, ctx: &mut Context) {
+        if self.successor.is_under_way(ctx.now, RESEND_SNAPSHOT_AFTER) {
+            return;
         }
+        let at = self.committed;
+        self.successor.waits_since = ctx.now;
+        self.successor.note_sent(at, ctx.now);
+        let state = Box::new(ctx.views.state.clone());
+        ctx.log_event("snapshot-sent", format!("{at} to {to}"));
+        ctx.chain(to, ChainMsg::Snapshot { at, state });
     }
 
     pub fn commit_if_tail(&mut self, ctx: &mut Context) {
@@ -114,7 +184,7 @@
         let before = self.committed;
         while self.committed < upto {
             let Some(e) = self.log.get(self.committed.next()) else { break };
-            let (at, change) = (e.at, Arc::new(e.change.clone()));
+            let (at, change) = (e.at, e.change.clone());
             self.committed = at;
             ctx.publish(JournalEvent::Committed { at, change });
         }
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -21,6 +21,32 @@
     Step { id: MoveId, term: Term, phase: Phase, why: String, stage: Option<StageFigure> },
 }
 
+/// What a route takes in memory and on the disk besides its share of the document, as measured.
+const ROUTE_BYTES: usize = 160;
+/// What any change takes.
+const CHANGE_BYTES: usize = 1024;
+
+impl Change {
+    /// About the bytes that this change takes in memory; on the disk and on the wire it takes less.
+    pub fn size_estimate(&self) -> usize {
+        match self {
+            Change::Propose { config, .. } | Change::Adopt { config, .. } => {
+                CHANGE_BYTES + config.size_estimate()
+            }
+            Change::Runners { list, .. } => CHANGE_BYTES + list.len() * ROUTE_BYTES,
+            _ => CHANGE_BYTES,
+        }
+    }
+}
+
+impl FleetConfig {
+    /// About the bytes that this configuration takes in memory.
+    pub fn size_estimate(&self) -> usize {
+        let routes: usize = self.services.iter().map(|s| s.routes.len()).sum();
+        self.source.len() + (routes + self.models.len() + self.adapters.len()) * ROUTE_BYTES
+    }
+}
+
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub enum Verdict {
     Commit,
--- a/src/kernel/journal.rs
+++ b/src/kernel/journal.rs
@@ -11,9 +11,13 @@
 }
 
 impl Journal {
+    /// Counts an event, and keeps it unless it carries state: hundreds of whole configurations would not fit.
     pub fn add(&mut self, now: Time, note: JournalEvent) -> u64 {
         let at = self.next;
         self.next += 1;
+        if carries_state(&note) {
+            return at;
+        }
         self.rows.push_back((at, now, note));
         if self.rows.len() > KEEP {
             self.rows.pop_front();
@@ -21,8 +25,15 @@
         at
     }
 
+    /// The kept events from a number on.
     pub fn since(&self, at: u64) -> impl Iterator<Item = &(u64, Time, JournalEvent)> {
-        self.rows.iter().filter(move |r| r.0 >= at)
+        let first = self.rows.partition_point(|row| row.0 < at);
+        self.rows.range(first..)
+    }
+
+    /// How many events are kept.
+    pub fn kept(&self) -> usize {
+        self.rows.len()
     }
 
     pub fn len(&self) -> u64 {
@@ -33,3 +44,10 @@
         self.next == 0
     }
 }
+
+fn carries_state(event: &JournalEvent) -> bool {
+    matches!(
+        event,
+        JournalEvent::Committed { .. } | JournalEvent::Submitted(_) | JournalEvent::StateLoaded(_)
+    )
+}
--- a/src/sim/disk.rs
+++ b/src/sim/disk.rs
@@ -5,6 +5,7 @@
 use crate::kernel::disk::{Disk, LogFile};
 use crate::kernel::fault::Fault;
 use crate::kernel::folder::Folder;
+use crate::kernel::log_format::{self, Content};
 use crate::kernel::rand::{Rand, Seeded};
 use crate::msg::Record;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -51,6 +52,19 @@
         self.folder.set_full(full);
     }
 
+    /// The records that the process has written, synced or not.
+    pub fn records(&self) -> Vec<Record> {
+        let files = self.folder.files();
+        let mut found: Vec<u64> = files.keys().filter_map(|name| log_format::generation(name)).collect();
+        found.sort_unstable();
+        let read = |generation: u64| match log_format::read(generation, &files[&log_format::name(generation)])
+        {
+            Content::Whole(records, _) => Some(records),
+            _ => None,
+        };
+        found.into_iter().rev().find_map(read).unwrap_or_default()
+    }
+
     /// The bytes of all files.
     pub fn bytes(&self) -> usize {
         self.folder.files().values().map(Vec::len).sum()
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -10,6 +10,7 @@
 pub mod effects;
 pub mod faults;
 pub mod folder;
+pub mod folder_steps;
 pub mod front;
 pub mod hurts;
 pub mod hurts_more;
--- a/tests/adopt_lost.rs
+++ b/tests/adopt_lost.rs
@@ -5,7 +5,6 @@
 use adopt::Office;
 use common::seeded;
 use spindledock::fleet::state::Change;
-use spindledock::kernel::disk::unpack;
 use spindledock::kernel::ids::ChangeId;
 use spindledock::kernel::time::Span;
 use spindledock::launch::deployment::vanua;
@@ -14,10 +13,8 @@
 
 /// Whether the log of `place` holds the change, synced or not.
 fn logged(o: &Office, place: usize, id: ChangeId) -> bool {
-    let raw = o.w.nodes[place].disk.0.lock().expect("a disk").raw.clone();
-    let records = unpack(&raw).map(|r| r.0).unwrap_or_default();
-    records.iter().any(|r| match r {
-        Record::Entry { entry } => matches!(&entry.change, Change::Adopt { id: own, .. } if *own == id),
+    o.w.nodes[place].disk.records().iter().any(|r| match r {
+        Record::Entry { entry } => matches!(&*entry.change, Change::Adopt { id: own, .. } if *own == id),
         _ => false,
     })
 }
