--- a/src/chain/core.rs
+++ b/src/chain/core.rs
@@ -17,6 +17,7 @@
 pub const HEARTBEAT_INTERVAL: Span = Span::ms(150);
 pub const SILENCE_LIMIT: Span = Span::ms(600);
 
+#[derive(Clone)]
 pub struct Chain {
     pub fleet: FleetId,
     pub view: Option<View>,
--- a/src/chain/join.rs
+++ b/src/chain/join.rs
@@ -15,7 +15,7 @@
 /// Behind by more bytes than this (and than two configurations), a member that joins is sent the snapshot.
 const SNAPSHOT_FROM: usize = 512 << 10;
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Joiner {
     pub following: bool,
     pub asked: Time,
--- a/src/chain/replicate.rs
+++ b/src/chain/replicate.rs
@@ -14,7 +14,7 @@
 const RESEND_SNAPSHOT_AFTER: Span = Span::ms(600);
 
 /// What the next member of the chain has, and what is under way to it.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct SuccessorProgress {
     synced: Version,
     sent: Version,
--- a/src/chain/replication_log.rs
+++ b/src/chain/replication_log.rs
@@ -17,7 +17,7 @@
 const MESSAGE_ROWS_MAX: usize = 64;
 
 /// The entries from the one after `base`. All before it are in the snapshot at `base`.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct ReplicationLog {
     /// The number of the last entry that the snapshot covers.
     pub base: Version,
