Connections to runners as states that only a clean exchange leads round

A connection goes back to the pool only as a value that an exchange ended with: its request written and flushed, its answer judged to be this request's and read to its framed end, the peer silent since (a look into the socket's own buffer, not only what the library happened to read). Any other end drops it with a reset, so that bytes held up in the kernel are not delivered later and a runner learns at once that nobody waits. A used connection that is gone before a byte was written is replaced; it no longer counts as a failed runner. The deadline handed on is counted when the connection stands, not before it is made. Connections that rested too long are closed each second.

--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -1,6 +1,7 @@
 use super::print::human;
 use crate::fleet::read::read_text;
-use crate::http::pool::{Miss, Pool, open};
+use crate::http::connection::SendError;
+use crate::http::pool::{Pool, open};
 use crate::json::Tree;
 use crate::json::tree::map;
 use bytes::Bytes;
@@ -71,7 +72,7 @@
             Ok((status, body)) => {
                 return Ok(Sent { status, body: String::from_utf8_lossy(&body).into_owned() });
             }
-            Err(Miss::Unsure) if a.method != "GET" => {
+            Err(SendError::Unsure) if a.method != "GET" => {
                 return Ok(Sent {
                     status: 504,
                     body: map(&[
--- a/src/daemon/poll.rs
+++ b/src/daemon/poll.rs
@@ -1,6 +1,7 @@
 use crate::fleet::runner::{Report, Runner};
 use crate::gate::Table;
-use crate::http::pool::{Miss, Pool, open};
+use crate::http::connection::SendError;
+use crate::http::pool::{Pool, open};
 use crate::kernel::time::Clock;
 use crate::msg::RunnerOrder;
 use crate::seam::RunnerSide;
@@ -20,11 +21,11 @@
 
 pub async fn drive(pool: &Pool, side: &dyn RunnerSide, clock: Arc<dyn Clock>, o: &RunnerOrder) -> u16 {
     let due = o.due;
-    let check = Box::new(move || clock.now() < due);
+    let check = Arc::new(move || clock.now() < due);
     match pool.whole(o.runner.addr, side.drive(o), DUE, check).await {
         Ok((status, _)) => status,
-        Err(Miss::NotSent | Miss::Barred) => 499,
-        Err(Miss::Unsure) => 0,
+        Err(SendError::NotSent | SendError::Barred) => 499,
+        Err(SendError::Unsure) => 0,
     }
 }
 
--- a/src/http/carry.rs
+++ b/src/http/carry.rs
@@ -169,7 +169,7 @@
             clock: self.clock.clone(),
             shape: self.shape.clone(),
             pool: self.pool.clone(),
-            check: Box::new(move || check().is_none()),
+            check: Arc::new(move || check().is_none()),
             why: Box::new(again),
             tx: self.tx.clone(),
         };
--- a/src/http/guard.rs
+++ b/src/http/guard.rs
@@ -1,4 +1,8 @@
+//! The socket under a connection to a runner: refuses the first byte of a request that may no longer be sent,
+//! and knows what has been written, what has been flushed and whether the peer has said anything since.
+
 use std::io;
+use std::os::fd::{AsRawFd, RawFd};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -6,30 +10,64 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-pub type Check = Box<dyn Fn() -> bool + Send>;
+/// Whether a request may still be sent; asked as its first byte is about to be written.
+pub type Check = Arc<dyn Fn() -> bool + Send + Sync>;
 
+/// What is known of the bytes of one connection, shared between the connection and its socket.
 #[derive(Default)]
 pub struct Guard {
     check: Mutex<Option<Check>>,
     wrote: AtomicBool,
     barred: AtomicBool,
+    unflushed: AtomicBool,
+    socket: Mutex<Option<RawFd>>,
 }
 
 impl Guard {
+    /// Prepares for the next request: `check` decides when its first byte is about to be written.
     pub fn arm(&self, check: Check) {
         self.wrote.store(false, Ordering::SeqCst);
         self.barred.store(false, Ordering::SeqCst);
         *self.check.lock().unwrap() = Some(check);
     }
 
+    /// Whether any byte went out since the guard was armed.
     pub fn wrote(&self) -> bool {
         self.wrote.load(Ordering::SeqCst)
     }
 
+    /// Whether the check refused the request, so that none of its bytes went out.
     pub fn barred(&self) -> bool {
         self.barred.load(Ordering::SeqCst)
     }
 
+    /// Whether all bytes that were given to the connection have reached the socket.
+    pub fn is_flushed(&self) -> bool {
+        !self.unflushed.load(Ordering::SeqCst)
+    }
+
+    /// Whether the peer has neither closed the connection nor sent a byte that nobody has read.
+    pub fn is_quiet(&self) -> bool {
+        let socket = self.socket.lock().unwrap();
+        let Some(fd) = *socket else { return false };
+        let mut byte = 0u8;
+        let flags = libc::MSG_PEEK | libc::MSG_DONTWAIT;
+        let got = unsafe { libc::recv(fd, (&raw mut byte).cast(), 1, flags) };
+        got < 0 && io::Error::last_os_error().kind() == io::ErrorKind::WouldBlock
+    }
+
+    /// Makes the close of the socket a reset: bytes that wait in the kernel are dropped, not sent later.
+    pub fn reset_on_close(&self) {
+        let socket = self.socket.lock().unwrap();
+        let Some(fd) = *socket else { return };
+        let linger = libc::linger { l_onoff: 1, l_linger: 0 };
+        let size = std::mem::size_of_val(&linger) as libc::socklen_t;
+        let at = (&raw const linger).cast();
+        if unsafe { libc::setsockopt(fd, libc::SOL_SOCKET, libc::SO_LINGER, at, size) } != 0 {
+            log::warn!(event = "no-reset", fault = io::Error::last_os_error().to_string(); "");
+        }
+    }
+
     fn pass(&self) -> bool {
         let mut check = self.check.lock().unwrap();
         if let Some(c) = check.take()
@@ -42,29 +80,39 @@
     }
 }
 
-pub struct GuardedLink {
+/// A socket whose writes pass through a [`Guard`].
+pub struct GuardedStream {
     tcp: TcpStream,
     guard: Arc<Guard>,
 }
 
-impl GuardedLink {
-    pub fn new(tcp: TcpStream, guard: Arc<Guard>) -> GuardedLink {
-        GuardedLink { tcp, guard }
+impl GuardedStream {
+    /// Puts `tcp` under `guard`.
+    pub fn new(tcp: TcpStream, guard: Arc<Guard>) -> GuardedStream {
+        *guard.socket.lock().unwrap() = Some(tcp.as_raw_fd());
+        GuardedStream { tcp, guard }
+    }
+}
+
+impl Drop for GuardedStream {
+    fn drop(&mut self) {
+        *self.guard.socket.lock().unwrap() = None;
     }
 }
 
-impl AsyncRead for GuardedLink {
+impl AsyncRead for GuardedStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         Pin::new(&mut self.get_mut().tcp).poll_read(cx, buf)
     }
 }
 
-impl AsyncWrite for GuardedLink {
+impl AsyncWrite for GuardedStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
         let me = self.get_mut();
         if !me.guard.pass() {
-            return Poll::Ready(Err(io::Error::other("the order may no longer be sent")));
+            return Poll::Ready(Err(io::Error::other("the request may no longer be sent")));
         }
+        me.guard.unflushed.store(true, Ordering::SeqCst);
         let done = Pin::new(&mut me.tcp).poll_write(cx, buf);
         if let Poll::Ready(Ok(n)) = &done
             && *n > 0
@@ -75,7 +123,12 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().tcp).poll_flush(cx)
+        let me = self.get_mut();
+        let done = Pin::new(&mut me.tcp).poll_flush(cx);
+        if let Poll::Ready(Ok(())) = &done {
+            me.guard.unflushed.store(false, Ordering::SeqCst);
+        }
+        done
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
--- a/src/http/leg.rs
+++ b/src/http/leg.rs
@@ -1,14 +1,15 @@
+use super::connection::{Answer, BodyBroken, Exchange, Judged, SendError};
 use super::guard::Check;
-use super::pool::{self, Miss, Pool};
+use super::pool::Pool;
 use crate::fleet::config::RouteKind;
 use crate::fleet::runner::Runner;
 use crate::gate::order::{Order, Why};
 use crate::kernel::time::Clock;
 use crate::pass::In;
 use crate::pass::ride::LegNo;
-use crate::seam::{RunnerSide, Verdict};
+use crate::seam::RunnerSide;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, Uri};
 use std::sync::Arc;
@@ -87,81 +88,91 @@
     pub shape: Arc<Shape>,
     pub pool: Arc<Pool>,
     pub check: Check,
-    pub why: Box<dyn Fn() -> Option<Why> + Send>,
+    pub why: Box<dyn Fn() -> Option<Why> + Send + Sync>,
     pub tx: mpsc::Sender<LegEvent>,
 }
 
-pub async fn run(job: LegJob) {
-    let order = order_for(&job);
-    let sent = order.headers().clone();
-    let LegJob { no: leg, runner, order: asked, side, pool, check, why, tx, .. } = job;
-    let say = |ev: In| tx.send(LegEvent::Step(ev));
-    let reply = match pool.send(runner.addr, order, check).await {
-        Ok(reply) => reply,
-        Err(Miss::NotSent) => {
-            let _ = say(In::OpenFailed { leg, why: None }).await;
-            return;
-        }
-        Err(Miss::Barred) => {
-            let why = why().or(Some(Why::Stale));
-            let _ = say(In::OpenFailed { leg, why }).await;
-            return;
+/// Sends the request, its deadline counted from the moment it is sent. A connection that turns out to be gone
+/// before a byte was written is replaced by a new one.
+async fn send(job: &LegJob) -> Result<(Exchange, HeaderMap), SendError> {
+    loop {
+        let connection = job.pool.connect(job.runner.addr).await?;
+        let used = connection.is_used();
+        let request = order_for(job);
+        let sent = request.headers().clone();
+        match connection.send(request, job.check.clone()).await {
+            Err(SendError::NotSent) if used => continue,
+            done => return done.map(|exchange| (exchange, sent)),
         }
-        Err(Miss::Unsure) => {
-            let _ = say(In::Lost { leg }).await;
-            return;
+    }
+}
+
+/// One try at one runner, told step by step to the forwarding that asked for it.
+pub async fn run(job: LegJob) {
+    let leg = job.no;
+    let say = |ev: In| job.tx.send(LegEvent::Step(ev));
+    let (exchange, sent) = match send(&job).await {
+        Ok(done) => done,
+        Err(SendError::NotSent) => return drop(say(In::OpenFailed { leg, why: None }).await),
+        Err(SendError::Barred) => {
+            let why = (job.why)().or(Some(Why::Stale));
+            return drop(say(In::OpenFailed { leg, why }).await);
         }
+        Err(SendError::Unsure) => return drop(say(In::Lost { leg }).await),
     };
-    let status = reply.response.status().as_u16();
-    let heads = end_to_end(reply.response.headers());
-    if let Some(load) = side.load(reply.response.headers()) {
+    if let Some(load) = job.side.load(exchange.headers()) {
         let _ = say(In::Load { leg, load }).await;
     }
-    let ev = match side.judge(&sent, status, reply.response.headers()) {
-        Verdict::Own => None,
-        Verdict::NotRun => Some(In::Shed { leg, gone: false }),
-        Verdict::NotMine => Some(In::Shed { leg, gone: true }),
-        Verdict::Stray => Some(In::Lost { leg }),
-    };
-    if let Some(ev) = ev {
-        if !matches!(ev, In::Lost { .. }) {
-            pool.finish(runner.addr, reply).await;
-        }
-        let _ = say(ev).await;
-        return;
+    match exchange.judge(|status, headers| job.side.judge(&sent, status, headers)) {
+        Judged::Own(answer) => pass_on(&job, answer).await,
+        Judged::NotRun(answer) => turned_away(&job, answer, false).await,
+        Judged::NotMine(answer) => turned_away(&job, answer, true).await,
+        Judged::Stray => drop(say(In::Lost { leg }).await),
     }
+}
+
+async fn turned_away(job: &LegJob, answer: Answer, gone: bool) {
+    job.pool.drain(job.runner.addr, answer).await;
+    let _ = job.tx.send(LegEvent::Step(In::Shed { leg: job.no, gone })).await;
+}
+
+/// Hands the runner's answer on. One to a request that may run again is read as a whole first, so that another
+/// runner can still give it.
+async fn pass_on(job: &LegJob, mut answer: Answer) {
+    let leg = job.no;
+    let say = |ev: In| job.tx.send(LegEvent::Step(ev));
+    let status = answer.status();
+    let heads = end_to_end(answer.headers());
     let kind = heads.get("content-type").and_then(|v| v.to_str().ok()).unwrap_or("");
     let stream = kind.starts_with("text/event-stream");
-    let keep = pool::kept(reply.response.headers());
-    if asked.kind == RouteKind::Idempotent && !stream {
-        let Ok(body) = Limited::new(reply.response.into_body(), WHOLE).collect().await else {
-            let _ = say(In::Lost { leg }).await;
-            return;
-        };
-        pool.give(runner.addr, reply.link, keep);
-        let _ = tx.send(LegEvent::Head((leg, status, heads))).await;
-        let _ = say(In::Head { leg, status, stream }).await;
-        let _ = say(In::Chunk { leg, raw: body.to_bytes() }).await;
-        let _ = say(In::End { leg }).await;
-        return;
+    let mut whole = None;
+    if job.order.kind == RouteKind::Idempotent && !stream {
+        match answer.collect(WHOLE).await {
+            Ok(body) => whole = Some(body),
+            Err(BodyBroken) => return drop(say(In::Lost { leg }).await),
+        }
     }
-    if tx.send(LegEvent::Head((leg, status, heads))).await.is_err() {
+    if job.tx.send(LegEvent::Head((leg, status, heads))).await.is_err()
+        || say(In::Head { leg, status, stream }).await.is_err()
+    {
         return;
     }
-    if say(In::Head { leg, status, stream }).await.is_err() {
-        return;
+    if let Some(raw) = whole {
+        job.pool.keep(job.runner.addr, answer);
+        let _ = say(In::Chunk { leg, raw }).await;
+        return drop(say(In::End { leg }).await);
     }
-    let mut body = reply.response.into_body();
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else {
-            let _ = say(In::Lost { leg }).await;
-            return;
-        };
-        let Ok(raw) = frame.into_data() else { continue };
-        if say(In::Chunk { leg, raw }).await.is_err() {
-            return;
+    loop {
+        match answer.next().await {
+            Ok(Some(raw)) => {
+                if say(In::Chunk { leg, raw }).await.is_err() {
+                    return;
+                }
+            }
+            Ok(None) => break,
+            Err(BodyBroken) => return drop(say(In::Lost { leg }).await),
         }
     }
-    pool.give(runner.addr, reply.link, keep);
+    job.pool.keep(job.runner.addr, answer);
     let _ = say(In::End { leg }).await;
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,6 +1,7 @@
 pub mod admin;
 pub mod answer;
 pub mod carry;
+pub mod connection;
 pub mod guard;
 pub mod leg;
 pub mod own;
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -1,146 +1,127 @@
-use super::guard::{Check, Guard, GuardedLink};
+//! Connections at rest, by the address of their peer.
+
+use super::connection::{Answer, BodyBroken, Judged, Ready, Resting, SendError};
+use super::guard::Check;
+use crate::seam::Verdict;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::client::conn::http1;
+use http_body_util::Full;
+use hyper::Request;
 use hyper::header::HeaderMap;
-use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
-
-const IDLE: Duration = Duration::from_secs(4);
-const REACH: Duration = Duration::from_millis(800);
-const KEEP: usize = 64;
-const MARGIN: u64 = 400;
-const SILENT: Duration = Duration::from_secs(3);
-const REST: usize = 64 << 10;
 
-pub struct Link {
-    sender: http1::SendRequest<Full<Bytes>>,
-    guard: Arc<Guard>,
-    until: Instant,
-}
+/// The most connections kept at rest for one address.
+const MOST_AT_REST: usize = 64;
+/// The most bytes that are read of an answer nobody wants, to keep its connection.
+const DRAIN_LIMIT: usize = 64 << 10;
+/// The most bytes of an answer that is read as a whole.
+const WHOLE_LIMIT: usize = 16 << 20;
+/// How often connections that have rested too long are closed.
+const PRUNE_EVERY: Duration = Duration::from_secs(1);
 
+/// Connections at rest.
 #[derive(Default)]
 pub struct Pool {
-    idle: Mutex<BTreeMap<SocketAddr, Vec<Link>>>,
+    rows: Mutex<Rows>,
 }
 
-#[derive(Debug)]
-pub enum Miss {
-    NotSent,
-    Barred,
-    Unsure,
+#[derive(Default)]
+struct Rows {
+    resting: BTreeMap<SocketAddr, Vec<Resting>>,
+    pruned: Option<Instant>,
 }
 
-pub struct Reply {
-    pub response: Response<Incoming>,
-    pub link: Link,
+impl Rows {
+    /// Takes out the connections that have rested too long.
+    fn prune(&mut self, now: Instant) -> Vec<Resting> {
+        if self.pruned.is_some_and(|at| now.duration_since(at) < PRUNE_EVERY) {
+            return Vec::new();
+        }
+        self.pruned = Some(now);
+        let mut old = Vec::new();
+        for rows in self.resting.values_mut() {
+            old.extend(rows.extract_if(.., |r| r.is_expired(now)));
+        }
+        self.resting.retain(|_, rows| !rows.is_empty());
+        old
+    }
 }
 
 impl Pool {
-    fn take(&self, addr: SocketAddr) -> Option<Link> {
-        let mut idle = self.idle.lock().unwrap();
-        let rows = idle.get_mut(&addr)?;
-        while let Some(link) = rows.pop() {
-            if Instant::now() < link.until && link.sender.is_ready() {
-                return Some(link);
+    fn reuse(&self, addr: SocketAddr) -> Option<Ready> {
+        loop {
+            let resting = self.rows.lock().unwrap().resting.get_mut(&addr)?.pop()?;
+            if let Some(ready) = resting.wake(Instant::now()) {
+                return Some(ready);
             }
         }
-        None
     }
 
-    pub fn give(&self, addr: SocketAddr, mut link: Link, keep: Option<Duration>) {
-        if link.sender.is_closed() || keep == Some(Duration::ZERO) {
-            return;
-        }
-        link.until = Instant::now() + keep.unwrap_or(IDLE);
-        let mut idle = self.idle.lock().unwrap();
-        let rows = idle.entry(addr).or_default();
-        if rows.len() < KEEP {
-            rows.push(link);
+    /// A connection to `addr`: one that rested, or a new one.
+    pub async fn connect(&self, addr: SocketAddr) -> Result<Ready, SendError> {
+        if let Some(ready) = self.reuse(addr) {
+            return Ok(ready);
         }
+        Ready::connect(addr).await.ok_or(SendError::NotSent)
     }
 
-    async fn reach(&self, addr: SocketAddr) -> Option<Link> {
-        let tcp = tokio::time::timeout(REACH, TcpStream::connect(addr)).await.ok()?.ok()?;
-        let _ = tcp.set_nodelay(true);
-        crate::daemon::links::watch(&tcp, SILENT);
-        let guard = Arc::new(Guard::default());
-        let io = TokioIo::new(GuardedLink::new(tcp, guard.clone()));
-        let (sender, conn) = http1::handshake(io).await.ok()?;
-        tokio::spawn(async move {
-            let _ = conn.await;
-        });
-        Some(Link { sender, guard, until: Instant::now() })
-    }
-
-    pub async fn send(
-        &self,
-        addr: SocketAddr,
-        order: Request<Full<Bytes>>,
-        check: Check,
-    ) -> Result<Reply, Miss> {
-        let link = match self.take(addr) {
-            Some(link) => Some(link),
-            None => self.reach(addr).await,
-        };
-        let Some(mut link) = link else { return Err(Miss::NotSent) };
-        if link.sender.ready().await.is_err() {
-            return Err(Miss::NotSent);
-        }
-        link.guard.arm(check);
-        match link.sender.send_request(order).await {
-            Ok(response) => Ok(Reply { response, link }),
-            Err(_) if link.guard.barred() => Err(Miss::Barred),
-            Err(_) if link.guard.wrote() => Err(Miss::Unsure),
-            Err(_) => Err(Miss::NotSent),
+    /// Keeps the connection of an answer for later, if the answer was read to its end.
+    pub fn keep(&self, addr: SocketAddr, answer: Answer) {
+        let Some(resting) = answer.finish() else { return };
+        let mut rows = self.rows.lock().unwrap();
+        let old = rows.prune(Instant::now());
+        let here = rows.resting.entry(addr).or_default();
+        if here.len() < MOST_AT_REST {
+            here.push(resting);
         }
+        drop(rows);
+        old.into_iter().for_each(Resting::close);
     }
 
-    /// Reads what is left of an answer that nobody wants, so that the link serves again.
-    pub async fn finish(&self, addr: SocketAddr, reply: Reply) {
-        let keep = kept(reply.response.headers());
-        if Limited::new(reply.response.into_body(), REST).collect().await.is_ok() {
-            self.give(addr, reply.link, keep);
+    /// Reads what is left of an answer that nobody wants, so that its connection serves again.
+    pub async fn drain(&self, addr: SocketAddr, mut answer: Answer) {
+        if answer.collect(DRAIN_LIMIT).await.is_ok() {
+            self.keep(addr, answer);
         }
     }
 
-    pub async fn whole(
+    /// Sends a request and reads its answer as a whole, within `limit`. The answer must be one to this request
+    /// by the word of `own`.
+    pub async fn ask(
         &self,
         addr: SocketAddr,
-        order: Request<Full<Bytes>>,
-        due: Duration,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
         check: Check,
-    ) -> Result<(u16, Bytes), Miss> {
+        own: impl Fn(&HeaderMap) -> bool,
+    ) -> Result<(u16, Bytes), SendError> {
         let work = async {
-            let reply = self.send(addr, order, check).await?;
-            let status = reply.response.status().as_u16();
-            let keep = kept(reply.response.headers());
-            let body = Limited::new(reply.response.into_body(), 16 << 20);
-            let body = body.collect().await.map_err(|_| Miss::Unsure)?;
-            self.give(addr, reply.link, keep);
-            Ok((status, body.to_bytes()))
+            let exchange = self.connect(addr).await?.send(request, check).await?;
+            let verdict = |_, headers: &HeaderMap| if own(headers) { Verdict::Own } else { Verdict::Stray };
+            let Judged::Own(mut answer) = exchange.judge(verdict) else { return Err(SendError::Unsure) };
+            let status = answer.status();
+            let body = answer.collect(WHOLE_LIMIT).await.map_err(|BodyBroken| SendError::Unsure)?;
+            self.keep(addr, answer);
+            Ok((status, body))
         };
-        tokio::time::timeout(due, work).await.unwrap_or(Err(Miss::Unsure))
+        tokio::time::timeout(limit, work).await.unwrap_or(Err(SendError::Unsure))
     }
-}
 
-/// How long a link may lie idle, by the words of the answer; zero if it closes.
-pub fn kept(heads: &HeaderMap) -> Option<Duration> {
-    let text = |k: &str| heads.get(k).and_then(|v| v.to_str().ok());
-    if text("connection").is_some_and(|t| t.split(',').any(|w| w.trim().eq_ignore_ascii_case("close"))) {
-        return Some(Duration::ZERO);
+    /// As [`Pool::ask`], where every answer counts.
+    pub async fn whole(
+        &self,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+        check: Check,
+    ) -> Result<(u16, Bytes), SendError> {
+        self.ask(addr, request, limit, check, |_| true).await
     }
-    let row = text("keep-alive")?.split(',').find_map(|w| w.trim().strip_prefix("timeout="))?;
-    let s: u64 = row.parse().ok()?;
-    Some(Duration::from_millis((s * 1000).saturating_sub(MARGIN)))
 }
 
+/// A check that lets every request pass.
 pub fn open() -> Check {
-    Box::new(|| true)
+    Arc::new(|| true)
 }
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -1,13 +1,15 @@
 use super::script::{Script, plain};
 use super::tally::{End, Tally};
 use crate::http::answer::OUTCOME;
-use crate::http::pool::{Miss, Pool, open};
+use crate::http::connection::{Answer, Judged, SendError};
+use crate::http::pool::{Pool, open};
 use crate::json::Tree;
 use crate::kernel::ids::Name;
 use crate::kernel::time::{BootClock, Clock};
+use crate::seam::Verdict;
 use crate::sim::record::Fact;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::Request;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -60,6 +62,14 @@
     t
 }
 
+async fn send(pool: &Pool, router: SocketAddr, order: Request<Full<Bytes>>) -> Result<Answer, SendError> {
+    let exchange = pool.connect(router).await?.send(order, open()).await?;
+    match exchange.judge(|_, _| Verdict::Own) {
+        Judged::Own(answer) => Ok(answer),
+        _ => Err(SendError::Unsure),
+    }
+}
+
 async fn go(pool: &Pool, router: SocketAddr, call: &Call, id: u64) -> Tally {
     let mut t = Tally::default();
     let mut order = Request::builder()
@@ -73,40 +83,38 @@
     let body = Full::new(Bytes::from(call.body.clone().unwrap_or_default()));
     let order = order.body(body).expect("a valid order");
     let began = Instant::now();
-    let reply = match pool.send(router, order, open()).await {
-        Ok(reply) => reply,
-        Err(Miss::NotSent | Miss::Barred) => {
+    let mut answer = match send(pool, router, order).await {
+        Ok(answer) => answer,
+        Err(SendError::NotSent | SendError::Barred) => {
             t.add(End::Failed);
             return t;
         }
-        Err(Miss::Unsure) => {
+        Err(SendError::Unsure) => {
             t.add(End::Broken);
             return t;
         }
     };
     t.first_ms.push(began.elapsed().as_millis() as u64);
-    let status = reply.response.status().as_u16();
-    let outcome = reply.response.headers().get(OUTCOME).and_then(|v| v.to_str().ok()).map(|s| s.to_string());
-    let stream = reply.response.headers().get("content-type").is_some_and(|v| v == "text/event-stream");
-    let mut body = reply.response.into_body();
+    let status = answer.status();
+    let outcome = answer.headers().get(OUTCOME).and_then(|v| v.to_str().ok()).map(|s| s.to_string());
+    let stream = answer.headers().get("content-type").is_some_and(|v| v == "text/event-stream");
     let mut raw = Vec::new();
     let mut beat = Instant::now();
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else {
+    loop {
+        let Ok(part) = answer.next().await else {
             t.add(End::Broken);
             t.judge_part(call, &raw, stream);
             t.text = Some(String::from_utf8_lossy(&raw).into_owned());
             return t;
         };
-        if let Ok(data) = frame.into_data() {
-            if !raw.is_empty() {
-                t.gap_ms = t.gap_ms.max(beat.elapsed().as_millis() as u64);
-            }
-            beat = Instant::now();
-            raw.extend_from_slice(&data);
+        let Some(data) = part else { break };
+        if !raw.is_empty() {
+            t.gap_ms = t.gap_ms.max(beat.elapsed().as_millis() as u64);
         }
+        beat = Instant::now();
+        raw.extend_from_slice(&data);
     }
-    pool.give(router, reply.link, None);
+    pool.keep(router, answer);
     let text = String::from_utf8_lossy(&raw).into_owned();
     if let Some(outcome) = outcome {
         let code = Tree::parse(&text).ok().and_then(|t| t.text("code").map(|s| s.to_string()));
