Limits on clients are enforced: head size, head time, rest between requests

They were read from the configuration and applied to nothing but bodies. They now ride in the slice of each service, so that a change of one figure does not rewrite the table of routes. A head over its size gets 431; a head over its time and a connection over its rest read as ended, a request under way is never cut. A rest holds by the longer of the limits that held while it lasted, as a client may know the older one.

--- a/src/daemon/poll.rs
+++ b/src/daemon/poll.rs
@@ -5,6 +5,7 @@
 use crate::kernel::time::Clock;
 use crate::msg::RunnerOrder;
 use crate::seam::RunnerSide;
+use hyper::header::HeaderMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +13,10 @@
 const DUE: Duration = Duration::from_millis(1000);
 
 pub async fn report(pool: &Pool, side: &dyn RunnerSide, r: &Runner) -> Option<Report> {
-    let (status, body) = pool.whole(r.addr, side.report(r), DUE, open()).await.ok()?;
+    let call = side.report(r);
+    let sent = call.headers().clone();
+    let own = |heads: &HeaderMap| side.echoes(&sent, heads);
+    let (status, body) = pool.ask(r.addr, call, DUE, open(), own).await.ok()?;
     if status != 200 {
         return None;
     }
@@ -22,7 +26,10 @@
 pub async fn drive(pool: &Pool, side: &dyn RunnerSide, clock: Arc<dyn Clock>, o: &RunnerOrder) -> u16 {
     let due = o.due;
     let check = Arc::new(move || clock.now() < due);
-    match pool.whole(o.runner.addr, side.drive(o), DUE, check).await {
+    let call = side.drive(o);
+    let sent = call.headers().clone();
+    let own = |heads: &HeaderMap| side.echoes(&sent, heads);
+    match pool.ask(o.runner.addr, call, DUE, check, own).await {
         Ok((status, _)) => status,
         Err(SendError::NotSent | SendError::Barred) => 499,
         Err(SendError::Unsure) => 0,
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -3,9 +3,11 @@
 use super::driver::{Driver, Hand, Input};
 use super::links::Links;
 use super::reload::Origin;
+use super::serve::{Work, bind, serve_clients};
 use super::writer::Writer;
-use super::{logs, poll, serve::serve};
+use super::{logs, poll};
 use crate::gate::Table;
+use crate::http::client::ClientConnections;
 use crate::http::pool::Pool;
 use crate::http::serve::Front;
 use crate::kernel::disk::LogFile;
@@ -16,13 +18,17 @@
 use crate::msg::*;
 use crate::seam::Sides;
 use error_stack::{Report, ResultExt};
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
+/// What the last answers need to reach the socket.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+
+/// Every how many ticks of a router the limits on clients are applied.
+const SWEEP_TICKS: u32 = 4;
+
 type Runners = Arc<Mutex<Vec<crate::fleet::runner::Runner>>>;
 
 pub fn main(role: Role) -> std::process::ExitCode {
@@ -63,12 +69,6 @@
     }
 }
 
-async fn bind(addr: SocketAddr, what: &str) -> Result<TcpListener, Report<Fault>> {
-    let remedy = "free the port or set another";
-    let make = |e: &std::io::Error| Fault::new(Kind::Net, format!("{what} {addr}"), e.to_string(), remedy);
-    TcpListener::bind(addr).await.map_err(|e| Report::new(make(&e)))
-}
-
 pub fn place(c: &NodeConfig) -> Place {
     Place {
         addr: c.addr,
@@ -136,12 +136,14 @@
         next: AtomicU64::new(1),
         open: AtomicU64::new(0),
         seen: Default::default(),
+        clients: ClientConnections::new(clock.clone()),
         sides: c.sides.clone(),
     });
     super::status::admin(&c, &hand, &front, &links, (stopping.clone(), fit), admin_socket);
     if let Some(socket) = http_socket {
-        let front = front.clone();
-        tokio::spawn(serve(socket, Arc::new(move |order| Box::pin(front.clone().answer(order)))));
+        let (front, clients) = (front.clone(), front.clients.clone());
+        let work = Arc::new(move |order| Box::pin(front.clone().answer(order)) as Work);
+        tokio::spawn(serve_clients(socket, work, clients));
     }
     if c.role == Role::Router {
         router_tasks(&table, &clock, &hand, &front, &routers);
@@ -163,9 +165,11 @@
     front.stopping.store(true, Ordering::SeqCst);
     table.stop(clock.now());
     tokio::time::sleep(Duration::from_millis(400)).await;
-    while front.open.load(Ordering::SeqCst) > 0 && clock.now() < due {
+    let busy = || front.open.load(Ordering::SeqCst) > 0 || front.clients.serving() > 0;
+    while busy() && clock.now() < due {
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
+    tokio::time::sleep(FLUSH_TIME).await;
     let left = front.open.load(Ordering::SeqCst);
     log::info!(event = "stopped", broken_streams = left; "");
     let _ = tx.send(Input::Stop);
@@ -226,12 +230,17 @@
     let seen = front.clone();
     let seen = Arc::new(move || seen.seen.rows());
     tokio::spawn(poll::tells(table.clone(), clock.clone(), seen, hand.clone()));
-    let (table, clock, routers) = (table.clone(), clock.clone(), routers.clone());
+    let (table, clock, routers, front) = (table.clone(), clock.clone(), routers.clone(), front.clone());
     tokio::spawn(async move {
         let mut tick = tokio::time::interval(Duration::from_millis(100));
+        let mut ticks = 0u32;
         loop {
             tick.tick().await;
             table.tick(clock.now(), routers.load(Ordering::SeqCst));
+            ticks += 1;
+            if ticks.is_multiple_of(SWEEP_TICKS) {
+                front.sweep();
+            }
         }
     });
 }
--- a/src/daemon/serve.rs
+++ b/src/daemon/serve.rs
@@ -1,36 +1,95 @@
-use crate::http::answer::OutBody;
+//! Listening for HTTP/1.1: callers of this node's admin address, and clients within the configured limits.
+
+use crate::http::answer::{OutBody, too_slow};
+use crate::http::client::{ClientConnection, ClientConnections, ClientStream};
+use crate::http::served_body::ServedBody;
+use crate::kernel::fault::{Fault, Kind};
+use error_stack::Report;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
+/// The work of answering one request.
 pub type Work = Pin<Box<dyn Future<Output = Response<OutBody>> + Send>>;
+/// What answers the requests of a listener.
 pub type Serve = Arc<dyn Fn(Request<Incoming>) -> Work + Send + Sync>;
 
-const HEAD: Duration = Duration::from_secs(15);
+/// How long a head may take at the admin address.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+/// The pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Listens at `addr`; `what` names it in a fault.
+pub async fn bind(addr: SocketAddr, what: &str) -> Result<TcpListener, Report<Fault>> {
+    let remedy = "free the port or set another";
+    let make = |e: &std::io::Error| Fault::new(Kind::Net, format!("{what} {addr}"), e.to_string(), remedy);
+    TcpListener::bind(addr).await.map_err(|e| Report::new(make(&e)))
+}
+
+async fn accept(socket: &TcpListener) -> TcpStream {
+    loop {
+        if let Ok((tcp, _)) = socket.accept().await {
+            let _ = tcp.set_nodelay(true);
+            return tcp;
+        }
+        tokio::time::sleep(ACCEPT_PAUSE).await;
+    }
+}
 
+/// Answers the callers of an admin address.
 pub async fn serve(socket: TcpListener, work: Serve) {
     loop {
-        let Ok((tcp, _)) = socket.accept().await else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
-        let _ = tcp.set_nodelay(true);
+        let tcp = accept(&socket).await;
         let work = work.clone();
         tokio::spawn(async move {
-            let service = service_fn(move |order| {
-                let work = work(order);
-                async move { Ok::<_, std::convert::Infallible>(work.await) }
+            let service = service_fn(move |request| {
+                let work = work(request);
+                async move { Ok::<_, Infallible>(work.await) }
             });
             let mut http = http1::Builder::new();
-            http.timer(TokioTimer::new()).header_read_timeout(HEAD);
+            http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
             let _ = http.serve_connection(TokioIo::new(tcp), service).await;
         });
     }
 }
+
+/// Answers clients, within the limits that `clients` knows.
+pub async fn serve_clients(socket: TcpListener, work: Serve, clients: Arc<ClientConnections>) {
+    loop {
+        let tcp = accept(&socket).await;
+        tokio::spawn(serve_client(tcp, work.clone(), clients.add()));
+    }
+}
+
+async fn serve_client(tcp: TcpStream, work: Serve, connection: Arc<ClientConnection>) {
+    let mut http = http1::Builder::new();
+    http.max_buf_size(connection.head_buffer());
+    let io = TokioIo::new(ClientStream::new(tcp, connection.clone()));
+    let service = service_fn(move |request| answer(request, work.clone(), connection.clone()));
+    let _ = http.serve_connection(io, service).await;
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    work: Serve,
+    connection: Arc<ClientConnection>,
+) -> Result<Response<ServedBody>, Infallible> {
+    let mut response = match connection.begin() {
+        true => work(request).await,
+        false => too_slow(),
+    };
+    if connection.is_outgrown() {
+        response.headers_mut().insert("connection", HeaderValue::from_static("close"));
+    }
+    Ok(response.map(|body| ServedBody::new(body, connection)))
+}
--- a/src/fleet/slice.rs
+++ b/src/fleet/slice.rs
@@ -44,6 +44,7 @@
     pub runners: Vec<Runner>,
     pub moves: Vec<MovePlan>,
     pub duty: Term,
+    pub limits: Limits,
 }
 
 impl FleetState {
@@ -106,6 +107,7 @@
         runners: Vec::new(),
         moves: Vec::new(),
         duty: Term(0),
+        limits: c.limits.clone(),
     }
 }
 
@@ -139,6 +141,7 @@
     }
 
     pub fn print(&self) -> u64 {
-        hash(&format!("{:?}{:?}{:?}{:?}", self.service, self.adapters, self.budget, self.moving), 2)
+        let parts = (&self.service, &self.adapters, &self.budget, &self.moving, &self.limits);
+        hash(&format!("{parts:?}"), 2)
     }
 }
--- a/src/gate/order.rs
+++ b/src/gate/order.rs
@@ -15,6 +15,8 @@
     pub resumable: bool,
     pub due: Time,
     pub end: Time,
+    /// When an answer that has begun is broken off, if its route bounds the whole of it.
+    pub whole_by: Option<Time>,
     pub last: Option<String>,
     pub resumed: bool,
     pub host: CompactString,
@@ -40,6 +42,7 @@
             resumable: false,
             due: Time(0),
             end: Time(0),
+            whole_by: None,
             last: None,
             resumed: false,
             host: "".into(),
--- a/src/gate/table.rs
+++ b/src/gate/table.rs
@@ -1,8 +1,9 @@
 use super::core::Gate;
 use super::held::Asker;
+use crate::fleet::config::Limits;
 use crate::fleet::holdings::HeldRow;
 use crate::fleet::routes::RouteTable;
-use crate::fleet::slice::{RouteRow, Slice};
+use crate::fleet::slice::{RouteRow, ServiceSlice, Slice};
 use crate::fleet::state::{Candidate, Scope};
 use crate::kernel::ids::*;
 use crate::kernel::registry::Service;
@@ -21,6 +22,7 @@
     pub(super) marks: Mutex<BTreeSet<Name>>,
     held: Mutex<BTreeMap<Name, HeldRow>>,
     asker: Mutex<Option<Asker>>,
+    limits: Mutex<(Version, Limits)>,
 }
 
 impl Service for Table {
@@ -41,6 +43,7 @@
             marks: Mutex::default(),
             held: Mutex::default(),
             asker: Mutex::default(),
+            limits: Mutex::new((Version(0), Limits::default())),
         }
     }
 
@@ -49,6 +52,18 @@
         Table { bare_plain: true, ..Table::new(domain, proof) }
     }
 
+    /// The limits on clients in the newest configuration known here.
+    pub fn limits(&self) -> Limits {
+        self.limits.lock().unwrap().1.clone()
+    }
+
+    fn learn_limits(&self, slice: &ServiceSlice) {
+        let mut limits = self.limits.lock().unwrap();
+        if slice.config_at >= limits.0 {
+            *limits = (slice.config_at, slice.limits.clone());
+        }
+    }
+
     pub fn gates(&self) -> Vec<Arc<Mutex<Gate>>> {
         self.gates.read().unwrap().values().cloned().collect()
     }
@@ -170,6 +185,7 @@
                 g.routes = rows;
                 match slice {
                     Some(Slice::Service(s)) => {
+                        self.learn_limits(&s);
                         g.learn(at, *s, now);
                         self.known(&mut g, now);
                         g.wake(now);
--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -29,6 +29,11 @@
     b.body(whole(body.to_string())).expect("a valid answer")
 }
 
+/// The answer to a request that took longer than the limits allow; it has reached no runner.
+pub fn too_slow() -> Response<OutBody> {
+    own(408, "too-slow", "the request did not arrive within its time; send it again", 0, "refused")
+}
+
 pub fn refused(side: &dyn CallerSide, r: &Refusal) -> Response<OutBody> {
     let mut out = own(r.status(), r.code(), r.text(), r.wait.0.div_ceil(1_000_000), "refused");
     if out.headers().contains_key("retry-after")
--- a/src/http/carry.rs
+++ b/src/http/carry.rs
@@ -197,7 +197,8 @@
 
     async fn pass(&mut self, row: Result<Bytes, Broken>) {
         let Some(body) = &self.body else { return };
-        let sent = tokio::time::timeout(STALL, body.send(row)).await;
+        let by = self.ride.order.whole_by.map_or(STALL, |by| by.since(self.clock.now()).as_std());
+        let sent = tokio::time::timeout(STALL.min(by), body.send(row)).await;
         if !matches!(sent, Ok(Ok(()))) {
             let _ = body.try_send(Err("the caller stopped reading".into()));
             self.body = None;
--- /dev/null
+++ b/src/http/client.rs
@@ -0,0 +1,221 @@
+//! Connections from clients and the limits on them: how long a head may take once its first byte came, and how
+//! long a connection may rest between requests. A connection over its limit reads as ended, so that a request
+//! already under way on it is never cut.
+
+use crate::fleet::config::Limits;
+use crate::kernel::time::{Clock, Span, Time};
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, Weak};
+use std::task::{Context, Poll, Waker};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// The least buffer that the library allows for a head.
+const LEAST_HEAD_BUFFER: usize = 8192;
+/// Room in the buffer beyond the longest head, so that the exact limit is judged on the parsed head.
+const HEAD_BUFFER_SLACK: usize = 4096;
+
+/// What a client's connection is doing.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Phase {
+    /// Between requests, allowed to rest for `limit`.
+    Resting { since: Time, limit: Span },
+    /// A head has begun to come.
+    Head { since: Time },
+    /// A request is under way.
+    Serving,
+    /// Over a limit: nothing more is read.
+    Ended,
+}
+
+struct State {
+    phase: Phase,
+    reader: Option<Waker>,
+}
+
+/// One client's connection.
+pub struct ClientConnection {
+    state: Mutex<State>,
+    all: Arc<ClientConnections>,
+    head_limit: u64,
+}
+
+/// All connections of clients, and the limits in force.
+pub struct ClientConnections {
+    clock: Arc<dyn Clock>,
+    limits: Mutex<Limits>,
+    open: Mutex<Vec<Weak<ClientConnection>>>,
+}
+
+impl ClientConnections {
+    /// No connections yet, and the limits that hold until a configuration is known.
+    pub fn new(clock: Arc<dyn Clock>) -> Arc<ClientConnections> {
+        let (limits, open) = (Mutex::new(Limits::default()), Mutex::default());
+        Arc::new(ClientConnections { clock, limits, open })
+    }
+
+    /// The limits in force.
+    pub fn limits(&self) -> Limits {
+        self.limits.lock().unwrap().clone()
+    }
+
+    /// How many connections have a request under way.
+    pub fn serving(&self) -> usize {
+        self.count(|phase| phase == Phase::Serving)
+    }
+
+    /// How many connections have sent part of a head that is not yet whole.
+    pub fn begun(&self) -> usize {
+        self.count(|phase| matches!(phase, Phase::Head { .. }))
+    }
+
+    fn count(&self, is: impl Fn(Phase) -> bool) -> usize {
+        let open = self.open.lock().unwrap();
+        open.iter().filter_map(Weak::upgrade).filter(|c| is(c.state.lock().unwrap().phase)).count()
+    }
+
+    /// Takes in a new connection.
+    pub fn add(self: &Arc<ClientConnections>) -> Arc<ClientConnection> {
+        let limits = self.limits();
+        let phase = Phase::Resting { since: self.clock.now(), limit: Span::ms(limits.idle_ms) };
+        let state = Mutex::new(State { phase, reader: None });
+        let head_limit = limits.head_bytes;
+        let connection = Arc::new(ClientConnection { state, all: self.clone(), head_limit });
+        self.open.lock().unwrap().push(Arc::downgrade(&connection));
+        connection
+    }
+
+    /// Takes over the limits in force and ends the connections that are over them.
+    pub fn sweep(&self, limits: Limits) {
+        *self.limits.lock().unwrap() = limits.clone();
+        let now = self.clock.now();
+        let mut open = self.open.lock().unwrap();
+        open.retain(|row| {
+            let Some(connection) = row.upgrade() else { return false };
+            connection.end_if_over(now, &limits);
+            true
+        });
+    }
+}
+
+impl ClientConnection {
+    /// The buffer for a head on this connection.
+    pub fn head_buffer(&self) -> usize {
+        (self.head_limit as usize).max(LEAST_HEAD_BUFFER) + HEAD_BUFFER_SLACK
+    }
+
+    /// Whether heads may by now be longer than this connection was made for.
+    pub fn is_outgrown(&self) -> bool {
+        self.all.limits.lock().unwrap().head_bytes > self.head_limit
+    }
+
+    /// A request has been read; false if the connection is over a limit.
+    pub fn begin(&self) -> bool {
+        let mut state = self.state.lock().unwrap();
+        if state.phase == Phase::Ended {
+            return false;
+        }
+        state.phase = Phase::Serving;
+        true
+    }
+
+    /// The answer is done with: the connection begins to rest.
+    pub fn rest(&self) {
+        let limit = Span::ms(self.all.limits.lock().unwrap().idle_ms);
+        let since = self.all.clock.now();
+        let mut state = self.state.lock().unwrap();
+        if state.phase != Phase::Ended {
+            state.phase = Phase::Resting { since, limit };
+        }
+    }
+
+    fn heard(&self) {
+        let mut state = self.state.lock().unwrap();
+        if let Phase::Resting { .. } = state.phase {
+            state.phase = Phase::Head { since: self.all.clock.now() };
+        }
+    }
+
+    fn end_if_over(&self, now: Time, limits: &Limits) {
+        let mut state = self.state.lock().unwrap();
+        let over = match state.phase {
+            // The longer of the limits that held while it rested: a client may know the older one.
+            Phase::Resting { since, limit } => now.since(since) > limit.max(Span::ms(limits.idle_ms)),
+            Phase::Head { since } => now.since(since) > Span::ms(limits.head_ms),
+            Phase::Serving | Phase::Ended => false,
+        };
+        if over {
+            state.phase = Phase::Ended;
+            if let Some(reader) = state.reader.take() {
+                reader.wake();
+            }
+        }
+    }
+
+    /// True if nothing more may be read; else `cx` is woken when that changes.
+    fn poll_ended(&self, cx: &Context) -> bool {
+        let mut state = self.state.lock().unwrap();
+        if state.phase == Phase::Ended {
+            return true;
+        }
+        if state.reader.as_ref().is_none_or(|w| !w.will_wake(cx.waker())) {
+            state.reader = Some(cx.waker().clone());
+        }
+        false
+    }
+}
+
+/// The socket of a client's connection.
+pub struct ClientStream {
+    tcp: TcpStream,
+    connection: Arc<ClientConnection>,
+}
+
+impl ClientStream {
+    /// Reads and writes `tcp` within the limits of `connection`.
+    pub fn new(tcp: TcpStream, connection: Arc<ClientConnection>) -> ClientStream {
+        ClientStream { tcp, connection }
+    }
+}
+
+impl AsyncRead for ClientStream {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let me = self.get_mut();
+        if me.connection.poll_ended(cx) {
+            return Poll::Ready(Ok(()));
+        }
+        let before = buf.filled().len();
+        let done = Pin::new(&mut me.tcp).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            me.connection.heard();
+        }
+        done
+    }
+}
+
+impl AsyncWrite for ClientStream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().tcp).poll_write(cx, buf)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().tcp).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().tcp).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context,
+        rows: &[io::IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().tcp).poll_write_vectored(cx, rows)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.tcp.is_write_vectored()
+    }
+}
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -1,17 +1,16 @@
 //! One connection to a peer, as a chain of states that only a clean exchange leads round:
 //! [`Ready`] sends one request and becomes an [`Exchange`]; an exchange whose answer was judged to belong to its
-//! request becomes an [`Answer`]; an answer that was read to its framed end becomes [`Resting`]; a resting
+//! request becomes an [`Answer`](super::exchange::Answer); an answer that was read to its framed end becomes [`Resting`]; a resting
 //! connection on which nothing was left over becomes [`Ready`] again. Any other end drops the connection with a
 //! reset, so that nothing of the request reaches the peer later and no late byte reaches another request.
 
+use super::exchange::Exchange;
 use super::guard::{Check, Guard, GuardedStream};
-use crate::seam::Verdict;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use http_body_util::Full;
+use hyper::Request;
 use hyper::client::conn::http1;
 use hyper::header::HeaderMap;
-use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -39,12 +38,8 @@
     Unsure,
 }
 
-/// The body of an answer ended before its framing said so, or is too long.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct BodyBroken;
-
 /// The parts that every state owns. Dropping them ends the connection.
-struct Link {
+pub(super) struct Link {
     sender: http1::SendRequest<Full<Bytes>>,
     guard: Arc<Guard>,
     task: AbortHandle,
@@ -52,6 +47,17 @@
     clean: bool,
 }
 
+impl Link {
+    /// The connection at rest after an answer with these headers, if the peer keeps it.
+    pub(super) fn rest(self, headers: &HeaderMap) -> Option<Resting> {
+        let rest = rest_time(headers);
+        if rest == Duration::ZERO || self.sender.is_closed() {
+            return None;
+        }
+        Some(Resting { link: self, until: Instant::now() + rest })
+    }
+}
+
 impl Drop for Link {
     fn drop(&mut self) {
         if !self.clean {
@@ -94,7 +100,7 @@
         self.link.used = true;
         self.link.guard.arm(check);
         match self.link.sender.send_request(request).await {
-            Ok(response) => Ok(Exchange { link: self.link, response }),
+            Ok(response) => Ok(Exchange::new(self.link, response)),
             Err(_) if self.link.guard.barred() => Err(SendError::Barred),
             Err(_) if self.link.guard.wrote() => Err(SendError::Unsure),
             Err(_) => Err(SendError::NotSent),
@@ -102,116 +108,6 @@
     }
 }
 
-/// A request that was sent and whose answer has a head, not yet known to belong to it.
-pub struct Exchange {
-    link: Link,
-    response: Response<Incoming>,
-}
-
-/// An answer as its head was judged.
-pub enum Judged {
-    /// The runner's own answer to this request.
-    Own(Answer),
-    /// The runner's word that it did not run the request.
-    NotRun(Answer),
-    /// The word that another runner, or none of this kind, is there; it did not run the request.
-    NotMine(Answer),
-    /// No answer to this request; the connection is gone.
-    Stray,
-}
-
-impl Exchange {
-    /// The status of the answer.
-    pub fn status(&self) -> u16 {
-        self.response.status().as_u16()
-    }
-
-    /// The headers of the answer.
-    pub fn headers(&self) -> &HeaderMap {
-        self.response.headers()
-    }
-
-    /// Keeps the answer only if `judge` finds that it belongs to the request. An interim status never does.
-    pub fn judge(self, judge: impl FnOnce(u16, &HeaderMap) -> Verdict) -> Judged {
-        if self.response.status().is_informational() {
-            return Judged::Stray;
-        }
-        let verdict = judge(self.status(), self.headers());
-        let answer = Answer { link: self.link, response: self.response, whole: false };
-        match verdict {
-            Verdict::Own => Judged::Own(answer),
-            Verdict::NotRun => Judged::NotRun(answer),
-            Verdict::NotMine => Judged::NotMine(answer),
-            Verdict::Stray => Judged::Stray,
-        }
-    }
-}
-
-/// An answer that belongs to the request of its connection.
-pub struct Answer {
-    link: Link,
-    response: Response<Incoming>,
-    whole: bool,
-}
-
-impl Answer {
-    /// The status of the answer.
-    pub fn status(&self) -> u16 {
-        self.response.status().as_u16()
-    }
-
-    /// The headers of the answer.
-    pub fn headers(&self) -> &HeaderMap {
-        self.response.headers()
-    }
-
-    /// The next bytes of the body; none after its framed end.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, BodyBroken> {
-        loop {
-            match self.response.body_mut().frame().await {
-                Some(Ok(frame)) => {
-                    if let Ok(bytes) = frame.into_data() {
-                        return Ok(Some(bytes));
-                    }
-                }
-                Some(Err(_)) => return Err(BodyBroken),
-                None => {
-                    self.whole = true;
-                    return Ok(None);
-                }
-            }
-        }
-    }
-
-    /// The whole body, if it has no more than `limit` bytes.
-    pub async fn collect(&mut self, limit: usize) -> Result<Bytes, BodyBroken> {
-        if self.response.body().size_hint().lower() > limit as u64 {
-            return Err(BodyBroken);
-        }
-        let mut all = bytes::BytesMut::new();
-        while let Some(part) = self.next().await? {
-            if all.len() + part.len() > limit {
-                return Err(BodyBroken);
-            }
-            if all.is_empty() && self.response.body().is_end_stream() {
-                all = part.into();
-                continue;
-            }
-            all.extend_from_slice(&part);
-        }
-        Ok(all.freeze())
-    }
-
-    /// The connection at rest, if the answer was read to its end and the peer keeps the connection.
-    pub fn finish(self) -> Option<Resting> {
-        let rest = rest_time(self.headers());
-        if !self.whole || rest == Duration::ZERO || self.link.sender.is_closed() {
-            return None;
-        }
-        Some(Resting { link: self.link, until: Instant::now() + rest })
-    }
-}
-
 /// A connection whose last answer was read to its end; what else came or is still to be sent is not yet known.
 pub struct Resting {
     link: Link,
--- a/src/http/leg.rs
+++ b/src/http/leg.rs
@@ -1,4 +1,5 @@
-use super::connection::{Answer, BodyBroken, Exchange, Judged, SendError};
+use super::connection::SendError;
+use super::exchange::{Answer, BodyBroken, Exchange, Judged};
 use super::guard::Check;
 use super::pool::Pool;
 use crate::fleet::config::RouteKind;
@@ -120,10 +121,12 @@
         }
         Err(SendError::Unsure) => return drop(say(In::Lost { leg }).await),
     };
-    if let Some(load) = job.side.load(exchange.headers()) {
+    let load = job.side.load(exchange.headers());
+    let judged = exchange.judge(|status, headers| job.side.judge(&sent, status, headers));
+    if let (Some(load), false) = (load, matches!(judged, Judged::Stray)) {
         let _ = say(In::Load { leg, load }).await;
     }
-    match exchange.judge(|status, headers| job.side.judge(&sent, status, headers)) {
+    match judged {
         Judged::Own(answer) => pass_on(&job, answer).await,
         Judged::NotRun(answer) => turned_away(&job, answer, false).await,
         Judged::NotMine(answer) => turned_away(&job, answer, true).await,
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,10 +1,13 @@
 pub mod admin;
 pub mod answer;
 pub mod carry;
+pub mod client;
 pub mod connection;
+pub mod exchange;
 pub mod guard;
 pub mod leg;
 pub mod own;
 pub mod pool;
 pub mod sender;
 pub mod serve;
+pub mod served_body;
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -1,6 +1,7 @@
 //! Connections at rest, by the address of their peer.
 
-use super::connection::{Answer, BodyBroken, Judged, Ready, Resting, SendError};
+use super::connection::{Ready, Resting, SendError};
+use super::exchange::{Answer, BodyBroken, Judged};
 use super::guard::Check;
 use crate::seam::Verdict;
 use bytes::Bytes;
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -1,5 +1,6 @@
-use super::answer::{OutBody, own, refused};
+use super::answer::{OutBody, own, refused, too_slow};
 use super::carry::{Cargo, carry};
+use super::client::ClientConnections;
 use super::leg::{Shape, end_to_end};
 use super::pool::Pool;
 use crate::fleet::config::Sort;
@@ -26,9 +27,13 @@
     pub next: AtomicU64,
     pub open: AtomicU64,
     pub seen: super::sender::Seen,
+    pub clients: Arc<ClientConnections>,
     pub sides: Sides,
 }
 
+/// What a runner that stops at the end of its time has for its last word to arrive.
+const LAST_WORD: Span = Span::ms(100);
+
 struct Counted<'a>(&'a AtomicU64);
 
 impl Drop for Counted<'_> {
@@ -37,7 +42,23 @@
     }
 }
 
+/// The bytes of a request's head as it came, but for blanks around values.
+fn head_bytes(request: &Request<Incoming>) -> u64 {
+    const LINE: usize = "  HTTP/1.1\r\n".len();
+    const HEADER: usize = ": \r\n".len();
+    const END: usize = "\r\n".len();
+    let target = request.uri().path_and_query().map_or(0, |p| p.as_str().len());
+    let first = request.method().as_str().len() + target + LINE;
+    let rows = request.headers().iter().map(|(k, v)| k.as_str().len() + v.len() + HEADER);
+    (first + rows.sum::<usize>() + END) as u64
+}
+
 impl Front {
+    /// Takes over the newest limits and ends the connections of clients that are over them.
+    pub fn sweep(&self) {
+        self.clients.sweep(self.table.limits());
+    }
+
     pub async fn answer(self: Arc<Front>, order: Request<Incoming>) -> Response<OutBody> {
         let me = self.clone();
         let mut out = self.served(order).await;
@@ -53,6 +74,10 @@
         if self.stopping.load(Ordering::SeqCst) {
             return refused(&*self.sides.caller, &Refusal::new(Why::Stopping, 1));
         }
+        if head_bytes(&order) > self.clients.limits().head_bytes {
+            let text = "the request's head is over the configured limit; send a smaller one";
+            return own(431, "head-too-large", text, 0, "refused");
+        }
         let now = self.clock.now();
         let host = order.headers().get("host").and_then(|h| h.to_str().ok()).unwrap_or("").to_string();
         let Some((routes_at, found)) = self.table.find(now, &host, order.uri().path()) else {
@@ -75,7 +100,8 @@
                 let text = format!("the body is over {} KB; send a smaller one", row.route.body_kb);
                 return own(413, "body-too-large", &text, 0, "refused");
             }
-            _ => {
+            Err(_) => return too_slow(),
+            Ok(Err(_)) => {
                 return own(400, "body-unread", "the body did not arrive whole; send it again", 0, "refused");
             }
         };
@@ -140,6 +166,7 @@
             resumable: row.route.resumable,
             due: now + self.sides.caller.start_by(left, &row.route),
             end: now + left,
+            whole_by: self.sides.caller.bounds_whole().then_some(now + left + LAST_WORD),
             last: keys.last.filter(|_| row.route.resumable),
             kind: row.route.kind,
             tries: row.route.tries,
--- /dev/null
+++ b/src/http/served_body.rs
@@ -0,0 +1,45 @@
+//! The body of an answer on a client's connection.
+
+use super::answer::{Broken, OutBody};
+use super::client::ClientConnection;
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+/// The body of an answer; when it is done with, its connection begins to rest.
+pub struct ServedBody {
+    body: OutBody,
+    connection: Arc<ClientConnection>,
+}
+
+impl ServedBody {
+    /// `body` as the answer on `connection`.
+    pub fn new(body: OutBody, connection: Arc<ClientConnection>) -> ServedBody {
+        ServedBody { body, connection }
+    }
+}
+
+impl Drop for ServedBody {
+    fn drop(&mut self) {
+        self.connection.rest();
+    }
+}
+
+impl Body for ServedBody {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/src/pass/shift.rs
+++ b/src/pass/shift.rs
@@ -146,6 +146,9 @@
         {
             return;
         }
+        if self.opened >= self.order.tries {
+            return;
+        }
         let Some(s) = gate.slice.clone() else { return };
         if !gate.has_slot(now, &plan.to) {
             self.hand_off = Some((plan.id, now + AGAIN, self.tried(plan.id)));
@@ -158,6 +161,7 @@
             return;
         }
         self.reserved = NEEDS;
+        self.opened += 1;
         let (hand, steps) = Handover::new(plan.id, plan.to.clone(), s.moving.clone(), now, self.last.clone());
         self.hand = Some((0, hand));
         self.apply(now, steps, gate, out);
@@ -184,6 +188,11 @@
             let text = "the runner did not answer within the due; it may still run";
             return out.push(Out::Unknown(504, text));
         }
+        if self.began && self.order.whole_by.is_some_and(|by| now >= by) {
+            gate.count("due_in_answer");
+            self.close_all(now, gate, out);
+            return out.push(Out::Break("the answer was not complete within the time of its route"));
+        }
         let silent = self.silence().is_some_and(|s| idle > s) && gate.tries.credit() >= 1.0;
         if silent {
             gate.count("runner_silent");
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -52,6 +52,10 @@
         format!("{:.2}", (wait.0.max(50_000)) as f64 / 1e6)
     }
 
+    fn bounds_whole(&self) -> bool {
+        true
+    }
+
     fn start_by(&self, left: Span, route: &Route) -> Span {
         let silence = Span::ms(SILENCE_MS.max(route.aim_ms * 4).max(route.gap_ms * 8));
         let most = if route.kind == RouteKind::Stream { left.min(silence) } else { left };
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -216,7 +216,7 @@
         prefix: prefix.to_string(),
         host: host.to_string(),
         class: RANKS[(ms(t, "Priority") as usize).min(3)],
-        resumable: t.flag("Resumable").unwrap_or(false),
+        resumable: kind == RouteKind::Stream && t.flag("Resumable").unwrap_or(false),
         due_ms: ms(t, "TimeoutMs"),
         body_kb: c.limits.body_bytes.div_ceil(1024),
         kind,
--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -58,7 +58,7 @@
     }
 
     fn judge(&self, sent: &HeaderMap, status: u16, heads: &HeaderMap) -> Verdict {
-        let other = sent.contains_key(ID) && heads.get(ID) != sent.get(ID);
+        let other = !self.echoes(sent, heads);
         if status == 421 && !(other && heads.contains_key(ID)) {
             return Verdict::NotMine;
         }
@@ -79,6 +79,16 @@
         Verdict::Own
     }
 
+    fn echoes(&self, sent: &HeaderMap, heads: &HeaderMap) -> bool {
+        let mut ids = heads.get_all(ID).iter();
+        match (sent.get(ID), ids.next()) {
+            (Some(id), Some(echo)) => id == echo && ids.next().is_none(),
+            (None, Some(echo)) => echo.is_empty(),
+            (Some(_), None) => false,
+            (None, None) => true,
+        }
+    }
+
     fn load(&self, heads: &HeaderMap) -> Option<Load> {
         let row = heads.get("x-server-load")?.to_str().ok()?;
         let mut n = row.split(',').map(|t| t.trim().parse::<u64>().ok());
--- a/src/seam.rs
+++ b/src/seam.rs
@@ -36,6 +36,10 @@
     fn retry(&self, wait: Span) -> String;
     /// Of the time that is left, how long an order may wait for a runner before it is refused.
     fn start_by(&self, left: Span, route: &Route) -> Span;
+    /// Whether a route's time bounds the whole of an answer; else it bounds only its start.
+    fn bounds_whole(&self) -> bool {
+        false
+    }
 }
 
 /// What a runner's head of answer says of the order that was sent.
@@ -60,6 +64,10 @@
     /// Adds what a runner needs to know to the head; `left` is the time until the order's due.
     fn dress(&self, heads: &mut HeaderMap, runner: &Runner, order: &Order, last: Option<&str>, left: Span);
     fn judge(&self, sent: &HeaderMap, status: u16, heads: &HeaderMap) -> Verdict;
+    /// Whether an answer with these headers may be one to a request with the headers `sent`, by its id alone.
+    fn echoes(&self, _sent: &HeaderMap, _heads: &HeaderMap) -> bool {
+        true
+    }
     fn load(&self, heads: &HeaderMap) -> Option<Load>;
     /// Whether runners of plain services report too.
     fn plain_reports(&self) -> bool;
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -1,7 +1,8 @@
 use super::script::{Script, plain};
 use super::tally::{End, Tally};
 use crate::http::answer::OUTCOME;
-use crate::http::connection::{Answer, Judged, SendError};
+use crate::http::connection::SendError;
+use crate::http::exchange::{Answer, Judged};
 use crate::http::pool::{Pool, open};
 use crate::json::Tree;
 use crate::kernel::ids::Name;
--- a/tests/platform_given/road.rs
+++ b/tests/platform_given/road.rs
@@ -1,11 +1,12 @@
 #![allow(dead_code)]
 
 use crate::platform_given::whole;
-use spindledock::daemon::serve::serve;
+use spindledock::daemon::serve::{Work, serve_clients};
 use spindledock::fleet::runner::Runner;
 use spindledock::fleet::slice::{Slice, route_rows, service_slice};
 use spindledock::fleet::state::Scope;
 use spindledock::gate::Table;
+use spindledock::http::client::ClientConnections;
 use spindledock::http::serve::Front;
 use spindledock::kernel::ids::{Name, Version};
 use spindledock::kernel::time::{Clock, Span, Time};
@@ -70,12 +71,15 @@
             next: AtomicU64::new(1),
             open: AtomicU64::new(0),
             seen: Default::default(),
+            clients: ClientConnections::new(clock.clone()),
             sides: Sides { caller, runner: words, list: None, operator: None },
         });
         let socket = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let addr = socket.local_addr().expect("an address");
         let work = front.clone();
-        tokio::spawn(serve(socket, Arc::new(move |order| Box::pin(work.clone().answer(order)))));
+        let clients = front.clients.clone();
+        let work = Arc::new(move |order| Box::pin(work.clone().answer(order)) as Work);
+        tokio::spawn(serve_clients(socket, work, clients));
         Road { runners, front, addr, clock, config: config(tries) }
     }
 
