--- a/tests/platform_given/road.rs
+++ b/tests/platform_given/road.rs
@@ -124,7 +124,9 @@
     }
 
     pub async fn link(&self) -> TcpStream {
-        TcpStream::connect(self.addr).await.expect("the front listens")
+        let link = TcpStream::connect(self.addr).await.expect("the front listens");
+        link.set_nodelay(true).expect("an open link");
+        link
     }
 
     /// Sends the bytes on a link of their own and reads until the link closes.
