--- a/tests/platform_connection.rs
+++ b/tests/platform_connection.rs
@@ -106,7 +106,8 @@
 
 #[tokio::test]
 async fn given_a_byte_or_an_end_after_the_answer_when_nobody_has_read_it_yet_then_the_connection_is_left() {
-    let after: [(&str, fn(&mut TcpStream)); 3] = [
+    type Act = fn(&mut TcpStream);
+    let after: [(&str, Act); 3] = [
         ("a byte", |tcp| tcp.write_all(b"H").expect("said")),
         ("a second answer", |tcp| tcp.write_all(GOOD.as_bytes()).expect("said")),
         ("an end", |tcp| tcp.shutdown(std::net::Shutdown::Write).expect("shut")),
