Guard rows for connections, limits, leaving callers and tries of a moved stream

Each row switches one mechanism off; ride's givens move to a file of their own; a stream at its route's most runners is not moved (new story), a kept connection that ends after a request came is not tried again (new).

--- a/tests/platform_gone.rs
+++ b/tests/platform_gone.rs
@@ -180,3 +180,22 @@
         assert_eq!(road.heard().len(), 20);
     }
 }
+
+#[tokio::test]
+async fn given_a_kept_connection_when_it_ends_after_a_request_came_then_that_request_is_sent_no_second_time()
+{
+    for path in ["/once/x", "/rare/x"] {
+        for end in [false, true] {
+            let script = Arc::new(move |n, h: &Heard| match n {
+                1 if end => vec![Step::Reset],
+                1 => vec![Step::Close],
+                _ => vec![good(h, "mine")],
+            });
+            let road = Road::open(1, 3, 5, script).await;
+            assert_eq!(status(&road.ask("q0", path).await), 200);
+            assert_eq!(status(&road.ask("q1", path).await), 502);
+            let heard = road.heard();
+            assert_eq!((heard.len(), heard[0].link), (2, heard[1].link), "{path}: on the kept connection");
+        }
+    }
+}
--- a/tests/ride.rs
+++ b/tests/ride.rs
@@ -1,90 +1,11 @@
+#[path = "common/ride.rs"]
+mod given;
+
 use bytes::Bytes;
-use spindledock::fleet::config::Class;
-use spindledock::fleet::read::read_text;
-use spindledock::fleet::runner::{Report, Runner};
-use spindledock::fleet::slice::service_slice;
-use spindledock::fleet::state::{MovePlan, Phase};
-use spindledock::gate::{Gate, Order};
-use spindledock::kernel::ids::*;
-use spindledock::kernel::time::{Span, Time};
-use spindledock::launch::deployment::small;
+use given::{NOW, begin_move, event, gate, moving, report, ride, streaming, text};
+use spindledock::kernel::time::Span;
 use spindledock::pass::{In, Out, Ride};
 
-const NOW: Time = Time(100_000_000);
-
-fn gate(runners: &[&str]) -> Gate {
-    let config = read_text(&small().config()).expect("sound");
-    let service = config.service(&Name::from("assistant")).expect("there");
-    let mut slice = service_slice(&config, service);
-    for (n, name) in runners.iter().enumerate() {
-        slice.runners.push(Runner {
-            instance: Name::from(*name),
-            service: Name::from("assistant"),
-            domain: Name::from("z1"),
-            addr: ([127, 0, 0, 1], 1000 + n as u16).into(),
-            leaving: false,
-        });
-    }
-    let mut g = Gate::new(Name::from("assistant"), Name::from("z1"));
-    g.learn(Version(5), slice, NOW);
-    g.proven = NOW;
-    g.routes_proven = NOW;
-    for name in runners {
-        report(&mut g, NOW, name, 0);
-    }
-    for _ in 0..40 {
-        g.tries.first();
-    }
-    g
-}
-
-fn report(g: &mut Gate, now: Time, name: &str, running: u64) {
-    let rep = Report {
-        instance: Name::from(name),
-        holds: vec![Name::from("m00")],
-        slots: 8,
-        running,
-        ..Report::default()
-    };
-    g.report(now, &Name::from(name), rep);
-    g.proven = now;
-    g.routes_proven = now;
-}
-
-fn ride(resumable: bool) -> Ride {
-    Ride::new(Order {
-        id: 1,
-        service: Name::from("assistant"),
-        class: Class::Chat,
-        model: "m00".into(),
-        adapter: "".into(),
-        prefix: "".into(),
-        resumable,
-        due: NOW + Span::ms(5000),
-        end: NOW + Span::ms(5000),
-        path: "".into(),
-        ..Order::default()
-    })
-}
-
-fn event(n: u64) -> Bytes {
-    Bytes::from(format!("id: {n}\ndata: w{n}\n\n"))
-}
-
-fn text(outs: &[Out]) -> String {
-    let part = |o: &Out| {
-        if let Out::Pass(raw) = o { String::from_utf8_lossy(raw).into_owned() } else { String::new() }
-    };
-    outs.iter().map(part).collect()
-}
-
-fn streaming(r: &mut Ride, g: &mut Gate, upto: u64) -> String {
-    let outs = r.step(NOW, In::Go, g);
-    assert!(matches!(outs[..], [Out::Open { leg: 1, .. }]), "{outs:?}");
-    r.step(NOW, In::Head { leg: 1, status: 200, stream: true }, g);
-    (1..=upto).map(|n| text(&r.step(NOW, In::Chunk { leg: 1, raw: event(n) }, g))).collect()
-}
-
 #[test]
 fn given_a_lost_leg_when_events_of_the_closed_leg_come_then_they_are_not_passed() {
     let mut g = gate(&["a1", "a2"]);
@@ -150,36 +71,18 @@
     assert_eq!(passed, want);
 }
 
-fn moving(g: &mut Gate, from: &str, to: &str) {
-    let mut slice = (*g.slice.clone().expect("there")).clone();
-    slice.moves.push(MovePlan {
-        id: MoveId(7),
-        service: Name::from("assistant"),
-        model: Name::from("m00"),
-        from: Name::from(from),
-        to: Name::from(to),
-        want: Name::default(),
-        phase: Phase::Warm,
-        why: String::new(),
-        stages: vec![],
-    });
-    g.learn(Version(6), slice, NOW);
-}
-
-fn begin_move(upto: u64) -> (Gate, Ride, String) {
-    let mut g = gate(&["a1", "a2"]);
-    let mut r = ride(true);
-    let passed = streaming(&mut r, &mut g, upto);
-    let from = r.runner_of(1).expect("a leg").0;
-    moving(&mut g, &from, if from == "a1" { "a2" } else { "a1" });
-    let outs = r.step(NOW, In::Tick, &mut g);
-    let last = upto.to_string();
-    assert!(
-        outs.iter().any(|o| matches!(o, Out::Open { leg: 2, last: Some(l), .. } if *l == last)),
-        "{outs:?}"
-    );
-    r.step(NOW, In::Head { leg: 2, status: 200, stream: true }, &mut g);
-    (g, r, passed)
+#[test]
+fn given_a_route_with_its_most_runners_when_a_move_is_planned_then_the_stream_stays() {
+    for (tries, moves) in [(1, false), (2, true)] {
+        let mut g = gate(&["a1", "a2"]);
+        let mut r = ride(true);
+        r.order.tries = tries;
+        streaming(&mut r, &mut g, 3);
+        let from = r.runner_of(1).expect("a leg").0;
+        moving(&mut g, &from, if from == "a1" { "a2" } else { "a1" });
+        let outs = r.step(NOW, In::Tick, &mut g);
+        assert_eq!(outs.iter().any(|o| matches!(o, Out::Open { .. })), moves, "{tries}: {outs:?}");
+    }
 }
 
 #[test]
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -40,12 +40,31 @@
 restart-credit|src/gate/budget.rs|credit: 0.0|credit: 10.0|tries restarts
 saved-credit|src/gate/budget.rs|self.share.max\(LEAST as f64\)|500.0|tries quiet_time
 held-credit|src/gate/budget.rs| - self.held;|;|tries quiet_time
+reuse-quiet|src/http/connection.rs| \|\| !self.link.guard.is_quiet\(\)||platform_connection nobody_has_read_it_yet
+reuse-unread|src/http/exchange.rs|if !self.whole \{|if false {|platform_connection not_read_to_its_end
+reuse-written|src/http/connection.rs|if !written \|\||if|platform_connection before_the_request_was_read
+reuse-close|src/http/connection.rs|if rest == Duration::ZERO \|\||if|platform_connection names_an_end
+reuse-rest|src/http/connection.rs|now >= self.until \|\||false \|\||platform_connection names_an_end
+drop-resets|src/http/connection.rs|self.guard.reset_on_close\(\);||platform_connection not_read_to_its_end
+interim|src/http/exchange.rs|if self.response.status\(\).is_informational\(\)|if false|platform_connection interim_status
+no-resend|src/http/leg.rs|Err\(SendError::NotSent\) if used|Err(SendError::NotSent \| SendError::Unsure) if used|platform_gone after_a_request_came
+once-after-reset|src/pass/resume.rs|let again = self.order.resumable|let again = true \|\| self.order.resumable|platform_cuts_runner may_run_once
+own-id|src/platform/runner.rs|if other \{\s+return Verdict::Stray;|if false { return Verdict::Stray;|platform_links surplus_answer
+deadline-left|src/http/leg.rs|job.order.end.since\(job.clock.now\(\)\)|job.order.aim|platform_links told_what_is_left
+caller-gone|src/http/carry.rs|_ = gone\(&mut c.first, &c.body\) => In::Gone,||platform_gone caller_that_leaves
+whole-by|src/pass/shift.rs|self.order.whole_by.is_some_and|None::<Time>.is_some_and|platform_gone answer_that_has_begun
+late-answer|src/pass/shift.rs|if !self.began && now >= self.order.end|if false|platform_gone late_answer
+head-size|src/http/serve.rs|if head_bytes\(&order\) > |if false && 0 > |platform_limits limit_on_heads
+head-time|src/http/client.rs|now.since\(since\) > Span::ms\(limits.head_ms\)|false|platform_limits comes_slowly
+rest-time|src/http/client.rs|now.since\(since\) > limit.max|false && now.since(since) > limit.max|platform_limits at_rest
+rest-longer|src/http/client.rs|limit.max\(Span::ms\(limits.idle_ms\)\)|Span::ms(limits.idle_ms)|platform_limits limit_shrinks
+move-runners|src/pass/shift.rs|if self.opened >= self.order.tries \{\s+return;|if false { return;|ride most_runners
 R
 }
 
 if [ "${1:-}" = "--ci" ]; then
   set -- same-event refusal-truth mark-gossip route-again refused-in-force restart-credit held-credit \
-    in-flight plan-allowance wait-refused overlap
+    in-flight plan-allowance wait-refused overlap reuse-quiet drop-resets own-id head-size
 fi
 bad=0
 while IFS='|' read -r line; do
