A vote goes to a ready member only, ballots are synced, and a member leaves in order

Until now the view that took a new machine into the chain gave it the lost member's vote in the same step, before it had synced state or view. Now it joins without a vote; once it is ready, which is synced first, it proposes itself for the vacant vote and only then asks for its lease. A spare takes a vacant vote after 1 s (2 s before).

A proposer without a vote kept no record of its ballot: restarted, it used one ballot for two views, and a majority could accept each. The ballot is saved before the first message leaves.

Members report what the chain behind them has synced only once they are ready, so the head's 'safe' counts no copy that could not go on.

A controller told to stop proposes the view without itself, its vote passed to a ready member without one, once enough others hold all that is committed and keep a majority of votes. Every simulated run is now judged for one view a number, one proposal a ballot, and votes for ready members only.

--- a/src/chain/acceptor.rs
+++ b/src/chain/acceptor.rs
@@ -1,3 +1,10 @@
+//! The acceptor: one voter's side of the agreement on the next view.
+//!
+//! There is one register for each view number. A promise or an acceptance is synced before it is answered, so
+//! that a voter that restarts still knows what it said. A voter whose disk is lost comes back under another id
+//! and has no vote.
+#![deny(missing_docs)]
+
 use super::core::{Chain, SILENCE_LIMIT};
 use super::view::View;
 use super::view_change::PROPOSAL_TIMEOUT;
@@ -5,37 +12,75 @@
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
+use bitcode::{Decode, Encode};
+
+/// How long after a promise no lease is granted, so that the proposal comes through.
+const GRANT_PAUSE: Span = Span::ms(1000);
+/// From this silence on, a member counts as lost also for a voter that still hears it.
+const CERTAIN_LOSS: Span = Span::ms(1000);
+/// How long an `Accept` that waits for a lease to run out is kept.
+const DEFERRED_KEPT: Span = Span::ms(2000);
+/// A voter that accepted a view and sees no decision finishes the agreement after this wait, plus a random part.
+const FINISH_AFTER: Span = Span::ms(500);
+const FINISH_SPREAD_MS: u64 = 700;
+
+/// A view that was accepted, and under which ballot.
+#[derive(Clone, PartialEq, Debug, Encode, Decode)]
+pub struct AcceptedView {
+    /// The ballot of the proposal.
+    pub ballot: Ballot,
+    /// The view proposed.
+    pub view: View,
+}
 
-const PAUSE: Span = Span::ms(1000);
-const LONG_LOST: Span = Span::ms(1000);
-const LATER: Span = Span::ms(2000);
+/// An `Accept` that waits until the lease granted by this voter has run out.
+pub struct DeferredAccept {
+    /// The proposer.
+    pub from: NodeId,
+    /// What it asks to accept.
+    pub proposal: AcceptedView,
+    /// When it came.
+    pub since: Time,
+}
 
+/// What a voter has promised and accepted for the view number after its own.
 #[derive(Default)]
 pub struct Acceptor {
+    /// The number that the register is for.
     pub no: ViewNo,
+    /// The highest ballot promised; lower ones are refused.
     pub promised: Ballot,
-    pub taken: Option<(Ballot, View)>,
-    pub taken_at: Time,
+    /// The view accepted last.
+    pub accepted: Option<AcceptedView>,
+    /// When it was accepted, or this voter last tried to have it decided.
+    pub accepted_at: Time,
+    /// Until when a lease that this voter granted may be in use.
     pub hold: Time,
+    /// Until when no lease is granted because of a promise.
     pub pause: Time,
-    pub later: Option<(NodeId, ChainMsg, Time)>,
+    /// The acceptance that waits for `hold`.
+    pub deferred: Option<DeferredAccept>,
+    /// The highest round seen, for this node's own next ballot.
     pub top: u64,
+    /// Until when this node proposes nothing after it lost to a higher ballot.
     pub rest: Time,
 }
 
 impl Acceptor {
+    /// Takes up a synced promise, or acceptance, after a restart.
     pub fn restore_record(&mut self, no: ViewNo, ballot: Ballot, view: Option<View>) {
         self.no = no;
         self.promised = self.promised.max(ballot);
         self.top = self.top.max(ballot.round);
         if let Some(view) = view {
-            self.taken = Some((ballot, view));
+            self.accepted = Some(AcceptedView { ballot, view });
         }
     }
 
+    /// What must be on disk for `restore_record`.
     pub fn records(&self) -> Vec<Record> {
         let mut rows = Vec::new();
-        if let Some((ballot, view)) = &self.taken {
+        if let Some(AcceptedView { ballot, view }) = &self.accepted {
             rows.push(Record::Accept { ballot: *ballot, view: view.clone() });
         }
         if self.promised != Ballot::default() {
@@ -44,95 +89,129 @@
         rows
     }
 
+    /// Begins the register after `view`; a lease granted before still counts.
     pub fn reset(&mut self, view: &View) {
         let hold = self.hold;
         *self = Acceptor { no: view.no.next(), hold, ..Acceptor::default() };
     }
 
+    /// Whether a lease may be granted: not while a next view is under way.
     pub fn may_grant(&self, now: Time) -> bool {
-        self.taken.is_none() && self.later.is_none() && now >= self.pause
+        self.accepted.is_none() && self.deferred.is_none() && now >= self.pause
     }
 }
 
 impl Chain {
-    pub fn vote(&mut self, from: NodeId, msg: &ChainMsg, ctx: &mut Context) {
-        let (no, ballot) = match msg {
-            ChainMsg::Prepare { no, ballot, .. } => (*no, *ballot),
-            ChainMsg::Accept { ballot, view } => (view.no, *ballot),
-            _ => return,
-        };
-        let Some(view) = self.view.clone() else { return };
+    /// Answers a proposer's `Prepare`.
+    pub fn prepare_asked(&mut self, from: NodeId, msg: &ChainMsg, ctx: &mut Context) {
+        let ChainMsg::Prepare { no, ballot, lost, quiet } = msg else { return };
+        if self.votes_on(from, *no, ctx) && self.believes_lost(*lost, *quiet, ctx.now) {
+            self.promise(from, *no, *ballot, ctx);
+        }
+    }
+
+    /// Answers a proposer's `Accept`, perhaps later.
+    pub fn accept_asked(&mut self, from: NodeId, ballot: Ballot, view: &View, ctx: &mut Context) {
+        if self.votes_on(from, view.no, ctx) {
+            self.accept_or_defer(from, AcceptedView { ballot, view: view.clone() }, ctx);
+        }
+    }
+
+    /// Whether this node has a vote on view `no`; who asks about a view already decided is told it.
+    fn votes_on(&mut self, from: NodeId, no: ViewNo, ctx: &mut Context) -> bool {
+        let Some(view) = self.view.clone() else { return false };
         if no <= view.no {
-            return ctx.chain(from, ChainMsg::ViewDecided { view });
+            ctx.chain(from, ChainMsg::ViewDecided { view });
+            return false;
         }
-        if no != view.no.next() || !view.voters.contains(&self.ident) {
+        no == view.no.next() && view.voters.contains(&self.ident)
+    }
+
+    /// Whether the member named lost is so for this voter too: unheard here, or by the proposer for long.
+    fn believes_lost(&self, lost: Option<NodeId>, quiet: Span, now: Time) -> bool {
+        let Some(lost) = lost else { return true };
+        let heard = self.alive_at.get(&lost).copied().unwrap_or_default();
+        let fine = lost == self.ident || now.since(heard) < SILENCE_LIMIT;
+        !fine || quiet >= CERTAIN_LOSS
+    }
+
+    fn promise(&mut self, from: NodeId, no: ViewNo, ballot: Ballot, ctx: &mut Context) {
+        let saved = self.acceptor.promised == ballot;
+        if self.refuses(from, no, ballot, ctx) {
             return;
         }
-        if let ChainMsg::Prepare { lost: Some(lost), quiet, .. } = msg {
-            let heard = self.alive_at.get(lost).copied().unwrap_or_default();
-            let fine = *lost == self.ident || ctx.now.since(heard) < SILENCE_LIMIT;
-            if fine && *quiet < LONG_LOST {
-                return;
-            }
+        if !saved {
+            ctx.save(Record::Promise { no, ballot });
         }
-        let wait = ctx.now < self.acceptor.hold || self.in_restart_wait(ctx.now);
-        if wait && ends_lease(msg, &view) {
-            let old = self.acceptor.later.as_ref().map(|(_, m, _)| ballot_of(m));
-            if old.is_none_or(|b| b <= ballot) {
-                self.acceptor.later = Some((from, msg.clone(), ctx.now));
+        self.acceptor.pause = ctx.now + GRANT_PAUSE;
+        let accepted = self.acceptor.accepted.clone();
+        ctx.chain(from, ChainMsg::Promise { no, ballot, accepted });
+    }
+
+    fn accept_or_defer(&mut self, from: NodeId, proposal: AcceptedView, ctx: &mut Context) {
+        let ends_lease = self.view.as_ref().is_some_and(|old| ends_lease(&proposal.view, old));
+        if ends_lease && self.lease_may_run(ctx.now) {
+            let old = self.acceptor.deferred.as_ref().map(|d| d.proposal.ballot);
+            if old.is_none_or(|b| b <= proposal.ballot) {
+                self.acceptor.deferred = Some(DeferredAccept { from, proposal, since: ctx.now });
             }
             return;
         }
+        self.accept(from, proposal, ctx);
+    }
+
+    fn accept(&mut self, from: NodeId, proposal: AcceptedView, ctx: &mut Context) {
+        let (no, ballot) = (proposal.view.no, proposal.ballot);
+        if self.refuses(from, no, ballot, ctx) {
+            return;
+        }
+        ctx.save(Record::Accept { ballot, view: proposal.view.clone() });
+        self.acceptor.accepted = Some(proposal);
+        self.acceptor.accepted_at = ctx.now;
+        ctx.chain(from, ChainMsg::Accepted { no, ballot });
+    }
+
+    /// Refuses a ballot below the one promised; else promises this one.
+    fn refuses(&mut self, from: NodeId, no: ViewNo, ballot: Ballot, ctx: &mut Context) -> bool {
         self.acceptor.top = self.acceptor.top.max(ballot.round);
         if ballot < self.acceptor.promised {
-            return ctx.chain(from, ChainMsg::Nack { no, ballot: self.acceptor.promised });
+            ctx.chain(from, ChainMsg::Nack { no, ballot: self.acceptor.promised });
+            return true;
         }
         self.acceptor.no = no;
         self.acceptor.promised = ballot;
-        match msg {
-            ChainMsg::Accept { view, .. } => {
-                ctx.save(Record::Accept { ballot, view: view.clone() });
-                self.acceptor.taken = Some((ballot, view.clone()));
-                self.acceptor.taken_at = ctx.now;
-                ctx.chain(from, ChainMsg::Accepted { no, ballot });
-            }
-            _ => {
-                ctx.save(Record::Promise { no, ballot });
-                self.acceptor.pause = ctx.now + PAUSE;
-                let taken = self.acceptor.taken.clone();
-                ctx.chain(from, ChainMsg::Promise { no, ballot, taken });
-            }
-        }
+        false
+    }
+
+    /// Whether a lease that this voter granted, perhaps before a restart, may still be in use.
+    fn lease_may_run(&self, now: Time) -> bool {
+        now < self.acceptor.hold || self.in_restart_wait(now)
     }
 
+    /// Accepts what waited for a lease, gives up an old proposal, and finishes one that was accepted here.
     pub fn acceptor_tick(&mut self, ctx: &mut Context) {
-        if ctx.now >= self.acceptor.hold
-            && !self.in_restart_wait(ctx.now)
-            && let Some((from, msg, since)) = self.acceptor.later.take()
-            && ctx.now.since(since) < LATER
+        if !self.lease_may_run(ctx.now)
+            && let Some(d) = self.acceptor.deferred.take()
+            && ctx.now.since(d.since) < DEFERRED_KEPT
+            && self.votes_on(d.from, d.proposal.view.no, ctx)
         {
-            self.vote(from, &msg, ctx);
+            self.accept(d.from, d.proposal, ctx);
         }
         if self.proposal.as_ref().is_some_and(|b| ctx.now.since(b.since) > PROPOSAL_TIMEOUT) {
             self.proposal = None;
         }
-        let Some((_, view)) = self.acceptor.taken.clone() else { return };
-        let wait = Span::ms(500 + ctx.rand.below(700));
-        if self.proposal.is_none() && ctx.now.since(self.acceptor.taken_at) > wait {
-            self.acceptor.taken_at = ctx.now;
+        let Some(accepted) = &self.acceptor.accepted else { return };
+        let view = accepted.view.clone();
+        let wait = FINISH_AFTER + Span::ms(ctx.rand.below(FINISH_SPREAD_MS));
+        if self.proposal.is_none() && ctx.now.since(self.acceptor.accepted_at) > wait {
+            self.acceptor.accepted_at = ctx.now;
             self.propose_view(view, None, Span(0), ctx);
         }
     }
 }
 
-fn ends_lease(msg: &ChainMsg, old: &View) -> bool {
-    let ChainMsg::Accept { view, .. } = msg else { return false };
-    view.tail() != old.tail() || view.voters != old.voters
-}
-
-fn ballot_of(msg: &ChainMsg) -> Ballot {
-    match msg {
-        ChainMsg::Prepare { ballot, .. } | ChainMsg::Accept { ballot, .. } => *ballot,
-        _ => Ballot::default(),
-    }
+/// Whether the lease of `old` must have run out before `next` is accepted. With the same tail and voters it
+/// need not: nothing is committed in `next` without that tail.
+fn ends_lease(next: &View, old: &View) -> bool {
+    next.tail() != old.tail() || next.voters != old.voters
 }
--- a/src/chain/core.rs
+++ b/src/chain/core.rs
@@ -2,6 +2,7 @@
 use super::founding::Founder;
 use super::join::Joiner;
 use super::lease::Lease;
+use super::leaving::{Departure, PeerState};
 use super::replication_log::ReplicationLog;
 use super::view::View;
 use super::view_change::ViewProposal;
@@ -41,8 +42,10 @@
     pub isolated: bool,
     pub viewed: Time,
     pub chain_synced: Version,
-    pub spare: BTreeMap<NodeId, bool>,
-    reported_ready: bool,
+    pub peers: BTreeMap<NodeId, PeerState>,
+    pub departure: Option<Departure>,
+    pub ready_since: Time,
+    pub(super) reported_ready: bool,
 }
 
 impl Chain {
@@ -71,7 +74,9 @@
             isolated: false,
             viewed: started,
             chain_synced: Version(0),
-            spare: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            departure: None,
+            ready_since: started,
             reported_ready: false,
         };
         for r in records {
@@ -92,55 +97,6 @@
         self.view.as_ref().is_some_and(|v| v.head() == Some(self.ident))
     }
 
-    pub fn install(&mut self, view: View, ctx: &mut Context) {
-        if self.view.as_ref().is_some_and(|old| old.no >= view.no) {
-            return;
-        }
-        ctx.save(Record::View { view: view.clone() });
-        ctx.log_event("view", view.to_string());
-        self.acceptor.reset(&view);
-        self.proposal = None;
-        self.lease = Lease::default();
-        self.successor_synced = Version(0);
-        self.chain_synced = Version(0);
-        self.viewed = ctx.now;
-        for node in view.all() {
-            self.mark_alive(node, ctx.now);
-        }
-        let went_on = self.view.as_ref().is_some_and(|old| old.no.next() == view.no && old.has(self.ident));
-        self.ready = view.head() == Some(self.ident) || (went_on && self.ready && view.has(self.ident));
-        if self.ready {
-            self.ready_in = Some(view.no);
-            ctx.save(Record::Ready { view: view.no });
-        }
-        self.joiner.stop(view.has(self.ident));
-        self.lead_from = self.log.last();
-        self.view = Some(view.clone());
-        ctx.publish(JournalEvent::ViewInstalled(view));
-        self.announce(ctx);
-        self.commit_if_tail(ctx);
-    }
-
-    pub fn publish_role(&mut self, ctx: &mut Context) {
-        let post = ChainRole {
-            head: self.is_head() && self.committed >= self.lead_from,
-            tail: self.is_tail(),
-            ready: self.ready,
-            copies: self.view.as_ref().map_or(0, |v| v.chain.len()),
-            need: ctx.me.need(),
-            safe: self.safe(ctx),
-            spare: self.spared(ctx),
-            until: if self.is_tail() && self.ready { self.lease.until } else { Time(0) },
-            last: self.log.last(),
-        };
-        let fit = self.ready && self.in_chain();
-        if fit != self.reported_ready {
-            self.reported_ready = fit;
-            ctx.out.push(Effect::Ready(fit));
-        }
-        ctx.publish(JournalEvent::Role(post));
-    }
-
     fn start(&mut self, ctx: &mut Context) {
         if self.fleet != FleetId(0) {
             ctx.publish(JournalEvent::Fleet(self.fleet));
@@ -180,13 +136,17 @@
             ChainMsg::Pledged { fleet, sent } => self.pledged(from, *fleet, *sent, ctx),
             ChainMsg::Append { view, upto, entries, .. } => self.append(from, *view, *upto, entries, ctx),
             ChainMsg::Progress { .. } => self.have(from, msg, ctx),
-            ChainMsg::Heartbeat { view, room, .. } => self.beat(from, *view, *room, ctx),
+            ChainMsg::Heartbeat { view, room, leaving, .. } => {
+                let said = PeerState { room: *room, leaving: *leaving };
+                self.beat(from, *view, said, ctx)
+            }
             ChainMsg::Join { have, following } => self.join_asked(from, *have, *following, ctx),
             ChainMsg::JoinHeard => drop(self.joiner.met.insert(from, ctx.now)),
             ChainMsg::Snapshot { at, state } => self.snapshot(from, *at, state, ctx),
             ChainMsg::Follow { entries, .. } => self.follow(from, entries, ctx),
-            ChainMsg::Prepare { .. } | ChainMsg::Accept { .. } => self.vote(from, msg, ctx),
-            ChainMsg::Promise { no, ballot, taken } => self.promised(from, *no, *ballot, taken, ctx),
+            ChainMsg::Prepare { .. } => self.prepare_asked(from, msg, ctx),
+            ChainMsg::Accept { ballot, view } => self.accept_asked(from, *ballot, view, ctx),
+            ChainMsg::Promise { no, ballot, accepted } => self.promised(from, *no, *ballot, accepted, ctx),
             ChainMsg::Accepted { no, ballot } => self.accepted(from, *no, *ballot, ctx),
             ChainMsg::Nack { no, ballot } => self.nack(*no, *ballot, ctx),
             ChainMsg::ViewDecided { view } => {
@@ -209,6 +169,7 @@
         match ev {
             Event::Start => self.start(ctx),
             Event::Tick => self.tick(ctx),
+            Event::Warned => self.begin_leaving(ctx),
             Event::Mail { from, fleet, msg } => {
                 self.adopt(*fleet, ctx);
                 if let Msg::Welcome { empty, .. } = msg {
--- a/src/chain/heartbeat.rs
+++ b/src/chain/heartbeat.rs
@@ -1,4 +1,5 @@
 use super::core::{Chain, HEARTBEAT_INTERVAL, SILENCE_LIMIT};
+use super::leaving::PeerState;
 use crate::kernel::component::Context;
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
@@ -12,6 +13,7 @@
         let slept = ctx.now.since(self.ticked) > GAP;
         self.ticked = ctx.now;
         self.found(ctx);
+        self.update_departure(ctx);
         let Some(view) = self.view.clone() else {
             return self.join(ctx);
         };
@@ -37,9 +39,9 @@
             return;
         }
         self.beat_at = ctx.now;
-        let room = ctx.room >= ROOM;
+        let (room, leaving) = (ctx.room >= ROOM, self.departure.is_some());
         for node in all.iter().filter(|n| **n != self.ident) {
-            ctx.chain(*node, ChainMsg::Heartbeat { view: no, room, isolated });
+            ctx.chain(*node, ChainMsg::Heartbeat { view: no, room, isolated, leaving });
         }
         if !isolated {
             self.announce(ctx);
@@ -47,8 +49,8 @@
         }
     }
 
-    pub fn beat(&mut self, from: NodeId, no: ViewNo, room: bool, ctx: &mut Context) {
-        self.spare.insert(from, room);
+    pub fn beat(&mut self, from: NodeId, no: ViewNo, said: PeerState, ctx: &mut Context) {
+        self.peers.insert(from, said);
         let Some(view) = self.view.clone() else { return };
         if no < view.no {
             ctx.chain(from, ChainMsg::ViewDecided { view });
@@ -89,7 +91,7 @@
 
     pub fn spared(&self, ctx: &Context) -> bool {
         let Some(view) = &self.view else { return false };
-        let fine = |n: &&NodeId| self.hears(**n, ctx.now) && self.spare.get(*n) == Some(&true);
+        let fine = |n: &&NodeId| self.hears(**n, ctx.now) && self.peers.get(*n).is_some_and(|p| p.room);
         view.chain.iter().filter(|n| **n != self.ident).filter(fine).count() >= ctx.me.need()
     }
 }
--- a/src/chain/join.rs
+++ b/src/chain/join.rs
@@ -32,6 +32,9 @@
 
 impl Chain {
     pub fn join(&mut self, ctx: &mut Context) {
+        if self.departure.is_some() {
+            return;
+        }
         if self.in_chain() || self.fleet == FleetId(0) || ctx.now.since(self.joiner.asked) < KNOCK {
             return;
         }
--- a/src/chain/lease.rs
+++ b/src/chain/lease.rs
@@ -19,7 +19,10 @@
 impl Chain {
     pub fn renew_lease(&mut self, ctx: &mut Context) {
         let Some(view) = self.view.clone() else { return };
-        if !self.is_tail() || !self.ready || ctx.now.since(self.lease.asked) < ASK {
+        if !self.is_tail() || !self.ready || self.awaits_first_vote(ctx) {
+            return;
+        }
+        if ctx.now.since(self.lease.asked) < ASK {
             return;
         }
         self.lease.asked = ctx.now;
--- /dev/null
+++ b/src/chain/leaving.rs
@@ -0,0 +1,141 @@
+//! Leaving on purpose: a member that was told to stop goes only after what it holds stands elsewhere.
+//!
+//! It proposes the view without itself, which passes its vote to a ready member that has none, once enough other
+//! members hold all that is committed and a majority of the votes stays with live members. Until then it works
+//! on; how long it may, the daemon decides by its grace. What it waits for is told and logged.
+#![deny(missing_docs)]
+
+use super::core::Chain;
+use super::view::View;
+use crate::kernel::component::Context;
+use crate::kernel::ids::*;
+use crate::kernel::time::{Span, Time};
+use crate::msg::*;
+
+/// A controller outside the chain that was heard of within this span may still take this one's place.
+const SUCCESSOR_HEARD: Span = Span::ms(1500);
+
+/// How far a member that was told to stop has got.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct Departure {
+    /// Whether the process may end now.
+    pub done: bool,
+    /// How many other members that stay hold all that is committed.
+    pub copies: usize,
+    /// How many there should be.
+    pub copies_wanted: usize,
+    /// How many votes are with live members that stay.
+    pub votes: usize,
+    /// How many make a majority.
+    pub majority: usize,
+}
+
+impl Departure {
+    /// Whether the others can go on without this member.
+    fn others_suffice(&self) -> bool {
+        self.copies >= self.copies_wanted && self.votes >= self.majority
+    }
+}
+
+impl std::fmt::Display for Departure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let state = if self.done { "left" } else { "not left yet" };
+        let (copies, wanted) = (self.copies, self.copies_wanted);
+        write!(f, "{state}: {copies} of {wanted} copies wanted and {} votes stand elsewhere", self.votes)?;
+        write!(f, ", {} votes are a majority", self.majority)
+    }
+}
+
+impl Chain {
+    /// Begins to leave; the process was told to stop.
+    pub fn begin_leaving(&mut self, ctx: &mut Context) {
+        if self.departure.is_none() {
+            self.departure = Some(Departure::default());
+            self.update_departure(ctx);
+        }
+    }
+
+    /// Whether `node` has said that it is about to leave.
+    pub fn leaves(&self, node: NodeId) -> bool {
+        self.peers.get(&node).is_some_and(|p| p.leaving)
+    }
+
+    /// Proposes the view without this member if the others can go on in it.
+    pub fn propose_leaving(&mut self, view: &View, ctx: &mut Context) {
+        let next = self.view_without_me(view, ctx.now);
+        if self.remainder(&next, ctx).others_suffice() {
+            self.propose_view(next, None, Span(0), ctx);
+        }
+    }
+
+    /// Tells the daemon how far leaving has got, when that has changed.
+    pub fn update_departure(&mut self, ctx: &mut Context) {
+        let Some(old) = self.departure else { return };
+        if old.done {
+            return;
+        }
+        let now = match self.view.clone() {
+            Some(view) if view.has(self.ident) => {
+                let next = self.view_without_me(&view, ctx.now);
+                let rest = self.remainder(&next, ctx);
+                Departure { done: self.nobody_to_wait_for(&view, ctx), ..rest }
+            }
+            Some(view) => Departure { done: true, ..self.remainder(&view, ctx) },
+            None => Departure { done: true, ..Departure::default() },
+        };
+        if now != old {
+            self.departure = Some(now);
+            ctx.log_event("leaving", now.to_string());
+            ctx.out.push(Effect::Leaving(now));
+        }
+    }
+
+    fn view_without_me(&self, view: &View, now: Time) -> View {
+        let mut candidates = view.without_vote();
+        candidates.retain(|n| *n != self.ident && self.stays(view, *n, now));
+        view.without_leaver(self.ident, &candidates)
+    }
+
+    /// What stands elsewhere in `next`. All before this member hold what it holds; those behind it have said
+    /// what they all hold, and that only once they are ready.
+    fn remainder(&self, next: &View, ctx: &Context) -> Departure {
+        let stay = |n: &&NodeId| self.stays(next, **n, ctx.now);
+        let synced = !self.in_chain() || (self.ready && self.lowest() >= self.committed);
+        let copies = if synced { next.chain.iter().filter(stay).count() } else { 0 };
+        Departure {
+            done: false,
+            copies,
+            copies_wanted: ctx.me.need(),
+            votes: next.voters.iter().filter(|v| next.has(**v)).filter(stay).count(),
+            majority: next.majority(),
+        }
+    }
+
+    /// Whether `node` is heard and stays. Of two that leave at once the one nearer to the head goes first.
+    fn stays(&self, view: &View, node: NodeId, now: Time) -> bool {
+        let place = |n: NodeId| self.view.as_ref().and_then(|v| v.chain.iter().position(|c| *c == n));
+        let goes_first = self.leaves(node) && place(node) < place(self.ident);
+        view.has(node) && self.hears(node, now) && !goes_first
+    }
+
+    /// Whether waiting is of no use: this member holds nothing that the others lack, or no other controller
+    /// could take over, as when all are stopped at once.
+    fn nobody_to_wait_for(&self, view: &View, ctx: &Context) -> bool {
+        if !self.ready && !view.voters.contains(&self.ident) {
+            return true;
+        }
+        let all_leave = view.all().iter().all(|n| *n == self.ident || self.leaves(*n));
+        let outside =
+            |r: &Row| r.who.node != self.ident && !view.has(r.who.node) && r.quiet < SUCCESSOR_HEARD;
+        all_leave && !ctx.views.controllers().any(outside)
+    }
+}
+
+/// What a member said of itself in its last heartbeat.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PeerState {
+    /// Its disk has room for changes.
+    pub room: bool,
+    /// It was told to stop and is about to leave.
+    pub leaving: bool,
+}
--- a/src/chain/messages.rs
+++ b/src/chain/messages.rs
@@ -1,5 +1,6 @@
 //! Messages between controllers, and the records that they keep on disk.
 
+use super::acceptor::AcceptedView;
 use super::view::View;
 use crate::fleet::FleetState;
 use crate::fleet::state::Change;
@@ -23,13 +24,13 @@
     Pledged { fleet: FleetId, sent: Time },
     Append { view: ViewNo, first: bool, upto: Version, entries: Vec<Entry> },
     Progress { view: ViewNo, synced: Version, committed: Version, chain_synced: Version },
-    Heartbeat { view: ViewNo, room: bool, isolated: bool },
+    Heartbeat { view: ViewNo, room: bool, isolated: bool, leaving: bool },
     Join { have: Version, following: bool },
     JoinHeard,
     Snapshot { at: Version, state: Box<FleetState> },
     Follow { entries: Vec<Entry>, done: Version },
     Prepare { no: ViewNo, ballot: Ballot, lost: Option<NodeId>, quiet: Span },
-    Promise { no: ViewNo, ballot: Ballot, taken: Option<(Ballot, View)> },
+    Promise { no: ViewNo, ballot: Ballot, accepted: Option<AcceptedView> },
     Accept { ballot: Ballot, view: View },
     Accepted { no: ViewNo, ballot: Ballot },
     Nack { no: ViewNo, ballot: Ballot },
--- a/src/chain/replicate.rs
+++ b/src/chain/replicate.rs
@@ -38,7 +38,8 @@
         let Some(view) = &self.view else { return };
         let Some(prev) = view.before(self.ident) else { return };
         let (view, synced) = (view.no, self.log.last());
-        let (committed, chain_synced) = (self.committed, self.lowest());
+        let chain_synced = if self.ready { self.lowest() } else { Version(0) };
+        let committed = self.committed;
         ctx.chain(prev, ChainMsg::Progress { view, synced, committed, chain_synced });
     }
 
@@ -62,8 +63,8 @@
         let last = self.log.last();
         if !self.ready && last >= upto {
             self.ready = true;
-            self.ready_in = Some(no);
-            ctx.save(Record::Ready { view: no });
+            self.ready_since = ctx.now;
+            self.save_ready(no, ctx);
             ctx.log_event("chain-ready", format!("{last} in {no}"));
         }
         if let (Some(next), false) = (view.after(self.ident), rows.is_empty()) {
--- a/src/chain/view.rs
+++ b/src/chain/view.rs
@@ -1,70 +1,113 @@
+//! A view: the chain in order and the voters that decide the next view.
+//!
+//! Views are numbered. View n+1 is chosen by a majority of the voters of view n. One view changes either the
+//! chain or the votes, but for a member that leaves on purpose, which passes its vote on as it goes. A vote only
+//! ever goes to a member of the current chain, so no view counts on a voter that has not synced the state yet.
+#![deny(missing_docs)]
+
 use crate::kernel::component::Me;
 use crate::kernel::ids::*;
 use bitcode::{Decode, Encode};
 
+/// The chain and its voters under one number.
 #[derive(Clone, PartialEq, Eq, Debug, Encode, Decode)]
 pub struct View {
+    /// The number; views are installed in rising order.
     pub no: ViewNo,
+    /// The members that hold the state, head first.
     pub chain: Vec<NodeId>,
+    /// Those whose majority grants leases in this view and decides the next one.
     pub voters: Vec<NodeId>,
 }
 
 impl View {
+    /// The member where changes enter.
     pub fn head(&self) -> Option<NodeId> {
         self.chain.first().copied()
     }
 
+    /// The member that commits changes and answers reads.
     pub fn tail(&self) -> Option<NodeId> {
         self.chain.last().copied()
     }
 
+    /// Whether `node` is a member of the chain.
     pub fn has(&self, node: NodeId) -> bool {
         self.chain.contains(&node)
     }
 
+    /// The member that passes changes to `node`.
     pub fn before(&self, node: NodeId) -> Option<NodeId> {
         let at = self.chain.iter().position(|n| *n == node)?;
         at.checked_sub(1).map(|k| self.chain[k])
     }
 
+    /// The member that `node` passes changes to.
     pub fn after(&self, node: NodeId) -> Option<NodeId> {
         let at = self.chain.iter().position(|n| *n == node)?;
         self.chain.get(at + 1).copied()
     }
 
+    /// How many voters decide.
     pub fn majority(&self) -> usize {
         self.voters.len() / 2 + 1
     }
 
+    /// Members and voters, each once.
     pub fn all(&self) -> Vec<NodeId> {
         let mut all = self.chain.clone();
         all.extend(self.voters.iter().filter(|v| !self.chain.contains(v)));
         all
     }
 
+    /// Whether a voter is no longer in the chain, so that its vote may be given to a member.
+    pub fn has_vacant_vote(&self) -> bool {
+        self.voters.iter().any(|v| !self.chain.contains(v))
+    }
+
+    /// The members without a vote, last in the chain first.
+    pub fn without_vote(&self) -> Vec<NodeId> {
+        let free = self.chain.iter().copied().filter(|n| !self.voters.contains(n));
+        free.rev().collect()
+    }
+
+    /// The next view without `lost`; they keep their votes until a member takes them.
     pub fn without(&self, lost: &[NodeId]) -> View {
         let mut next = self.next();
         next.chain.retain(|n| !lost.contains(n));
         next
     }
 
+    /// The next view with `new` at the end of the chain, without a vote; none if the chain is full.
     pub fn with(&self, new: NodeId, me: &Me) -> Option<View> {
-        let vacant = self.voters.iter().any(|v| !self.chain.contains(v));
-        if self.chain.len() >= me.most() && !vacant {
+        if self.chain.len() >= me.most() && !self.has_vacant_vote() {
             return None;
         }
         let mut next = self.next();
         next.chain.push(new);
-        next.fill(me);
         Some(next)
     }
 
-    pub fn with_votes_filled(&self, me: &Me) -> Option<View> {
+    /// The next view, in which the first of `candidates` take vacant votes and votes still to be given out;
+    /// none if there is no vote to take.
+    pub fn with_votes_for(&self, candidates: &[NodeId], me: &Me) -> Option<View> {
         let mut next = self.next();
-        next.fill(me);
+        let mut free = next.give_vacant_votes(candidates);
+        let step = if me.core > 0 { 1 } else { 2 };
+        while next.voters.len() + step <= me.votes() && free.len() >= step {
+            next.voters.extend(free.drain(..step));
+        }
         (next.voters != self.voters).then_some(next)
     }
 
+    /// The next view without `leaver`, its vote passed to the first of `candidates`; without any it keeps it.
+    pub fn without_leaver(&self, leaver: NodeId, candidates: &[NodeId]) -> View {
+        let mut next = self.without(&[leaver]);
+        next.give_vacant_votes(candidates);
+        next
+    }
+
+    /// The first view of a fleet.
     pub fn founded(chain: Vec<NodeId>, me: &Me) -> View {
         let mut voters = chain.clone();
         if me.core == 0 {
@@ -77,18 +120,15 @@
         View { no: self.no.next(), chain: self.chain.clone(), voters: self.voters.clone() }
     }
 
-    fn fill(&mut self, me: &Me) {
-        let mut free: Vec<NodeId> =
-            self.chain.iter().copied().filter(|n| !self.voters.contains(n)).rev().collect();
-        for acceptor in &mut self.voters {
-            if !self.chain.contains(acceptor) && !free.is_empty() {
-                *acceptor = free.remove(0);
+    /// Gives the votes of those outside the chain to `candidates`, and returns the candidates left over.
+    fn give_vacant_votes(&mut self, candidates: &[NodeId]) -> Vec<NodeId> {
+        let mut free = candidates.to_vec();
+        for voter in &mut self.voters {
+            if !self.chain.contains(voter) && !free.is_empty() {
+                *voter = free.remove(0);
             }
         }
-        let step = if me.core > 0 { 1 } else { 2 };
-        while self.voters.len() + step <= me.votes() && free.len() >= step {
-            self.voters.extend(free.drain(..step));
-        }
+        free
     }
 }
 
--- a/src/chain/view_change.rs
+++ b/src/chain/view_change.rs
@@ -1,3 +1,11 @@
+//! The proposer: changing the view when a member is lost, or takes a vacant vote.
+//!
+//! A proposer asks the voters of its view for promises, takes over the view accepted under the highest ballot
+//! among them if there is one, and has it accepted by a majority. Its ballot is synced before the first message
+//! leaves, so that a node that restarts never uses one ballot for two views.
+#![deny(missing_docs)]
+
+use super::acceptor::AcceptedView;
 use super::core::{Chain, SILENCE_LIMIT};
 use super::view::View;
 use crate::kernel::component::Context;
@@ -6,69 +14,120 @@
 use crate::msg::*;
 use std::collections::BTreeSet;
 
+/// A proposal without a decision is given up after this span.
 pub const PROPOSAL_TIMEOUT: Span = Span::ms(1500);
-const AGAIN: Span = Span::ms(200);
-const RESEAT: Span = Span::ms(2000);
+/// How often `Prepare` is repeated until a majority has promised.
+const PREPARE_AGAIN: Span = Span::ms(200);
+/// Each place in the chain waits this much longer, so that the first live member proposes.
+const RANK_STEP_MS: u64 = 200;
+/// A lost member keeps its vote for this span; then a ready member without one takes it.
+const VOTE_KEPT: Span = Span::ms(1000);
+/// How long a new member puts off asking for a lease while it is given its vote.
+const VOTE_BEFORE_LEASE: Span = Span::ms(500);
+/// After losing to a higher ballot a proposer rests for this span and a random part.
+const REST: Span = Span::ms(100);
+const REST_SPREAD_MS: u64 = 400;
 
+/// This node's own proposal of the next view.
 pub struct ViewProposal {
+    /// The number proposed.
     pub no: ViewNo,
+    /// The ballot, this node's alone.
     pub ballot: Ballot,
+    /// The view to be accepted.
     pub want: View,
+    /// The voters that promised.
     pub promises: BTreeSet<NodeId>,
-    pub taken: Option<(Ballot, View)>,
+    /// What was accepted under the highest ballot among those promises.
+    pub accepted: Option<AcceptedView>,
+    /// The voters that accepted.
     pub accepts: BTreeSet<NodeId>,
+    /// Whether `Accept` was sent.
     pub sent: bool,
+    /// When the proposal began.
     pub since: Time,
+    /// The member because of whose silence the view is to change.
     pub lost: Option<NodeId>,
+    /// When `Prepare` was sent last.
     pub asked: Time,
 }
 
 impl Chain {
+    /// Leaves out members that fell silent; without any, leaves on purpose or takes a vacant vote.
     pub fn repair(&mut self, ctx: &mut Context) {
         let Some(view) = self.view.clone() else { return };
-        if !self.in_chain() || !self.ready || self.in_restart_wait(ctx.now) || !self.hears_majority(ctx.now) {
+        if !self.in_chain() || !self.ready || !self.hears_majority(ctx.now) {
             return;
         }
-        let quiet = |n: &NodeId| self.quiet(*n, ctx.now);
-        if let Some(proposal) = &self.proposal {
-            let (no, ballot, lost) = (proposal.no, proposal.ballot, proposal.lost);
-            if !proposal.sent && lost.is_some() && ctx.now.since(proposal.asked) >= AGAIN {
-                let quiet = lost.map_or(Span(0), |n| quiet(&n));
-                self.ask(ChainMsg::Prepare { no, ballot, lost, quiet }, ctx);
-            }
-            return;
+        if self.proposal.is_some() {
+            return self.ask_again(ctx);
         }
         if ctx.now < self.acceptor.rest {
             return;
         }
-        let lost: Vec<NodeId> =
-            view.chain.iter().copied().filter(|n| *n != self.ident && quiet(n) >= SILENCE_LIMIT).collect();
-        let Some(first) = lost.first().copied() else { return self.fill_vacant_votes(&view, ctx) };
-        let long = lost.iter().map(quiet).max().unwrap_or_default();
-        let next = view.without(&lost);
+        if self.awaits_first_vote(ctx) {
+            return self.take_vote(&view, ctx);
+        }
+        if self.in_restart_wait(ctx.now) {
+            return;
+        }
+        let lost = self.silent_members(&view, ctx.now);
+        if !lost.is_empty() {
+            self.leave_out(&view, &lost, ctx);
+        } else if self.departure.is_some() {
+            self.propose_leaving(&view, ctx);
+        } else {
+            self.take_vote(&view, ctx);
+        }
+    }
+
+    fn silent_members(&self, view: &View, now: Time) -> Vec<NodeId> {
+        let silent = |n: &NodeId| *n != self.ident && self.quiet(*n, now) >= SILENCE_LIMIT;
+        view.chain.iter().copied().filter(silent).collect()
+    }
+
+    fn leave_out(&mut self, view: &View, lost: &[NodeId], ctx: &mut Context) {
+        let longest = lost.iter().map(|n| self.quiet(*n, ctx.now)).max().unwrap_or_default();
+        let next = view.without(lost);
         let rank = next.chain.iter().position(|n| *n == self.ident).unwrap_or(0) as u64;
-        if long < SILENCE_LIMIT + Span::ms(rank * 200) {
+        if longest < SILENCE_LIMIT + Span::ms(rank * RANK_STEP_MS) {
             return;
         }
         if next.head() != view.head() && next.head() != Some(self.ident) {
             return;
         }
-        self.propose_view(next, Some(first), long, ctx);
+        self.propose_view(next, lost.first().copied(), longest, ctx);
     }
 
+    /// Says `Prepare` again: voters may still hear the member that is to be left out, or not know this view yet.
+    fn ask_again(&mut self, ctx: &mut Context) {
+        let Some(proposal) = &self.proposal else { return };
+        let (no, ballot, lost) = (proposal.no, proposal.ballot, proposal.lost);
+        if proposal.sent || ctx.now.since(proposal.asked) < PREPARE_AGAIN {
+            return;
+        }
+        let quiet = lost.map_or(Span(0), |n| self.quiet(n, ctx.now));
+        self.ask(ChainMsg::Prepare { no, ballot, lost, quiet }, ctx);
+    }
+
+    /// Begins a proposal of `want`. The ballot is saved first; the kernel sends nothing before it is synced.
     pub fn propose_view(&mut self, want: View, lost: Option<NodeId>, quiet: Span, ctx: &mut Context) {
         let Some(view) = self.view.clone() else { return };
         let round = self.acceptor.top.max(self.acceptor.promised.round) + 1;
-        self.acceptor.top = round;
         let ballot = Ballot { round, node: self.ident };
         let no = view.no.next();
+        self.acceptor.top = round;
+        self.acceptor.no = no;
+        self.acceptor.promised = ballot;
+        ctx.save(Record::Promise { no, ballot });
         ctx.log_event("proposal", format!("{want} by {}", self.ident));
+        ctx.publish(JournalEvent::ViewProposed { ballot, view: want.clone() });
         self.proposal = Some(ViewProposal {
             no,
             ballot,
             want,
             promises: BTreeSet::new(),
-            taken: None,
+            accepted: None,
             accepts: BTreeSet::new(),
             sent: false,
             since: ctx.now,
@@ -78,12 +137,13 @@
         self.ask(ChainMsg::Prepare { no, ballot, lost, quiet }, ctx);
     }
 
+    /// Counts a promise; with a majority of them asks the voters to accept.
     pub fn promised(
         &mut self,
         from: NodeId,
         no: ViewNo,
         ballot: Ballot,
-        taken: &Option<(Ballot, View)>,
+        accepted: &Option<AcceptedView>,
         ctx: &mut Context,
     ) {
         let (Some(view), Some(proposal)) = (&self.view, &mut self.proposal) else { return };
@@ -91,23 +151,24 @@
             return;
         }
         proposal.promises.insert(from);
-        if let Some(t) = taken
-            && proposal.taken.as_ref().is_none_or(|old| old.0 < t.0)
+        if let Some(theirs) = accepted
+            && proposal.accepted.as_ref().is_none_or(|old| old.ballot < theirs.ballot)
         {
-            proposal.taken = Some(t.clone());
+            proposal.accepted = Some(theirs.clone());
         }
         if proposal.promises.len() < view.majority() || proposal.sent {
             return;
         }
         proposal.sent = true;
-        if let Some((_, v)) = &proposal.taken {
-            proposal.want = v.clone();
+        if let Some(accepted) = &proposal.accepted {
+            proposal.want = accepted.view.clone();
         }
         for node in &view.voters {
             ctx.chain(*node, ChainMsg::Accept { ballot, view: proposal.want.clone() });
         }
     }
 
+    /// Counts an acceptance; with a majority of them the view is decided.
     pub fn accepted(&mut self, from: NodeId, no: ViewNo, ballot: Ballot, ctx: &mut Context) {
         let (Some(view), Some(proposal)) = (self.view.clone(), &mut self.proposal) else { return };
         if proposal.no != no || proposal.ballot != ballot || !view.voters.contains(&from) {
@@ -117,14 +178,14 @@
         if proposal.accepts.len() < view.majority() {
             return;
         }
-        let won = proposal.want.clone();
-        self.install(won.clone(), ctx);
+        let decided = proposal.want.clone();
+        self.install(decided.clone(), ctx);
         let mut all = view.all();
-        all.extend(won.all());
+        all.extend(decided.all());
         all.sort();
         all.dedup();
         for node in all.into_iter().filter(|n| *n != self.ident) {
-            ctx.chain(node, ChainMsg::ViewDecided { view: won.clone() });
+            ctx.chain(node, ChainMsg::ViewDecided { view: decided.clone() });
         }
     }
 
@@ -136,20 +197,51 @@
         }
     }
 
-    fn fill_vacant_votes(&mut self, view: &View, ctx: &mut Context) {
-        if !self.is_head() || ctx.now.since(self.viewed) < RESEAT {
-            return;
-        }
-        if let Some(next) = view.with_votes_filled(ctx.me) {
+    /// A ready member without a vote proposes to take one: a new member at once, others when the lost member has
+    /// had time to come back. What makes it ready is synced by then, so its vote can be counted on.
+    fn take_vote(&mut self, view: &View, ctx: &mut Context) {
+        let Some(next) = self.view_with_my_vote(view, ctx) else { return };
+        let rank = self.vote_candidates(view, ctx.now).len() as u64 - 1;
+        let wait = VOTE_KEPT + Span::ms(rank * RANK_STEP_MS);
+        if self.awaits_first_vote(ctx) || ctx.now.since(self.viewed) >= wait {
             self.propose_view(next, None, Span(0), ctx);
         }
     }
 
+    /// The next view in which this member has a vote, if it has none and there is one to take.
+    pub fn view_with_my_vote(&self, view: &View, ctx: &Context) -> Option<View> {
+        if !self.ready || self.departure.is_some() {
+            return None;
+        }
+        let candidates = self.vote_candidates(view, ctx.now);
+        if !candidates.contains(&self.ident) {
+            return None;
+        }
+        view.with_votes_for(&candidates, ctx.me)
+    }
+
+    /// Members without a vote that are heard: this node first if it is one, then those before it in the chain.
+    /// A member joins only behind a ready one, so with this node all before it are ready.
+    pub fn vote_candidates(&self, view: &View, now: Time) -> Vec<NodeId> {
+        let place = |n: &NodeId| view.chain.iter().position(|c| c == n);
+        let before = |n: &NodeId| place(n) <= place(&self.ident) && self.hears(*n, now) && !self.leaves(*n);
+        view.without_vote().into_iter().filter(before).collect()
+    }
+
+    /// Whether this node just became a ready member and there is a vote for it. It is then the tail, and no lease
+    /// runs yet that the change of votes would have to wait for, so it asks for its lease only afterwards.
+    pub fn awaits_first_vote(&self, ctx: &Context) -> bool {
+        let Some(view) = &self.view else { return false };
+        let new = ctx.now.since(self.ready_since) < VOTE_BEFORE_LEASE && !self.reported_ready;
+        new && self.view_with_my_vote(view, ctx).is_some()
+    }
+
+    /// Gives way to a higher ballot for a while.
     pub fn nack(&mut self, no: ViewNo, ballot: Ballot, ctx: &mut Context) {
         self.acceptor.top = self.acceptor.top.max(ballot.round);
         if self.proposal.as_ref().is_some_and(|b| b.no == no && b.ballot < ballot) {
             self.proposal = None;
-            self.acceptor.rest = ctx.now + Span::ms(100 + ctx.rand.below(400));
+            self.acceptor.rest = ctx.now + REST + Span::ms(ctx.rand.below(REST_SPREAD_MS));
         }
     }
 }
--- a/src/kernel/event.rs
+++ b/src/kernel/event.rs
@@ -1,5 +1,6 @@
 //! What enters a node, what its components tell each other, and what leaves it.
 
+use crate::chain::leaving::Departure;
 use crate::chain::messages::{ChainRole, Record};
 use crate::chain::view::View;
 use crate::fleet::FleetState;
@@ -22,6 +23,8 @@
     Members(Arc<Vec<Row>>),
     ViewHeard(View),
     ViewInstalled(View),
+    ViewProposed { ballot: Ballot, view: View },
+    MemberReady(ViewNo),
     Committed { at: Version, change: Arc<Change> },
     StateLoaded(Arc<FleetState>),
     Submitted(Arc<Change>),
@@ -76,6 +79,7 @@
     Held(Vec<HeldRow>),
     Mark(Name),
     Ready(bool),
+    Leaving(Departure),
     Learn { scope: Scope, at: Version, slice: Option<Slice>, proven: Time },
 }
 
--- a/src/sim/effects.rs
+++ b/src/sim/effects.rs
@@ -48,6 +48,7 @@
                 self.nodes[place].table.clone().held(now, &rows);
             }
             Effect::Ready(r) => self.nodes[place].ready = r,
+            Effect::Leaving(d) => self.nodes[place].departure = Some(d),
             Effect::Drive(order) => self.drive(place, life, order),
             Effect::Save(_) | Effect::Rewrite(_) => {}
         }
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -5,6 +5,7 @@
 pub mod check_config;
 pub mod check_news;
 pub mod check_tries;
+pub mod check_views;
 pub mod cost;
 pub mod disk;
 pub mod effects;
--- a/src/sim/nodes.rs
+++ b/src/sim/nodes.rs
@@ -1,6 +1,7 @@
 use super::disk::SimDisk;
 use super::record::Fact;
 use super::world::{Event, World};
+use crate::chain::leaving::Departure;
 use crate::daemon::assemble::{Place, controller, router};
 use crate::daemon::keep;
 use crate::gate::Table;
@@ -37,6 +38,7 @@
     pub routers: u64,
     pub watch: Vec<crate::fleet::runner::Runner>,
     pub ready: bool,
+    pub departure: Option<Departure>,
     pub rehearsed: Option<(Version, msg::Rehearsal)>,
 }
 
@@ -67,6 +69,7 @@
             routers: 1,
             watch: Vec::new(),
             ready: false,
+            departure: None,
             rehearsed: None,
         }
     }
@@ -101,6 +104,7 @@
         n.writing = false;
         n.held.clear();
         n.ready = false;
+        n.departure = None;
         n.rehearsed = None;
         n.table = Arc::new(Table::new(n.place.domain.clone(), n.place.proof));
         n.seen = Arc::default();
@@ -187,9 +191,10 @@
         node.slow = n.hold.slow(now);
         let from = node.journal.len();
         let out = node.feed(now, ev);
-        let told: Vec<(&'static str, String)> = node.journal.since(from).filter_map(|r| r.2.text()).collect();
-        for (what, text) in told {
-            self.note(Fact::Told { what, text });
+        let own = node.me.node;
+        let told: Vec<Fact> = node.journal.since(from).filter_map(|r| Fact::of_journal(own, &r.2)).collect();
+        for fact in told {
+            self.note(fact);
         }
         self.carry(place, out);
     }
@@ -201,7 +206,13 @@
         let Some(node) = &mut n.node else { return };
         node.room = n.disk.room();
         node.slow = n.hold.slow(now);
+        let (own, from) = (node.me.node, node.journal.len());
         let out = keep::letter(node, now, l);
+        let agreed = node.journal.since(from).filter_map(|r| Fact::of_journal(own, &r.2));
+        let agreed: Vec<Fact> = agreed.filter(|f| !matches!(f, Fact::Told { .. })).collect();
+        for fact in agreed {
+            self.note(fact);
+        }
         self.carry(place, out);
     }
 }
