A stopped controller leaves before it ends; stories of a second loss and of leaving

The daemon's stop path has its own module and waits for the chain's word, at most its grace; what stands elsewhere then is logged (left-the-chain, left-too-early). The simulator's stop_node ends a process the same way.

Silence is no longer forgotten at each view: only members new in a view count as just heard, so that a second loss is seen 0.6 s after it, not 0.6 s after the view that left out the first.

steps asked for a step named 'decide', which is called 'view-decided' since the renaming.

--- a/src/chain/installation.rs
+++ b/src/chain/installation.rs
@@ -23,7 +23,8 @@
         self.successor_synced = Version(0);
         self.chain_synced = Version(0);
         self.viewed = ctx.now;
-        for node in view.all() {
+        let known = self.view.as_ref().filter(|old| old.has(self.ident)).map_or(vec![], View::all);
+        for node in view.all().into_iter().filter(|n| !known.contains(n)) {
             self.mark_alive(node, ctx.now);
         }
         let went_on = self.view.as_ref().is_some_and(|old| old.no.next() == view.no && old.has(self.ident));
--- a/src/chain/view_change.rs
+++ b/src/chain/view_change.rs
@@ -121,7 +121,6 @@
         self.acceptor.promised = ballot;
         ctx.save(Record::Promise { no, ballot });
         ctx.log_event("proposal", format!("{want} by {}", self.ident));
-        ctx.publish(JournalEvent::ViewProposed { ballot, view: want.clone() });
         self.proposal = Some(ViewProposal {
             no,
             ballot,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -11,4 +11,5 @@
 pub mod run;
 pub mod serve;
 pub mod status;
+pub mod stop;
 pub mod writer;
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -5,6 +5,7 @@
 use super::reload::Origin;
 use super::writer::Writer;
 use super::{logs, poll, serve::serve};
+use crate::chain::leaving::Departure;
 use crate::gate::Table;
 use crate::http::pool::Pool;
 use crate::http::serve::Front;
@@ -111,7 +112,9 @@
     let runners: Runners = Arc::default();
     let fit = Arc::new(AtomicBool::new(false));
     let list = super::roster::Roster::new(&c.sides, pool.clone(), hand.clone());
-    let act = act(&table, &clock, &pool, &hand, &routers, (&runners, &fit), (&c.sides, list));
+    let departure: Arc<Mutex<Departure>> = Arc::default();
+    let flags = (&runners, &fit, &departure);
+    let act = act(&table, &clock, &pool, &hand, &routers, flags, (&c.sides, list));
     let (spot, role, ticks) = (place(&c), c.role, clock.clone());
     let build = Box::new(move |records| {
         let now = ticks.now();
@@ -154,20 +157,10 @@
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
-    log::info!(event = "warned", drain_ms = c.drain_ms; "");
     stopping.store(true, Ordering::SeqCst);
-    front.leaving.store(true, Ordering::SeqCst);
-    hand.feed(Event::Warned);
-    let due = clock.now() + Span::ms(c.drain_ms);
-    tokio::time::sleep(Duration::from_millis(c.lame_ms)).await;
-    front.stopping.store(true, Ordering::SeqCst);
-    table.stop(clock.now());
-    tokio::time::sleep(Duration::from_millis(400)).await;
-    while front.open.load(Ordering::SeqCst) > 0 && clock.now() < due {
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-    let left = front.open.load(Ordering::SeqCst);
-    log::info!(event = "stopped", broken_streams = left; "");
+    let (drain, lame) = (Span::ms(c.drain_ms), Duration::from_millis(c.lame_ms));
+    let stop = super::stop::Stop { role: c.role, drain, lame, front, table, clock, hand, departure };
+    stop.run().await;
     let _ = tx.send(Input::Stop);
     let _ = thread.join();
     std::process::exit(0);
@@ -179,12 +172,13 @@
     pool: &Arc<Pool>,
     hand: &Hand,
     routers: &Arc<AtomicU64>,
-    (runners, fit): (&Runners, &Arc<AtomicBool>),
+    (runners, fit, departure): (&Runners, &Arc<AtomicBool>, &Arc<Mutex<Departure>>),
     (sides, list): (&Sides, Option<Arc<super::roster::Roster>>),
 ) -> super::driver::Act {
     let (table, clock, pool, hand, routers) =
         (table.clone(), clock.clone(), pool.clone(), hand.clone(), routers.clone());
     let (runners, fit, side) = (runners.clone(), fit.clone(), sides.runner.clone());
+    let departure = departure.clone();
     let rt = tokio::runtime::Handle::current();
     Box::new(move |e| match e {
         Effect::Learn { scope, at, slice, proven } => table.learn(clock.now(), &scope, at, slice, proven),
@@ -203,6 +197,7 @@
             });
         }
         Effect::Ready(ready) => fit.store(ready, Ordering::SeqCst),
+        Effect::Leaving(now) => *departure.lock().unwrap() = now,
         Effect::Drive(order) => {
             let (pool, clock, hand, side) = (pool.clone(), clock.clone(), hand.clone(), side.clone());
             rt.spawn(async move {
--- a/src/kernel/component.rs
+++ b/src/kernel/component.rs
@@ -71,8 +71,8 @@
             JournalEvent::Committed { at, change } => self.state.fold(*at, change),
             JournalEvent::StateLoaded(state) => self.state = FleetState::clone(state),
             JournalEvent::Role(role) => self.role = *role,
-            JournalEvent::ViewProposed { .. } | JournalEvent::MemberReady(_) => {}
             JournalEvent::Text(..) | JournalEvent::Submitted(_) | JournalEvent::RunnerMarked(_) => {}
+            JournalEvent::MemberReady(_) => {}
         }
     }
 
--- a/src/kernel/event.rs
+++ b/src/kernel/event.rs
@@ -23,7 +23,6 @@
     Members(Arc<Vec<Row>>),
     ViewHeard(View),
     ViewInstalled(View),
-    ViewProposed { ballot: Ballot, view: View },
     MemberReady(ViewNo),
     Committed { at: Version, change: Arc<Change> },
     StateLoaded(Arc<FleetState>),
--- a/src/sim/check_views.rs
+++ b/src/sim/check_views.rs
@@ -29,15 +29,24 @@
     installed
 }
 
+/// A ballot is used in one life of its proposer only, and for one view.
 fn one_proposal_a_ballot(w: &World, bad: &mut Bad) {
-    let mut used: BTreeSet<(ViewNo, Ballot)> = BTreeSet::new();
+    let mut lives: BTreeMap<(ViewNo, Ballot), u64> = BTreeMap::new();
+    let mut views: BTreeMap<(ViewNo, Ballot), &View> = BTreeMap::new();
     for (_, fact) in &w.record.rows {
-        let Fact::ViewProposed { ballot, view } = fact else { continue };
-        if !used.insert((view.no, *ballot)) {
-            bad.push(format!(
-                "11 {} proposed {view} under a ballot that it had used, {ballot:?}",
-                ballot.node
-            ));
+        match fact {
+            Fact::PrepareSent { life, no, ballot }
+                if lives.entry((*no, *ballot)).or_insert(*life) != life =>
+            {
+                bad.push(format!("11 {} used {ballot:?} for {no} again after a restart", ballot.node));
+            }
+            Fact::AcceptSent { ballot, view } => {
+                let first = *views.entry((view.no, *ballot)).or_insert(view);
+                if first != view {
+                    bad.push(format!("11 {ballot:?} was used for {first} and for {view}"));
+                }
+            }
+            _ => {}
         }
     }
 }
--- a/src/sim/effects.rs
+++ b/src/sim/effects.rs
@@ -57,6 +57,9 @@
     fn post(&mut self, place: usize, to: NodeId, addr: SocketAddr, msg: Msg) {
         let Some(node) = &self.nodes[place].node else { return };
         let letter = Envelope { from: node.me.node, to, fleet: node.views.fleet, addr: node.me.addr, msg };
+        if let Some(fact) = Fact::of_message(self.nodes[place].life, &letter.msg) {
+            self.note(fact);
+        }
         if let Some(c) = &mut self.cost {
             c.sent(place, &letter);
         }
--- a/src/sim/hurts_more.rs
+++ b/src/sim/hurts_more.rs
@@ -3,7 +3,7 @@
 use super::record::Fact;
 use super::world::World;
 use crate::kernel::rand::Rand;
-use crate::kernel::time::Span;
+use crate::kernel::time::{Span, Time};
 use crate::msg::{self, Role};
 use std::net::SocketAddr;
 
@@ -155,4 +155,27 @@
         self.nodes[n].table.stop(now);
         self.operate(n, msg::Event::Warned);
     }
+
+    /// SIGTERM: the process ends once the node has left in order, or when `grace` is over.
+    pub fn stop_node(&mut self, n: usize, grace: Span) {
+        self.warn_node(n);
+        let (life, due) = (self.nodes[n].life, self.now + grace);
+        self.at(self.now + LEAST_STOP, move |w| end_when_left(w, n, life, due));
+    }
+}
+
+/// A daemon that is stopped lives at least this long, so that open requests can end.
+const LEAST_STOP: Span = Span::ms(400);
+/// How often a daemon that is stopped looks whether its node has left.
+const STOP_LOOK: Span = Span::ms(50);
+
+fn end_when_left(w: &mut World, n: usize, life: u64, due: Time) {
+    if !w.fits(n, life) {
+        return;
+    }
+    let left = w.nodes[n].role == Role::Router || w.nodes[n].departure.is_some_and(|d| d.done);
+    if left || w.now >= due {
+        return w.kill_node(n);
+    }
+    w.at(w.now + STOP_LOOK, move |w| end_when_left(w, n, life, due));
 }
--- a/src/sim/record.rs
+++ b/src/sim/record.rs
@@ -1,114 +1,53 @@
 use crate::chain::view::View;
 use crate::kernel::ids::*;
 use crate::kernel::time::Time;
-use crate::msg::{JournalEvent, Op};
+use crate::msg::{ChainMsg, JournalEvent, Msg, Op};
 use crate::standin::tally::End;
 
+/// Something that happened in a simulated run, for the checks that judge it.
 #[derive(Clone, Debug)]
 pub enum Fact {
-    Called {
-        call: u64,
-        service: Name,
-        path: String,
-        body: Option<String>,
-        last: u64,
-        resumable: bool,
-    },
-    Tried {
-        call: u64,
-    },
-    Ended {
-        call: u64,
-        end: End,
-        text: Option<String>,
-        after: u64,
-        code: String,
-    },
-    RunBegan {
-        call: u64,
-        runner: Name,
-        model: Name,
-        place: Option<usize>,
-    },
-    RunEnded {
-        call: u64,
-        whole: bool,
-    },
-    Ordered {
-        runner: Name,
-        term: u64,
-        load: bool,
-        name: Name,
-        status: u16,
-    },
-    Overfull {
-        runner: Name,
-    },
-    Asked {
-        id: ChangeId,
-        what: Asked,
-    },
-    Answered {
-        id: ChangeId,
-        status: u16,
-        at: Version,
-    },
-    Shown {
-        place: usize,
-        since: Time,
-        at: Version,
-        print: u64,
-    },
-    LeavingLearnt {
-        runner: Name,
-        place: Option<usize>,
-    },
-    Learnt {
-        place: usize,
-        scope: String,
-        at: Version,
-        config_at: Version,
-        print: u64,
-    },
-    Asking {
-        load: bool,
-    },
-    Down {
-        place: usize,
-    },
-    Up {
-        place: usize,
-    },
-    Told {
-        what: &'static str,
-        text: String,
-    },
-    /// `node` installed this view.
-    ViewInstalled {
-        node: NodeId,
-        view: View,
-    },
-    /// `node` proposed a view under this ballot.
-    ViewProposed {
-        ballot: Ballot,
-        view: View,
-    },
-    /// `node` holds all that was committed before view `no`.
-    MemberReady {
-        node: NodeId,
-        no: ViewNo,
-    },
+    Called { call: u64, service: Name, path: String, body: Option<String>, last: u64, resumable: bool },
+    Tried { call: u64 },
+    Ended { call: u64, end: End, text: Option<String>, after: u64, code: String },
+    RunBegan { call: u64, runner: Name, model: Name, place: Option<usize> },
+    RunEnded { call: u64, whole: bool },
+    Ordered { runner: Name, term: u64, load: bool, name: Name, status: u16 },
+    Overfull { runner: Name },
+    Asked { id: ChangeId, what: Asked },
+    Answered { id: ChangeId, status: u16, at: Version },
+    Shown { place: usize, since: Time, at: Version, print: u64 },
+    LeavingLearnt { runner: Name, place: Option<usize> },
+    Learnt { place: usize, scope: String, at: Version, config_at: Version, print: u64 },
+    Asking { load: bool },
+    Down { place: usize },
+    Up { place: usize },
+    Told { what: &'static str, text: String },
+    ViewInstalled { node: NodeId, view: View },
+    PrepareSent { life: u64, no: ViewNo, ballot: Ballot },
+    AcceptSent { ballot: Ballot, view: View },
+    MemberReady { node: NodeId, no: ViewNo },
     Healed,
 }
 
 impl Fact {
+    /// What is judged of a message as it leaves a node, in this life of its process.
+    pub fn of_message(life: u64, msg: &Msg) -> Option<Fact> {
+        match msg {
+            Msg::Chain(ChainMsg::Prepare { no, ballot, .. }) => {
+                Some(Fact::PrepareSent { life, no: *no, ballot: *ballot })
+            }
+            Msg::Chain(ChainMsg::Accept { ballot, view }) => {
+                Some(Fact::AcceptSent { ballot: *ballot, view: view.clone() })
+            }
+            _ => None,
+        }
+    }
+
     /// What is judged of the journal of `node`.
     pub fn of_journal(node: NodeId, event: &JournalEvent) -> Option<Fact> {
         match event {
             JournalEvent::ViewInstalled(view) => Some(Fact::ViewInstalled { node, view: view.clone() }),
-            JournalEvent::ViewProposed { ballot, view } => {
-                Some(Fact::ViewProposed { ballot: *ballot, view: view.clone() })
-            }
             JournalEvent::MemberReady(no) => Some(Fact::MemberReady { node, no: *no }),
             other => other.text().map(|(what, text)| Fact::Told { what, text }),
         }
--- a/src/sim/steps.rs
+++ b/src/sim/steps.rs
@@ -6,6 +6,9 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+/// How long a process that is told to stop may take.
+pub const GRACE: Span = Span::ms(6800);
+
 pub type Build = dyn Fn() -> World + Sync;
 pub type Act = dyn Fn(&mut World) + Sync;
 
@@ -14,6 +17,12 @@
     Kill,
     Freeze,
     Power,
+    /// Killed; comes back at its address with an empty disk.
+    Wipe,
+    /// Gone for good, without a successor.
+    Lose,
+    /// Told to stop, and started again after it has ended.
+    Stop,
 }
 
 pub const BLOWS: [Blow; 3] = [Blow::Kill, Blow::Freeze, Blow::Power];
@@ -79,6 +88,20 @@
             w.kill_node(place);
             w.at(w.now + Span::ms(1200), move |w| w.start_node(place));
         }
+        Blow::Wipe => {
+            w.kill_node(place);
+            w.nodes[place].disk.wipe();
+            w.nodes[place].place.first = false;
+            w.at(w.now + Span::ms(700), move |w| w.start_node(place));
+        }
+        Blow::Stop => {
+            w.stop_node(place, GRACE);
+            w.at(w.now + GRACE + Span::ms(200), move |w| w.start_node(place));
+        }
+        Blow::Lose => {
+            w.kill_node(place);
+            w.nodes[place].retired = true;
+        }
         Blow::Power => {
             for n in w.controllers() {
                 w.kill_node(n);
@@ -95,7 +118,24 @@
     pub bad: Vec<String>,
 }
 
+/// Runs `act` again and again, with a blow at another step each time, and judges each run.
 pub fn sweep(build: &Build, act: &Act, span: Span, stride: usize, victims: &[usize]) -> Swept {
+    sweep_blows(build, act, span, stride, victims, &BLOWS, &|_| None)
+}
+
+/// What a run is judged by at its end, beside the usual checks.
+pub type Verdict = dyn Fn(&mut World) -> Option<String> + Sync;
+
+/// As `sweep`, with these blows and one more verdict.
+pub fn sweep_blows(
+    build: &Build,
+    act: &Act,
+    span: Span,
+    stride: usize,
+    victims: &[usize],
+    blows: &[Blow],
+    verdict: &Verdict,
+) -> Swept {
     let all = steps(build, act, span);
     let mut kinds: Vec<&str> = all.iter().map(|r| r.1).collect();
     kinds.sort();
@@ -103,9 +143,8 @@
     let mut jobs = Vec::new();
     for (t, what) in &all {
         for v in victims {
-            jobs.extend(
-                BLOWS.iter().filter(|b| **b != Blow::Power || v == &victims[0]).map(|b| (*t, *what, *v, *b)),
-            );
+            let fits = |b: &&Blow| **b != Blow::Power || v == &victims[0];
+            jobs.extend(blows.iter().filter(fits).map(|b| (*t, *what, *v, *b)));
         }
     }
     let jobs: Vec<_> = jobs.into_iter().step_by(stride.max(1)).collect();
@@ -117,8 +156,10 @@
             w.run_to(t);
             blow(&mut w, v, how);
             w.run_for(Span::ms(30_000));
+            let end = verdict(&mut w);
             w.resolve();
-            let rows = check::all(&w);
+            let mut rows = check::all(&w);
+            rows.extend(end);
             bad.lock()
                 .unwrap()
                 .extend(rows.iter().map(|b| format!("{what} at {} {how:?} node {v}: {b}", t.0 / 1000)));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -6,9 +6,11 @@
 use spindledock::kernel::ids::*;
 use spindledock::kernel::rand::Rand;
 use spindledock::kernel::time::Span;
-use spindledock::launch::deployment::Deployment;
-use spindledock::msg::Op;
+use spindledock::launch::deployment::{Deployment, vanua};
+use spindledock::msg::{Op, Role};
+use spindledock::sim::nodes::SimNode;
 use spindledock::sim::{World, check};
+use std::net::SocketAddr;
 use std::ops::Range;
 
 pub fn patch(w: &mut World, place: usize, name: &str) -> ChangeId {
@@ -50,6 +52,50 @@
     w
 }
 
+/// A fleet with `core` controllers that bears `bear` losses, and three routers, all settled.
+pub fn settled_core(core: usize, bear: usize, seed: u64) -> World {
+    let mut w = bearing(Deployment { core, routers: 3, ..vanua() }, seed, 3, bear);
+    settle(&mut w);
+    for n in &mut w.nodes {
+        n.place.first = false;
+    }
+    w.run_for(Span::ms(1000 + 70 * seed));
+    w
+}
+
+/// The controller at `spot` in the chain.
+pub fn member_at(w: &World, spot: usize) -> usize {
+    let v = view(w, 0).expect("a view");
+    let node = v.chain.get(spot).copied();
+    w.controllers().into_iter().find(|n| ident(w, *n) == node).expect("a member")
+}
+
+/// Kills `place`, empties its disk and starts it again `later`.
+pub fn wipe(w: &mut World, place: usize, later: Span) {
+    w.kill_node(place);
+    w.nodes[place].disk.wipe();
+    w.nodes[place].place.first = false;
+    w.at(w.now + later, move |w| w.start_node(place));
+}
+
+/// Takes `place` away for good.
+pub fn lose(w: &mut World, place: usize) {
+    w.kill_node(place);
+    w.nodes[place].retired = true;
+}
+
+/// Starts an empty controller at an address of its own, with the same seeds as `like`.
+pub fn add_controller(w: &mut World, like: usize) -> usize {
+    let mut place = w.nodes[like].place.clone();
+    place.addr = SocketAddr::from(([10, 0, 0, 9], 1500 + w.nodes.len() as u16));
+    place.first = false;
+    let node = SimNode::new(place, Role::Controller, &mut w.rand);
+    w.nodes.push(node);
+    let new = w.nodes.len() - 1;
+    w.start_node(new);
+    new
+}
+
 pub fn start_apart(w: &mut World, places: &[usize]) {
     for n in places.iter().copied() {
         let wait = Span::ms(w.rand.below(300));
--- /dev/null
+++ b/tests/second_loss.rs
@@ -0,0 +1,127 @@
+//! A second loss during, or right after, the repair of the first.
+
+mod common;
+
+use common::*;
+use spindledock::kernel::time::Span;
+use spindledock::sim::World;
+use spindledock::sim::steps::{Blow, sweep_blows};
+
+/// Members, and how many of them may be lost at once.
+const SIZES: [(usize, usize); 4] = [(3, 1), (4, 1), (5, 2), (6, 2)];
+const JOINED: Span = Span::ms(4000);
+const CHANGED: Span = Span::ms(4000);
+
+fn stride(dflt: usize) -> usize {
+    std::env::var("SPINDLEDOCK_STRIDE").ok().and_then(|t| t.parse().ok()).unwrap_or(dflt)
+}
+
+/// A settled core with one acknowledged change.
+fn with_kept(core: usize, bear: usize, seed: u64) -> World {
+    let mut w = settled_core(core, bear, seed);
+    taken(&mut w, 0, "kept", CHANGED);
+    w
+}
+
+/// Every controller that runs is ready and knows what was acknowledged, and a change is taken.
+fn goes_on(w: &mut World) -> Option<String> {
+    let alive: Vec<usize> = w.controllers().into_iter().filter(|n| w.nodes[*n].alive).collect();
+    if let Some(n) = alive.iter().find(|n| !w.nodes[**n].ready || !knows(w, **n, "kept")) {
+        return Some(format!("controller {n} is not ready or lacks what was acknowledged"));
+    }
+    let id = patch(w, alive[0], "at-the-end");
+    let status = w.answer(id, CHANGED);
+    (status != Some(200)).then(|| format!("a change at the end got {status:?}"))
+}
+
+fn each_step(core: usize, bear: usize, blows: &[Blow], dflt: usize) {
+    for spot in [0, core / 2, core - 1] {
+        let build = move || with_kept(core, bear, 5 + spot as u64);
+        let first = member_at(&build(), spot);
+        let act = move |w: &mut World| wipe(w, first, Span::ms(400));
+        let victims: Vec<usize> = (0..core).filter(|n| *n != first).collect();
+        let verdict = |w: &mut World| goes_on(w);
+        let s = sweep_blows(&build, &act, Span::ms(4000), stride(dflt), &victims, blows, &verdict);
+        println!("{core}/{bear} spot {spot}: {} steps, {} runs", s.steps, s.runs);
+        assert!(s.runs > 5 && s.bad.is_empty(), "{core}/{bear} spot {spot}: {}", s.bad.join("\n"));
+    }
+}
+
+#[test]
+fn given_a_member_wiped_when_another_is_killed_or_stopped_at_any_step_of_the_repair_then_all_is_whole_again()
+{
+    for (core, bear) in SIZES {
+        each_step(core, bear, &[Blow::Kill, Blow::Stop, Blow::Power], 157);
+    }
+}
+
+#[test]
+fn given_two_losses_are_borne_when_the_second_is_for_good_at_any_step_of_the_first_repair_then_changes_go_on()
+{
+    for (core, bear) in [(5, 2), (6, 2)] {
+        each_step(core, bear, &[Blow::Wipe, Blow::Lose], 157);
+    }
+}
+
+#[test]
+fn given_a_new_member_that_is_ready_when_the_next_is_lost_for_good_at_once_then_changes_go_on() {
+    seeded(1..3, |seed| {
+        for (core, bear) in SIZES {
+            for spot in 0..core {
+                let mut w = with_kept(core, bear, seed);
+                let first = member_at(&w, spot);
+                let second = member_at(&w, (spot + 1 + seed as usize % (core - 1)) % core);
+                wipe(&mut w, first, Span::ms(100 * seed));
+                w.run_for(Span::ms(300));
+                let joined = w.until(JOINED, |w| w.nodes[first].ready);
+                assert!(joined.is_some(), "{core}/{spot}: {:?}", w.parts(first));
+                lose(&mut w, second);
+                let span = taken(&mut w, first, "after", CHANGED);
+                println!("{core}/{spot}: ready after {joined:?}, then a change {span}");
+                assert!(knows(&w, first, "kept"));
+                sound(&w);
+            }
+        }
+    });
+}
+
+#[test]
+fn given_members_wiped_in_turn_each_when_the_one_before_is_ready_then_nothing_is_lost() {
+    seeded(1..4, |seed| {
+        for (core, bear) in SIZES {
+            let mut w = with_kept(core, bear, seed);
+            let order: Vec<usize> = (0..core).map(|k| member_at(&w, (k + seed as usize) % core)).collect();
+            for n in order.iter().chain(&order) {
+                wipe(&mut w, *n, Span::ms(50 * seed));
+                w.run_for(Span::ms(200));
+                let joined = w.until(Span::ms(8000), |w| w.nodes[*n].ready);
+                assert!(joined.is_some(), "{core}: {:?}", w.parts(*n));
+                println!("{core}: ready after {joined:?}");
+            }
+            assert_eq!(goes_on(&mut w), None);
+            sound(&w);
+        }
+    });
+}
+
+#[test]
+fn given_two_losses_are_borne_when_two_are_wiped_and_two_more_lost_once_they_are_ready_then_changes_go_on() {
+    seeded(1..7, |seed| {
+        for core in [5, 6] {
+            let mut w = with_kept(core, 2, seed);
+            let spots: Vec<usize> = (0..4).map(|k| member_at(&w, (k * 2 + seed as usize) % 5)).collect();
+            wipe(&mut w, spots[0], Span::ms(300));
+            w.run_for(Span::ms(37 * seed));
+            wipe(&mut w, spots[1], Span::ms(300));
+            w.run_for(Span::ms(400));
+            let joined = w.until(Span::ms(6000), |w| spots[..2].iter().all(|n| w.nodes[*n].ready));
+            assert!(joined.is_some(), "{core}: {:?}", w.parts(spots[0]));
+            lose(&mut w, spots[2]);
+            lose(&mut w, spots[3]);
+            let span = taken(&mut w, spots[0], "after", CHANGED);
+            println!("{core}: both ready after {joined:?}, then a change {span}");
+            assert!(knows(&w, spots[1], "kept"));
+            sound(&w);
+        }
+    });
+}
--- a/tests/steps.rs
+++ b/tests/steps.rs
@@ -58,7 +58,7 @@
         &act,
         Span::ms(4000),
         &[0, 2, 3, 1],
-        &["prepare", "promise", "accept", "decide", "join", "snapshot"],
+        &["prepare", "promise", "accept", "view-decided", "join", "snapshot"],
     );
 }
 
