--- a/src/chain/acceptor.rs
+++ b/src/chain/acceptor.rs
@@ -34,6 +34,7 @@
 }
 
 /// An `Accept` that waits until the lease granted by this voter has run out.
+#[derive(Clone)]
 pub struct DeferredAccept {
     /// The proposer.
     pub from: NodeId,
@@ -44,7 +45,7 @@
 }
 
 /// What a voter has promised and accepted for the view number after its own.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Acceptor {
     /// The number that the register is for.
     pub no: ViewNo,
--- a/src/chain/view_change.rs
+++ b/src/chain/view_change.rs
@@ -29,6 +29,7 @@
 const REST_SPREAD_MS: u64 = 400;
 
 /// This node's own proposal of the next view.
+#[derive(Clone)]
 pub struct ViewProposal {
     /// The number proposed.
     pub no: ViewNo,
--- a/tests/second_loss.rs
+++ b/tests/second_loss.rs
@@ -4,7 +4,6 @@
 
 use common::*;
 use spindledock::chain::view::View;
-use spindledock::kernel::disk::unpack;
 use spindledock::kernel::time::Span;
 use spindledock::msg::Record;
 use spindledock::sim::World;
@@ -130,17 +129,10 @@
     });
 }
 
-/// The records that `place` would find on its disk after a loss of power.
-fn synced_records(w: &World, place: usize) -> Vec<Record> {
-    let plate = w.nodes[place].disk.0.lock().expect("one thread");
-    let kept = if plate.fresh { plate.before } else { plate.raw.len() };
-    unpack(&plate.raw[..kept]).expect("sound").0
-}
-
 /// Whether `place` would come back from a loss of power as a ready member of `view`.
 fn could_go_on(w: &World, place: usize, view: &View) -> bool {
     let head = ident(w, place) == view.head();
-    let rows = synced_records(w, place);
+    let rows = w.nodes[place].disk.certain_records();
     head || rows.iter().any(|r| matches!(r, Record::Ready { view: no } if *no == view.no))
 }
 
