--- a/src/sim/folder.rs
+++ b/src/sim/folder.rs
@@ -87,6 +87,13 @@
         self.set_files(left);
     }
 
+    /// What is left when a loss of power takes all that it may.
+    pub fn certain(&self) -> Files {
+        let state = self.state();
+        let open = state.uncovered(state.reached);
+        state.after_loss(state.reached, &open.into_iter().map(|n| (n, Fate::Lost)).collect())
+    }
+
     /// Everything that a loss of power may leave, whenever it comes since the last [`SimFolder::reach`].
     pub fn after_any_loss(&self) -> BTreeSet<Vec<(String, Vec<u8>)>> {
         let state = self.state();
