An order is decided on only after the tail has confirmed the head's view for it

A head that was cut off, frozen or replaced decided from its old state: an order built on the newest revision was refused as stale within 0.6 s. Now an order waits at the head until a request that was sent after the order arrived has gone along the chain to the tail and back, which confirms only under its lease in that very view. Without that the order is turned away untouched (503). Weighed: asking the tail directly; one cut link between head and tail then stopped all changes until the view changed (cuts, one way: no answer in 2.5 s).

--- a/src/chain/change_queue.rs
+++ b/src/chain/change_queue.rs
@@ -14,6 +14,7 @@
 
 use super::adoption::Foreign;
 use super::heartbeat::ROOM;
+use super::read_index::ReadIndex;
 use super::reply::{faults, outcome};
 const INBOX: usize = 64;
 const AGAIN: Span = Span::ms(2000);
@@ -21,9 +22,10 @@
 #[derive(Default)]
 pub struct ChangeQueue {
     inbox: VecDeque<(ChangeId, Op)>,
-    waits: BTreeMap<ChangeId, NodeId>,
+    waits: BTreeMap<ChangeId, (NodeId, u64)>,
     sent: BTreeMap<ChangeId, Time>,
     trying: Option<Time>,
+    pub(super) read_index: ReadIndex,
     pub(super) foreign: Foreign,
     pub(super) source: Publisher,
 }
@@ -33,17 +35,9 @@
         ChangeQueue { foreign: Foreign::new(side), ..ChangeQueue::default() }
     }
 
-    fn op(&mut self, from: NodeId, id: ChangeId, op: &Op, ctx: &mut Context) {
-        if !ctx.views.role.head || !ctx.views.role.ready {
-            return;
-        }
-        if let Op::Internal(change) = op {
-            if ctx.room >= ROOM || ctx.views.role.spare {
-                ctx.publish(JournalEvent::Submitted(Arc::new(change.clone())));
-            }
-            return;
-        }
-        self.waits.insert(id, from);
+    /// Decides on an order. The head's state was proven to be current after the order arrived (`read_index`).
+    pub(super) fn op(&mut self, from: NodeId, id: ChangeId, attempt: u64, op: &Op, ctx: &mut Context) {
+        self.waits.insert(id, (from, attempt));
         if let Some(o) = ctx.views.state.outcome(id) {
             if ctx.views.role.safe {
                 self.end(id, outcome(o), ctx);
@@ -55,7 +49,7 @@
             || self.foreign.waits(id)
             || self.sent.get(&id).is_some_and(|t| ctx.now.since(*t) < AGAIN);
         if known {
-            return;
+            return ctx.send(from, Msg::OpPending { id, attempt });
         }
         if ctx.room < ROOM && !ctx.views.role.spare {
             let text = "the head's disk is nearly full and nothing was written; free room there";
@@ -81,8 +75,8 @@
 
     pub(super) fn end(&mut self, id: ChangeId, answer: Answer, ctx: &mut Context) {
         self.sent.remove(&id);
-        if let Some(to) = self.waits.remove(&id) {
-            ctx.send(to, Msg::OpEnd { id, answer });
+        if let Some((to, attempt)) = self.waits.remove(&id) {
+            ctx.send(to, Msg::OpEnd { id, attempt, answer });
         }
     }
 
@@ -199,6 +193,7 @@
         } else {
             self.inbox.clear();
             self.foreign.clear();
+            self.read_index.clear();
             self.waits.clear();
         }
     }
@@ -212,8 +207,14 @@
     fn on(&mut self, ev: &Event, ctx: &mut Context) {
         match ev {
             Event::Mail { from, msg, .. } => match msg {
-                Msg::Op { id, op } => self.op(*from, *id, op, ctx),
-                Msg::Ask { id, path } => self.ask(*from, *id, path, ctx),
+                Msg::Op { id, attempt, op } => self.received(*from, *id, *attempt, op, ctx),
+                Msg::Ask { attempt, path } => self.ask(*from, *attempt, path, ctx),
+                Msg::Chain(ChainMsg::ReadIndexRequest { view, sent }) => {
+                    self.proof_requested(*view, *sent, ctx)
+                }
+                Msg::Chain(ChainMsg::ReadIndexReply { view, sent, committed }) => {
+                    self.proof_given(*view, *sent, *committed, ctx)
+                }
                 Msg::Tell(tell) => {
                     self.foreign.told(*from, ctx.now, tell);
                     self.told(tell, ctx);
@@ -227,9 +228,11 @@
                     Change::Adopt { id, .. } => self.foreign.folded(id),
                     _ => {}
                 }
+                self.admit(ctx);
                 self.settle(ctx);
             }
             Event::Tick => {
+                self.read_index_tick(ctx);
                 self.settle(ctx);
                 self.push(ctx);
             }
--- a/src/chain/core.rs
+++ b/src/chain/core.rs
@@ -132,6 +132,8 @@
             spare: self.spared(ctx),
             until: if self.is_tail() && self.ready { self.lease.until } else { Time(0) },
             last: self.log.last(),
+            view: self.view.as_ref().map_or(ViewNo(0), |v| v.no),
+            isolated: self.view.is_some() && self.isolated,
         };
         let fit = self.ready && self.in_chain();
         if fit != self.reported_ready {
@@ -196,6 +198,7 @@
             }
             ChainMsg::LeaseRequest { view, sent } => self.lease_requested(from, *view, *sent, ctx),
             ChainMsg::LeaseGrant { view, sent } => self.lease_granted(from, *view, *sent, ctx),
+            ChainMsg::ReadIndexRequest { .. } | ChainMsg::ReadIndexReply { .. } => {}
         }
     }
 }
--- a/src/chain/messages.rs
+++ b/src/chain/messages.rs
@@ -19,23 +19,90 @@
 /// What controllers say to each other about the view, the chain and its lease.
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub enum ChainMsg {
-    Pledge { fleet: FleetId, members: Vec<NodeId>, sent: Time },
-    Pledged { fleet: FleetId, sent: Time },
-    Append { view: ViewNo, first: bool, upto: Version, entries: Vec<Entry> },
-    Progress { view: ViewNo, synced: Version, committed: Version, chain_synced: Version },
-    Heartbeat { view: ViewNo, room: bool, isolated: bool },
-    Join { have: Version, following: bool },
+    Pledge {
+        fleet: FleetId,
+        members: Vec<NodeId>,
+        sent: Time,
+    },
+    Pledged {
+        fleet: FleetId,
+        sent: Time,
+    },
+    Append {
+        view: ViewNo,
+        first: bool,
+        upto: Version,
+        entries: Vec<Entry>,
+    },
+    Progress {
+        view: ViewNo,
+        synced: Version,
+        committed: Version,
+        chain_synced: Version,
+    },
+    Heartbeat {
+        view: ViewNo,
+        room: bool,
+        isolated: bool,
+    },
+    Join {
+        have: Version,
+        following: bool,
+    },
     JoinHeard,
-    Snapshot { at: Version, state: Box<FleetState> },
-    Follow { entries: Vec<Entry>, done: Version },
-    Prepare { no: ViewNo, ballot: Ballot, lost: Option<NodeId>, quiet: Span },
-    Promise { no: ViewNo, ballot: Ballot, taken: Option<(Ballot, View)> },
-    Accept { ballot: Ballot, view: View },
-    Accepted { no: ViewNo, ballot: Ballot },
-    Nack { no: ViewNo, ballot: Ballot },
-    ViewDecided { view: View },
-    LeaseRequest { view: ViewNo, sent: Time },
-    LeaseGrant { view: ViewNo, sent: Time },
+    Snapshot {
+        at: Version,
+        state: Box<FleetState>,
+    },
+    Follow {
+        entries: Vec<Entry>,
+        done: Version,
+    },
+    Prepare {
+        no: ViewNo,
+        ballot: Ballot,
+        lost: Option<NodeId>,
+        quiet: Span,
+    },
+    Promise {
+        no: ViewNo,
+        ballot: Ballot,
+        taken: Option<(Ballot, View)>,
+    },
+    Accept {
+        ballot: Ballot,
+        view: View,
+    },
+    Accepted {
+        no: ViewNo,
+        ballot: Ballot,
+    },
+    Nack {
+        no: ViewNo,
+        ballot: Ballot,
+    },
+    ViewDecided {
+        view: View,
+    },
+    LeaseRequest {
+        view: ViewNo,
+        sent: Time,
+    },
+    LeaseGrant {
+        view: ViewNo,
+        sent: Time,
+    },
+    /// The head asks the tail to confirm that the view is current and what was committed in it.
+    ReadIndexRequest {
+        view: ViewNo,
+        sent: Time,
+    },
+    /// The tail held its lease in `view` when it answered, and nothing was committed after `committed`.
+    ReadIndexReply {
+        view: ViewNo,
+        sent: Time,
+        committed: Version,
+    },
 }
 
 /// What a controller keeps on its disk.
@@ -65,4 +132,8 @@
     pub spare: bool,
     pub until: Time,
     pub last: Version,
+    /// The view in which this node holds the role.
+    pub view: ViewNo,
+    /// No majority of the voters was heard lately.
+    pub isolated: bool,
 }
--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -13,6 +13,7 @@
 pub mod lease;
 pub mod messages;
 pub mod publish;
+pub mod read_index;
 pub mod recovery;
 pub mod replicate;
 pub mod replication_log;
--- /dev/null
+++ b/src/chain/read_index.rs
@@ -0,0 +1,172 @@
+//! Proof that the head's state is current, taken before it decides on an operator's order.
+//!
+//! A head that was cut off, frozen or replaced still has its old state. Whatever it would say from it (taken,
+//! stale, invalid on top of this) may be wrong. So an order waits at the head until the tail has confirmed, in a
+//! request sent after the order arrived, that it holds its lease in the head's own view, and until the head has
+//! applied all that the tail had committed then. Without that the order is turned away untouched.
+
+use super::change_queue::ChangeQueue;
+use super::heartbeat::ROOM;
+use crate::kernel::component::Context;
+use crate::kernel::ids::*;
+use crate::kernel::time::{Span, Time};
+use crate::msg::*;
+use crate::relay::write_patience;
+use std::sync::Arc;
+
+/// How long before its caller leaves an order that got no proof is turned away.
+const TURN_AWAY_EARLY: Span = Span::ms(200);
+/// How often the tail is asked again while orders wait.
+const REQUEST_INTERVAL: Span = Span::ms(100);
+/// Orders that may wait for the proof at a time.
+const MOST_ARRIVALS: usize = 64;
+
+/// An order that has arrived at the head and isn't yet decided on.
+struct Arrival {
+    from: NodeId,
+    id: ChangeId,
+    attempt: u64,
+    op: Op,
+    since: Time,
+}
+
+/// The tail's answer to a request sent at `sent`; it counts once the head has applied `committed`.
+struct Confirmation {
+    sent: Time,
+    committed: Version,
+}
+
+/// The orders that wait for a proof, and what the tail has confirmed.
+#[derive(Default)]
+pub struct ReadIndex {
+    arrivals: Vec<Arrival>,
+    confirmation: Option<Confirmation>,
+    requested: Time,
+}
+
+impl ReadIndex {
+    /// Forgets all orders that wait; this node is no head any more.
+    pub fn clear(&mut self) {
+        *self = ReadIndex::default();
+    }
+
+    /// Adds an order, or a newer attempt of one that waits already. A repeat of the same attempt changes nothing.
+    fn add(&mut self, new: Arrival) -> bool {
+        if let Some(old) = self.arrivals.iter_mut().find(|a| a.id == new.id) {
+            if old.attempt != new.attempt {
+                *old = new;
+            }
+            return true;
+        }
+        let room = self.arrivals.len() < MOST_ARRIVALS;
+        if room {
+            self.arrivals.push(new);
+        }
+        room
+    }
+
+    /// Takes out the orders that arrived before the confirmed request was sent.
+    fn confirmed(&mut self, applied: Version) -> Vec<Arrival> {
+        let Some(proof) = self.confirmation.as_ref().filter(|c| c.committed <= applied) else {
+            return vec![];
+        };
+        let sent = proof.sent;
+        self.arrivals.extract_if(.., |a| a.since <= sent).collect()
+    }
+
+    fn expired(&mut self, now: Time) -> Vec<Arrival> {
+        self.arrivals
+            .extract_if(.., |a| now.since(a.since) + TURN_AWAY_EARLY >= write_patience(&a.op))
+            .collect()
+    }
+}
+
+impl ChangeQueue {
+    /// Takes in an order. A change of the fleet's own carries its own fence and needs no proof.
+    pub(super) fn received(&mut self, from: NodeId, id: ChangeId, attempt: u64, op: &Op, ctx: &mut Context) {
+        if !ctx.views.role.head || !ctx.views.role.ready {
+            return;
+        }
+        let Op::Internal(change) = op else { return self.arrived(from, id, attempt, op, ctx) };
+        if ctx.room >= ROOM || ctx.views.role.spare {
+            ctx.publish(JournalEvent::Submitted(Arc::new(change.clone())));
+        }
+    }
+
+    /// An order has arrived: it is decided on once the head's state is proven.
+    fn arrived(&mut self, from: NodeId, id: ChangeId, attempt: u64, op: &Op, ctx: &mut Context) {
+        let arrival = Arrival { from, id, attempt, op: op.clone(), since: ctx.now };
+        if !self.read_index.add(arrival) {
+            let text = "too many changes wait; this one was not taken, send it again later";
+            let answer = Answer::new(429, "inbox-full", text, 1);
+            return ctx.send(from, Msg::OpEnd { id, attempt, answer });
+        }
+        self.request_proof(ctx);
+    }
+
+    /// Asks the tail whether the head's view is current; a head that is the tail itself asks its own lease.
+    fn request_proof(&mut self, ctx: &mut Context) {
+        let role = ctx.views.role;
+        if role.tail {
+            if ctx.now < role.until {
+                self.read_index.confirmation = Some(Confirmation { sent: ctx.now, committed: Version(0) });
+            }
+            return self.admit(ctx);
+        }
+        self.read_index.requested = ctx.now;
+        self.proof_requested(role.view, ctx.now, ctx);
+    }
+
+    /// A request goes from member to member, by the links that changes take, until it is at the tail, which
+    /// confirms only while it holds its lease in that very view.
+    pub(super) fn proof_requested(&mut self, view: ViewNo, sent: Time, ctx: &mut Context) {
+        let (role, own) = (ctx.views.role, ctx.me.node);
+        let Some(chain) = ctx.views.view.clone().filter(|v| v.no == view && role.view == view) else {
+            return;
+        };
+        if let Some(next) = chain.after(own) {
+            return ctx.chain(next, ChainMsg::ReadIndexRequest { view, sent });
+        }
+        if let (Some(previous), true) = (chain.before(own), role.tail && ctx.now < role.until) {
+            let committed = ctx.views.state.at;
+            ctx.chain(previous, ChainMsg::ReadIndexReply { view, sent, committed });
+        }
+    }
+
+    /// A reply goes back the same way, until it is at the head.
+    pub(super) fn proof_given(&mut self, view: ViewNo, sent: Time, committed: Version, ctx: &mut Context) {
+        let (role, own) = (ctx.views.role, ctx.me.node);
+        let Some(chain) = ctx.views.view.clone().filter(|v| v.no == view && role.view == view) else {
+            return;
+        };
+        if let Some(previous) = chain.before(own) {
+            return ctx.chain(previous, ChainMsg::ReadIndexReply { view, sent, committed });
+        }
+        if role.head && self.read_index.confirmation.as_ref().is_none_or(|c| c.sent < sent) {
+            self.read_index.confirmation = Some(Confirmation { sent, committed });
+            self.admit(ctx);
+        }
+    }
+
+    /// Decides on all orders that are older than the proof.
+    pub(super) fn admit(&mut self, ctx: &mut Context) {
+        for a in self.read_index.confirmed(ctx.views.state.at) {
+            self.op(a.from, a.id, a.attempt, &a.op, ctx);
+        }
+    }
+
+    /// Asks again for orders that wait, and turns away those that have waited too long.
+    pub(super) fn read_index_tick(&mut self, ctx: &mut Context) {
+        self.admit(ctx);
+        for a in self.read_index.expired(ctx.now) {
+            let text =
+                "no majority of the controllers confirms this head; nothing was taken, ask another node";
+            let answer = Answer::new(503, "no-majority", text, 1);
+            ctx.send(a.from, Msg::OpEnd { id: a.id, attempt: a.attempt, answer });
+        }
+        let waits = !self.read_index.arrivals.is_empty();
+        if waits && ctx.now.since(self.read_index.requested) >= REQUEST_INTERVAL {
+            self.request_proof(ctx);
+        }
+    }
+}
--- a/src/chain/show.rs
+++ b/src/chain/show.rs
@@ -6,10 +6,12 @@
 use crate::msg::{Answer, Msg, Role};
 
 impl ChangeQueue {
-    pub fn ask(&mut self, from: NodeId, id: ChangeId, path: &str, ctx: &mut Context) {
+    /// Answers a read at the tail, while a majority of the voters grants its lease; else nothing is said, and
+    /// the node that forwarded the read asks the tail of a newer view or tells its caller so.
+    pub fn ask(&mut self, from: NodeId, attempt: u64, path: &str, ctx: &mut Context) {
         if ctx.now < ctx.views.role.until {
             let answer = answer(path, ctx.views);
-            ctx.send(from, Msg::OpEnd { id, answer });
+            ctx.send(from, Msg::AskEnd { attempt, answer });
         }
     }
 }
--- a/src/placement/fill.rs
+++ b/src/placement/fill.rs
@@ -45,13 +45,13 @@
         let id = ChangeId(ctx.rand.next() | 1);
         let Some(head) = ctx.views.view.as_ref().and_then(|v| v.head()) else { return };
         ctx.log_event("runners-listed", list.len().to_string());
-        ctx.send(head, Msg::Op { id, op: Op::Runners(list.to_vec()) });
+        ctx.send(head, Msg::Op { id, attempt: 0, op: Op::Runners(list.to_vec()) });
     }
 
     pub fn tell_head(&mut self, change: Change, ctx: &mut Context) {
         let Some(head) = ctx.views.view.as_ref().and_then(|v| v.head()) else { return };
         let id = ChangeId(ctx.rand.next() | 1);
-        ctx.send(head, Msg::Op { id, op: Op::Internal(change) });
+        ctx.send(head, Msg::Op { id, attempt: 0, op: Op::Internal(change) });
     }
 
     /// The runners whose reports tell what they hold.
--- a/src/sim/cost.rs
+++ b/src/sim/cost.rs
@@ -26,7 +26,8 @@
         | Msg::UpdateReply { .. }
         | Msg::UpdatePush { .. }
         | Msg::UpdateRefused { .. } => "distribution",
-        Msg::Op { .. } | Msg::OpEnd { .. } | Msg::Ask { .. } => "relay",
+        Msg::Op { .. } | Msg::OpPending { .. } | Msg::OpEnd { .. } => "relay",
+        Msg::Ask { .. } | Msg::AskEnd { .. } => "relay",
         Msg::Tell(_) | Msg::Nudge => "tell",
         _ => "membership",
     }
