--- a/tests/common/adopt.rs
+++ b/tests/common/adopt.rs
@@ -69,8 +69,13 @@
 
 impl Office {
     pub fn open(plan: Deployment, seed: u64) -> Office {
+        Office::open_bearing(plan, seed, 1)
+    }
+
+    pub fn open_bearing(plan: Deployment, seed: u64, bear: usize) -> Office {
         let mut w = World::build(plan, seed);
         for n in &mut w.nodes {
+            n.place.bear = bear;
             n.place.sides.operator = Some(Arc::new(Lines));
         }
         w.start_all();
