--- a/tests/cut_off.rs
+++ b/tests/cut_off.rs
@@ -22,10 +22,14 @@
     BothWays,
     OnlyOut,
     OnlyIn,
+    /// Cut both ways; after a while it hears the others again, and they still don't hear it.
+    HearsAgain,
     Frozen,
 }
 
-const TROUBLES: [Trouble; 4] = [Trouble::BothWays, Trouble::OnlyOut, Trouble::OnlyIn, Trouble::Frozen];
+const TROUBLES: [Trouble; 5] =
+    [Trouble::BothWays, Trouble::OnlyOut, Trouble::OnlyIn, Trouble::HearsAgain, Trouble::Frozen];
+const HEARS_AFTER: Span = Span::ms(8000);
 
 /// A call to the lost member, and the newest revision that had been acknowledged when it was sent.
 struct Question {
@@ -60,13 +64,16 @@
     fn hurt(&mut self, trouble: Trouble) {
         let (w, lost) = (&mut self.office.w, self.lost);
         for other in (0..w.nodes.len()).filter(|n| *n != lost) {
-            if matches!(trouble, Trouble::BothWays | Trouble::OnlyOut) {
+            if !matches!(trouble, Trouble::OnlyIn | Trouble::Frozen) {
                 w.cuts.insert((lost, other));
             }
-            if matches!(trouble, Trouble::BothWays | Trouble::OnlyIn) {
+            if !matches!(trouble, Trouble::OnlyOut | Trouble::Frozen) {
                 w.cuts.insert((other, lost));
             }
         }
+        if trouble == Trouble::HearsAgain {
+            w.at(w.now + HEARS_AFTER, move |w| w.cuts.retain(|link| link.1 != lost));
+        }
         if trouble == Trouble::Frozen {
             w.freeze(lost, CUT);
         }
