--- a/src/chain/installation.rs
+++ b/src/chain/installation.rs
@@ -60,6 +60,8 @@
             spare: self.spared(ctx),
             until: if self.is_tail() && self.ready { self.lease.until } else { Time(0) },
             last: self.log.last(),
+            view: self.view.as_ref().map_or(ViewNo(0), |v| v.no),
+            isolated: self.view.is_some() && self.isolated,
         };
         let has_its_vote = |v: &View| self.view_with_my_vote(v, ctx).is_none();
         let settled = self.reported_ready || self.view.as_ref().is_some_and(has_its_vote);
--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -15,6 +15,7 @@
 pub mod leaving;
 pub mod messages;
 pub mod publish;
+pub mod read_index;
 pub mod recovery;
 pub mod replicate;
 pub mod replication_log;
