--- a/src/kernel/component.rs
+++ b/src/kernel/component.rs
@@ -72,6 +72,7 @@
             JournalEvent::StateLoaded(state) => self.state = FleetState::clone(state),
             JournalEvent::Role(role) => self.role = *role,
             JournalEvent::Text(..) | JournalEvent::Submitted(_) | JournalEvent::RunnerMarked(_) => {}
+            JournalEvent::MemberReady(_) => {}
         }
     }
 
--- a/tests/common/adopt.rs
+++ b/tests/common/adopt.rs
@@ -69,13 +69,22 @@
 
 impl Office {
     pub fn open(plan: Deployment, seed: u64) -> Office {
+        Office::open_bearing(plan, seed, 1)
+    }
+
+    pub fn open_bearing(plan: Deployment, seed: u64, bear: usize) -> Office {
         let mut w = World::build(plan, seed);
         for n in &mut w.nodes {
+            n.place.bear = bear;
             n.place.sides.operator = Some(Arc::new(Lines));
         }
         w.start_all();
         let core = w.controllers();
         assert!(w.until(Span::ms(20_000), |w| core.iter().all(|n| w.nodes[*n].ready)).is_some());
+        let leased =
+            |w: &World, n: usize| w.nodes[n].node.as_ref().is_some_and(|x| x.views.role.until > w.local(n));
+        let core = w.controllers();
+        assert!(w.until(Span::ms(3000), |w| core.iter().any(|n| leased(w, *n))).is_some(), "no lease");
         Office { w, sent: BTreeMap::new() }
     }
 
