--- a/src/chain/replicate.rs
+++ b/src/chain/replicate.rs
@@ -38,6 +38,11 @@
         self.sent = upto;
     }
 
+    /// The last entry that was sent, and since when that waits: what a resend depends on.
+    pub fn under_way(&self) -> (Version, Time) {
+        (self.sent, self.waits_since)
+    }
+
     /// Whether the entry follows what was sent, so that it fits without any other.
     fn is_next(&self, at: Version) -> bool {
         at == self.sent.max(self.synced).next()
--- a/src/explore/apply.rs
+++ b/src/explore/apply.rs
@@ -53,6 +53,7 @@
             Step::Wipe { place } => self.wipe(place),
             Step::Stall { place } => self.stall(place),
             Step::Sync { place } => self.sync(place),
+            Step::Warn { place } => self.warn(place),
             Step::Submit { place } => self.submit(place),
             Step::Gossip { from, to } => self.gossip(from, to),
         }
--- a/src/explore/memory_disk.rs
+++ b/src/explore/memory_disk.rs
@@ -39,9 +39,9 @@
         Ok(())
     }
 
-    fn set_aside(&mut self) -> Result<(), Fault> {
+    fn set_aside(&mut self) -> Result<String, Fault> {
         *self = MemoryDisk::default();
-        Ok(())
+        Ok(String::new())
     }
 
     fn room(&self) -> u64 {
--- a/src/explore/mod.rs
+++ b/src/explore/mod.rs
@@ -7,6 +7,7 @@
 mod apply;
 pub mod cluster;
 pub mod command;
+mod delivery;
 pub mod digest;
 pub mod flight;
 pub mod history;
--- a/src/explore/replica.rs
+++ b/src/explore/replica.rs
@@ -31,7 +31,7 @@
     pub gate: Hold,
     pub jobs: VecDeque<Job>,
     /// Changes that an operator handed to this process.
-    pub handed: Vec<ChangeId>,
+    pub handed: Vec<(ChangeId, Time)>,
     random: u64,
 }
 
--- a/src/explore/schedule.rs
+++ b/src/explore/schedule.rs
@@ -107,6 +107,10 @@
     } else if spent.stalls < most.stalls {
         steps.push(Step::Stall { place });
     }
+    let leaving = replica.chain().is_some_and(|c| c.departure.is_some());
+    if spent.warnings < most.warnings && !leaving {
+        steps.push(Step::Warn { place });
+    }
     if spent.submits < most.submits && replica.chain().is_some_and(|c| c.is_head() && c.ready) {
         steps.push(Step::Submit { place });
     }
--- a/src/explore/step.rs
+++ b/src/explore/step.rs
@@ -80,6 +80,10 @@
     Sync {
         place: usize,
     },
+    /// The process is told to stop, and leaves before it ends.
+    Warn {
+        place: usize,
+    },
     /// An operator's change arrives at the replica.
     Submit {
         place: usize,
@@ -137,6 +141,7 @@
             Step::Wipe { place } => write!(f, "wipe {place}"),
             Step::Stall { place } => write!(f, "stall {place}"),
             Step::Sync { place } => write!(f, "sync {place}"),
+            Step::Warn { place } => write!(f, "warn {place}"),
             Step::Submit { place } => write!(f, "submit {place}"),
             Step::Gossip { from, to } => write!(f, "gossip {from} {to}"),
         }
@@ -167,6 +172,7 @@
             ("wipe", [p]) => Step::Wipe { place: p.parse().ok()? },
             ("stall", [p]) => Step::Stall { place: p.parse().ok()? },
             ("sync", [p]) => Step::Sync { place: p.parse().ok()? },
+            ("warn", [p]) => Step::Warn { place: p.parse().ok()? },
             ("submit", [p]) => Step::Submit { place: p.parse().ok()? },
             ("gossip", [a, b]) => Step::Gossip { from: a.parse().ok()?, to: b.parse().ok()? },
             _ => return None,
--- a/src/explore/walk.rs
+++ b/src/explore/walk.rs
@@ -102,6 +102,7 @@
             | Step::Stall { .. }
             | Step::Sync { .. }
             | Step::Submit { .. }
+            | Step::Warn { .. }
     )
 }
 
