--- a/src/explore/apply.rs
+++ b/src/explore/apply.rs
@@ -114,7 +114,7 @@
 
     fn carry(&mut self, cluster: &mut Cluster, flight: &Arc<Flight>, group: Group) {
         let number = self.seen;
-        if carries_state(&flight.msg) {
+        if carries_state(&flight.msg, cluster.leases_count) {
             self.seen += 1;
             match self.disturbance {
                 Some(Disturbance::Delay { message }) if message == number => return,
--- a/src/explore/cluster.rs
+++ b/src/explore/cluster.rs
@@ -34,6 +34,8 @@
     pub counts: Counts,
     pub bear: usize,
     pub next_flight: u64,
+    /// Whether single messages about leases are worth being disturbed.
+    pub leases_count: bool,
     pub spent: Spent,
     pub(super) members: Arc<Vec<Row>>,
     /// The place whose save with this number brings it down, in the present step.
@@ -53,6 +55,7 @@
             counts: Counts::default(),
             bear,
             next_flight: 0,
+            leases_count: false,
             spent: Spent::default(),
             members: Arc::default(),
             crash_at: None,
--- a/src/explore/delivery.rs
+++ b/src/explore/delivery.rs
@@ -120,7 +120,7 @@
     }
 
     fn post(&mut self, from: NodeId, to: NodeId, fleet: FleetId, msg: Msg) {
-        if carries_state(&msg) {
+        if carries_state(&msg, self.leases_count) {
             self.counts.messages += 1;
         }
         let flight = Flight::new(self.next_flight, from, to, fleet, msg);
--- a/src/explore/flight.rs
+++ b/src/explore/flight.rs
@@ -84,12 +84,15 @@
     }
 }
 
-/// Whether losing or delaying this one message by itself is worth a step of its own.
-pub fn carries_state(msg: &Msg) -> bool {
+/// Whether losing or delaying this one message by itself is worth a step of its own. What is repeated by itself
+/// is not, nor are messages about leases unless `leases` says so.
+pub fn carries_state(msg: &Msg, leases: bool) -> bool {
     let Msg::Chain(msg) = msg else { return true };
     match msg {
         ChainMsg::Heartbeat { .. } | ChainMsg::Progress { .. } => false,
         ChainMsg::JoinHeard | ChainMsg::Join { .. } => false,
+        ChainMsg::ReadIndexRequest { .. } | ChainMsg::ReadIndexReply { .. } => false,
+        ChainMsg::LeaseRequest { .. } | ChainMsg::LeaseGrant { .. } => leases,
         ChainMsg::Append { entries, .. } => !entries.is_empty(),
         _ => true,
     }
--- a/src/explore/schedule.rs
+++ b/src/explore/schedule.rs
@@ -52,7 +52,7 @@
         }
     }
     steps.extend(up(state).map(|r| Step::Tick { place: r.place }));
-    steps.extend(scope.spans.iter().map(|span| Step::Advance { span: *span }));
+    steps.extend(scope.pauses.iter().map(|span| Step::Advance { span: *span }));
     steps
 }
 
@@ -61,8 +61,8 @@
     let mut steps = Vec::new();
     for span in &scope.spans {
         steps.extend(groups(live).map(|group| exchange(group, *span)));
-        steps.push(Step::Advance { span: *span });
     }
+    steps.extend(scope.pauses.iter().map(|span| Step::Advance { span: *span }));
     steps.extend(state.flights.iter().map(|f| Step::Deliver { flight: f.number }));
     steps
 }
