hollow: a node that is back under its own id is an arrival, not an open loss

Cause: the small hollow fleet loses a controller and brings it back after 100 ms with its disk, so it keeps its id. Excluded: membership; every other loss was known everywhere within 1.85 s, and no node held a lost id live.

The judge now closes a loss at the return of the same id, but only within 4 s (twice the suspicion and the spread of the claim); a longer absence that was not known everywhere stays open and fails. The story now also wants every arrival known and serving. Two stories of the judge itself are new.

--- a/src/hollow/days.rs
+++ b/src/hollow/days.rs
@@ -147,6 +147,9 @@
     pub fn bring(&mut self, place: usize) {
         self.start(place);
         let (life, since) = (self.nodes[place].life, self.now);
+        if let Some(node) = &self.nodes[place].node {
+            self.judge.returned(node.me.node, since);
+        }
         self.judge.arrivals.push(super::judge::Arrival { place, life, since, known: false, serves: false });
     }
 
--- a/src/hollow/judge.rs
+++ b/src/hollow/judge.rs
@@ -1,3 +1,5 @@
+//! What a run of the hollow fleet is judged by: how soon losses, arrivals and demand are noticed.
+
 use super::world::{Hollow, SAMPLE};
 use crate::kernel::ids::*;
 use crate::kernel::node::Node;
@@ -6,6 +8,11 @@
 use crate::msg::Role;
 use std::collections::BTreeSet;
 
+/// The longest absence that the fleet may overlook when the node returns under its own id: its watchers
+/// miss it after `SUSPECT`, or their successors do if they went with it, and the claim has to spread.
+pub const OVERLOOKED: Span = Span::ms(2 * SUSPECT.as_ms() + 1000);
+
+/// A node that was started after the first boot, and what is already known of it.
 #[derive(Clone, Copy)]
 pub struct Arrival {
     pub place: usize,
@@ -15,6 +22,7 @@
     pub serves: bool,
 }
 
+/// The open and the settled judgements of the current phase.
 #[derive(Default)]
 pub struct Judge {
     pub wants: Vec<(Name, Time)>,
@@ -22,6 +30,8 @@
     pub unmet: u64,
     pub losses: Vec<(NodeId, Time)>,
     pub known: Vec<Span>,
+    /// How long those were away that returned under their own id before their loss was known everywhere.
+    pub returned: Vec<Span>,
     pub arrivals: Vec<Arrival>,
     pub seen: Vec<Span>,
     pub served: Vec<Span>,
@@ -33,6 +43,21 @@
 }
 
 impl Judge {
+    /// A node that lives again is no loss. Its arrival is judged instead; an absence that all should have
+    /// noticed stays open, so that it is not excused by the return.
+    pub fn returned(&mut self, who: NodeId, now: Time) {
+        let returned = &mut self.returned;
+        self.losses.retain(|(lost, since)| {
+            let away = now.since(*since);
+            let excused = *lost == who && away < OVERLOOKED;
+            if excused {
+                returned.push(away);
+            }
+            !excused
+        });
+    }
+
+    /// Begins a phase: what is still open goes on, the figures start anew.
     pub fn clear(&mut self) {
         let (wants, losses, arrivals) = (
             std::mem::take(&mut self.wants),
--- a/src/hollow/page.rs
+++ b/src/hollow/page.rs
@@ -50,11 +50,12 @@
 pub fn judged(j: &Judge, span: Span, routers: usize) -> String {
     let whole = (span.as_ms() * routers as u64).max(1) as f64;
     format!(
-        "  losses known everywhere: {}; not yet {}\n  arrivals known everywhere: {}; serving: {}; not yet {}\n  \
+        "  losses known everywhere: {}; not yet {}; back unmissed: {}\n  arrivals known everywhere: {}; serving: {}; not yet {}\n  \
          wanted names held: {}; not in 30 s {}\n  router time refusing {:.3}%, down {:.3}%; no holder {} ms; \
          live nodes held dead {} of {} looks",
         spread(&j.known),
         j.losses.len(),
+        spread(&j.returned),
         spread(&j.seen),
         spread(&j.served),
         j.arrivals.len(),
--- a/tests/hollow.rs
+++ b/tests/hollow.rs
@@ -1,7 +1,9 @@
 use spindledock::hollow::fit::fit;
 use spindledock::hollow::heap;
+use spindledock::hollow::judge::{Judge, OVERLOOKED};
 use spindledock::hollow::{Hollow, Size, run};
-use spindledock::kernel::time::Span;
+use spindledock::kernel::ids::NodeId;
+use spindledock::kernel::time::{Span, Time};
 
 #[global_allocator]
 static HEAP: heap::Counting = heap::Counting;
@@ -42,6 +44,7 @@
     assert!(!all.contains("never"), "{all}");
     assert!(!all.contains("not within"), "{all}");
     assert_eq!(w.judge.losses.len(), 0, "every loss was known everywhere\n{all}");
+    assert_eq!(w.judge.arrivals.len(), 0, "every arrival is known everywhere and serves\n{all}");
     for role in ["head", "tail", "holder", "router"] {
         assert!(all.contains(&format!("\n  {role} ")), "{role} has a row\n{all}");
     }
@@ -77,6 +80,30 @@
     assert!(w.judge.known[0] >= Span::ms(500));
 }
 
+#[test]
+fn given_a_controller_that_is_back_at_once_under_its_id_when_it_is_judged_then_its_arrival_counts() {
+    let mut w = told(Size { losses: 0, replaced: 0, zone_s: 0, cut_s: 0, ..few() }).0;
+    let id = w.nodes[1].node.as_ref().map(|n| n.me.node);
+    w.lose(1);
+    w.run_for(Span::ms(100));
+    w.bring(1);
+    assert_eq!(w.nodes[1].node.as_ref().map(|n| n.me.node), id, "its disk keeps its id");
+    assert_eq!((w.judge.losses.len(), w.judge.arrivals.len()), (0, 1));
+    assert_eq!(w.judge.returned, vec![Span::ms(100)]);
+    w.run_for(Span::ms(10_000));
+    assert_eq!((w.judge.arrivals.len(), w.judge.seen.len(), w.judge.served.len()), (0, 1, 1));
+}
+
+#[test]
+fn given_an_absence_that_all_should_have_noticed_when_its_node_is_back_then_the_loss_stays_open() {
+    let (gone, other, since) = (NodeId(7), NodeId(8), Time(1_000_000));
+    let mut judge = Judge { losses: vec![(gone, since), (other, since)], ..Judge::default() };
+    judge.returned(gone, since + OVERLOOKED);
+    assert_eq!((judge.losses.len(), judge.returned.len()), (2, 0));
+    judge.returned(gone, since + Span(OVERLOOKED.0 - 1));
+    assert_eq!(judge.losses, vec![(other, since)], "only the one that is back is excused");
+}
+
 #[test]
 fn given_a_run_without_time_left_when_it_goes_on_then_it_says_so_and_ends() {
     let (w, rows) = told(Size { wall_s: 0, ..few() });
