placement: a runner whose loads fail despite its told room gets none for a growing time

Excluded: the plan stages (none chose the liar) and the gate's estimate, which was right.

The holder now keeps failures per runner: a load refused again and again while the runner's report shows nothing under way, or taken and never reported. It sends no load there for 2 s, doubled with each further failure up to 2 min, and from then on counts at least the weights of what the runner says it holds. Failures are forgotten after 10 min. A restart of the runner is no failure.

--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -58,6 +58,7 @@
             }
         }
         rows.extend(self.jobs.keys().cloned());
+        rows.extend(self.distrust.paused(now).cloned());
         rows.extend(self.claims.iter().filter(|c| now.since(*c.1) < CLAIM).map(|c| c.0.clone()));
         rows
     }
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -1,3 +1,4 @@
+use super::distrust::Distrust;
 use super::flights::Flights;
 use super::job::Job;
 use super::look::Looks;
@@ -28,6 +29,8 @@
     pub reports: BTreeMap<Name, (Time, Report)>,
     pub tells: BTreeMap<NodeId, (Time, RouterTell)>,
     pub flights: Flights,
+    /// Runners whose loads failed although they told of room.
+    pub distrust: Distrust,
     pub term: Term,
     pub may_from: Time,
     pub kept: BTreeMap<Name, BTreeSet<Name>>,
@@ -67,6 +70,7 @@
             reports: BTreeMap::new(),
             tells: BTreeMap::new(),
             flights: Flights::default(),
+            distrust: Distrust::default(),
             term: Term(0),
             may_from: Time(u64::MAX),
             kept: BTreeMap::new(),
@@ -143,7 +147,11 @@
         if r.leaving {
             ctx.publish(JournalEvent::RunnerMarked(instance.clone()));
         }
-        self.flights.told(ctx.now, r);
+        let vanished = self.flights.told(ctx.now, r);
+        let restarted = self.reports.get(instance).is_some_and(|old| old.1.orders > r.orders);
+        if vanished && !restarted {
+            self.load_failed(instance, "its load never appeared", ctx);
+        }
         let old = self.reports.insert(instance.clone(), (ctx.now, r.clone()));
         let new = |n: &&Name| old.as_ref().is_some_and(|o| !o.1.has(n));
         for n in r.holds.iter().filter(new) {
@@ -181,6 +189,7 @@
                 self.name_holder(ctx);
                 self.look(ctx);
                 self.flights.arrive(ctx.now);
+                self.distrust.forget(ctx.now);
                 self.quick(ctx);
                 if self.may_order(ctx.now) {
                     self.work(ctx);
--- a/src/placement/flights.rs
+++ b/src/placement/flights.rs
@@ -114,7 +114,9 @@
         }
     }
 
-    pub fn told(&mut self, now: Time, report: &Report) {
+    /// Takes in a report; whether a load that the runner had taken is neither held nor under way.
+    pub fn told(&mut self, now: Time, report: &Report) -> bool {
+        let mut vanished = false;
         self.rows.retain(|_, f| {
             if f.runner != report.instance {
                 return true;
@@ -124,8 +126,10 @@
             let done = if f.load { held } else { !held };
             let dead = f.load && !held && !busy && now.since(f.since) > UNSURE && f.answered;
             let lost = !f.answered && !busy && now.since(f.since) > Span(UNSURE.0 * 3);
+            vanished |= dead;
             !(done || dead || lost)
         });
+        vanished
     }
 
     /// Adapters come in a known time; the rest waits for a report.
--- a/src/placement/job.rs
+++ b/src/placement/job.rs
@@ -2,6 +2,7 @@
 use super::decision::decision;
 use super::duty::Placement;
 use super::flights::is_adapter;
+use super::look::NO_ROOM;
 use crate::fleet::plan::*;
 use crate::fleet::slice::DutySlice;
 use crate::kernel::component::Context;
@@ -149,12 +150,20 @@
                     return;
                 }
             }
-            409 if !job.behind && job.gap >= TIRED => {
+            NO_ROOM if !job.behind && load && self.distrust.is_paused(&runner, ctx.now) => {
+                ctx.log_event("plan-stopped", format!("{} at {runner}: refused again", job.id));
+                self.push.closing.remove(&runner);
+                return;
+            }
+            NO_ROOM if !job.behind && job.gap >= TIRED => {
+                if load {
+                    self.load_failed(&runner, "it refused a load again and again", ctx);
+                }
                 ctx.log_event("plan-stopped", format!("{} at {runner}: refused again and again", job.id));
                 self.push.closing.remove(&runner);
                 return;
             }
-            409 | 499 => {
+            NO_ROOM | 499 => {
                 self.flights.refused.remove(&(runner.clone(), name));
                 job.next = ctx.now + job.gap;
                 job.gap = Span((job.gap.0 * 2).min(Span::ms(160).0));
@@ -173,6 +182,11 @@
         self.jobs.insert(runner, job);
     }
 
+    /// Whether an order belongs to a decision under way.
+    pub fn is_job(&self, order: OrderId) -> bool {
+        self.jobs.values().any(|job| job.order == Some(order))
+    }
+
     fn job_of(&mut self, order: OrderId) -> Option<(Name, Job)> {
         let runner = self.jobs.iter().find(|j| j.1.order == Some(order))?.0.clone();
         self.jobs.remove_entry(&runner)
--- a/src/placement/look.rs
+++ b/src/placement/look.rs
@@ -12,6 +12,8 @@
 const AGAIN: Span = Span::ms(80);
 const LOST: Span = Span::ms(1000);
 const STALE: Span = Span::ms(1500);
+/// A runner's refusal of an order for want of room, or because another is under way.
+pub const NO_ROOM: u16 = 409;
 
 #[derive(Clone, Copy, Default)]
 pub struct Look {
@@ -45,7 +47,15 @@
         }
     }
 
+    /// Takes in a runner's answer to an order.
     pub fn ordered(&mut self, order: OrderId, status: u16, ctx: &mut Context) {
+        let refused = self.flights.rows.get(&order).filter(|f| f.load && !f.behind && status == NO_ROOM);
+        let refused = refused.map(|f| f.runner.clone());
+        if let Some(runner) = refused
+            && (!self.is_job(order) || self.distrust.is_doubted(&runner))
+        {
+            self.load_failed(&runner, "it refused a load", ctx);
+        }
         self.flights.answered(ctx.now, order, status);
         if let Some(f) = self.flights.rows.get(&order) {
             let (runner, end) = (f.runner.clone(), f.end);
@@ -56,6 +66,18 @@
         self.push(ctx);
     }
 
+    /// A runner's told room has turned out wrong, unless its report shows that it was at work on something.
+    pub fn load_failed(&mut self, runner: &Name, why: &str, ctx: &mut Context) {
+        let working = |r: &Report| r.busy || !r.loading.is_empty();
+        if self.reports.get(runner).is_some_and(|r| working(&r.1)) {
+            return;
+        }
+        if !self.distrust.is_paused(runner, ctx.now) {
+            ctx.log_event("runner-distrusted", format!("{runner}: {why}"));
+        }
+        self.distrust.failed(runner, ctx.now);
+    }
+
     /// A router misses what is known as held: both may be wrong.
     pub fn check_held(&mut self, from: NodeId, rows: &[Want], ctx: &mut Context) {
         let known = |w: &&Want| self.reports.values().any(|r| r.1.has(&w.name));
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,6 +1,7 @@
 pub mod choose;
 pub mod decision;
 pub mod demand;
+pub mod distrust;
 pub mod drive;
 pub mod duty;
 pub mod fill;
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -1,3 +1,4 @@
+use super::distrust::weight_of_all;
 use super::duty::{ORDER_FRESH, Placement};
 use super::flights::{Flight, Offer, is_adapter};
 use super::room::fits;
@@ -31,6 +32,9 @@
         }
         let report = self.reports.get(runner).map(|r| self.known(s, &r.1))?;
         let offer = Offer { runner: r, report };
+        if load && self.distrust.is_paused(runner, ctx.now) {
+            return None;
+        }
         if load && !fits(&s.config, &offer, &self.flights, name) {
             return None;
         }
@@ -77,13 +81,12 @@
 
     /// A report with what it leaves out taken from the configuration and from the routers.
     pub fn known(&self, s: &DutySlice, r: &Report) -> Report {
-        let mut r = r.clone();
+        let mut r = self.distrust.corrected(&s.config, r.clone());
         let service = s.runners.iter().find(|x| x.instance == r.instance).map(|x| &x.service);
         let Some(service) = service.and_then(|n| s.config.service(n)) else { return r };
         if r.room_mb == 0 {
             r.room_mb = service.room_mb;
-            let all = r.holds.iter().chain(&r.loading);
-            r.used_mb = r.used_mb.max(all.filter_map(|n| s.config.weight(n)).sum());
+            r.used_mb = r.used_mb.max(weight_of_all(&s.config, &r));
         }
         if r.adapter_room == 0 {
             r.adapter_room = service.places;
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -39,6 +39,7 @@
 refused-in-force|src/fleet/fold.rs|return self.end\(id, "rehearsal-failed"|self.config = t.config; self.config_at = self.at; self.touch(Scope::Routes); return self.end(id, "rehearsal-failed"|rehearse live_orders
 restart-credit|src/gate/budget.rs|credit: 0.0|credit: 10.0|tries restarts
 saved-credit|src/gate/budget.rs|self.share.max\(LEAST as f64\)|500.0|tries quiet_time
+distrust|src/placement/look.rs|self.distrust.failed\(runner, ctx.now\);||liar serve_on
 held-credit|src/gate/budget.rs| - self.held;|;|tries quiet_time
 R
 }
