--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,10 +1,20 @@
+//! Frames between nodes and on disk: length, checksums, body; and the encoding of an envelope.
+
 use crate::kernel::fault::{Fault, Kind};
 use crate::msg::Envelope;
+use std::cell::RefCell;
 
 pub const NET_MAX: usize = 32 << 20;
 pub const DISK_MAX: usize = 64 << 20;
 pub const HEAD: usize = 12;
 const EDITION: u8 = 1;
+/// A coder that took more than this is not kept for the next envelope.
+const CODER_MAX: usize = 64 << 10;
+
+thread_local! {
+    /// The state of a coder for all kinds of messages takes longer to build than most envelopes to encode.
+    static CODER: RefCell<bitcode::Buffer> = RefCell::default();
+}
 
 pub fn seal(body: &[u8]) -> Vec<u8> {
     let mut raw = Vec::with_capacity(HEAD + body.len());
@@ -60,17 +70,30 @@
     Ok((body(head, part)?, HEAD + len))
 }
 
+/// The frame of an envelope.
 pub fn pack(letter: &Envelope) -> Vec<u8> {
-    let mut body = vec![EDITION];
-    body.extend(bitcode::encode(letter));
-    seal(&body)
+    CODER.with_borrow_mut(|coder| {
+        let raw = coder.encode(letter);
+        let mut body = Vec::with_capacity(1 + raw.len());
+        body.push(EDITION);
+        body.extend(raw);
+        if raw.len() > CODER_MAX {
+            *coder = bitcode::Buffer::default();
+        }
+        seal(&body)
+    })
 }
 
+/// The envelope in the body of a frame.
 pub fn unpack(body: &[u8]) -> Result<Envelope, Fault> {
     let bad = |what: &str| Fault::new(Kind::Wire, "letter", what, "run one release on all nodes");
     let Some((edition, rest)) = body.split_first() else { return Err(bad("it is empty")) };
     if *edition != EDITION {
         return Err(bad("its edition is not ours"));
     }
-    bitcode::decode(rest).map_err(|_| bad("it does not decode"))
+    let decoded = match rest.len() {
+        0..=CODER_MAX => CODER.with_borrow_mut(|coder| coder.decode(rest)),
+        _ => bitcode::decode(rest),
+    };
+    decoded.map_err(|_| bad("it does not decode"))
 }
