daemon: a node ticks at most each 20 ms, not once for every message that wakes it

The driver ran all timed work after each batch of inputs. A controller of a fleet with 89 routers is woken some 500 times a second, and the holder of the placement duty looked for loads each time. At rest the periods stay as they were (20 ms, routers 50 ms); after a message the next tick comes within 20 ms.

--- a/src/daemon/driver.rs
+++ b/src/daemon/driver.rs
@@ -1,10 +1,11 @@
 use super::keep::{letter, show, status};
 use super::links::Links;
+use super::ticks::Ticks;
 use super::writer::Writer;
 use crate::kernel::hold::Hold;
 use crate::kernel::ids::*;
 use crate::kernel::node::Node;
-use crate::kernel::time::Clock;
+use crate::kernel::time::{Clock, Span};
 use crate::msg::*;
 use crate::wire;
 use std::collections::{BTreeMap, VecDeque};
@@ -14,8 +15,8 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-const TICK: Duration = Duration::from_millis(20);
-const ROUTER_TICK: Duration = Duration::from_millis(50);
+const TICK: Span = Span::ms(20);
+const ROUTER_TICK: Span = Span::ms(50);
 const BATCH: usize = 256;
 
 pub enum Input {
@@ -100,6 +101,7 @@
 
     pub fn run(self, rx: Receiver<Input>) {
         let mut run: Option<Run> = None;
+        let mut ticks = Ticks::new(if self.disk.is_some() { TICK } else { ROUTER_TICK });
         loop {
             let Some(r) = &mut run else {
                 match self.fresh() {
@@ -123,8 +125,8 @@
                 }
                 continue;
             };
-            let tick = if self.disk.is_some() { TICK } else { ROUTER_TICK };
-            let first = if r.own.is_empty() { rx.recv_timeout(tick) } else { Err(RecvTimeoutError::Timeout) };
+            let wait = ticks.wait(self.clock.now());
+            let first = if r.own.is_empty() { rx.recv_timeout(wait) } else { Err(RecvTimeoutError::Timeout) };
             let mut inputs = Vec::new();
             match first {
                 Ok(input) => inputs.push(input),
@@ -141,6 +143,7 @@
                 r.node.room = disk.room();
                 r.node.slow = r.hold.slow(now);
             }
+            let events = inputs.len() + r.own.len();
             let mut done = Vec::new();
             let mut out = Vec::new();
             for ev in std::mem::take(&mut r.own) {
@@ -168,7 +171,10 @@
                     Input::Status(tx) => drop(tx.send(status(&r.node, now).to_string())),
                 }
             }
-            out.extend(r.node.feed(self.clock.now(), Event::Tick));
+            let now = self.clock.now();
+            if ticks.is_due(now, events) {
+                out.extend(r.node.feed(now, Event::Tick));
+            }
             if !self.act_all(r, done) || !self.carry(r, out) {
                 run = None;
             }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -11,4 +11,5 @@
 pub mod run;
 pub mod serve;
 pub mod status;
+pub mod ticks;
 pub mod writer;
