fleet: models and adapters are looked up by an order of their names, not by a search

Placement looks names up for each held name of each runner and each wanted one; at 291 adapters a miss cost 291 comparisons of text, and most look-ups of adapters are misses. The lists keep an order by name that is built at the first look-up and dropped by any change of the list; the encoding stays that of a plain list, and the first of two rows of one name is still found.

--- a/src/distribution/delta.rs
+++ b/src/distribution/delta.rs
@@ -145,8 +145,8 @@
             }
             (Delta::Duty(d), Slice::Duty(old)) => {
                 let mut s = d.bare.clone();
-                s.config.models = join(&old.config.models, &d.models)?;
-                s.config.adapters = join(&old.config.adapters, &d.adapters)?;
+                s.config.models = join(&old.config.models, &d.models)?.into();
+                s.config.adapters = join(&old.config.adapters, &d.adapters)?.into();
                 s.config.services = join(&old.config.services, &d.services)?;
                 s.runners = join(&old.runners, &d.runners)?;
                 s.moves = join(&old.moves, &d.moves)?;
--- a/src/fleet/config.rs
+++ b/src/fleet/config.rs
@@ -1,3 +1,4 @@
+use super::named::{Named, NamedList};
 use crate::kernel::ids::Name;
 use bitcode::{Decode, Encode};
 
@@ -11,8 +12,8 @@
     pub moving: Moving,
     pub rollout: Rollout,
     pub placement: Placing,
-    pub models: Vec<Model>,
-    pub adapters: Vec<Adapter>,
+    pub models: NamedList<Model>,
+    pub adapters: NamedList<Adapter>,
     pub services: Vec<Service>,
 }
 
@@ -166,11 +167,11 @@
     }
 
     pub fn model(&self, name: &Name) -> Option<&Model> {
-        self.models.iter().find(|m| m.name == *name)
+        self.models.named(name)
     }
 
     pub fn adapter(&self, name: &Name) -> Option<&Adapter> {
-        self.adapters.iter().find(|a| a.name == *name)
+        self.adapters.named(name)
     }
 
     pub fn weight(&self, name: &Name) -> Option<u64> {
@@ -184,6 +185,18 @@
     }
 }
 
+impl Named for Model {
+    fn name(&self) -> &Name {
+        &self.name
+    }
+}
+
+impl Named for Adapter {
+    fn name(&self) -> &Name {
+        &self.name
+    }
+}
+
 impl From<&str> for RouteKind {
     fn from(t: &str) -> RouteKind {
         match t {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 pub mod fold;
 pub mod fold_plan;
 pub mod holdings;
+pub mod named;
 pub mod plan;
 pub mod read;
 pub mod routes;
--- /dev/null
+++ b/src/fleet/named.rs
@@ -0,0 +1,93 @@
+//! A list of named rows that is searched by name.
+//!
+//! Configurations hold tens of thousands of models and adapters, and placement looks them up by name all
+//! the time. The order by name is built at the first look-up and dropped by any change of the list.
+#![deny(missing_docs)]
+
+use crate::kernel::ids::Name;
+use bitcode::{Decode, Encode};
+use std::fmt;
+use std::ops::{Deref, DerefMut};
+use std::sync::{Arc, OnceLock};
+
+/// A row that has a name.
+pub trait Named {
+    /// The name, unique in its list.
+    fn name(&self) -> &Name;
+}
+
+/// A `Vec` of named rows with an order by name beside it.
+#[derive(Clone, Encode, Decode)]
+pub struct NamedList<T> {
+    rows: Vec<T>,
+    #[bitcode(skip)]
+    by_name: ByName,
+}
+
+/// The places of the rows, sorted by name; equal names by place.
+#[derive(Clone, Default)]
+struct ByName(OnceLock<Arc<[u32]>>);
+
+impl<T: Named> NamedList<T> {
+    /// The first row of that name.
+    pub fn named(&self, name: &Name) -> Option<&T> {
+        let order = self.by_name.0.get_or_init(|| self.order());
+        let at = order.partition_point(|place| self.rows[*place as usize].name() < name);
+        let row = &self.rows[*order.get(at)? as usize];
+        (row.name() == name).then_some(row)
+    }
+
+    fn order(&self) -> Arc<[u32]> {
+        let mut places: Vec<u32> = (0..self.rows.len() as u32).collect();
+        places.sort_by(|a, b| self.rows[*a as usize].name().cmp(self.rows[*b as usize].name()));
+        places.into()
+    }
+}
+
+impl<T> Default for NamedList<T> {
+    fn default() -> NamedList<T> {
+        Vec::new().into()
+    }
+}
+
+impl<T> From<Vec<T>> for NamedList<T> {
+    fn from(rows: Vec<T>) -> NamedList<T> {
+        NamedList { rows, by_name: ByName::default() }
+    }
+}
+
+impl<T> Deref for NamedList<T> {
+    type Target = Vec<T>;
+
+    fn deref(&self) -> &Vec<T> {
+        &self.rows
+    }
+}
+
+impl<T> DerefMut for NamedList<T> {
+    fn deref_mut(&mut self) -> &mut Vec<T> {
+        self.by_name = ByName::default();
+        &mut self.rows
+    }
+}
+
+impl<'a, T> IntoIterator for &'a NamedList<T> {
+    type Item = &'a T;
+    type IntoIter = std::slice::Iter<'a, T>;
+
+    fn into_iter(self) -> Self::IntoIter {
+        self.rows.iter()
+    }
+}
+
+impl<T: PartialEq> PartialEq for NamedList<T> {
+    fn eq(&self, other: &NamedList<T>) -> bool {
+        self.rows == other.rows
+    }
+}
+
+impl<T: fmt::Debug> fmt::Debug for NamedList<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.rows.fmt(f)
+    }
+}
