--- a/src/daemon/assemble.rs
+++ b/src/daemon/assemble.rs
@@ -57,7 +57,7 @@
     node.add(Box::new(Membership::default()));
     node.add(Box::new(Relay::default()));
     node.add(Box::new(Distribution::new(now)));
-    node.add(Box::new(crate::rollout::tell::Teller));
+    node.add(Box::<crate::rollout::tell::Teller>::default());
     node.add(Box::new(crate::placement::seeker::Seeker::default()));
     node
 }
--- a/src/daemon/poll.rs
+++ b/src/daemon/poll.rs
@@ -53,6 +53,6 @@
             tell.rehearsal = Some(row.clone());
             last = Some((at, row));
         }
-        hand.feed(crate::msg::Event::RouterState(Box::new(tell)));
+        hand.feed(crate::msg::Event::RouterState(std::sync::Arc::new(tell)));
     }
 }
--- a/src/hollow/world.rs
+++ b/src/hollow/world.rs
@@ -204,7 +204,7 @@
             }
             Event::Tell { place, life } => {
                 self.feed_made(place, "tell", &|w| {
-                    msg::Event::RouterState(Box::new(w.nodes[place].tell(w.now)))
+                    msg::Event::RouterState(std::sync::Arc::new(w.nodes[place].tell(w.now)))
                 });
                 self.later(TELL, Event::Tell { place, life });
             }
--- a/src/kernel/event.rs
+++ b/src/kernel/event.rs
@@ -40,7 +40,7 @@
     Ask { id: ChangeId, path: String },
     Report { instance: Name, report: Option<Report> },
     Ordered { order: OrderId, status: u16 },
-    RouterState(Box<RouterTell>),
+    RouterState(Arc<RouterTell>),
     Listed(Vec<Runner>),
     Wanted(Want),
     Warned,
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -12,6 +12,7 @@
 pub use crate::tell::*;
 use bitcode::{Decode, Encode};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub struct Envelope {
@@ -39,7 +40,7 @@
     Op { id: ChangeId, op: Op },
     OpEnd { id: ChangeId, answer: Answer },
     Ask { id: ChangeId, path: String },
-    Tell(Box<RouterTell>),
+    Tell(Arc<RouterTell>),
     Nudge,
     Want(Vec<Want>),
     Held(Box<HeldTell>),
--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -1,10 +1,8 @@
 use super::duty::Placement;
 use super::flights::{Flight, Flights, Offer};
-use super::nominate::{Estimate, Way, estimates};
 use super::picture::Picture;
-use super::planner::{small, whole};
+use super::planner::whole;
 use super::trial::rehearse;
-use crate::daemon::assemble::Policy;
 use crate::fleet::plan::*;
 use crate::fleet::slice::DutySlice;
 use crate::fleet::state::Change;
@@ -17,28 +15,30 @@
 const LEAVE: Span = Span::ms(3000);
 const FRESH_TELL: Span = Span::ms(1200);
 const IDLE_MOST: usize = 4;
+/// How long nothing is laid out anew after a plan came out empty.
+const FILL_AGAIN: Span = Span::ms(500);
 
 impl Placement {
-    fn credit(&self, service: &Name, ctx: &Context) -> u64 {
+    pub(super) fn credit(&self, service: &Name, ctx: &Context) -> u64 {
         let live = self.tells.values().filter(|t| ctx.now.since(t.0) < FRESH_TELL);
         live.flat_map(|t| &t.1.tries).filter(|r| r.0 == *service).map(|r| r.3).sum()
     }
 
     fn demand(&self, ctx: &Context) -> Vec<(Name, Name, u64)> {
-        let mut sum: BTreeMap<(Name, Name), u64> = BTreeMap::new();
+        let mut sum: BTreeMap<(&Name, &Name), u64> = BTreeMap::new();
         for (at, tell) in self.tells.values() {
             if ctx.now.since(*at) < FRESH_TELL {
                 for (service, model, n) in &tell.demand {
-                    *sum.entry((service.clone(), model.clone())).or_default() += n;
+                    *sum.entry((service, model)).or_default() += n;
                 }
             }
         }
-        let mut rows: Vec<_> = sum.into_iter().map(|((s, m), n)| (s, m, n)).collect();
+        let mut rows: Vec<_> = sum.into_iter().map(|((s, m), n)| (s.clone(), m.clone(), n)).collect();
         rows.sort_by_key(|r| std::cmp::Reverse(r.2));
         rows
     }
 
-    fn claimed(&self, name: &Name, now: Time) -> bool {
+    pub(super) fn claimed(&self, name: &Name, now: Time) -> bool {
         self.claims.get(name).is_some_and(|t| now.since(*t) < CLAIM)
     }
 
@@ -105,64 +105,17 @@
             let why = format!("{} is leaving; it is planned empty", o.runner.instance);
             self.offer_whole(&why, IDLE_MOST, s, &demand, ctx);
         }
-        for (service, want, _) in &demand {
-            self.meet(service, want, &hot, s, &demand, ctx);
-        }
+        self.meet_demand(&offers, &hot, s, &demand, ctx);
         let quiet = demand.is_empty()
             && self.jobs.is_empty()
             && self.unseen.is_empty()
             && self.flights.rows.is_empty()
             && !s.plans.iter().any(|p| p.live());
-        if quiet && self.claims.is_empty() {
+        if quiet && self.claims.is_empty() && ctx.now.since(self.nothing_to_fill) >= FILL_AGAIN {
             self.offer_whole("room is free and nothing is waited for", IDLE_MOST, s, &demand, ctx);
         }
     }
 
-    fn meet(
-        &mut self,
-        service: &Name,
-        want: &Name,
-        hot: &[Name],
-        s: &DutySlice,
-        demand: &[(Name, Name, u64)],
-        ctx: &mut Context,
-    ) {
-        let offers: Vec<_> =
-            self.offers(ctx.now).into_iter().filter(|o| o.runner.service == *service).collect();
-        let free = |o: &Offer| o.report.running + o.report.waiting < o.report.slots;
-        let held = offers.iter().any(|o| o.report.has(want) && !o.runner.leaving && free(o));
-        let plain = s.config.weight(want).is_none();
-        if held || plain || self.coming(want, s) || self.claimed(want, ctx.now) {
-            return;
-        }
-        if self.choose(&offers, service, want, s, ctx.now).is_some() {
-            return;
-        }
-        let wanted = |n: &Name| hot.contains(n);
-        let busy = self.busy(s, ctx.now);
-        let counted = self.counted(s, ctx.now);
-        let rows = estimates(&s.config, &offers, &counted, want, ctx.now, &wanted, &|n| busy.contains(n));
-        let credit = self.credit(service, ctx);
-        let waited = self.wanted.get(want).map_or(0, |t| ctx.now.since(*t).as_ms());
-        let runs = |from: &Name, model: &Name| {
-            offers.iter().find(|o| o.runner.instance == *from).map_or(0, |o| o.report.runs_of(model))
-        };
-        let able = |e: &&Estimate| match &e.way {
-            Way::Move { from, model, .. } => {
-                self.policy == Policy::Move && credit >= 2 * runs(from, model) && waited >= e.ms
-            }
-            _ => false,
-        };
-        let Some(best) = rows.iter().find(able).cloned() else {
-            return self.preempt(s, &offers, want, hot, ctx);
-        };
-        let id = PlanId(ctx.rand.next() | 1);
-        let p = self.picture(s, demand, &counted, ctx);
-        let plan = small(&p, id, want, &best.way, service, best.ms);
-        let tried = rehearse(&p, &plan);
-        self.submit(plan, tried, s, ctx, Some(want));
-    }
-
     pub fn picture<'a>(
         &self,
         s: &'a DutySlice,
@@ -200,6 +153,7 @@
         let p = self.picture(s, demand, &counted, ctx);
         let plan = whole(&p, id, why, most);
         if plan.stages.is_empty() {
+            self.nothing_to_fill = ctx.now;
             return;
         }
         let tried = rehearse(&p, &plan);
@@ -220,7 +174,7 @@
         self.tell_head(Change::Plan { term: self.term, plan, asked: Some(id) }, ctx);
     }
 
-    fn submit(
+    pub(super) fn submit(
         &mut self,
         mut plan: PlacementPlan,
         tried: super::trial::Rehearsed,
--- a/src/placement/drive.rs
+++ b/src/placement/drive.rs
@@ -1,6 +1,4 @@
 use super::duty::{Placement, REPORT};
-use super::flights::Offer;
-use super::room::fits;
 use crate::fleet::config::Allowance;
 use crate::fleet::plan::*;
 use crate::fleet::runner::Report;
@@ -72,9 +70,7 @@
                 if r.has(name) {
                     return At::Done;
                 }
-                let there =
-                    |o: &Offer| o.runner.instance == *runner && fits(&s.config, o, &self.flights, name);
-                if self.offers(ctx.now).iter().any(there) && self.order(runner, name, true, ctx) {
+                if self.fits_at(runner, name, s, ctx.now) && self.order(runner, name, true, ctx) {
                     self.tried(p);
                 }
                 At::Open
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -3,11 +3,11 @@
 use super::job::Job;
 use super::look::Looks;
 use super::push::Push;
-use super::quick::Wanted;
+use super::quick::{Wanted, Work};
+use super::uses::Usage;
 use crate::daemon::assemble::Policy;
 use crate::distribution::Reader;
 use crate::distribution::reader::Topic;
-use crate::fleet::holdings::Want;
 use crate::fleet::plan::{PlacementPlan, Step};
 use crate::fleet::runner::Report;
 use crate::fleet::slice::{DutySlice, Slice};
@@ -17,6 +17,7 @@
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 pub const ORDER_FRESH: Span = Span::ms(1000);
 pub const QUIET: Span = Span::ms(4000);
@@ -24,10 +25,14 @@
 
 pub struct Placement {
     pub reader: Reader,
-    pub slice: Option<DutySlice>,
+    pub slice: Option<Arc<DutySlice>>,
     pub proven: Time,
     pub reports: BTreeMap<Name, (Time, Report)>,
-    pub tells: BTreeMap<NodeId, (Time, RouterTell)>,
+    pub tells: BTreeMap<NodeId, (Time, Arc<RouterTell>)>,
+    /// The sums over `tells`.
+    pub usage: Arc<Usage>,
+    /// How much was done to find decisions.
+    pub work: Work,
     pub flights: Flights,
     /// Runners whose loads failed although they told of room.
     pub distrust: Distrust,
@@ -50,6 +55,8 @@
     pub claims: BTreeMap<Name, Time>,
     pub unseen: BTreeMap<PlanId, (Time, Vec<Step>)>,
     pub cleared: Time,
+    /// When a plan for all free room last came out empty.
+    pub nothing_to_fill: Time,
     pub refused_at: Time,
     pub asked_plan: Option<(ChangeId, Time)>,
     pub checked: Time,
@@ -69,6 +76,8 @@
             proven: Time(0),
             reports: BTreeMap::new(),
             tells: BTreeMap::new(),
+            usage: Arc::default(),
+            work: Work::default(),
             flights: Flights::default(),
             distrust: Distrust::default(),
             term: Term(0),
@@ -90,6 +99,7 @@
             claims: BTreeMap::new(),
             unseen: BTreeMap::new(),
             cleared: Time(0),
+            nothing_to_fill: Time(0),
             refused_at: Time(0),
             asked_plan: None,
             checked: Time(0),
@@ -129,7 +139,7 @@
         let listed = |n: &Name| slice.runners.iter().any(|r| r.instance == *n);
         self.reports.retain(|n, _| listed(n));
         self.kept.retain(|n, _| listed(n));
-        self.slice = Some(slice);
+        self.slice = Some(Arc::new(slice));
     }
 
     fn afresh(&mut self) {
@@ -160,20 +170,6 @@
         self.settled.retain(|_, t| ctx.now.since(*t) < super::choose::SETTLED);
         self.kept.entry(instance.clone()).or_default().extend(r.holds.iter().cloned());
     }
-
-    fn told(&mut self, from: NodeId, tell: &RouterTell, now: Time) {
-        for u in &tell.uses {
-            let last = self.used.entry(u.name.clone()).or_default();
-            *last = (*last).max(now - u.idle);
-        }
-        for (service, name, count) in &tell.demand {
-            let class = crate::fleet::config::Class::Bulk;
-            let want = Want { service: service.clone(), name: name.clone(), class, count: *count };
-            self.wanted(from, &want, now);
-        }
-        self.tells.insert(from, (now, tell.clone()));
-        self.tells.retain(|_, row| now.since(row.0) < Span::ms(5000));
-    }
 }
 
 impl Component for Placement {
@@ -188,6 +184,7 @@
                 self.ask(ctx);
                 self.name_holder(ctx);
                 self.look(ctx);
+                self.refresh_usage(ctx.now);
                 self.flights.arrive(ctx.now);
                 self.distrust.forget(ctx.now);
                 self.quick(ctx);
@@ -210,7 +207,7 @@
                     self.proven = self.proven.max(l.proven);
                 }
             }
-            Event::Mail { from, msg: Msg::Tell(tell), .. } => {
+            Event::Mail { from, msg: Msg::Tell(tell), .. } if self.term > Term(0) => {
                 self.told(*from, tell, ctx.now);
             }
             Event::Mail { from, msg: Msg::Want(rows), .. } if self.term > Term(0) => {
@@ -224,6 +221,7 @@
             Event::Mail { from, msg: Msg::HeldAsk, .. } => self.push_whole(*from, ctx),
             Event::Report { instance, report } if self.term > Term(0) => {
                 if let Some(r) = report {
+                    self.work.stirred |= self.reports.get(instance).is_none_or(|old| old.1 != *r);
                     self.reported(instance, r, ctx);
                 }
                 self.looked(instance, report.as_ref(), ctx);
@@ -240,6 +238,8 @@
         vec![
             ("term", self.term.to_string()),
             ("may_order", self.may_order(now).to_string()),
+            ("rounds", self.work.rounds.to_string()),
+            ("weighed", self.work.weighed.get().to_string()),
             ("in_flight", self.flights.rows.len().to_string()),
             ("store_left", format!("{:.1}", self.flights.pacer.clone().left(&Default::default()))),
         ]
--- a/src/placement/fill.rs
+++ b/src/placement/fill.rs
@@ -1,5 +1,6 @@
 use super::duty::{Placement, REPORT};
 use super::flights::{Offer, is_adapter};
+use super::room::fits;
 use crate::daemon::assemble::Policy;
 use crate::fleet::config::Sort;
 use crate::fleet::runner::Runner;
@@ -11,12 +12,22 @@
 use crate::msg::*;
 
 impl Placement {
-    pub fn preempt(&mut self, s: &DutySlice, offers: &[Offer], want: &Name, hot: &[Name], ctx: &mut Context) {
+    /// Unloads what runs least, where the policy is to end runs for what is wanted.
+    pub fn preempt(
+        &mut self,
+        s: &DutySlice,
+        offers: &[Offer],
+        service: &Name,
+        want: &Name,
+        hot: &[Name],
+        ctx: &mut Context,
+    ) {
         if self.policy != Policy::Preempt || is_adapter(&s.config, want) {
             return;
         }
         let busy = |o: &&Offer| o.report.holds.iter().any(|n| !hot.contains(n) && !is_adapter(&s.config, n));
-        let Some(o) = offers.iter().filter(busy).min_by_key(|o| o.report.running) else { return };
+        let mine = offers.iter().filter(|o| o.runner.service == *service);
+        let Some(o) = mine.filter(busy).min_by_key(|o| o.report.running) else { return };
         let names = o.report.holds.iter().filter(|n| !hot.contains(n) && !is_adapter(&s.config, n));
         let least = names.min_by_key(|n| o.report.runs_of(n)).cloned();
         if let Some(name) = least {
@@ -60,13 +71,22 @@
         s.runners.iter().filter(|r| !(self.bare_plain && plain(r))).cloned().collect()
     }
 
+    /// The runners whose reports are fresh.
     pub fn offers(&self, now: Time) -> Vec<Offer> {
         let Some(s) = &self.slice else { return vec![] };
-        let rows = s.runners.iter().filter_map(|r| {
-            let (at, report) = self.reports.get(&r.instance)?;
-            let fresh = now.since(*at) < REPORT && report.instance == r.instance;
-            fresh.then(|| Offer { runner: r.clone(), report: self.known(s, report) })
-        });
-        rows.collect()
+        s.runners.iter().filter_map(|r| self.offer(r, s, now)).collect()
+    }
+
+    fn offer(&self, runner: &Runner, s: &DutySlice, now: Time) -> Option<Offer> {
+        let (at, report) = self.reports.get(&runner.instance)?;
+        let fresh = now.since(*at) < REPORT && report.instance == runner.instance;
+        fresh.then(|| Offer { runner: runner.clone(), report: self.known(s, report) })
+    }
+
+    /// Whether a load of `name` fits at a runner by its fresh report.
+    pub fn fits_at(&self, runner: &Name, name: &Name, s: &DutySlice, now: Time) -> bool {
+        let row = s.runners.iter().find(|r| r.instance == *runner);
+        let offer = row.and_then(|r| self.offer(r, s, now));
+        offer.is_some_and(|o| fits(&s.config, &o, &self.flights, name))
     }
 }
--- a/src/placement/flights.rs
+++ b/src/placement/flights.rs
@@ -149,6 +149,8 @@
     c.adapter(name).is_some()
 }
 
+/// A runner with what is known of it.
+#[derive(Clone)]
 pub struct Offer {
     pub runner: Runner,
     pub report: Report,
--- a/src/placement/job.rs
+++ b/src/placement/job.rs
@@ -63,8 +63,11 @@
             next: ctx.now,
             gap: AGAIN,
         };
+        let closes = job.steps.len() > 1;
         self.jobs.insert(choice.runner, job);
-        self.push(ctx);
+        if closes {
+            self.push_closing(ctx);
+        }
     }
 
     pub fn run_jobs(&mut self, s: &DutySlice, ctx: &mut Context) {
--- a/src/placement/look.rs
+++ b/src/placement/look.rs
@@ -56,6 +56,7 @@
         {
             self.load_failed(&runner, "it refused a load", ctx);
         }
+        self.work.stirred = true;
         self.flights.answered(ctx.now, order, status);
         if let Some(f) = self.flights.rows.get(&order) {
             let (runner, end) = (f.runner.clone(), f.end);
--- /dev/null
+++ b/src/placement/meet.rs
@@ -0,0 +1,97 @@
+//! Moves for what is wanted and fits nowhere.
+
+use super::board::Board;
+use super::duty::Placement;
+use super::flights::Offer;
+use super::nominate::{Estimate, Way, estimates};
+use super::planner::small;
+use super::trial::rehearse;
+use crate::daemon::assemble::Policy;
+use crate::fleet::slice::DutySlice;
+use crate::kernel::component::Context;
+use crate::kernel::ids::*;
+
+impl Placement {
+    /// Plans moves, or unloads by the policy, for what is wanted and no load could help.
+    pub fn meet_demand(
+        &mut self,
+        offers: &[Offer],
+        hot: &[Name],
+        s: &DutySlice,
+        demand: &[(Name, Name, u64)],
+        ctx: &mut Context,
+    ) {
+        let mut left = demand.iter();
+        loop {
+            let board = self.board(s, offers, ctx.now);
+            let unmet = left.find_map(|(service, want, _)| {
+                let way = self.meet(&board, service, want, hot, s, ctx)?;
+                Some((service, want, way))
+            });
+            let Some((service, want, way)) = unmet else { return };
+            match way {
+                Some(best) => self.submit_small(service, want, &best, s, demand, ctx),
+                None => self.preempt(s, offers, service, want, hot, ctx),
+            }
+        }
+    }
+
+    /// What is to be done for a wanted name that no load could help: a move, or `Some(None)` to preempt.
+    fn meet(
+        &self,
+        board: &Board,
+        service: &Name,
+        want: &Name,
+        hot: &[Name],
+        s: &DutySlice,
+        ctx: &Context,
+    ) -> Option<Option<Estimate>> {
+        let free = |o: &&Offer| o.report.running + o.report.waiting < o.report.slots;
+        let mine = || board.offers().iter().filter(|o| o.runner.service == *service);
+        let served = || mine().filter(free).any(|o| o.report.has(want) && !o.runner.leaving);
+        let plain = s.config.weight(want).is_none();
+        if plain || self.claimed(want, ctx.now) || board.is_held(want) && served() || self.coming(want, s) {
+            return None;
+        }
+        if board.choose(service, want).is_some() {
+            return None;
+        }
+        let waited = self.wanted.get(want).map_or(0, |t| ctx.now.since(*t).as_ms());
+        let may_move = self.policy == Policy::Move
+            && s.config.adapter(want).is_none()
+            && waited >= s.config.load_ms(want);
+        if !may_move {
+            return (self.policy == Policy::Preempt).then_some(None);
+        }
+        let offers: Vec<Offer> = mine().cloned().collect();
+        let wanted = |n: &Name| hot.contains(n);
+        let busy = |n: &Name| board.is_planned(n);
+        let rows = estimates(&s.config, &offers, board.flights(), want, ctx.now, &wanted, &busy);
+        let credit = self.credit(service, ctx);
+        let runs = |from: &Name, model: &Name| {
+            offers.iter().find(|o| o.runner.instance == *from).map_or(0, |o| o.report.runs_of(model))
+        };
+        let able = |e: &&Estimate| match &e.way {
+            Way::Move { from, model, .. } => credit >= 2 * runs(from, model) && waited >= e.ms,
+            _ => false,
+        };
+        rows.iter().find(able).cloned().map(Some)
+    }
+
+    fn submit_small(
+        &mut self,
+        service: &Name,
+        want: &Name,
+        best: &Estimate,
+        s: &DutySlice,
+        demand: &[(Name, Name, u64)],
+        ctx: &mut Context,
+    ) {
+        let id = PlanId(ctx.rand.next() | 1);
+        let counted = self.counted(s, ctx.now);
+        let p = self.picture(s, demand, &counted, ctx);
+        let plan = small(&p, id, want, &best.way, service, best.ms);
+        let tried = rehearse(&p, &plan);
+        self.submit(plan, tried, s, ctx, Some(want));
+    }
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,3 +1,4 @@
+pub mod board;
 pub mod choose;
 pub mod decision;
 pub mod demand;
@@ -9,6 +10,7 @@
 pub mod holder;
 pub mod job;
 pub mod look;
+pub mod meet;
 pub mod nominate;
 pub mod order;
 pub mod pacer;
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -95,7 +95,7 @@
             r.slots = service.slots;
         }
         if r.runs.is_empty() && r.running > 0 {
-            r.runs = self.runs_on(&r.instance);
+            r.runs = self.usage.running.get(&r.instance).cloned().unwrap_or_default();
         }
         r
     }
--- a/src/placement/planner.rs
+++ b/src/placement/planner.rs
@@ -7,8 +7,10 @@
 use crate::kernel::ids::*;
 use std::collections::BTreeMap;
 
-struct ChangeQueue {
+/// The room of one runner while a plan is laid out.
+struct Row {
     runner: Name,
+    service: Name,
     free: u64,
     slots: u64,
     held: Vec<Name>,
@@ -58,8 +60,7 @@
 }
 
 pub fn whole(p: &Picture, id: PlanId, why: &str, most: usize) -> PlacementPlan {
-    let mut desks: Vec<ChangeQueue> =
-        p.offers.iter().filter(|o| !o.runner.leaving).map(|o| desk(p, o)).collect();
+    let mut desks: Vec<Row> = p.offers.iter().filter(|o| !o.runner.leaving).map(|o| desk(p, o)).collect();
     let evacuate = leave(p, &mut desks, id);
     let mut unplaced = Vec::new();
     for s in &p.config.services {
@@ -97,7 +98,7 @@
     plan
 }
 
-fn step(d: &ChangeQueue, names: &[Name], load: bool) -> Vec<Step> {
+fn step(d: &Row, names: &[Name], load: bool) -> Vec<Step> {
     let one = |name: &Name| {
         let (runner, name) = (d.runner.clone(), name.clone());
         if load { Step::Load { runner, name } } else { Step::Unload { runner, name } }
@@ -105,10 +106,11 @@
     names.iter().map(one).collect()
 }
 
-fn desk(p: &Picture, o: &super::flights::Offer) -> ChangeQueue {
+fn desk(p: &Picture, o: &super::flights::Offer) -> Row {
     let busy = p.busy.contains(&o.runner.instance);
-    let mut d = ChangeQueue {
+    let mut d = Row {
         runner: o.runner.instance.clone(),
+        service: o.runner.service.clone(),
         free: if busy { 0 } else { free_mb(p.config, o, p.flights) },
         slots: if busy { 0 } else { super::room::adapters_free(p.config, o, p.flights) },
         held: o.report.holds.iter().chain(&o.report.loading).cloned().collect(),
@@ -127,16 +129,14 @@
     d
 }
 
-fn place(p: &Picture, s: &Service, desks: &mut [ChangeQueue], name: &Name) -> bool {
-    let of = |d: &ChangeQueue| {
-        p.offers.iter().any(|o| o.runner.instance == d.runner && o.runner.service == s.name)
-    };
+fn place(p: &Picture, s: &Service, desks: &mut [Row], name: &Name) -> bool {
+    let of = |d: &Row| d.service == s.name;
     if desks.iter().any(|d| of(d) && (d.held.contains(name) || d.load.contains(name))) {
         return true;
     }
     let Some(mb) = p.config.weight(name) else { return false };
     let base = p.config.adapter(name).map(|a| a.model.clone());
-    let fits = |d: &&mut ChangeQueue| {
+    let fits = |d: &&mut Row| {
         let based = base.as_ref().is_none_or(|m| d.slots > 0 && d.held.contains(m));
         of(d) && d.free >= mb && based
     };
@@ -157,7 +157,7 @@
     true
 }
 
-fn leave(p: &Picture, desks: &mut [ChangeQueue], id: PlanId) -> Vec<Step> {
+fn leave(p: &Picture, desks: &mut [Row], id: PlanId) -> Vec<Step> {
     let mut out = Vec::new();
     let mut taken: BTreeMap<&Name, u64> = BTreeMap::new();
     for o in p.offers.iter().filter(|o| o.runner.leaving && !p.busy.contains(&o.runner.instance)) {
--- a/src/placement/push.rs
+++ b/src/placement/push.rs
@@ -1,3 +1,5 @@
+//! What the holder of the placement duty tells routers of the runners' holdings.
+
 use super::duty::{Placement, REPORT};
 use crate::fleet::holdings::{HeldRow, HeldTell};
 use crate::kernel::component::Context;
@@ -8,6 +10,12 @@
 
 const BEAT: Span = Span::ms(500);
 const MINOR: Span = Span::ms(200);
+/// The shortest time between two looks for changes: this long for each router that is told, and
+const GAP_PER_ROUTER: Span = Span::ms(1);
+/// at least this long.
+const GAP: Span = Span::ms(20);
+/// How much longer mere figures may wait than the rest, in gaps.
+const MINOR_GAPS: u64 = 5;
 const GONE: Span = Span::ms(10_000);
 
 /// What routers were told of the runners' holdings.
@@ -18,6 +26,7 @@
     sent: BTreeMap<Name, HeldRow>,
     beat: Time,
     minor: Time,
+    looked: Time,
     whole: bool,
 }
 
@@ -44,16 +53,31 @@
         live.map(|r| r.who.node).collect()
     }
 
+    /// Tells routers what changed, unless they were told a moment ago; a later tick then does.
     pub fn push(&mut self, ctx: &mut Context) {
+        let gap = Span((GAP_PER_ROUTER.0 * self.tells.len() as u64).max(GAP.0));
+        if ctx.now.since(self.push.looked) >= gap {
+            self.push_now(gap, ctx);
+        }
+    }
+
+    /// Tells routers at once that a name is closing, before the order to unload it goes out.
+    pub fn push_closing(&mut self, ctx: &mut Context) {
+        self.push_now(GAP, ctx);
+    }
+
+    fn push_now(&mut self, gap: Span, ctx: &mut Context) {
         if self.term == Term(0) {
             return;
         }
+        self.push.looked = ctx.now;
         let rows = self.rows(ctx.now);
         let old = &self.push.sent;
         let news: Vec<HeldRow> = rows.values().filter_map(|r| r.after(old.get(&r.runner))).collect();
         let minor = news.iter().all(|r| rows[&r.runner].minor(old.get(&r.runner)));
         let beat = ctx.now.since(self.push.beat) >= BEAT;
-        let due = !news.is_empty() && (!minor || ctx.now.since(self.push.minor) >= MINOR);
+        let patience = Span(MINOR.0.max(gap.0 * MINOR_GAPS));
+        let due = !news.is_empty() && (!minor || ctx.now.since(self.push.minor) >= patience);
         if !beat && !due && !self.push.whole {
             return;
         }
--- a/src/placement/seeker.rs
+++ b/src/placement/seeker.rs
@@ -1,3 +1,5 @@
+//! A router's side of placement: it tells wants, follows holdings, and knows the holder of the duty.
+
 use crate::fleet::holdings::{HeldTell, Want};
 use crate::kernel::component::{Component, Context};
 use crate::kernel::ids::*;
@@ -9,13 +11,35 @@
 const HEARD: Span = Span::ms(1500);
 const ASK: Span = Span::ms(300);
 
+/// Who holds the placement duty, by what it sends.
+#[derive(Clone, Copy, Default)]
+pub struct HolderContact {
+    node: Option<NodeId>,
+    term: Term,
+    heard: Time,
+}
+
+impl HolderContact {
+    /// A holder sent holdings under `term`; whether that term is still the newest.
+    pub fn heard(&mut self, from: NodeId, term: Term, now: Time) -> bool {
+        if term < self.term {
+            return false;
+        }
+        *self = HolderContact { node: Some(from), term, heard: now };
+        true
+    }
+
+    /// The holder, if it was heard lately.
+    pub fn holder(&self, now: Time) -> Option<NodeId> {
+        self.node.filter(|_| now.since(self.heard) < HEARD)
+    }
+}
+
 /// A router's link to the holder of the placement duty: it tells wants and follows holdings.
 #[derive(Default)]
 pub struct Seeker {
-    holder: Option<NodeId>,
-    term: Term,
+    contact: HolderContact,
     seq: u64,
-    heard: Time,
     asked: Time,
     behind: bool,
     wants: BTreeMap<Name, Want>,
@@ -24,9 +48,9 @@
 
 impl Seeker {
     fn holders(&self, ctx: &Context) -> Vec<NodeId> {
-        match self.holder {
-            Some(n) if ctx.now.since(self.heard) < HEARD => vec![n],
-            _ => ctx.views.controllers().map(|r| r.who.node).collect(),
+        match self.contact.holder(ctx.now) {
+            Some(n) => vec![n],
+            None => ctx.views.controllers().map(|r| r.who.node).collect(),
         }
     }
 
@@ -53,15 +77,14 @@
     }
 
     fn told(&mut self, from: NodeId, tell: &HeldTell, ctx: &mut Context) {
-        let newer = tell.term > self.term;
-        if tell.term < self.term || (!newer && tell.seq < self.seq) {
+        let newer = tell.term > self.contact.term;
+        if tell.term < self.contact.term || (!newer && tell.seq < self.seq) {
             return;
         }
         if newer {
-            (self.term, self.seq, self.behind) = (tell.term, tell.seq, true);
+            (self.seq, self.behind) = (tell.seq, true);
         }
-        self.heard = ctx.now;
-        self.holder = Some(from);
+        self.contact.heard(from, tell.term, ctx.now);
         if tell.whole {
             self.behind = false;
         } else if tell.seq > self.seq + 1 {
@@ -76,7 +99,7 @@
 
     fn tick(&mut self, ctx: &mut Context) {
         self.flush(ctx);
-        let quiet = ctx.now.since(self.heard) >= HEARD;
+        let quiet = self.contact.holder(ctx.now).is_none();
         if (self.behind || quiet) && ctx.now.since(self.asked) >= ASK {
             self.asked = ctx.now;
             for to in self.holders(ctx) {
@@ -108,9 +131,9 @@
 
     fn status(&self, now: Time) -> Vec<(&'static str, String)> {
         vec![
-            ("term", self.term.to_string()),
+            ("term", self.contact.term.to_string()),
             ("seq", self.seq.to_string()),
-            ("heard_ms_ago", now.since(self.heard).as_ms().to_string()),
+            ("heard_ms_ago", now.since(self.contact.heard).as_ms().to_string()),
         ]
     }
 }
--- a/src/placement/stages.rs
+++ b/src/placement/stages.rs
@@ -1,5 +1,4 @@
 use super::duty::Placement;
-use super::room::fits;
 use crate::fleet::config::Allowance;
 use crate::fleet::slice::DutySlice;
 use crate::fleet::state::*;
@@ -119,10 +118,7 @@
 
     fn drive(&mut self, m: &MovePlan, runner: &Name, name: &Name, load: bool, ctx: &mut Context) {
         let Some(s) = &self.slice else { return };
-        let offers = self.offers(ctx.now);
-        let room =
-            offers.iter().any(|o| o.runner.instance == *runner && fits(&s.config, o, &self.flights, name));
-        if load && !room {
+        if load && !self.fits_at(runner, name, s, ctx.now) {
             return;
         }
         if self.order(runner, name, load, ctx)
--- a/src/placement/uses.rs
+++ b/src/placement/uses.rs
@@ -1,60 +1,123 @@
+//! How much models, adapters and runners are used, by what routers tell.
+
 use super::duty::Placement;
+use crate::fleet::config::Class;
+use crate::fleet::holdings::Want;
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
+use crate::msg::RouterTell;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 const FRESH: Span = Span::ms(1200);
+/// How long a router that fell silent is remembered.
+const KEPT: Span = Span::ms(5000);
+/// How often the sums are made anew: this long for each router that tells, and
+const REFRESH_PER_ROUTER: Span = Span::ms(3);
+/// at least this long.
+const REFRESH: Span = Span::ms(20);
 
-/// How much a model or adapter is used, by what routers tell.
+/// How much a model or adapter is used.
 #[derive(Clone, Copy, Debug)]
 pub struct Use {
+    /// How long nobody has used it.
     pub idle: Span,
+    /// Requests a second.
     pub per_s: f64,
+    /// Requests under way.
     pub runs: u64,
-    pub waits: u64,
 }
 
 impl Default for Use {
     fn default() -> Use {
-        Use { idle: Span(u64::MAX >> 1), per_s: 0.0, runs: 0, waits: 0 }
+        Use { idle: Span(u64::MAX >> 1), per_s: 0.0, runs: 0 }
     }
 }
 
+/// The uses by name.
 pub type Uses = BTreeMap<Name, Use>;
 
-impl Placement {
-    pub fn uses(&self, now: Time) -> Uses {
-        let mut all = Uses::new();
-        for (at, tell) in self.tells.values() {
-            let age = now.since(*at);
+/// What all routers together tell of the use of names and runners.
+#[derive(Default)]
+pub struct Usage {
+    /// By model or adapter.
+    pub names: Uses,
+    /// By runner: the models with requests under way.
+    pub running: BTreeMap<Name, Vec<(Name, u64)>>,
+    made: Time,
+}
+
+impl Usage {
+    fn of(
+        tells: &BTreeMap<NodeId, (Time, Arc<RouterTell>)>,
+        used: &BTreeMap<Name, Time>,
+        now: Time,
+    ) -> Usage {
+        let mut names = Uses::new();
+        let mut running: BTreeMap<&Name, BTreeMap<&Name, u64>> = BTreeMap::new();
+        let mut rates: BTreeMap<&Name, (u64, u64)> = BTreeMap::new();
+        for (at, tell) in tells.values() {
+            for (runner, name, n) in &tell.active {
+                *running.entry(runner).or_default().entry(name).or_default() += n;
+            }
+            let fresh = now.since(*at) < FRESH;
             for u in &tell.uses {
-                let row = all.entry(u.name.clone()).or_default();
-                if age < FRESH {
-                    row.per_s += u.milli_per_s as f64 / 1000.0;
-                }
+                rates.entry(&u.name).or_default().0 += if fresh { u.milli_per_s } else { 0 };
             }
-            if age < FRESH {
-                for (_, name, n) in &tell.active {
-                    all.entry(name.clone()).or_default().runs += n;
-                }
+            for (_, name, n) in tell.active.iter().filter(|_| fresh) {
+                rates.entry(name).or_default().1 += n;
             }
         }
-        for (name, last) in &self.used {
-            all.entry(name.clone()).or_default().idle = now.since(*last);
+        for (name, (milli_per_s, runs)) in rates {
+            let row = Use { per_s: milli_per_s as f64 / 1000.0, runs, ..Use::default() };
+            names.insert(name.clone(), row);
         }
-        for (name, w) in &self.wants {
-            all.entry(name.clone()).or_default().waits = w.count();
+        for (name, last) in used {
+            match names.get_mut(name) {
+                Some(row) => row.idle = now.since(*last),
+                None => drop(names.insert(name.clone(), Use { idle: now.since(*last), ..Use::default() })),
+            }
         }
-        all
+        let rows = |m: BTreeMap<&Name, u64>| m.into_iter().map(|(name, n)| (name.clone(), n)).collect();
+        let running = running.into_iter().map(|(runner, m)| (runner.clone(), rows(m))).collect();
+        Usage { names, running, made: now }
+    }
+
+    /// The requests of a model that are under way at a runner.
+    pub fn runs(&self, runner: &Name, name: &Name) -> u64 {
+        let rows = self.running.get(runner);
+        rows.and_then(|rows| rows.iter().find(|r| r.0 == *name)).map_or(0, |r| r.1)
     }
+}
 
-    pub fn runs_on(&self, runner: &Name) -> Vec<(Name, u64)> {
-        let mut sum: BTreeMap<Name, u64> = BTreeMap::new();
-        for (r, name, n) in self.tells.values().flat_map(|t| &t.1.active) {
-            if r == runner {
-                *sum.entry(name.clone()).or_default() += n;
+impl Placement {
+    /// Takes in what a router tells of itself.
+    pub fn told(&mut self, from: NodeId, tell: &Arc<RouterTell>, now: Time) {
+        for u in &tell.uses {
+            match self.used.get_mut(&u.name) {
+                Some(last) => *last = (*last).max(now - u.idle),
+                None => drop(self.used.insert(u.name.clone(), now - u.idle)),
             }
         }
-        sum.into_iter().collect()
+        for (service, name, count) in &tell.demand {
+            let class = Class::Bulk;
+            let want = Want { service: service.clone(), name: name.clone(), class, count: *count };
+            self.wanted(from, &want, now);
+        }
+        self.tells.insert(from, (now, tell.clone()));
+        self.tells.retain(|_, row| now.since(row.0) < KEPT);
+    }
+
+    /// Sums anew what routers tell, unless that was done a moment ago.
+    pub fn refresh_usage(&mut self, now: Time) {
+        let gap = Span((REFRESH_PER_ROUTER.0 * self.tells.len() as u64).max(REFRESH.0));
+        if now.since(self.usage.made) >= gap {
+            self.usage = Arc::new(Usage::of(&self.tells, &self.used, now));
+        }
+    }
+
+    /// How many requests wait for a name.
+    pub fn waits(&self, name: &Name) -> u64 {
+        self.wants.get(name).map_or(0, |w| w.count())
     }
 }
--- a/src/rollout/head.rs
+++ b/src/rollout/head.rs
@@ -25,7 +25,7 @@
 
 #[derive(Default)]
 pub struct Rollout {
-    tells: BTreeMap<NodeId, (Time, RouterTell)>,
+    tells: BTreeMap<NodeId, (Time, Arc<RouterTell>)>,
     trial: Option<Trial>,
     asked: Option<(ChangeId, Time)>,
     spread: Option<(Version, Time)>,
@@ -86,7 +86,7 @@
             }
             return;
         }
-        let fresh: BTreeMap<NodeId, &RouterTell> = self
+        let fresh: BTreeMap<NodeId, &Arc<RouterTell>> = self
             .tells
             .iter()
             .filter(|(n, row)| routers.contains(n) && ctx.now.since(row.0) < TELL && row.0 >= t.since)
@@ -183,7 +183,7 @@
     fn on(&mut self, ev: &Event, ctx: &mut Context) {
         match ev {
             Event::Mail { from, msg: Msg::Tell(tell), .. } => {
-                self.tells.insert(*from, (ctx.now, (**tell).clone()));
+                self.tells.insert(*from, (ctx.now, tell.clone()));
                 self.tells.retain(|_, row| ctx.now.since(row.0) < Span::ms(10_000));
                 self.tick(ctx);
             }
--- a/src/sim/runners.rs
+++ b/src/sim/runners.rs
@@ -107,7 +107,7 @@
             tell.rehearsal = Some(row.clone());
             n.rehearsed = Some((at, row));
         }
-        self.feed(place, msg::Event::RouterState(Box::new(tell)));
+        self.feed(place, msg::Event::RouterState(std::sync::Arc::new(tell)));
     }
 
     pub fn drive(&mut self, place: usize, life: u64, o: RunnerOrder) {
