--- a/src/msg.rs
+++ b/src/msg.rs
@@ -12,6 +12,7 @@
 pub use crate::tell::*;
 use bitcode::{Decode, Encode};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub struct Envelope {
@@ -41,7 +42,7 @@
     OpEnd { id: ChangeId, attempt: u64, answer: Answer },
     Ask { attempt: u64, path: String },
     AskEnd { attempt: u64, answer: Answer },
-    Tell(Box<RouterTell>),
+    Tell(Arc<RouterTell>),
     Nudge,
     Want(Vec<Want>),
     Held(Box<HeldTell>),
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -45,6 +45,7 @@
 leave-in-order|src/chain/leaving.rs|self.copies >= self.copies_wanted && self.votes >= self.majority|true|departure waits_for_the_others
 vote-passed-on|src/chain/view.rs|next.give_vacant_votes\(candidates\);\s+next$|next|departure vote_passed_on
 stop-waits|src/sim/hurts_more.rs|if left \|\| w.now >= due|if true|departure waits_for_the_others
+distrust|src/placement/look.rs|self.distrust.failed\(runner, ctx.now\);||liar serve_on
 held-credit|src/gate/budget.rs| - self.held;|;|tries quiet_time
 reuse-quiet|src/http/connection.rs| \|\| !self.link.guard.is_quiet\(\)||platform_connection nobody_has_read_it_yet
 reuse-unread|src/http/exchange.rs|if !self.whole \{|if false {|platform_connection not_read_to_its_end
