--- a/src/pass/resume.rs
+++ b/src/pass/resume.rs
@@ -80,10 +80,14 @@
         }
     }
 
+    /// Whether another runner may be asked although this one may have run the request.
+    pub fn may_run_again(&self) -> bool {
+        self.order.resumable || (self.order.kind == RouteKind::Idempotent && !self.began)
+    }
+
     pub fn resume(&mut self, now: Time, from: Name, gate: &mut Gate, out: &mut Vec<Out>) {
         self.avoid.push(from);
-        let again = self.order.resumable || (self.order.kind == RouteKind::Idempotent && !self.began);
-        if !again || self.opened >= self.order.tries || !gate.tries.spend() {
+        if !self.may_run_again() || self.opened >= self.order.tries || !gate.tries.spend() {
             return self.refuse(now, Refusal::new(Why::NoBudget, 1), gate, out);
         }
         gate.count("resumed");
--- a/src/pass/shift.rs
+++ b/src/pass/shift.rs
@@ -179,7 +179,7 @@
         let main = self.main;
         let Some(runner) = self.runner_of(main) else { return };
         let idle = now.since(self.heard);
-        let dark = gate.dark(now, &runner) && idle > DARK_QUIET;
+        let dark = self.may_run_again() && gate.dark(now, &runner) && idle > DARK_QUIET;
         if !self.began && now >= self.order.end {
             self.sent = true;
             gate.count("due_after_send");
--- a/tests/ride.rs
+++ b/tests/ride.rs
@@ -148,3 +148,21 @@
     rows[0].step(NOW, In::End { leg: 1 }, &mut g);
     assert!(matches!(ride(true).step(NOW, In::Go, &mut g)[..], [Out::Open { .. }]));
 }
+
+#[test]
+fn given_a_runner_that_is_dark_when_its_request_may_not_run_again_then_it_is_waited_for_to_its_end() {
+    for (resumable, moves) in [(false, false), (true, true)] {
+        let mut g = gate(&["a1", "a2"]);
+        let mut r = ride(resumable);
+        streaming(&mut r, &mut g, 3);
+        let other = if r.runner_of(1).is_some_and(|n| n.0 == "a1") { "a2" } else { "a1" };
+        let mut ended = false;
+        for ms in (0..4000).step_by(50) {
+            let now = NOW + Span::ms(ms);
+            report(&mut g, now, other, 0);
+            let outs = r.step(now, In::Tick, &mut g);
+            ended |= outs.iter().any(|o| matches!(o, Out::Close { leg: 1 }));
+        }
+        assert_eq!(ended, moves, "resumable {resumable}");
+    }
+}
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -10,7 +10,7 @@
 
 rows() {
 cat <<'R'
-run-once|src/pass/resume.rs|if !self.order.resumable \|\| !gate|if !gate|must_never none_runs_twice
+run-once|src/pass/resume.rs|if !self.may_run_again\(\) \|\||if|must_never none_runs_twice
 refusal-truth|src/pass/ride.rs|\} else if self.sent \{|} else if false {|must_never none_runs_twice
 stray-legs|src/pass/ride.rs|if self.over \|\| self.is_stray\(&ev\)|if self.over|ride closed_leg
 last-check|src/gate/core.rs|if now >= order.due \{\s+return Err\(Why::Due\);|if true { return Ok(()); } if now >= order.due { return Err(Why::Due);|must_never after_the_thaw
@@ -48,7 +48,7 @@
 drop-resets|src/http/connection.rs|self.guard.reset_on_close\(\);||platform_connection not_read_to_its_end
 interim|src/http/exchange.rs|if self.response.status\(\).is_informational\(\)|if false|platform_connection interim_status
 no-resend|src/http/leg.rs|Err\(SendError::NotSent\) if used|Err(SendError::NotSent \| SendError::Unsure) if used|platform_gone after_a_request_came
-once-after-reset|src/pass/resume.rs|let again = self.order.resumable|let again = true \|\| self.order.resumable|platform_cuts_runner may_run_once
+once-after-reset|src/pass/resume.rs|        self.order.resumable \|\| \(self|        true \|\| (self|platform_cuts_runner may_run_once
 own-id|src/platform/runner.rs|if other \{\s+return Verdict::Stray;|if false { return Verdict::Stray;|platform_links surplus_answer
 deadline-left|src/http/leg.rs|job.order.end.since\(job.clock.now\(\)\)|job.order.aim|platform_links told_what_is_left
 caller-gone|src/http/carry.rs|_ = gone\(&mut c.first, &c.body\) => In::Gone,||platform_gone caller_that_leaves
@@ -58,6 +58,7 @@
 head-time|src/http/client.rs|now.since\(since\) > Span::ms\(limits.head_ms\)|false|platform_limits comes_slowly
 rest-time|src/http/client.rs|now.since\(since\) > limit.max|false && now.since(since) > limit.max|platform_limits at_rest
 rest-longer|src/http/client.rs|limit.max\(Span::ms\(limits.idle_ms\)\)|Span::ms(limits.idle_ms)|platform_limits limit_shrinks
+dark-once|src/pass/shift.rs|self.may_run_again\(\) && gate.dark|gate.dark|ride that_is_dark
 move-runners|src/pass/shift.rs|if self.opened >= self.order.tries \{\s+return;|if false { return;|ride most_runners
 R
 }
