--- a/src/daemon/serve.rs
+++ b/src/daemon/serve.rs
@@ -9,7 +9,7 @@
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
 use std::future::Future;
@@ -84,6 +84,9 @@
     work: Serve,
     connection: Arc<ClientConnection>,
 ) -> Result<Response<ServedBody>, Infallible> {
+    if request.version() == Version::HTTP_10 {
+        connection.ends_by_close();
+    }
     let mut response = match connection.begin() {
         true => work(request).await,
         false => too_slow(),
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -6,6 +6,7 @@
 use crate::kernel::time::{Clock, Span, Time};
 use std::io;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::task::{Context, Poll, Waker};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -39,6 +40,8 @@
     state: Mutex<State>,
     all: Arc<ClientConnections>,
     head_limit: u64,
+    ended_by_close: AtomicBool,
+    broken: AtomicBool,
 }
 
 /// All connections of clients, and the limits in force.
@@ -81,7 +84,9 @@
         let phase = Phase::Resting { since: self.clock.now(), limit: Span::ms(limits.idle_ms) };
         let state = Mutex::new(State { phase, reader: None });
         let head_limit = limits.head_bytes;
-        let connection = Arc::new(ClientConnection { state, all: self.clone(), head_limit });
+        let (ended_by_close, broken) = (AtomicBool::new(false), AtomicBool::new(false));
+        let all = self.clone();
+        let connection = Arc::new(ClientConnection { state, all, head_limit, ended_by_close, broken });
         self.open.lock().unwrap().push(Arc::downgrade(&connection));
         connection
     }
@@ -120,6 +125,20 @@
         true
     }
 
+    /// The client takes the end of the connection for the end of an answer (HTTP/1.0).
+    pub fn ends_by_close(&self) {
+        self.ended_by_close.store(true, Ordering::SeqCst);
+    }
+
+    /// The answer under way can't be completed.
+    pub fn break_off(&self) {
+        self.broken.store(true, Ordering::SeqCst);
+    }
+
+    fn must_reset(&self) -> bool {
+        self.ended_by_close.load(Ordering::SeqCst) && self.broken.load(Ordering::SeqCst)
+    }
+
     /// The answer is done with: the connection begins to rest.
     pub fn rest(&self) {
         let limit = Span::ms(self.all.limits.lock().unwrap().idle_ms);
@@ -179,6 +198,14 @@
     }
 }
 
+impl Drop for ClientStream {
+    fn drop(&mut self) {
+        if self.connection.must_reset() {
+            let _ = self.tcp.set_zero_linger();
+        }
+    }
+}
+
 impl AsyncRead for ClientStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let me = self.get_mut();
--- a/src/http/served_body.rs
+++ b/src/http/served_body.rs
@@ -32,7 +32,11 @@
     type Error = Broken;
 
     fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        if let Poll::Ready(Some(Err(_))) = &frame {
+            self.connection.break_off();
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/tests/platform_gone.rs
+++ b/tests/platform_gone.rs
@@ -199,3 +199,20 @@
         }
     }
 }
+
+#[tokio::test]
+async fn given_a_caller_that_takes_a_close_for_an_end_when_its_answer_breaks_off_then_it_sees_a_reset() {
+    for whole in [true, false] {
+        let script = Arc::new(move |_, h: &Heard| match whole {
+            true => vec![begun(h), say("0\r\n\r\n")],
+            false => vec![begun(h), Step::Close],
+        });
+        let road = Road::open(1, 1, 5, script).await;
+        let mut link = road.link().await;
+        let old = order("q1", "/rare/x", "").replace("HTTP/1.1", "HTTP/1.0");
+        link.write_all(old.as_bytes()).await.expect("sent");
+        let mut all = Vec::new();
+        let end = tokio::time::timeout(LONG, link.read_to_end(&mut all)).await.expect("an end");
+        assert_eq!(end.is_ok(), whole, "{}", String::from_utf8_lossy(&all));
+    }
+}
