Routers hold serving leases that the chain counts; an acknowledgement waits for them

A dark core was felt 2 s after it went: routers serve by a topic for 2 s after they asked for it. Now the tail grants a router that has the newest version of all it serves by a lease of 4.5 s (checked setting lease_ms; ConvergenceMs + AckTimeoutMs - 1.5 s on the platform) and keeps a ledger of these. A change is released, and only then acknowledged, once each holder has confirmed it or has at most proof_ms left of its lease. A tail that is new or restarted counts a whole lease for what its predecessors may have granted.

--- a/src/chain/change_queue.rs
+++ b/src/chain/change_queue.rs
@@ -15,7 +15,7 @@
 use super::adoption::Foreign;
 use super::heartbeat::ROOM;
 use super::read_index::ReadIndex;
-use super::reply::{faults, outcome};
+use super::reply::{answerable, faults, outcome};
 const INBOX: usize = 64;
 const AGAIN: Span = Span::ms(2000);
 
@@ -39,10 +39,10 @@
     pub(super) fn op(&mut self, from: NodeId, id: ChangeId, attempt: u64, op: &Op, ctx: &mut Context) {
         self.waits.insert(id, (from, attempt));
         if let Some(o) = ctx.views.state.outcome(id) {
-            if ctx.views.role.safe {
-                self.end(id, outcome(o), ctx);
+            if answerable(o, ctx.views) {
+                return self.end(id, outcome(o), ctx);
             }
-            return;
+            return ctx.send(from, Msg::OpPending { id, attempt });
         }
         let known = ctx.views.state.trial.as_ref().is_some_and(|t| t.id == id)
             || self.inbox.iter().any(|r| r.0 == id)
@@ -173,10 +173,9 @@
     }
 
     fn settle(&mut self, ctx: &mut Context) {
-        let safe = ctx.views.role.safe;
-        let ids: Vec<ChangeId> = self.waits.keys().copied().filter(|_| safe).collect();
+        let ids: Vec<ChangeId> = self.waits.keys().copied().collect();
         for id in ids {
-            if let Some(o) = ctx.views.state.outcome(id) {
+            if let Some(o) = ctx.views.state.outcome(id).filter(|o| answerable(o, ctx.views)) {
                 let answer = outcome(o);
                 self.end(id, answer, ctx);
             }
@@ -231,6 +230,7 @@
                 self.admit(ctx);
                 self.settle(ctx);
             }
+            Event::Journal(JournalEvent::Released(_)) => self.settle(ctx),
             Event::Tick => {
                 self.read_index_tick(ctx);
                 self.settle(ctx);
--- a/src/chain/core.rs
+++ b/src/chain/core.rs
@@ -115,6 +115,9 @@
         }
         self.joiner.stop(view.has(self.ident));
         self.lead_from = self.log.last();
+        if self.view.is_none() && view.no == ViewNo(1) {
+            ctx.publish(JournalEvent::Founded);
+        }
         self.view = Some(view.clone());
         ctx.publish(JournalEvent::ViewInstalled(view));
         self.announce(ctx);
@@ -198,7 +201,9 @@
             }
             ChainMsg::LeaseRequest { view, sent } => self.lease_requested(from, *view, *sent, ctx),
             ChainMsg::LeaseGrant { view, sent } => self.lease_granted(from, *view, *sent, ctx),
-            ChainMsg::ReadIndexRequest { .. } | ChainMsg::ReadIndexReply { .. } => {}
+            ChainMsg::Released { .. }
+            | ChainMsg::ReadIndexRequest { .. }
+            | ChainMsg::ReadIndexReply { .. } => {}
         }
     }
 }
--- a/src/chain/messages.rs
+++ b/src/chain/messages.rs
@@ -92,6 +92,11 @@
         view: ViewNo,
         sent: Time,
     },
+    /// Changes up to `upto` are released: no router serves by anything older for longer than allowed.
+    Released {
+        view: ViewNo,
+        upto: Version,
+    },
     /// The head asks the tail to confirm that the view is current and what was committed in it.
     ReadIndexRequest {
         view: ViewNo,
--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -18,6 +18,7 @@
 pub mod replicate;
 pub mod replication_log;
 pub mod reply;
+pub mod serving_leases;
 pub mod show;
 pub mod view;
 pub mod view_change;
--- a/src/chain/reply.rs
+++ b/src/chain/reply.rs
@@ -1,8 +1,12 @@
 use crate::fleet::state::Outcome;
 use crate::json::tree::map;
+use crate::kernel::component::Views;
 use crate::kernel::fault::Fault;
 use crate::msg::Answer;
 
+/// The code of a change that was taken.
+pub const TAKEN: &str = "ok";
+
 pub fn faults(bad: &[Fault]) -> Answer {
     let rows = bad.iter().map(|f| {
         map(&[
@@ -21,10 +25,16 @@
 
 pub fn outcome(o: &Outcome) -> Answer {
     let status = match o.code.as_str() {
-        "ok" => 200,
+        TAKEN => 200,
         "rehearsal-failed" => 422,
         "unknown-runner" => 404,
         _ => 409,
     };
     Answer { status, body: o.tree().to_string(), retry_s: 0 }
 }
+
+/// Whether the outcome may be told: all copies that must be there have it, and a change that was taken is released
+/// (see `serving_leases`).
+pub fn answerable(o: &Outcome, views: &Views) -> bool {
+    views.role.safe && (o.code != TAKEN || o.at <= views.released)
+}
--- a/src/chain/show.rs
+++ b/src/chain/show.rs
@@ -1,4 +1,5 @@
 use super::change_queue::ChangeQueue;
+use super::reply::TAKEN;
 use crate::json::Tree;
 use crate::json::tree::map;
 use crate::kernel::component::{Context, Views};
@@ -43,6 +44,14 @@
         ["change", id] => {
             let id = ChangeId::parse(id);
             if let Some(o) = id.and_then(|id| state.outcome(id)) {
+                if o.code == TAKEN && o.at > views.released {
+                    return Answer::new(
+                        202,
+                        "taken",
+                        "the change is on its way to the routers; ask again",
+                        1,
+                    );
+                }
                 return Answer::ok(o.tree().to_string());
             }
             if state.trial.as_ref().is_some_and(|t| Some(t.id) == id) {
--- a/src/daemon/assemble.rs
+++ b/src/daemon/assemble.rs
@@ -1,5 +1,6 @@
 use crate::chain::Chain;
 use crate::chain::change_queue::ChangeQueue;
+use crate::chain::serving_leases::ServingLeases;
 use crate::distribution::Distribution;
 use crate::kernel::component::Me;
 use crate::kernel::ids::*;
@@ -24,6 +25,7 @@
     pub bear: usize,
     pub first: bool,
     pub proof: Span,
+    pub lease: Span,
     pub policy: Policy,
     pub sides: Sides,
 }
@@ -48,6 +50,7 @@
         bear: place.bear,
         first: place.first,
         proof: place.proof,
+        lease: place.lease,
         started: now,
     }
 }
@@ -79,6 +82,7 @@
     node.add(Box::new(Membership::default()));
     node.add(Box::new(chain));
     node.add(Box::new(ChangeQueue::new(place.sides.operator.clone())));
+    node.add(Box::new(ServingLeases::default()));
     node.add(Box::new(Relay::default()));
     node.add(Box::new(Rollout::default()));
     let bare_plain = !place.sides.runner.plain_reports();
--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -1,3 +1,4 @@
+use crate::distribution::reader::SERVING_LEASE;
 use crate::json::{Reader, Tree};
 use crate::kernel::fault::{Fault, Kind};
 use crate::kernel::ids::Name;
@@ -22,13 +23,14 @@
     pub drain_ms: u64,
     pub lame_ms: u64,
     pub proof_ms: u64,
+    pub lease_ms: u64,
     pub sides: Sides,
     pub lean: bool,
 }
 
-const KEYS: [&str; 12] = [
+const KEYS: [&str; 13] = [
     "address", "admin", "http", "domain", "seeds", "core", "bear", "first", "data", "drain_ms", "lame_ms",
-    "proof_ms",
+    "proof_ms", "lease_ms",
 ];
 
 const WORD: &str = "I-KNOW-THE-OTHERS-ARE-LOST";
@@ -47,6 +49,7 @@
   --drain-ms N        how long it may finish streams after a warning (default 8000)
   --lame-ms N         after a warning, how long it goes on taking orders (default 0)
   --proof-ms N        how long a router serves after its last proof that it knows the newest (default 2000)
+  --lease-ms N        how long a router may go on while no controller is reached (default 4500)
   --check             check the settings, print the faults and end
   --inspect           tell what this controller's data folder holds and end
   --restore-as-only I-KNOW-THE-OTHERS-ARE-LOST
@@ -93,7 +96,7 @@
         let Some(got) = got else { continue };
         let value = match key {
             "seeds" => Tree::List(got.split(',').map(Tree::from).collect()),
-            "core" | "bear" | "drain_ms" | "lame_ms" | "proof_ms" => {
+            "core" | "bear" | "drain_ms" | "lame_ms" | "proof_ms" | "lease_ms" => {
                 got.parse::<u64>().map_or(Tree::Text(got), Tree::from)
             }
             "first" => got.parse::<bool>().map_or(Tree::Text(got), Tree::Bool),
@@ -199,6 +202,7 @@
     let lame_ms = r.num("lame_ms", Some(0), 0, 600_000);
     let drain_ms = r.num("drain_ms", Some(8000), 0, 600_000);
     let proof_ms = r.num("proof_ms", Some(2000), 1000, 60_000);
+    let lease_ms = r.num("lease_ms", Some(proof_ms.max(SERVING_LEASE.as_ms())), proof_ms, 120_000);
     if let (Some(a), Some(b)) = (addr, admin)
         && (a == b || http == Some(a) || http == Some(b))
     {
@@ -223,6 +227,7 @@
                 drain_ms,
                 lame_ms,
                 proof_ms,
+                lease_ms,
                 sides,
                 lean,
             })
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -79,6 +79,7 @@
         bear: c.bear,
         first: c.first,
         proof: Span::ms(c.proof_ms),
+        lease: Span::ms(c.lease_ms),
         policy: super::assemble::Policy::Move,
         sides: c.sides.clone(),
     }
@@ -188,6 +189,7 @@
     let rt = tokio::runtime::Handle::current();
     Box::new(move |e| match e {
         Effect::Learn { scope, at, slice, proven } => table.learn(clock.now(), &scope, at, slice, proven),
+        Effect::Leased { scopes, until } => table.lease(clock.now(), &scopes, until),
         Effect::Mark(name) => table.mark(clock.now(), &name),
         Effect::Routers(n) => routers.store(n, Ordering::SeqCst),
         Effect::Watch(list) => *runners.lock().unwrap() = list,
--- a/src/distribution/messages.rs
+++ b/src/distribution/messages.rs
@@ -14,3 +14,20 @@
     pub age: Span,
     pub body: Body,
 }
+
+/// A router asks the tail for a serving lease: the versions of the topics that it serves by, in the order of
+/// `serving_scopes`, and the last grant that it has received in this life.
+#[derive(Clone, PartialEq, Debug, Encode, Decode)]
+pub struct ServingLeaseRequest {
+    pub nonce: u64,
+    pub last_grant: u64,
+    pub versions: Vec<Version>,
+}
+
+/// The tail's grant: the router may serve by those versions, or newer ones, until `length` after it asked.
+#[derive(Clone, PartialEq, Debug, Encode, Decode)]
+pub struct ServingLeaseGrant {
+    pub nonce: u64,
+    pub grant: u64,
+    pub length: Span,
+}
--- a/src/distribution/mod.rs
+++ b/src/distribution/mod.rs
@@ -5,6 +5,7 @@
 pub mod messages;
 pub mod reader;
 pub mod relay_node;
+pub mod serving_lease;
 pub mod subscribers;
 pub use reader::Reader;
 pub use relay_node::Distribution;
--- a/src/distribution/reader.rs
+++ b/src/distribution/reader.rs
@@ -7,6 +7,8 @@
 use std::collections::BTreeMap;
 
 pub const FRESH: Span = Span::ms(2000);
+/// How long a serving lease runs where the settings say nothing: `FRESH`, and what an acknowledgement may wait.
+pub const SERVING_LEASE: Span = Span::ms(4500);
 const KEEP: u64 = 256;
 
 #[derive(Default)]
--- a/src/distribution/relay_node.rs
+++ b/src/distribution/relay_node.rs
@@ -1,4 +1,5 @@
 use super::reader::{Learnt, Reader, Topic};
+use super::serving_lease::ServingLease;
 use super::subscribers::Subscribers;
 use crate::fleet::slice::Slice;
 use crate::fleet::state::Scope;
@@ -43,6 +44,7 @@
     learnt: Time,
     mine: BTreeMap<Scope, Time>,
     subscribers: Subscribers,
+    pub(super) lease: ServingLease,
 }
 
 pub fn scope_name(scope: &Scope) -> String {
@@ -68,6 +70,7 @@
             learnt: started,
             mine: BTreeMap::new(),
             subscribers: Subscribers::default(),
+            lease: ServingLease::default(),
         }
     }
 
@@ -186,6 +189,7 @@
         for (to, items) in pushes {
             ctx.send(to, Msg::UpdatePush { items });
         }
+        self.request_lease(ctx);
     }
 
     fn hurry(&mut self, ctx: &mut Context) {
@@ -201,7 +205,10 @@
 
     fn on(&mut self, ev: &Event, ctx: &mut Context) {
         match ev {
-            Event::Tick => self.tick(ctx),
+            Event::Tick => {
+                self.tick(ctx);
+                self.request_lease(ctx);
+            }
             Event::Mail { from, msg, .. } => match msg {
                 Msg::UpdateRequest { nonce, direct: false, have } => self.asked(*from, *nonce, have, ctx),
                 Msg::UpdateReply { nonce, items } => {
@@ -212,6 +219,7 @@
                     let rows = self.reader.pushed(items);
                     self.learn(rows, ctx);
                 }
+                Msg::ServingLeaseGrant(grant) => self.lease_granted(grant, ctx),
                 Msg::Nudge => self.hurry(ctx),
                 Msg::UpdateRefused { view: Some(v), .. } if ctx.views.older(v) => {
                     ctx.publish(JournalEvent::ViewHeard(v.clone()));
@@ -229,6 +237,11 @@
             format!("{}={}@{age}", scope_name(s), t.history.at)
         };
         let rows: Vec<String> = self.reader.topics.iter().map(row).collect();
-        vec![("topics", rows.join(" ")), ("home_of", self.mine.len().to_string())]
+        let left = self.lease.left(now).to_string();
+        vec![
+            ("topics", rows.join(" ")),
+            ("serving_lease_left", left),
+            ("home_of", self.mine.len().to_string()),
+        ]
     }
 }
--- /dev/null
+++ b/src/distribution/serving_lease.rs
@@ -0,0 +1,120 @@
+//! The router's side of serving leases.
+//!
+//! A router may serve by a topic for `proof` after it asked for the newest version of it. A serving lease lets
+//! it go on for longer while the controllers can't be reached. The tail grants one only to a router that has the
+//! newest version of all that it serves by, and keeps a ledger of the grants: no change is acknowledged before
+//! each router that holds a lease has confirmed it, or has no more than `proof` left of that lease.
+
+use super::messages::{ServingLeaseGrant, ServingLeaseRequest};
+use super::reader::Reader;
+use super::relay_node::Distribution;
+use crate::fleet::serving::serving_scopes;
+use crate::fleet::slice::Slice;
+use crate::fleet::state::Scope;
+use crate::kernel::component::Context;
+use crate::kernel::ids::Version;
+use crate::kernel::time::{Span, Time};
+use crate::msg::{Effect, Msg};
+
+/// How often a lease is renewed while nothing changes.
+const RENEWAL_INTERVAL: Span = Span::ms(500);
+/// How soon after a request another one may confirm a newer version.
+const CONFIRMATION_INTERVAL: Span = Span::ms(15);
+
+/// The request that is under way: when it was sent, and the topics that it named.
+struct Request {
+    nonce: u64,
+    sent: Time,
+    scopes: Vec<Scope>,
+}
+
+/// Topics that may be served by until a time.
+pub struct Leased {
+    pub scopes: Vec<Scope>,
+    pub until: Time,
+}
+
+/// The lease of one router.
+#[derive(Default)]
+pub struct ServingLease {
+    request: Option<Request>,
+    requested: Time,
+    nonce: u64,
+    last_grant: u64,
+    confirmed: Vec<Version>,
+    cached: (Version, Vec<Scope>),
+    until: Time,
+}
+
+impl ServingLease {
+    /// The next request, if one is due: at once after a change, else every `RENEWAL_INTERVAL`.
+    pub fn request(&mut self, reader: &Reader, now: Time) -> Option<ServingLeaseRequest> {
+        let idle = now.since(self.requested);
+        if idle < CONFIRMATION_INTERVAL {
+            return None;
+        }
+        let scopes = self.scopes(reader)?;
+        let versions = versions(reader, &scopes)?;
+        if versions == self.confirmed && idle < RENEWAL_INTERVAL {
+            return None;
+        }
+        self.confirmed = versions.clone();
+        self.requested = now;
+        self.nonce += 1;
+        self.request = Some(Request { nonce: self.nonce, sent: now, scopes });
+        Some(ServingLeaseRequest { nonce: self.nonce, last_grant: self.last_grant, versions })
+    }
+
+    /// A grant counts from the moment when its request was sent, and only if that is the newest one.
+    pub fn granted(&mut self, grant: &ServingLeaseGrant) -> Option<Leased> {
+        let request = self.request.take_if(|r| r.nonce == grant.nonce)?;
+        if self.last_grant == 0 {
+            self.requested = Time(0);
+        }
+        self.last_grant = grant.grant;
+        self.until = request.sent + grant.length;
+        Some(Leased { scopes: request.scopes, until: self.until })
+    }
+
+    /// How long the lease still runs.
+    pub fn left(&self, now: Time) -> Span {
+        self.until.since(now)
+    }
+
+    fn scopes(&mut self, reader: &Reader) -> Option<Vec<Scope>> {
+        let routes = &reader.topics.get(&Scope::Routes)?.history;
+        let Slice::Routes(rows) = &**routes.slice.as_ref()? else { return None };
+        if self.cached.0 != routes.at || self.cached.1.is_empty() {
+            self.cached = (routes.at, serving_scopes(rows));
+        }
+        Some(self.cached.1.clone())
+    }
+}
+
+/// The versions that a router has, or nothing if it doesn't know one of the topics yet.
+fn versions(reader: &Reader, scopes: &[Scope]) -> Option<Vec<Version>> {
+    let version = |s: &Scope| {
+        let topic = reader.topics.get(s).filter(|t| t.history.slice.is_some() && !t.torn)?;
+        Some(topic.history.at)
+    };
+    scopes.iter().map(version).collect()
+}
+
+impl Distribution {
+    /// Asks the tail for a serving lease; the same letter confirms what this router has.
+    pub(super) fn request_lease(&mut self, ctx: &mut Context) {
+        if ctx.me.lease <= ctx.me.proof {
+            return;
+        }
+        let Some(tail) = ctx.views.view.as_ref().and_then(|v| v.tail()) else { return };
+        if let Some(request) = self.lease.request(&self.reader, ctx.now) {
+            ctx.send(tail, Msg::ServingLeaseRequest(request));
+        }
+    }
+
+    pub(super) fn lease_granted(&mut self, grant: &ServingLeaseGrant, ctx: &mut Context) {
+        if let Some(Leased { scopes, until }) = self.lease.granted(grant) {
+            ctx.out.push(Effect::Leased { scopes, until });
+        }
+    }
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub mod read;
 pub mod routes;
 pub mod runner;
+pub mod serving;
 pub mod show;
 pub mod slice;
 pub mod state;
--- a/src/gate/core.rs
+++ b/src/gate/core.rs
@@ -27,6 +27,8 @@
     pub proof: Span,
     pub proven: Time,
     pub routes_proven: Time,
+    pub leased_until: Time,
+    pub routes_leased_until: Time,
     pub routes: (Version, Arc<RouteTable>),
     pub gone: bool,
     pub stopping: bool,
@@ -56,6 +58,8 @@
             proof: FRESH,
             proven: Time(0),
             routes_proven: Time(0),
+            leased_until: Time(0),
+            routes_leased_until: Time(0),
             routes: Default::default(),
             gone: false,
             stopping: false,
@@ -76,10 +80,11 @@
         }
     }
 
+    /// Whether the service and the routes may be served by: both by a proof, or by a serving lease.
     pub fn is_fresh(&self, now: Time) -> bool {
-        self.slice.is_some()
-            && now.since(self.proven) < self.proof
-            && now.since(self.routes_proven) < self.proof
+        let service = now.since(self.proven) < self.proof || now < self.leased_until;
+        let routes = now.since(self.routes_proven) < self.proof || now < self.routes_leased_until;
+        self.slice.is_some() && service && routes
     }
 
     pub fn count(&mut self, what: &'static str) {
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -5,6 +5,7 @@
 pub mod inbox;
 pub mod kept;
 pub mod learn;
+pub mod lease;
 pub mod nominate;
 pub mod order;
 pub mod pace;
--- a/src/gate/table.rs
+++ b/src/gate/table.rs
@@ -17,6 +17,7 @@
     pub proof: Span,
     gates: RwLock<BTreeMap<Name, Arc<Mutex<Gate>>>>,
     routes: RwLock<(Version, Time, Arc<RouteTable>)>,
+    pub(super) routes_leased_until: RwLock<Time>,
     trial: Mutex<(Version, Option<Candidate>)>,
     pub(super) marks: Mutex<BTreeSet<Name>>,
     held: Mutex<BTreeMap<Name, HeldRow>>,
@@ -37,6 +38,7 @@
             proof,
             gates: RwLock::default(),
             routes: RwLock::new((Version(0), Time(0), Arc::default())),
+            routes_leased_until: RwLock::default(),
             trial: Mutex::new((Version(0), None)),
             marks: Mutex::default(),
             held: Mutex::default(),
@@ -110,7 +112,8 @@
 
     pub fn fresh_routes(&self, now: Time) -> Option<(Version, Arc<RouteTable>)> {
         let row = self.routes.read().unwrap();
-        (now.since(row.1) < self.proof).then(|| (row.0, row.2.clone()))
+        let fresh = now.since(row.1) < self.proof || now < *self.routes_leased_until.read().unwrap();
+        fresh.then(|| (row.0, row.2.clone()))
     }
 
     pub fn find(&self, now: Time, host: &str, path: &str) -> Option<(Version, Option<RouteRow>)> {
@@ -167,6 +170,7 @@
                 let stale = !g.is_fresh(now);
                 g.proven = g.proven.max(proven);
                 g.routes_proven = g.routes_proven.max(routes);
+                g.routes_leased_until = *self.routes_leased_until.read().unwrap();
                 g.routes = rows;
                 match slice {
                     Some(Slice::Service(s)) => {
--- a/src/hollow/mod.rs
+++ b/src/hollow/mod.rs
@@ -2,6 +2,7 @@
 pub mod doing;
 pub mod fit;
 pub mod flags;
+pub mod freshness;
 pub mod heap;
 pub mod judge;
 pub mod meter;
--- a/src/hollow/node.rs
+++ b/src/hollow/node.rs
@@ -31,6 +31,7 @@
     pub watch: bool,
     pub routes_at: Version,
     pub proven: BTreeMap<Scope, Time>,
+    pub leased: BTreeMap<Scope, Time>,
     pub trial: ChangeId,
     pub demand: Vec<(Name, Time)>,
     pub up: Time,
@@ -51,6 +52,7 @@
             watch: false,
             routes_at: Version(0),
             proven: BTreeMap::new(),
+            leased: BTreeMap::new(),
             trial: ChangeId(0),
             demand: vec![],
             up: Time(0),
@@ -91,24 +93,6 @@
             ..RouterTell::default()
         }
     }
-
-    pub fn learn(&mut self, scope: &Scope, at: Version, slice: Option<&Slice>, proven: Time) {
-        if *scope == Scope::Routes {
-            self.routes_at = self.routes_at.max(at);
-        }
-        if let Some(Slice::Trial(t)) = slice {
-            self.trial = t.as_ref().map_or(ChangeId(0), |c| c.id);
-        }
-        let row = self.proven.entry(scope.clone()).or_default();
-        *row = (*row).max(proven);
-    }
-
-    pub fn is_fresh(&self, now: Time) -> bool {
-        let fresh = |s: &Scope| {
-            self.proven.get(s).is_some_and(|t| now.since(*t) < crate::distribution::reader::FRESH)
-        };
-        fresh(&Scope::Routes) && fresh(&Scope::Service(Name::from("assistant")))
-    }
 }
 
 impl Hollow {
@@ -194,6 +178,7 @@
     fn effect(&mut self, place: usize, e: &Effect) {
         let now = self.now;
         match e {
+            Effect::Leased { scopes, until } => self.nodes[place].lease(scopes, *until),
             Effect::Learn { scope, at, slice, proven } => {
                 self.nodes[place].learn(scope, *at, slice.as_ref(), *proven);
             }
--- a/src/hollow/size.rs
+++ b/src/hollow/size.rs
@@ -1,5 +1,5 @@
 use crate::daemon::assemble::{Place, Policy};
-use crate::distribution::reader::FRESH;
+use crate::distribution::reader::{FRESH, SERVING_LEASE};
 use crate::fleet::runner::Runner;
 use crate::kernel::ids::Name;
 use crate::kernel::time::Span;
@@ -81,6 +81,7 @@
             bear: (self.core - 1) / 2,
             first: true,
             proof: FRESH,
+            lease: SERVING_LEASE,
             policy: Policy::Move,
             sides: Default::default(),
         }
--- a/src/kernel/component.rs
+++ b/src/kernel/component.rs
@@ -22,6 +22,8 @@
     pub bear: usize,
     pub first: bool,
     pub proof: Span,
+    /// How long a serving lease runs; the same on all nodes of a fleet.
+    pub lease: Span,
     pub started: Time,
 }
 
@@ -56,6 +58,7 @@
     pub view: Option<View>,
     pub state: FleetState,
     pub role: ChainRole,
+    pub released: Version,
 }
 
 impl Views {
@@ -71,7 +74,11 @@
             JournalEvent::Committed { at, change } => self.state.fold(*at, change),
             JournalEvent::StateLoaded(state) => self.state = FleetState::clone(state),
             JournalEvent::Role(role) => self.role = *role,
-            JournalEvent::Text(..) | JournalEvent::Submitted(_) | JournalEvent::RunnerMarked(_) => {}
+            JournalEvent::Released(upto) => self.released = *upto,
+            JournalEvent::Founded
+            | JournalEvent::Text(..)
+            | JournalEvent::Submitted(_)
+            | JournalEvent::RunnerMarked(_) => {}
         }
     }
 
@@ -118,7 +125,7 @@
         if let JournalEvent::Role(_) = event {
             return;
         }
-        if !matches!(event, JournalEvent::Members(_)) {
+        if !matches!(event, JournalEvent::Members(_) | JournalEvent::Released(_)) {
             self.journal.add(self.now, event.clone());
         }
         self.events.push_back(event);
--- a/src/kernel/event.rs
+++ b/src/kernel/event.rs
@@ -22,10 +22,17 @@
     Members(Arc<Vec<Row>>),
     ViewHeard(View),
     ViewInstalled(View),
-    Committed { at: Version, change: Arc<Change> },
+    Committed {
+        at: Version,
+        change: Arc<Change>,
+    },
     StateLoaded(Arc<FleetState>),
     Submitted(Arc<Change>),
     Role(ChainRole),
+    /// This node has installed the first view of a new fleet: no other tail was there before.
+    Founded,
+    /// Changes up to this version may be acknowledged (see `chain::serving_leases`).
+    Released(Version),
     RunnerMarked(Name),
     Text(&'static str, String),
 }
@@ -62,12 +69,21 @@
 /// What a node asks its driver (daemon, simulator or explorer) to do.
 #[derive(Clone, Debug)]
 pub enum Effect {
-    Send { to: NodeId, msg: Msg },
-    SendAt { addr: SocketAddr, msg: Msg },
+    Send {
+        to: NodeId,
+        msg: Msg,
+    },
+    SendAt {
+        addr: SocketAddr,
+        msg: Msg,
+    },
     Save(Record),
     Rewrite(Vec<Record>),
     Reset(String),
-    Answer { id: ChangeId, answer: Answer },
+    Answer {
+        id: ChangeId,
+        answer: Answer,
+    },
     Drive(RunnerOrder),
     Routers(u64),
     Watch(Vec<Runner>),
@@ -76,7 +92,17 @@
     Held(Vec<HeldRow>),
     Mark(Name),
     Ready(bool),
-    Learn { scope: Scope, at: Version, slice: Option<Slice>, proven: Time },
+    /// These topics may be served by until then, without a newer proof.
+    Leased {
+        scopes: Vec<Scope>,
+        until: Time,
+    },
+    Learn {
+        scope: Scope,
+        at: Version,
+        slice: Option<Slice>,
+        proven: Time,
+    },
 }
 
 impl JournalEvent {
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -2,7 +2,7 @@
 
 pub use crate::chain::messages::*;
 use crate::chain::view::View;
-pub use crate::distribution::messages::TopicUpdate;
+pub use crate::distribution::messages::{ServingLeaseGrant, ServingLeaseRequest, TopicUpdate};
 use crate::fleet::holdings::{HeldTell, Want};
 use crate::fleet::runner::Runner;
 use crate::fleet::state::{Change, Scope};
@@ -36,6 +36,8 @@
     UpdateReply { nonce: u64, items: Vec<TopicUpdate> },
     UpdatePush { items: Vec<TopicUpdate> },
     UpdateRefused { nonce: u64, view: Option<View> },
+    ServingLeaseRequest(ServingLeaseRequest),
+    ServingLeaseGrant(ServingLeaseGrant),
     Op { id: ChangeId, attempt: u64, op: Op },
     OpPending { id: ChangeId, attempt: u64 },
     OpEnd { id: ChangeId, attempt: u64, answer: Answer },
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -15,6 +15,14 @@
 use yaml_rust2::{Yaml, YamlLoader};
 
 const LAME_MS: u64 = 2300;
+/// What is left of the time for an acknowledgement for the commit, and for a caller to come back for it.
+const ACKNOWLEDGEMENT_RESERVE_MS: u64 = 1500;
+
+/// How long an acknowledgement may wait for the leases of routers that can't confirm.
+fn acknowledgement_wait(acknowledged_within: u64) -> u64 {
+    acknowledged_within.saturating_sub(ACKNOWLEDGEMENT_RESERVE_MS)
+}
+
 pub const PATH: &str = "SPINDLEDOCK_SETTINGS";
 
 fn fault(place: &str, what: impl Into<String>, remedy: &str) -> Fault {
@@ -107,6 +115,8 @@
         allowance: r.num("Timers.RetryMin", 10.0) as u64,
     };
     let grace = r.num("Timers.GraceS", 8.0) * 1000.0;
+    let proof_ms = r.num("Timers.ConvergenceMs", 2000.0).max(1000.0) as u64;
+    let acknowledged_within = r.num("Timers.AckTimeoutMs", 4000.0) as u64;
     let node = r.text("NodeName");
     let zone = r.text("Zone");
     let bear = r.num("FaultTolerance.Machines", 1.0) as usize;
@@ -133,7 +143,8 @@
         first,
         data,
         drain_ms: (grace * 0.85) as u64,
-        proof_ms: 2000,
+        proof_ms,
+        lease_ms: proof_ms + acknowledgement_wait(acknowledged_within),
         lame_ms: if role == Role::Router { LAME_MS } else { 0 },
         sides,
         lean: true,
--- a/src/sim/cost.rs
+++ b/src/sim/cost.rs
@@ -26,6 +26,7 @@
         | Msg::UpdateReply { .. }
         | Msg::UpdatePush { .. }
         | Msg::UpdateRefused { .. } => "distribution",
+        Msg::ServingLeaseRequest(_) | Msg::ServingLeaseGrant(_) => "serving leases",
         Msg::Op { .. } | Msg::OpPending { .. } | Msg::OpEnd { .. } => "relay",
         Msg::Ask { .. } | Msg::AskEnd { .. } => "relay",
         Msg::Tell(_) | Msg::Nudge => "tell",
--- a/src/sim/effects.rs
+++ b/src/sim/effects.rs
@@ -35,6 +35,10 @@
                 }
                 self.nodes[place].table.clone().learn(now, &scope, at, slice, proven);
             }
+            Effect::Leased { scopes, until } => {
+                let now = self.local(place);
+                self.nodes[place].table.lease(now, &scopes, until);
+            }
             Effect::Mark(name) => {
                 let now = self.local(place);
                 self.nodes[place].table.mark(now, &name);
--- a/src/sim/setup.rs
+++ b/src/sim/setup.rs
@@ -4,7 +4,7 @@
 use super::runners::SimRunner;
 use super::world::World;
 use crate::daemon::assemble::Place;
-use crate::distribution::reader::FRESH;
+use crate::distribution::reader::{FRESH, SERVING_LEASE};
 use crate::fleet::read::read_text;
 use crate::fleet::runner::Runner;
 use crate::kernel::ids::*;
@@ -36,6 +36,7 @@
                 bear: 1,
                 first: true,
                 proof: FRESH,
+                lease: SERVING_LEASE,
                 policy: plan.policy,
                 sides: Default::default(),
             };
@@ -114,30 +115,39 @@
 
     pub fn boot(plan: Deployment, seed: u64) -> World {
         let mut w = World::build(plan, seed);
-        w.start_all();
-        let core = w.controllers();
-        let routers = w.routers();
-        let up = w.until(Span::ms(20_000), |w| core.iter().all(|n| w.nodes[*n].ready));
-        assert!(up.is_some(), "the core must found itself within 20 s");
-        let first = routers[0];
-        let id = w.config_op(first, w.plan.config());
-        assert_eq!(w.answer(id, Span::ms(20_000)), Some(200), "{:?}", w.answers.get(&id));
-        w.show_later();
-        let id = w.list_op(core[0]);
-        assert_eq!(w.answer(id, Span::ms(5000)), Some(200));
+        w.found_fleet();
         w
     }
 
-    pub fn loaded_boot(plan: Deployment, seed: u64, hot: u64) -> World {
-        let mut w = World::boot(plan, seed);
-        let done = w.until(Span::ms(120_000), |w| {
+    /// Starts all nodes, and gives the fleet its first configuration and the list of its runners.
+    pub fn found_fleet(&mut self) {
+        self.start_all();
+        let core = self.controllers();
+        let up = self.until(Span::ms(20_000), |w| core.iter().all(|n| w.nodes[*n].ready));
+        assert!(up.is_some(), "the core must found itself within 20 s");
+        let first = self.routers()[0];
+        let id = self.config_op(first, self.plan.config());
+        assert_eq!(self.answer(id, Span::ms(20_000)), Some(200), "{:?}", self.answers.get(&id));
+        self.show_later();
+        let id = self.list_op(core[0]);
+        assert_eq!(self.answer(id, Span::ms(5000)), Some(200));
+    }
+
+    /// Waits until the `hot` busiest models are held.
+    pub fn load_models(&mut self, hot: u64) {
+        let done = self.until(Span::ms(120_000), |w| {
             (0..hot).all(|m| {
                 let name = Name(format!("m{m:02}"));
                 w.runners.iter().any(|r| r.stock.holds.contains(&name))
             })
         });
         assert!(done.is_some(), "the hot models must be held within 120 s");
-        w.run_for(Span::ms(1000));
+        self.run_for(Span::ms(1000));
+    }
+
+    pub fn loaded_boot(plan: Deployment, seed: u64, hot: u64) -> World {
+        let mut w = World::boot(plan, seed);
+        w.load_models(hot);
         w
     }
 
