--- a/src/hollow/node.rs
+++ b/src/hollow/node.rs
@@ -4,7 +4,6 @@
 use super::world::{Event, Hollow};
 use crate::daemon::assemble::{controller, router};
 use crate::daemon::keep;
-use crate::fleet::slice::Slice;
 use crate::fleet::state::Scope;
 use crate::kernel::disk::Disk;
 use crate::kernel::ids::*;
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -39,6 +39,10 @@
 refused-in-force|src/fleet/fold.rs|return self.end\(id, "rehearsal-failed"|self.config = t.config; self.config_at = self.at; self.touch(Scope::Routes); return self.end(id, "rehearsal-failed"|rehearse live_orders
 restart-credit|src/gate/budget.rs|credit: 0.0|credit: 10.0|tries restarts
 saved-credit|src/gate/budget.rs|self.share.max\(LEAST as f64\)|500.0|tries quiet_time
+read-index|src/chain/read_index.rs|return self.arrived\(from, id, attempt, op, ctx\)|return self.op(from, id, attempt, op, ctx)|cut_off nothing_old_is_said
+lease-release|src/chain/reply.rs|o.at <= views.released|true|dark_core acknowledgement_waits
+lease-unknown|src/chain/serving_leases.rs|ctx.now \+ ctx.me.lease \};|ctx.now };|dark_core new_tail_waits
+lease-newest|src/chain/serving_leases.rs|filter\(\|s\| s.versions == request.versions\)|filter(\|s\| s.versions.len() == request.versions.len())|dark_core cut_off_later
 held-credit|src/gate/budget.rs| - self.held;|;|tries quiet_time
 R
 }
