--- a/src/chain/messages.rs
+++ b/src/chain/messages.rs
@@ -1,5 +1,6 @@
 //! Messages between controllers, and the records that they keep on disk.
 
+use super::acceptor::AcceptedView;
 use super::view::View;
 use crate::fleet::FleetState;
 use crate::fleet::state::Change;
@@ -7,13 +8,14 @@
 use crate::kernel::time::{Span, Time};
 use crate::membership::messages::Member;
 use bitcode::{Decode, Encode};
+use std::sync::Arc;
 
 /// A change at its place in the chain, and the view in which the head placed it there.
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub struct Entry {
     pub at: Version,
     pub view: ViewNo,
-    pub change: Change,
+    pub change: Arc<Change>,
 }
 
 /// What controllers say to each other about the view, the chain and its lease.
@@ -44,6 +46,7 @@
         view: ViewNo,
         room: bool,
         isolated: bool,
+        leaving: bool,
     },
     Join {
         have: Version,
@@ -67,7 +70,7 @@
     Promise {
         no: ViewNo,
         ballot: Ballot,
-        taken: Option<(Ballot, View)>,
+        accepted: Option<AcceptedView>,
     },
     Accept {
         ballot: Ballot,
--- a/src/chain/read_index.rs
+++ b/src/chain/read_index.rs
@@ -22,6 +22,7 @@
 const MOST_ARRIVALS: usize = 64;
 
 /// An order that has arrived at the head and isn't yet decided on.
+#[derive(Clone)]
 struct Arrival {
     from: NodeId,
     id: ChangeId,
@@ -31,13 +32,14 @@
 }
 
 /// The tail's answer to a request sent at `sent`; it counts once the head has applied `committed`.
+#[derive(Clone)]
 struct Confirmation {
     sent: Time,
     committed: Version,
 }
 
 /// The orders that wait for a proof, and what the tail has confirmed.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct ReadIndex {
     arrivals: Vec<Arrival>,
     confirmation: Option<Confirmation>,
--- a/src/kernel/component.rs
+++ b/src/kernel/component.rs
@@ -51,7 +51,7 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Views {
     pub fleet: FleetId,
     pub members: Arc<Vec<Row>>,
@@ -75,10 +75,8 @@
             JournalEvent::StateLoaded(state) => self.state = FleetState::clone(state),
             JournalEvent::Role(role) => self.role = *role,
             JournalEvent::Released(upto) => self.released = *upto,
-            JournalEvent::Founded
-            | JournalEvent::Text(..)
-            | JournalEvent::Submitted(_)
-            | JournalEvent::RunnerMarked(_) => {}
+            JournalEvent::Founded | JournalEvent::MemberReady(_) | JournalEvent::Text(..) => {}
+            JournalEvent::Submitted(_) | JournalEvent::RunnerMarked(_) => {}
         }
     }
 
--- a/src/kernel/event.rs
+++ b/src/kernel/event.rs
@@ -1,5 +1,6 @@
 //! What enters a node, what its components tell each other, and what leaves it.
 
+use crate::chain::leaving::Departure;
 use crate::chain::messages::{ChainRole, Record};
 use crate::chain::view::View;
 use crate::fleet::FleetState;
@@ -22,6 +23,7 @@
     Members(Arc<Vec<Row>>),
     ViewHeard(View),
     ViewInstalled(View),
+    MemberReady(ViewNo),
     Committed {
         at: Version,
         change: Arc<Change>,
@@ -97,6 +99,7 @@
         scopes: Vec<Scope>,
         until: Time,
     },
+    Leaving(Departure),
     Learn {
         scope: Scope,
         at: Version,
--- a/tests/cut_off.rs
+++ b/tests/cut_off.rs
@@ -148,7 +148,6 @@
         while self.office.w.now.since(since) < due {
             self.read();
             let id = self.questions.last().expect("one was asked").id;
-            let lost = self.lost;
             let _ = self.office.w.until(STEP, |w| w.answers.contains_key(&id));
             if self.office.w.answers.get(&id).is_some_and(|a| a.status == 200) {
                 return Some(self.office.w.now.since(since));
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -43,13 +43,38 @@
 lease-release|src/chain/reply.rs|o.at <= views.released|true|dark_core acknowledgement_waits
 lease-unknown|src/chain/serving_leases.rs|ctx.now \+ ctx.me.lease \};|ctx.now };|dark_core new_tail_waits
 lease-newest|src/chain/serving_leases.rs|filter\(\|s\| s.versions == request.versions\)|filter(\|s\| s.versions.len() == request.versions.len())|dark_core cut_off_later
+vote-when-ready|src/chain/view.rs|next.chain.push\(new\);|next.chain.push(new); next.give_vacant_votes(&[new]);|second_loss lost_for_good_at_once
+ballot-synced|src/chain/view_change.rs|ctx.save\(Record::Promise \{ no, ballot \}\);||second_loss its_ballot_is_new
+ready-copies|src/chain/replicate.rs|if self.ready \{ self.lowest\(\) \} else \{ Version\(0\) \}|self.lowest()|second_loss could_go_on
+leave-in-order|src/chain/leaving.rs|self.copies >= self.copies_wanted && self.votes >= self.majority|true|departure waits_for_the_others
+vote-passed-on|src/chain/view.rs|next.give_vacant_votes\(candidates\);\s+next$|next|departure vote_passed_on
+stop-waits|src/sim/hurts_more.rs|if left \|\| w.now >= due|if true|departure waits_for_the_others
 held-credit|src/gate/budget.rs| - self.held;|;|tries quiet_time
+reuse-quiet|src/http/connection.rs| \|\| !self.link.guard.is_quiet\(\)||platform_connection nobody_has_read_it_yet
+reuse-unread|src/http/exchange.rs|if !self.whole \{|if false {|platform_connection not_read_to_its_end
+reuse-written|src/http/connection.rs|if !written \|\||if|platform_connection before_the_request_was_read
+reuse-close|src/http/connection.rs|if rest == Duration::ZERO \|\||if|platform_connection names_an_end
+reuse-rest|src/http/connection.rs|now >= self.until \|\||false \|\||platform_connection names_an_end
+drop-resets|src/http/connection.rs|self.guard.reset_on_close\(\);||platform_connection not_read_to_its_end
+interim|src/http/exchange.rs|if self.response.status\(\).is_informational\(\)|if false|platform_connection interim_status
+no-resend|src/http/leg.rs|Err\(SendError::NotSent\) if used|Err(SendError::NotSent \| SendError::Unsure) if used|platform_gone after_a_request_came
+once-after-reset|src/pass/resume.rs|let again = self.order.resumable|let again = true \|\| self.order.resumable|platform_cuts_runner may_run_once
+own-id|src/platform/runner.rs|if other \{\s+return Verdict::Stray;|if false { return Verdict::Stray;|platform_links surplus_answer
+deadline-left|src/http/leg.rs|job.order.end.since\(job.clock.now\(\)\)|job.order.aim|platform_links told_what_is_left
+caller-gone|src/http/carry.rs|_ = gone\(&mut c.first, &c.body\) => In::Gone,||platform_gone caller_that_leaves
+whole-by|src/pass/shift.rs|self.order.whole_by.is_some_and|None::<Time>.is_some_and|platform_gone answer_that_has_begun
+late-answer|src/pass/shift.rs|if !self.began && now >= self.order.end|if false|platform_gone late_answer
+head-size|src/http/serve.rs|if head_bytes\(&order\) > |if false && 0 > |platform_limits limit_on_heads
+head-time|src/http/client.rs|now.since\(since\) > Span::ms\(limits.head_ms\)|false|platform_limits comes_slowly
+rest-time|src/http/client.rs|now.since\(since\) > limit.max|false && now.since(since) > limit.max|platform_limits at_rest
+rest-longer|src/http/client.rs|limit.max\(Span::ms\(limits.idle_ms\)\)|Span::ms(limits.idle_ms)|platform_limits limit_shrinks
+move-runners|src/pass/shift.rs|if self.opened >= self.order.tries \{\s+return;|if false { return;|ride most_runners
 R
 }
 
 if [ "${1:-}" = "--ci" ]; then
   set -- same-event refusal-truth mark-gossip route-again refused-in-force restart-credit held-credit \
-    in-flight plan-allowance wait-refused overlap
+    in-flight plan-allowance wait-refused overlap reuse-quiet drop-resets own-id head-size
 fi
 bad=0
 while IFS='|' read -r line; do
