--- a/src/explore/replica.rs
+++ b/src/explore/replica.rs
@@ -103,6 +103,7 @@
             bear,
             first: true,
             proof: crate::kernel::time::Span::ms(2000),
+            lease: crate::kernel::time::Span::ms(4500),
             started: Time(0),
         };
         let disk = MemoryDisk::default();
