--- a/src/chain/serving_leases.rs
+++ b/src/chain/serving_leases.rs
@@ -28,6 +28,7 @@
 const HISTORY: usize = 64;
 
 /// A router with a lease.
+#[derive(Clone)]
 struct Holder {
     until: Time,
     /// The first version of the newest set that it has confirmed.
@@ -37,13 +38,14 @@
 }
 
 /// The versions of all that routers serve by, and the first version of the chain at which they were that.
+#[derive(Clone)]
 struct VersionSet {
     from: Version,
     versions: Vec<Version>,
 }
 
 /// The versions that routers serve by, as the chain went on.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct VersionHistory {
     sets: VecDeque<VersionSet>,
     seen: Version,
@@ -51,7 +53,7 @@
 }
 
 /// Component of the controllers that keeps the ledger while it is the tail, and passes on what is released.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct ServingLeases {
     holders: BTreeMap<NodeId, Holder>,
     history: VersionHistory,
@@ -110,6 +112,11 @@
 }
 
 impl ServingLeases {
+    /// Until when leases that predecessors granted may run.
+    pub fn unknown_until(&self) -> Time {
+        self.unknown_until
+    }
+
     /// Begins a tenure, or goes on with one. A tail that stays the tail in the next view keeps its ledger: no
     /// other tail was there in between.
     fn follow_role(&mut self, ctx: &mut Context) {
--- a/src/explore/digest.rs
+++ b/src/explore/digest.rs
@@ -83,6 +83,8 @@
     process.views.fleet.hash(hasher);
     process.views.view.as_ref().map(|v| v.no).hash(hasher);
     clock.of(process.views.role.until).hash(hasher);
+    process.views.released.hash(hasher);
+    clock.of(process.serving.unknown_until()).hash(hasher);
     hash_state(&process.views.state, hasher);
 }
 
--- a/src/explore/replica.rs
+++ b/src/explore/replica.rs
@@ -3,13 +3,14 @@
 use super::memory_disk::MemoryDisk;
 use crate::chain::Chain;
 use crate::chain::change_queue::ChangeQueue;
+use crate::chain::serving_leases::ServingLeases;
 use crate::kernel::component::{Component, Context, Me, Views};
 use crate::kernel::disk::Disk;
 use crate::kernel::hold::{Hold, Job, write};
 use crate::kernel::ids::*;
 use crate::kernel::node::Node;
 use crate::kernel::rand::{Rand, Seeded};
-use crate::kernel::time::Time;
+use crate::kernel::time::{Span, Time};
 use crate::msg::{Effect, Event, Member, Record, Role, Row};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -20,6 +21,9 @@
 /// Where every clock begins, far from zero so that "never" stays in the past.
 const CLOCK_START_US: u64 = 1_000_000_000;
 const IDENTS_PER_PLACE: u64 = 100;
+/// Short, as no router is explored: a new tail soon releases changes.
+const SERVING_LEASE: Span = Span::ms(500);
+const PROOF: Span = Span::ms(2000);
 const FIRST_PORT: u16 = 7000;
 
 /// The state of a running process, as far as the agreement depends on it.
@@ -27,6 +31,7 @@
 pub struct Process {
     pub chain: Chain,
     pub queue: ChangeQueue,
+    pub serving: ServingLeases,
     pub views: Views,
     pub gate: Hold,
     pub jobs: VecDeque<Job>,
@@ -102,8 +107,8 @@
             core: 0,
             bear,
             first: true,
-            proof: crate::kernel::time::Span::ms(2000),
-            lease: crate::kernel::time::Span::ms(4500),
+            proof: PROOF,
+            lease: SERVING_LEASE,
             started: Time(0),
         };
         let disk = MemoryDisk::default();
@@ -146,6 +151,7 @@
         self.process = Some(Process {
             chain: Chain::new(node, records, clock),
             queue: ChangeQueue::new(None),
+            serving: ServingLeases::default(),
             views: Views::default(),
             gate: Hold::default(),
             jobs: VecDeque::new(),
@@ -173,24 +179,26 @@
     pub fn feed(&mut self, now: Time, event: Event, members: &Arc<Vec<Row>>) -> Vec<Effect> {
         let clock = self.clock(now);
         let Some(process) = self.process.take() else { return vec![] };
-        let Process { chain, queue, mut views, mut gate, mut jobs, handed, random } = process;
+        let Process { chain, queue, serving, mut views, mut gate, mut jobs, handed, random } = process;
         views.members = members.clone();
         let (chain, lent_chain) = lend(chain);
         let (queue, lent_queue) = lend(queue);
+        let (serving, lent_serving) = lend(serving);
         let random = Arc::new(Mutex::new(Seeded(random)));
         let mut node = Node::new(self.me.clone(), Box::new(LentRandom(random.clone())));
         node.views = views;
         node.slow = gate.slow(clock);
         node.add(Box::new(lent_chain));
         node.add(Box::new(lent_queue));
+        node.add(Box::new(lent_serving));
         let effects = node.feed(clock, event);
         let views = std::mem::take(&mut node.views);
         drop(node);
         let (free, job) = gate.take(clock, effects);
         jobs.extend(job);
         let random = random.lock().expect("one thread drives a replica").0;
-        let (chain, queue) = (take_back(chain), take_back(queue));
-        self.process = Some(Process { chain, queue, views, gate, jobs, handed, random });
+        let (chain, queue, serving) = (take_back(chain), take_back(queue), take_back(serving));
+        self.process = Some(Process { chain, queue, serving, views, gate, jobs, handed, random });
         free
     }
 
