Serving leases are recorded along the chain, so a new tail knows them

A tail that had just taken over counted a whole lease for what it didn't know: an acknowledgement then waited 2.5 s more after each change of the tail (cuts, one way: none in 2.5 s). Now requests enter at the head, each member records them before the next, and the tail grants.

--- a/src/chain/core.rs
+++ b/src/chain/core.rs
@@ -155,7 +155,8 @@
             }
             ChainMsg::LeaseRequest { view, sent } => self.lease_requested(from, *view, *sent, ctx),
             ChainMsg::LeaseGrant { view, sent } => self.lease_granted(from, *view, *sent, ctx),
-            ChainMsg::Released { .. }
+            ChainMsg::LeaseApplications { .. }
+            | ChainMsg::Released { .. }
             | ChainMsg::ReadIndexRequest { .. }
             | ChainMsg::ReadIndexReply { .. } => {}
         }
--- a/src/chain/messages.rs
+++ b/src/chain/messages.rs
@@ -2,6 +2,7 @@
 
 use super::acceptor::AcceptedView;
 use super::view::View;
+use crate::distribution::messages::LeaseApplication;
 use crate::fleet::FleetState;
 use crate::fleet::state::Change;
 use crate::kernel::ids::*;
@@ -95,6 +96,11 @@
         view: ViewNo,
         sent: Time,
     },
+    /// Routers ask for serving leases; each member records them before the next one, the tail grants them.
+    LeaseApplications {
+        view: ViewNo,
+        rows: Vec<LeaseApplication>,
+    },
     /// Changes up to `upto` are released: no router serves by anything older for longer than allowed.
     Released {
         view: ViewNo,
--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -22,6 +22,7 @@
 pub mod reply;
 pub mod serving_leases;
 pub mod show;
+pub mod version_history;
 pub mod view;
 pub mod view_change;
 pub use self::core::Chain;
--- a/src/chain/serving_leases.rs
+++ b/src/chain/serving_leases.rs
@@ -1,172 +1,144 @@
-//! The ledger of serving leases, kept by the tail, and the version up to which changes are released.
+//! The ledger of serving leases, kept by all members of the chain, and the version up to which changes are released.
 //!
 //! Routers serve by a lease for longer than `proof` after their last contact (see
 //! `distribution::serving_lease`). So that nobody is served by an old configuration `proof` after a newer one was
 //! acknowledged, the head acknowledges a change only once it is *released*: each router that holds a lease has
-//! confirmed it, or has at most `proof` left of that lease. The ledger is in the tail's memory only. A tail that
-//! is new, or was restarted, counts all that its predecessors may have granted as running for a whole lease from
-//! the moment when it got its own lease from a majority of the voters.
+//! confirmed it, or has at most `proof` left of that lease.
+//!
+//! Requests enter at the head and go along the chain; each member records one in memory before the next member
+//! gets it, and the tail grants it. So whichever member is the next tail has the whole ledger. A member that is
+//! new in the chain, or was restarted, counts all that it can't know as running for a whole lease from then.
 
+use super::lease::LEASE;
+use super::version_history::VersionHistory;
 use super::view::View;
-use crate::distribution::messages::{ServingLeaseGrant, ServingLeaseRequest};
-use crate::fleet::FleetState;
-use crate::fleet::serving::serving_scopes;
-use crate::fleet::slice::route_rows;
-use crate::fleet::state::Scope;
 use crate::kernel::component::{Component, Context};
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// What a router's clock may lose against the tail's while a lease runs.
 const CLOCK_DRIFT_MARGIN: Span = Span::ms(20);
 /// How often the released version is told up the chain again.
 const REPEAT_INTERVAL: Span = Span::ms(150);
-/// How many sets of versions are remembered, to know what a router has confirmed.
-const HISTORY: usize = 64;
 
 /// A router with a lease.
 struct Holder {
     until: Time,
-    /// The first version of the newest set that it has confirmed.
-    confirmed_set: Version,
-    address: Option<SocketAddr>,
-    requested: u64,
-}
-
-/// The versions of all that routers serve by, and the first version of the chain at which they were that.
-struct VersionSet {
-    from: Version,
+    /// What it has confirmed to have.
     versions: Vec<Version>,
+    address: Option<SocketAddr>,
+    number: LeaseNumber,
 }
 
-/// The versions that routers serve by, as the chain went on.
-#[derive(Default)]
-struct VersionHistory {
-    sets: VecDeque<VersionSet>,
-    seen: Version,
-    scopes: (Version, Vec<Scope>),
-}
-
-/// Component of the controllers that keeps the ledger while it is the tail, and passes on what is released.
+/// Component of the controllers that keeps the ledger, and passes on what is released.
 #[derive(Default)]
 pub struct ServingLeases {
     holders: BTreeMap<NodeId, Holder>,
     history: VersionHistory,
-    /// The view in which this node is the tail and the ledger is whole, but for what `unknown_until` covers.
-    tenure: Option<ViewNo>,
+    /// The view in which this node is a member, and the ledger is whole but for what `unknown_until` covers.
+    view: Option<ViewNo>,
     unknown_until: Time,
-    requests: u64,
-    founded: bool,
+    waiting: Vec<LeaseApplication>,
+    count: u64,
     told: Time,
 }
 
-impl VersionHistory {
-    fn clear(&mut self) {
-        self.sets.clear();
-    }
-
-    /// Adds the present set if it differs from the last one. Versions that were skipped count as the new set's.
-    fn follow(&mut self, state: &FleetState) {
-        if state.at == self.seen && !self.sets.is_empty() {
-            return;
-        }
-        let from = if self.sets.is_empty() { state.at } else { self.seen.next() };
-        self.seen = state.at;
-        let routes_at = state.scope_at(&Scope::Routes);
-        if self.scopes.0 != routes_at || self.scopes.1.is_empty() {
-            self.scopes = (routes_at, serving_scopes(&route_rows(&state.config)));
-        }
-        let versions: Vec<Version> = self.scopes.1.iter().map(|s| state.scope_at(s)).collect();
-        if self.sets.back().is_some_and(|last| last.versions == versions) {
+impl ServingLeases {
+    /// Follows the view. A member that was in the chain of the view before has recorded every application that
+    /// was granted in it; another one, or one that was restarted, counts a whole lease for what it doesn't know.
+    fn follow_view(&mut self, ctx: &mut Context) {
+        let view = ctx.views.role.view;
+        if self.view == Some(view) {
             return;
         }
-        self.sets.push_back(VersionSet { from, versions });
-        if self.sets.len() > HISTORY {
-            self.sets.pop_front();
+        let inside = ctx.views.view.as_ref().is_some_and(|v| v.no == view && v.has(ctx.me.node));
+        let went_on = inside && self.view.is_some_and(|old| old.next() == view);
+        if !went_on {
+            self.holders.clear();
+            self.history.clear();
+            self.unknown_until = ctx.now + ctx.me.lease + LEASE;
         }
+        self.view = inside.then_some(view);
+    }
+
+    fn leads(&self, ctx: &Context) -> bool {
+        let role = ctx.views.role;
+        role.tail && self.view == Some(role.view) && ctx.now < role.until
     }
 
-    fn newest(&self) -> Option<&VersionSet> {
-        self.sets.back()
+    /// The view that this node and its chain agree on.
+    fn current_view(&self, ctx: &Context) -> Option<View> {
+        ctx.views.view.clone().filter(|v| Some(v.no) == self.view && v.no == ctx.views.role.view)
     }
 
-    fn find(&self, versions: &[Version]) -> Option<Version> {
-        self.sets.iter().rev().find(|s| s.versions == versions).map(|s| s.from)
+    /// At the head: a request is numbered and goes along the chain with the others of this moment.
+    fn requested(&mut self, router: NodeId, request: &ServingLeaseRequest, ctx: &mut Context) {
+        let view = self.current_view(ctx).filter(|v| v.head() == Some(ctx.me.node));
+        let Some(view) = view else {
+            let view = ctx.views.view.clone();
+            return ctx.send(router, Msg::UpdateRefused { nonce: 0, view });
+        };
+        self.count += 1;
+        let number = LeaseNumber { view: view.no, count: self.count };
+        let address = ctx.views.member(router).map(|m| m.addr);
+        self.waiting.push(LeaseApplication { number, router, address, request: request.clone() });
     }
 
-    /// The last version of the chain up to which a router that confirmed the set of `from` has everything.
-    fn covers(&self, from: Version) -> Version {
-        if self.sets.front().is_none_or(|first| first.from > from) {
-            return from;
-        }
-        match self.sets.iter().find(|s| s.from > from) {
-            Some(next) => Version(next.from.0 - 1),
-            None => self.seen,
+    fn pass_waiting(&mut self, ctx: &mut Context) {
+        let rows = std::mem::take(&mut self.waiting);
+        if let (Some(view), false) = (self.current_view(ctx), rows.is_empty()) {
+            self.applied(view.no, &rows, ctx);
         }
     }
-}
 
-impl ServingLeases {
-    /// Begins a tenure, or goes on with one. A tail that stays the tail in the next view keeps its ledger: no
-    /// other tail was there in between.
-    fn follow_role(&mut self, ctx: &mut Context) {
-        let role = ctx.views.role;
-        if !role.tail {
-            self.tenure = None;
-            return self.holders.clear();
+    /// Records applications, and passes them on; the tail grants them.
+    fn applied(&mut self, no: ViewNo, rows: &[LeaseApplication], ctx: &mut Context) {
+        let Some(view) = self.current_view(ctx).filter(|v| v.no == no) else { return };
+        self.history.follow(&ctx.views.state);
+        if let Some(next) = view.after(ctx.me.node) {
+            rows.iter().for_each(|a| self.record(a, ctx));
+            return ctx.chain(next, ChainMsg::LeaseApplications { view: no, rows: rows.to_vec() });
         }
-        if ctx.now >= role.until || self.tenure == Some(role.view) {
-            return;
+        if self.leads(ctx) {
+            rows.iter().for_each(|a| self.judge(a, ctx));
+            self.release(ctx);
         }
-        let went_on = self.tenure.is_some_and(|old| old.next() == role.view);
-        if !went_on {
-            self.holders.clear();
-            self.history.clear();
-            let first = self.founded && role.view == ViewNo(1);
-            self.unknown_until = if first { ctx.now } else { ctx.now + ctx.me.lease };
-        }
-        self.founded = false;
-        self.tenure = Some(role.view);
     }
 
-    fn leads(&self, ctx: &Context) -> bool {
-        self.tenure == Some(ctx.views.role.view) && ctx.now < ctx.views.role.until
+    fn record(&mut self, a: &LeaseApplication, ctx: &Context) {
+        self.end_earlier_lives(a);
+        let until = ctx.now + ctx.me.lease;
+        let versions = a.request.versions.clone();
+        self.holders.insert(a.router, Holder { until, versions, address: a.address, number: a.number });
     }
 
-    fn requested(&mut self, from: NodeId, request: &ServingLeaseRequest, ctx: &mut Context) {
-        self.follow_role(ctx);
-        if !self.leads(ctx) {
-            let view = ctx.views.view.clone();
-            return ctx.send(from, Msg::UpdateRefused { nonce: 0, view });
+    /// The tail grants a lease to a router that has the newest of everything; else it only notes what it has.
+    fn judge(&mut self, a: &LeaseApplication, ctx: &mut Context) {
+        if self.history.is_newest(&a.request.versions) {
+            self.record(a, ctx);
+            let (nonce, grant, length) = (a.request.nonce, a.number, ctx.me.lease);
+            return ctx.send(a.router, Msg::ServingLeaseGrant(ServingLeaseGrant { nonce, grant, length }));
         }
-        self.history.follow(&ctx.views.state);
-        self.requests += 1;
-        let address = ctx.views.member(from).map(|m| m.addr);
-        self.end_earlier_lives(from, address, request.last_grant);
-        let newest = self.history.newest().filter(|s| s.versions == request.versions).map(|s| s.from);
-        if let Some(set) = newest {
-            let until = ctx.now + ctx.me.lease;
-            let holder = Holder { until, confirmed_set: set, address, requested: self.requests };
-            self.holders.insert(from, holder);
-            let (nonce, grant, length) = (request.nonce, self.requests, ctx.me.lease);
-            ctx.send(from, Msg::ServingLeaseGrant(ServingLeaseGrant { nonce, grant, length }));
-        } else if let Some(holder) = self.holders.get_mut(&from) {
-            holder.requested = self.requests;
-            let confirmed = self.history.find(&request.versions).unwrap_or_default();
-            holder.confirmed_set = holder.confirmed_set.max(confirmed);
+        self.end_earlier_lives(a);
+        let covered = self.history.covers(&a.request.versions);
+        if let Some(holder) = self.holders.get_mut(&a.router)
+            && covered >= self.history.covers(&holder.versions)
+        {
+            holder.versions = a.request.versions.clone();
+            holder.number = a.number;
         }
-        self.release(ctx);
     }
 
-    /// A process that got a grant here is alive after that grant. Another one at its address that asked before
-    /// it has ended since: two processes never hold one address at a time.
-    fn end_earlier_lives(&mut self, from: NodeId, address: Option<SocketAddr>, last_grant: u64) {
-        if address.is_some() {
-            let ended =
-                |id: &NodeId, h: &Holder| *id != from && h.address == address && h.requested < last_grant;
+    /// A process that got a grant is alive after it. Another one at its address that had asked before has ended
+    /// since: two processes never hold one address at a time.
+    fn end_earlier_lives(&mut self, a: &LeaseApplication) {
+        if a.address.is_some() {
+            let ended = |id: &NodeId, h: &Holder| {
+                *id != a.router && h.address == a.address && h.number < a.request.last_grant
+            };
             self.holders.retain(|id, h| !ended(id, h));
         }
     }
@@ -178,7 +150,7 @@
             return Version(0);
         }
         self.holders.retain(|_, h| h.until + CLOCK_DRIFT_MARGIN > horizon);
-        let confirmed = self.holders.values().map(|h| self.history.covers(h.confirmed_set));
+        let confirmed = self.holders.values().map(|h| self.history.covers(&h.versions));
         confirmed.min().unwrap_or(ctx.views.state.at).min(ctx.views.state.at)
     }
 
@@ -210,7 +182,8 @@
     }
 
     fn tick(&mut self, ctx: &mut Context) {
-        self.follow_role(ctx);
+        self.follow_view(ctx);
+        self.pass_waiting(ctx);
         self.release(ctx);
         if ctx.now.since(self.told) >= REPEAT_INTERVAL {
             self.tell(ctx);
@@ -224,16 +197,20 @@
     }
 
     fn on(&mut self, ev: &Event, ctx: &mut Context) {
+        self.follow_view(ctx);
         match ev {
+            Event::Journal(JournalEvent::Founded) => self.unknown_until = ctx.now,
             Event::Mail { from, msg: Msg::ServingLeaseRequest(request), .. } => {
                 self.requested(*from, request, ctx)
             }
+            Event::Mail { msg: Msg::Chain(ChainMsg::LeaseApplications { view, rows }), .. } => {
+                self.applied(*view, rows, ctx)
+            }
             Event::Mail { msg: Msg::Chain(ChainMsg::Released { view, upto }), .. }
                 if *view == ctx.views.role.view =>
             {
                 self.raise(*upto, ctx)
             }
-            Event::Journal(JournalEvent::Founded) => self.founded = true,
             Event::Journal(JournalEvent::Committed { .. }) => self.release(ctx),
             Event::Tick => self.tick(ctx),
             _ => {}
--- a/src/distribution/serving_lease.rs
+++ b/src/distribution/serving_lease.rs
@@ -5,7 +5,7 @@
 //! newest version of all that it serves by, and keeps a ledger of the grants: no change is acknowledged before
 //! each router that holds a lease has confirmed it, or has no more than `proof` left of that lease.
 
-use super::messages::{ServingLeaseGrant, ServingLeaseRequest};
+use super::messages::{LeaseNumber, ServingLeaseGrant, ServingLeaseRequest};
 use super::reader::Reader;
 use super::relay_node::Distribution;
 use crate::fleet::serving::serving_scopes;
@@ -40,7 +40,7 @@
     request: Option<Request>,
     requested: Time,
     nonce: u64,
-    last_grant: u64,
+    last_grant: LeaseNumber,
     confirmed: Vec<Version>,
     cached: (Version, Vec<Scope>),
     until: Time,
@@ -68,7 +68,7 @@
     /// A grant counts from the moment when its request was sent, and only if that is the newest one.
     pub fn granted(&mut self, grant: &ServingLeaseGrant) -> Option<Leased> {
         let request = self.request.take_if(|r| r.nonce == grant.nonce)?;
-        if self.last_grant == 0 {
+        if self.last_grant == LeaseNumber::default() {
             self.requested = Time(0);
         }
         self.last_grant = grant.grant;
@@ -101,14 +101,14 @@
 }
 
 impl Distribution {
-    /// Asks the tail for a serving lease; the same letter confirms what this router has.
+    /// Asks the head, which passes it along the chain; the same letter confirms what this router has.
     pub(super) fn request_lease(&mut self, ctx: &mut Context) {
         if ctx.me.lease <= ctx.me.proof {
             return;
         }
-        let Some(tail) = ctx.views.view.as_ref().and_then(|v| v.tail()) else { return };
+        let Some(head) = ctx.views.view.as_ref().and_then(|v| v.head()) else { return };
         if let Some(request) = self.lease.request(&self.reader, ctx.now) {
-            ctx.send(tail, Msg::ServingLeaseRequest(request));
+            ctx.send(head, Msg::ServingLeaseRequest(request));
         }
     }
 
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -2,7 +2,9 @@
 
 pub use crate::chain::messages::*;
 use crate::chain::view::View;
-pub use crate::distribution::messages::{ServingLeaseGrant, ServingLeaseRequest, TopicUpdate};
+pub use crate::distribution::messages::{
+    LeaseApplication, LeaseNumber, ServingLeaseGrant, ServingLeaseRequest, TopicUpdate,
+};
 use crate::fleet::holdings::{HeldTell, Want};
 use crate::fleet::runner::Runner;
 use crate::fleet::state::{Change, Scope};
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -41,14 +41,9 @@
 saved-credit|src/gate/budget.rs|self.share.max\(LEAST as f64\)|500.0|tries quiet_time
 read-index|src/chain/read_index.rs|return self.arrived\(from, id, attempt, op, ctx\)|return self.op(from, id, attempt, op, ctx)|cut_off nothing_old_is_said
 lease-release|src/chain/reply.rs|o.at <= views.released|true|dark_core acknowledgement_waits
-lease-unknown|src/chain/serving_leases.rs|ctx.now \+ ctx.me.lease \};|ctx.now };|dark_core new_tail_waits
-lease-newest|src/chain/serving_leases.rs|filter\(\|s\| s.versions == request.versions\)|filter(\|s\| s.versions.len() == request.versions.len())|dark_core cut_off_later
-vote-when-ready|src/chain/view.rs|next.chain.push\(new\);|next.chain.push(new); next.give_vacant_votes(&[new]);|second_loss lost_for_good_at_once
-ballot-synced|src/chain/view_change.rs|ctx.save\(Record::Promise \{ no, ballot \}\);||second_loss its_ballot_is_new
-ready-copies|src/chain/replicate.rs|if self.ready \{ self.lowest\(\) \} else \{ Version\(0\) \}|self.lowest()|second_loss could_go_on
-leave-in-order|src/chain/leaving.rs|self.copies >= self.copies_wanted && self.votes >= self.majority|true|departure waits_for_the_others
-vote-passed-on|src/chain/view.rs|next.give_vacant_votes\(candidates\);\s+next$|next|departure vote_passed_on
-stop-waits|src/sim/hurts_more.rs|if left \|\| w.now >= due|if true|departure waits_for_the_others
+lease-unknown|src/chain/serving_leases.rs|ctx.now \+ ctx.me.lease \+ LEASE;|ctx.now;|dark_core core_restarts
+lease-ledger|src/chain/serving_leases.rs|rows.iter\(\).for_each\(\|a\| self.record\(a, ctx\)\);||dark_core new_tail_waits
+lease-newest|src/chain/serving_leases.rs|if self.history.is_newest\(&a.request.versions\)|if true|dark_core cut_off_as_a_change_comes
 held-credit|src/gate/budget.rs| - self.held;|;|tries quiet_time
 reuse-quiet|src/http/connection.rs| \|\| !self.link.guard.is_quiet\(\)||platform_connection nobody_has_read_it_yet
 reuse-unread|src/http/exchange.rs|if !self.whole \{|if false {|platform_connection not_read_to_its_end
