--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -26,9 +26,9 @@
 compare-swap|src/fleet/fold.rs|if \*base != self.config_at|if false|must_never one_wins
 sync-first|src/sim/nodes.rs|self.nodes\[place\].disk.synced\(\);||news before_it_is_synced
 ready-kept|src/chain/recovery.rs|self.ready_in = Some\(view\)|drop(view)|must_never they_are_kept
-lead-folded|src/chain/core.rs|self.is_head\(\) && self.committed >= self.lead_from|self.is_head()|lead the_rest_is_kept
-ready-stays|src/chain/core.rs|went_on && self.ready && view.has\(self.ident\)|false|mend all_the_same
-mending|src/chain/acceptor.rs|if !self.in_chain\(\) \|\| !self.ready|if true|chain changes_go_on
+lead-folded|src/chain/installation.rs|self.is_head\(\) && self.committed >= self.lead_from|self.is_head()|lead the_rest_is_kept
+ready-stays|src/chain/installation.rs|went_on && self.ready && view.has\(self.ident\)|false|mend all_the_same
+mending|src/chain/view_change.rs|if !self.in_chain\(\) \|\| !self.ready|if true|chain changes_go_on
 return-time|src/placement/duty.rs|QUIET: Span = Span::ms\(4000\)|QUIET: Span = Span::ms(14000)|back each_herd
 wait-refused|src/gate/wait.rs|if now \+ wait < order.due \{|if true {|wait hear_it_early
 overlap|src/pass/resume.rs|if want == \*item \{|if true {|ride mixed
@@ -43,7 +43,7 @@
 ballot-synced|src/chain/view_change.rs|ctx.save\(Record::Promise \{ no, ballot \}\);||second_loss its_ballot_is_new
 ready-copies|src/chain/replicate.rs|if self.ready \{ self.lowest\(\) \} else \{ Version\(0\) \}|self.lowest()|second_loss could_go_on
 leave-in-order|src/chain/leaving.rs|self.copies >= self.copies_wanted && self.votes >= self.majority|true|departure waits_for_the_others
-vote-passed-on|src/chain/view.rs|next.give_vacant_votes\(candidates\);\s+next$|next|departure vote_passed_on
+vote-passed-on|src/chain/view.rs|next.give_vacant_votes\(candidates\);\s+next\n|next\n|departure vote_passed_on
 stop-waits|src/sim/hurts_more.rs|if left \|\| w.now >= due|if true|departure waits_for_the_others
 held-credit|src/gate/budget.rs| - self.held;|;|tries quiet_time
 reuse-quiet|src/http/connection.rs| \|\| !self.link.guard.is_quiet\(\)||platform_connection nobody_has_read_it_yet
