--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -1,8 +1,8 @@
 //! One connection to a peer, as a chain of states that only a clean exchange leads round:
 //! [`Ready`] sends one request and becomes an [`Exchange`]; an exchange whose answer was judged to belong to its
-//! request becomes an [`Answer`](super::exchange::Answer); an answer that was read to its framed end becomes [`Resting`]; a resting
-//! connection on which nothing was left over becomes [`Ready`] again. Any other end drops the connection with a
-//! reset, so that nothing of the request reaches the peer later and no late byte reaches another request.
+//! request becomes an [`Answer`](super::exchange::Answer); an answer that was read to its framed end becomes
+//! [`Resting`]; a resting connection on which nothing was left over becomes [`Ready`] again. Any other end gives the
+//! connection up: nothing of the request reaches the peer later, and no late byte reaches another request.
 
 use super::exchange::Exchange;
 use super::guard::{Check, Guard, GuardedStream};
@@ -61,7 +61,7 @@
 impl Drop for Link {
     fn drop(&mut self) {
         if !self.clean {
-            self.guard.reset_on_close();
+            self.guard.give_up();
         }
         self.task.abort();
     }
--- a/src/http/guard.rs
+++ b/src/http/guard.rs
@@ -56,10 +56,15 @@
         got < 0 && io::Error::last_os_error().kind() == io::ErrorKind::WouldBlock
     }
 
-    /// Makes the close of the socket a reset: bytes that wait in the kernel are dropped, not sent later.
-    pub fn reset_on_close(&self) {
+    /// Prepares the socket for the end of a request that nobody waits for any more. If the peer has not yet
+    /// acknowledged all of it, the close becomes a reset: what waits in the kernel is dropped, not sent later.
+    /// Else it stays an ordinary close, which is repeated until the peer has heard it.
+    pub fn give_up(&self) {
         let socket = self.socket.lock().unwrap();
         let Some(fd) = *socket else { return };
+        if self.is_flushed() && unacknowledged(fd) == Some(0) {
+            return;
+        }
         let linger = libc::linger { l_onoff: 1, l_linger: 0 };
         let size = std::mem::size_of_val(&linger) as libc::socklen_t;
         let at = (&raw const linger).cast();
@@ -80,6 +85,13 @@
     }
 }
 
+/// The bytes that were written to a socket and that its peer has not acknowledged.
+fn unacknowledged(fd: RawFd) -> Option<libc::c_int> {
+    let mut bytes: libc::c_int = 0;
+    let done = unsafe { libc::ioctl(fd, libc::TIOCOUTQ, &raw mut bytes) };
+    (done == 0).then_some(bytes)
+}
+
 /// A socket whose writes pass through a [`Guard`].
 pub struct GuardedStream {
     tcp: TcpStream,
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -51,7 +51,7 @@
 reuse-written|src/http/connection.rs|if !written \|\||if|platform_connection before_the_request_was_read
 reuse-close|src/http/connection.rs|if rest == Duration::ZERO \|\||if|platform_connection names_an_end
 reuse-rest|src/http/connection.rs|now >= self.until \|\||false \|\||platform_connection names_an_end
-drop-resets|src/http/connection.rs|self.guard.reset_on_close\(\);||platform_connection not_read_to_its_end
+drop-resets|src/http/connection.rs|self.guard.give_up\(\);||platform_gone long_body_half_way
 interim|src/http/exchange.rs|if self.response.status\(\).is_informational\(\)|if false|platform_connection interim_status
 no-resend|src/http/leg.rs|Err\(SendError::NotSent\) if used|Err(SendError::NotSent \| SendError::Unsure) if used|platform_gone after_a_request_came
 once-after-reset|src/pass/resume.rs|        self.order.resumable \|\| \(self|        true \|\| (self|platform_cuts_runner may_run_once
