--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -12,4 +12,5 @@
 pub mod serve;
 pub mod status;
 pub mod stop;
+pub mod ticks;
 pub mod writer;
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -2,7 +2,7 @@
 
 pub use crate::chain::messages::*;
 use crate::chain::view::View;
-pub use crate::distribution::messages::TopicUpdate;
+pub use crate::distribution::messages::{ServingLeaseGrant, ServingLeaseRequest, TopicUpdate};
 use crate::fleet::holdings::{HeldTell, Want};
 use crate::fleet::runner::Runner;
 use crate::fleet::state::{Change, Scope};
@@ -12,6 +12,7 @@
 pub use crate::tell::*;
 use bitcode::{Decode, Encode};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub struct Envelope {
@@ -36,12 +37,14 @@
     UpdateReply { nonce: u64, items: Vec<TopicUpdate> },
     UpdatePush { items: Vec<TopicUpdate> },
     UpdateRefused { nonce: u64, view: Option<View> },
+    ServingLeaseRequest(ServingLeaseRequest),
+    ServingLeaseGrant(ServingLeaseGrant),
     Op { id: ChangeId, attempt: u64, op: Op },
     OpPending { id: ChangeId, attempt: u64 },
     OpEnd { id: ChangeId, attempt: u64, answer: Answer },
     Ask { attempt: u64, path: String },
     AskEnd { attempt: u64, answer: Answer },
-    Tell(Box<RouterTell>),
+    Tell(Arc<RouterTell>),
     Nudge,
     Want(Vec<Want>),
     Held(Box<HeldTell>),
