--- a/src/kernel/component.rs
+++ b/src/kernel/component.rs
@@ -49,7 +49,7 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Views {
     pub fleet: FleetId,
     pub members: Arc<Vec<Row>>,
@@ -72,6 +72,7 @@
             JournalEvent::StateLoaded(state) => self.state = FleetState::clone(state),
             JournalEvent::Role(role) => self.role = *role,
             JournalEvent::Text(..) | JournalEvent::Submitted(_) | JournalEvent::RunnerMarked(_) => {}
+            JournalEvent::MemberReady(_) => {}
         }
     }
 
