--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -7,6 +7,8 @@
 
 const ROUTERS: usize = 89;
 const RUNNERS: usize = 65;
+/// Three times what ten seconds took when this was written.
+const MOST_WEIGHED: u64 = 60_000;
 
 fn grown() -> Hollow {
     let size = Size {
@@ -64,7 +66,7 @@
     assert!(loaded(&w) - before >= 25, "{} loads were ordered within 10 s", loaded(&w) - before);
     let most_rounds = 10_000 / RUNNERS as u64 + 10;
     assert!((1..=most_rounds).contains(&rounds), "{rounds} rounds of decisions within 10 s");
-    assert!(weighed <= most_rounds * 200 * RUNNERS as u64 / 4, "{weighed} runners were weighed within 10 s");
+    assert!(weighed <= MOST_WEIGHED, "{weighed} runners were weighed within 10 s");
     assert!(w.up().all(|(_, n)| n.views.view.as_ref().is_some_and(|v| v.chain.len() == 5)));
 }
 
