--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
 # Switches one guard off at a time in a copy of the tree and shows that a test then fails.
-# usage: tools/guards.sh [NAME...]   (all of them without names; --ci: a fixed few)
+# usage: tools/guards.sh [NAME...]   (all of them without names)
+#        tools/guards.sh --check     only that each row finds its line in the source
+#        tools/guards.sh --ci        a fixed few
 set -uo pipefail
 cd "$(dirname "$0")/.."
 here=$PWD
@@ -15,30 +17,33 @@
 stray-legs|src/pass/ride.rs|if self.over \|\| self.is_stray\(&ev\)|if self.over|ride closed_leg
 last-check|src/gate/core.rs|if now >= order.due \{\s+return Err\(Why::Due\);|if true { return Ok(()); } if now >= order.due { return Err(Why::Due);|must_never after_the_thaw
 freshness|src/distribution/reader.rs|Span::ms\(2000\)|Span::ms(20000)|must_never that_router_refuses
-tail-term|src/chain/change_queue.rs|if ctx.now >= ctx.views.role.until|if false|must_never that_router_refuses
+tail-term|src/chain/publish.rs|if ctx.now >= ctx.views.role.until|if false|must_never that_router_refuses
 restart-proof|src/distribution/reader.rs|proven < self.started \|\| ||news slides_back
 same-event|src/transfer/handover.rs|if a != b|if false|must_never_too source_keeps_it
 budget|src/gate/budget.rs|if self.credit < 1.0|if false|must_never_too in_the_budget
 holder-wait|src/placement/duty.rs|QUIET: Span = Span::ms\(4000\)|QUIET: Span = Span::ms(0)|must_never_too three_seconds_apart
-room|src/placement/room.rs|if free_mb\(o, f\) < mb|if false|must_never_too never_overrun
+room|src/placement/room.rs|if free_mb\(c, o, f\) < mb|if false|must_never_too never_overrun
 in-flight|src/placement/flights.rs|self.rows.values\(\).filter\(new\).map\(\|f\| f.mb\).sum\(\)|0|placement in_flight
-store-rate|src/placement/duty.rs|if self.flights.store < 1.0|if false|must_never_too never_overrun
+store-rate|src/placement/flights.rs|self.pacer.left\(rule\) >= 1.0|true|must_never_too never_overrun
 compare-swap|src/fleet/fold.rs|if \*base != self.config_at|if false|must_never one_wins
-sync-first|src/sim/nodes.rs|self.nodes\[place\].disk.synced\(\);||news before_it_is_synced
+sync-first|src/kernel/hold.rs|if self.queue.is_empty\(\) \{|if true {|news before_it_is_synced
 ready-kept|src/chain/recovery.rs|self.ready_in = Some\(view\)|drop(view)|must_never they_are_kept
-lead-folded|src/chain/core.rs|self.is_head\(\) && self.committed >= self.lead_from|self.is_head()|lead the_rest_is_kept
-ready-stays|src/chain/core.rs|went_on && self.ready && view.has\(self.ident\)|false|mend all_the_same
-mending|src/chain/acceptor.rs|if !self.in_chain\(\) \|\| !self.ready|if true|chain changes_go_on
+lead-folded|src/chain/installation.rs|self.is_head\(\) && self.committed >= self.lead_from|self.is_head()|lead the_rest_is_kept
+ready-stays|src/chain/installation.rs|went_on && self.ready && view.has\(self.ident\)|false|mend all_the_same
+mending|src/chain/view_change.rs|if !self.in_chain\(\) \|\| !self.ready \|\| !self.hears_majority\(ctx.now\)|if true|chain changes_go_on
 return-time|src/placement/duty.rs|QUIET: Span = Span::ms\(4000\)|QUIET: Span = Span::ms(14000)|back each_herd
 wait-refused|src/gate/wait.rs|if now \+ wait < order.due \{|if true {|wait hear_it_early
 overlap|src/pass/resume.rs|if want == \*item \{|if true {|ride mixed
 plan-accept|src/placement/demand.rs|s.config.placement.auto \{ PlanState::Running|true { PlanState::Running|plan version_is_accepted
 plan-allowance|src/placement/drive.rs|if ms > most.ms \|\| tries > most.tries|if false|plan at_its_allowance
 route-again|src/gate/tell.rs|if order.routes_at == self.routes.0|if true|turn their_route_is_dropped
-mark-gossip|src/gate/table.rs|h.leaving = true;\s+g.wake\(now\);|g.wake(now);|leaving tells_only_it
+mark-gossip|src/gate/sweep.rs|h.leaving = true;\s+g.wake\(now\);|g.wake(now);|leaving tells_only_it
 refused-in-force|src/fleet/fold.rs|return self.end\(id, "rehearsal-failed"|self.config = t.config; self.config_at = self.at; self.touch(Scope::Routes); return self.end(id, "rehearsal-failed"|rehearse live_orders
 restart-credit|src/gate/budget.rs|credit: 0.0|credit: 10.0|tries restarts
 saved-credit|src/gate/budget.rs|self.share.max\(LEAST as f64\)|500.0|tries quiet_time
+round-pace|src/placement/quick.rs|if now.since\(self.work.last_round\) < gap|if false|grown holder_orders_soon
+tell-few|src/rollout/tell.rs|ctx.now.since\(self.changed\) >= UNSETTLED|false|grown only_head_and_holder
+tick-pace|src/daemon/ticks.rs|if now.since\(self.last\) < period|if false|ticks fifty_times
 distrust|src/placement/look.rs|self.distrust.failed\(runner, ctx.now\);||liar serve_on
 read-index|src/chain/read_index.rs|return self.arrived\(from, id, attempt, op, ctx\)|return self.op(from, id, attempt, op, ctx)|cut_off nothing_old_is_said
 lease-release|src/chain/reply.rs|o.at <= views.released|true|dark_core acknowledgement_waits
@@ -48,7 +53,7 @@
 ballot-synced|src/chain/view_change.rs|ctx.save\(Record::Promise \{ no, ballot \}\);||second_loss its_ballot_is_new
 ready-copies|src/chain/replicate.rs|if self.ready \{ self.lowest\(\) \} else \{ Version\(0\) \}|self.lowest()|second_loss could_go_on
 leave-in-order|src/chain/leaving.rs|self.copies >= self.copies_wanted && self.votes >= self.majority|true|departure waits_for_the_others
-vote-passed-on|src/chain/view.rs|next.give_vacant_votes\(candidates\);\s+next$|next|departure vote_passed_on
+vote-passed-on|src/chain/view.rs|next.give_vacant_votes\(candidates\);(?=\s+next\s)||departure vote_passed_on
 stop-waits|src/sim/hurts_more.rs|if left \|\| w.now >= due|if true|departure waits_for_the_others
 held-credit|src/gate/budget.rs| - self.held;|;|tries quiet_time
 reuse-quiet|src/http/connection.rs| \|\| !self.link.guard.is_quiet\(\)||platform_connection nobody_has_read_it_yet
@@ -74,23 +79,48 @@
 R
 }
 
-if [ "${1:-}" = "--ci" ]; then
-  set -- same-event refusal-truth mark-gossip route-again refused-in-force restart-credit held-credit \
-    in-flight plan-allowance wait-refused overlap reuse-quiet drop-resets own-id head-size
-fi
+# Run in CI after the tests: a few guards of everyday work, and those of the control side under bad days
+# (docs/control-safety.md). Each costs a build and one story; together they must stay under six minutes.
+EVERYDAY_GUARDS="same-event refusal-truth route-again restart-credit in-flight"
+CONTROL_SAFETY_GUARDS="reuse-quiet drop-resets own-id head-size"
+
+check_only=
+case "${1:-}" in
+  --check) check_only=1; shift ;;
+  --ci) set -- $EVERYDAY_GUARDS $CONTROL_SAFETY_GUARDS ;;
+esac
+
+# Puts a copy of `file` without the guard at `target`; fails if the guard's line isn't there.
+switch_off() {
+  local file=$1 target=$2
+  FROM=$3 TO=$4 perl -0pe 's/$ENV{FROM}/$ENV{TO}/g' "$file" > "$target.off" || return 1
+  cmp -s "$file" "$target.off" && { rm "$target.off"; return 1; }
+  mv "$target.off" "$target"
+}
+
 bad=0
+known=$(rows | cut -d'|' -f1)
+for name in "$@"; do
+  grep -qx -- "$name" <<<"$known" || { echo "$name: there is no such guard"; bad=1; }
+done
 while IFS='|' read -r line; do
   name=${line%%|*}
   [ $# -gt 0 ] && [[ " $* " != *" $name "* ]] && continue
   line=${line//\\|/$'\x01'}
   IFS='|' read -r name file from to test <<<"$line"
   from=${from//$'\x01'/\\|} to=${to//$'\x01'/|}
+  read -r suite story <<<"$test"
+  if [ -n "$check_only" ]; then
+    mkdir -p target/guards
+    switch_off "$file" target/guards/checked "$from" "$to" || { echo "$name: the guard was not found in $file"; bad=1; }
+    grep -q "fn .*$story" "tests/$suite.rs" tests/"$suite"/*.rs 2>/dev/null || { echo "$name: no story $story in $suite"; bad=1; }
+    continue
+  fi
   rm -rf "$copy" && mkdir -p "$copy"
   cp -rp Cargo.toml Cargo.lock src tests "$copy"/
-  FROM=$from TO=$to perl -0pi -e 's/$ENV{FROM}/$ENV{TO}/g' "$copy/$file"
-  if cmp -s "$file" "$copy/$file"; then echo "$name: the guard was not found in $file"; bad=1; continue; fi
-  touch "$copy/$file"
-  read -r suite story <<<"$test"
+  if ! switch_off "$file" "$copy/$file" "$from" "$to"; then
+    echo "$name: the guard was not found in $file"; bad=1; continue
+  fi
   out=$(cd "$copy" && timeout 400 cargo test -q --release --test "$suite" "$story" 2>&1)
   if grep -q "^error" <<<"$out" && ! grep -q "test result" <<<"$out"; then
     echo "$name: does not build"; grep -m1 -A4 "^error" <<<"$out"; bad=1
