--- /dev/null
+++ b/src/chain/adoption_queue.rs
@@ -0,0 +1,118 @@
+//! The orders in an operator's own format that wait at the head, and the one that is on its way.
+
+use crate::fleet::FleetConfig;
+use crate::fleet::routes::RouteTable;
+use crate::fleet::slice::route_rows;
+use crate::fleet::state::StageFigure;
+use crate::kernel::ids::*;
+use crate::kernel::time::{Span, Time};
+use crate::msg::*;
+use crate::seam::OperatorSide;
+use std::cell::OnceCell;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// How long a router's account of its live routes is used.
+const LIVE_FOR: Span = Span::ms(6000);
+
+/// An order that is to be decided on.
+pub(super) struct WaitingOrder {
+    pub id: ChangeId,
+    pub base: Option<u64>,
+    pub part: bool,
+    pub text: String,
+    /// The revision that it would make, if its document names one; read when it is first asked for.
+    pub revision: OnceCell<Option<u64>>,
+    pub since: Time,
+    /// When its refusal was handed to the chain.
+    pub refusing: Option<Time>,
+}
+
+impl WaitingOrder {
+    pub fn revision(&self, side: Option<&dyn OperatorSide>) -> Option<u64> {
+        *self.revision.get_or_init(|| side?.revision(&self.text))
+    }
+
+    fn makes(&self, revision: u64, side: Option<&dyn OperatorSide>) -> bool {
+        self.base.is_none_or(|base| base < revision) && self.revision(side) == Some(revision)
+    }
+}
+
+/// The order whose adoption was handed to the chain.
+pub(super) struct UnderWay {
+    pub id: ChangeId,
+    pub since: Time,
+    pub revision: u64,
+}
+
+/// The orders that wait at the head, and the one that is on its way through the chain.
+#[derive(Default)]
+pub struct AdoptionQueue {
+    pub(super) side: Option<Arc<dyn OperatorSide>>,
+    pub(super) orders: Vec<WaitingOrder>,
+    pub(super) under_way: Option<UnderWay>,
+    live: BTreeMap<NodeId, (Time, Vec<LiveRoute>)>,
+}
+
+impl AdoptionQueue {
+    /// A queue that reads documents by `side`.
+    pub fn new(side: Option<Arc<dyn OperatorSide>>) -> AdoptionQueue {
+        AdoptionQueue { side, ..AdoptionQueue::default() }
+    }
+
+    /// Whether the order waits here or is on its way.
+    pub fn holds(&self, id: ChangeId) -> bool {
+        self.orders.iter().any(|order| order.id == id)
+            || self.under_way.as_ref().is_some_and(|order| order.id == id)
+    }
+
+    /// Notes that the order's adoption or refusal was committed.
+    pub fn committed(&mut self, id: ChangeId) {
+        if self.under_way.as_ref().is_some_and(|order| order.id == id) {
+            self.under_way = None;
+        }
+        for order in self.orders.iter_mut().filter(|order| order.id == id) {
+            order.refusing = None;
+        }
+    }
+
+    /// Keeps a router's account of the routes that it used lately.
+    pub fn note_live(&mut self, from: NodeId, now: Time, tell: &RouterTell) {
+        if self.side.is_some() && !tell.live.is_empty() {
+            self.live.insert(from, (now, tell.live.clone()));
+            self.live.retain(|_, row| now.since(row.0) < LIVE_FOR);
+        }
+    }
+
+    /// Forgets all that waits.
+    pub fn clear(&mut self) {
+        self.orders.clear();
+        self.under_way = None;
+    }
+
+    /// Whether an order that is here would make the revision.
+    pub(super) fn expects(&self, revision: u64) -> bool {
+        self.under_way.as_ref().is_some_and(|order| order.revision == revision)
+            || self.orders.iter().any(|order| order.makes(revision, self.side.as_deref()))
+    }
+
+    /// What the candidate would do to the requests that routers took lately. It is told, and refuses nothing.
+    pub(super) fn rehearse(&self, config: &FleetConfig, now: Time) -> StageFigure {
+        let table = RouteTable::from(route_rows(config));
+        let (mut planned, mut refused, mut moved, mut why) = (0, 0, 0, String::new());
+        let accounts = self.live.values().filter(|account| now.since(account.0) < LIVE_FOR);
+        for live in accounts.flat_map(|account| &account.1) {
+            planned += live.orders;
+            match table.find(&live.host, &live.prefix) {
+                None => {
+                    refused += live.orders;
+                    why = format!(" no route is left for {}{}", live.host, live.prefix);
+                }
+                Some(route) if !route.leads_to(&live.service) => moved += live.orders,
+                Some(_) => {}
+            }
+        }
+        let note = format!("planned={planned} refused={refused} moved={moved}{why}");
+        StageFigure { name: "rehearse".into(), ms: 0, ms_allowed: 0, tries: 1, tries_allowed: 1, note }
+    }
+}
--- a/src/chain/change_queue.rs
+++ b/src/chain/change_queue.rs
@@ -1,39 +1,48 @@
+//! The head's queue of changes: what operators and other nodes ask for, until its end is committed and told.
+//!
+//! An answer is given only from what is committed. A change that is known, taken or refused, is answered from
+//! the replicated state; one that is new goes through the chain, and whoever asked is told its committed end.
+
 use crate::distribution::subscribers::Publisher;
-use crate::fleet::read::read;
 use crate::fleet::state::*;
-use crate::json::Tree;
 use crate::kernel::component::{Component, Context};
-use crate::kernel::fault::Fault;
 use crate::kernel::ids::*;
-use crate::kernel::rand::hash;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 use crate::seam::OperatorSide;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-use super::adoption::Foreign;
+use super::adoption_queue::AdoptionQueue;
 use super::heartbeat::ROOM;
-use super::reply::{faults, outcome};
-const INBOX: usize = 64;
-const AGAIN: Span = Span::ms(2000);
+use super::reply::decided;
+
+/// How many changes wait at the head, for each of the two formats.
+pub(super) const QUEUE_CAPACITY: usize = 64;
+/// After this a change that was handed to the chain and did not end is handed to it again.
+pub(super) const RESUBMIT_AFTER: Span = Span::ms(2000);
 
+/// The changes that wait at the head, and the nodes that wait for their ends.
 #[derive(Default)]
 pub struct ChangeQueue {
-    inbox: VecDeque<(ChangeId, Op)>,
-    waits: BTreeMap<ChangeId, NodeId>,
-    sent: BTreeMap<ChangeId, Time>,
-    trying: Option<Time>,
-    pub(super) foreign: Foreign,
+    pub(super) inbox: VecDeque<(ChangeId, Op)>,
+    callers: BTreeMap<ChangeId, NodeId>,
+    submitted: BTreeMap<ChangeId, Time>,
+    leaving_submitted: BTreeMap<Name, Time>,
+    pub(super) proposing: Option<Time>,
+    /// Full answers to changes whose refusal is on its way through the chain.
+    pub(super) refusals: BTreeMap<ChangeId, Answer>,
+    pub(super) adoptions: AdoptionQueue,
     pub(super) source: Publisher,
 }
 
 impl ChangeQueue {
+    /// A queue that takes configurations in the format of `side` too.
     pub fn new(side: Option<Arc<dyn OperatorSide>>) -> ChangeQueue {
-        ChangeQueue { foreign: Foreign::new(side), ..ChangeQueue::default() }
+        ChangeQueue { adoptions: AdoptionQueue::new(side), ..ChangeQueue::default() }
     }
 
-    fn op(&mut self, from: NodeId, id: ChangeId, op: &Op, ctx: &mut Context) {
+    fn receive(&mut self, from: NodeId, id: ChangeId, op: &Op, ctx: &mut Context) {
         if !ctx.views.role.head || !ctx.views.role.ready {
             return;
         }
@@ -43,165 +52,124 @@
             }
             return;
         }
-        self.waits.insert(id, from);
-        if let Some(o) = ctx.views.state.outcome(id) {
-            if ctx.views.role.safe {
-                self.end(id, outcome(o), ctx);
-            }
-            return;
+        self.callers.insert(id, from);
+        if ctx.views.state.decision(id).is_some() {
+            return self.answer_if_decided(id, ctx);
         }
-        let known = ctx.views.state.trial.as_ref().is_some_and(|t| t.id == id)
-            || self.inbox.iter().any(|r| r.0 == id)
-            || self.foreign.waits(id)
-            || self.sent.get(&id).is_some_and(|t| ctx.now.since(*t) < AGAIN);
-        if known {
+        if self.is_under_way(id, ctx) {
             return;
         }
-        if ctx.room < ROOM && !ctx.views.role.spare {
-            let text = "the head's disk is nearly full and nothing was written; free room there";
-            return self.end(id, Answer::new(507, "disk-full", text, 5), ctx);
+        if let Some(answer) = cannot_write(ctx) {
+            return self.end(id, answer, ctx);
         }
-        if ctx.views.role.copies < ctx.views.role.need {
-            let text = "the chain has too few members left and takes no change; bring back a controller";
-            return self.end(id, Answer::new(503, "too-few-copies", text, 2), ctx);
+        match op {
+            Op::Foreign { .. } => self.queue_adoption(id, op, ctx),
+            Op::Whole { .. } | Op::Part { .. } => self.queue_own(id, op, ctx),
+            _ => self.take(id, op.clone(), ctx),
         }
-        if let Op::Foreign { .. } = op {
-            return self.foreign_op(id, op, ctx);
+    }
+
+    fn queue_own(&mut self, id: ChangeId, op: &Op, ctx: &mut Context) {
+        if self.inbox.len() >= QUEUE_CAPACITY {
+            return self.end(id, queue_full(), ctx);
         }
-        if matches!(op, Op::Whole { .. } | Op::Part { .. }) {
-            if self.inbox.len() >= INBOX {
-                let text = "too many changes wait; this one was not taken, send it again later";
-                return self.end(id, Answer::new(429, "inbox-full", text, 2), ctx);
-            }
-            self.inbox.push_back((id, op.clone()));
-            return self.work(ctx);
+        self.inbox.push_back((id, op.clone()));
+        self.work(ctx);
+    }
+
+    fn is_under_way(&self, id: ChangeId, ctx: &Context) -> bool {
+        ctx.views.state.trial.as_ref().is_some_and(|candidate| candidate.id == id)
+            || self.inbox.iter().any(|row| row.0 == id)
+            || self.adoptions.holds(id)
+            || self.submitted.get(&id).is_some_and(|since| ctx.now.since(*since) < RESUBMIT_AFTER)
+    }
+
+    /// Tells whoever asked the committed end of a change, once the chain holds it in enough copies.
+    fn answer_if_decided(&mut self, id: ChangeId, ctx: &mut Context) {
+        if !ctx.views.role.safe {
+            return;
         }
-        self.take(id, op.clone(), ctx);
+        let Some(decision) = ctx.views.state.decision(id) else { return };
+        let refused = matches!(decision, Decision::Outcome(outcome) if outcome.code != OutcomeCode::Ok);
+        let full = self.refusals.remove(&id).filter(|_| refused);
+        let answer = full.unwrap_or_else(|| decided(decision));
+        self.end(id, answer, ctx);
     }
 
+    /// Answers whoever waits for the change and forgets it.
     pub(super) fn end(&mut self, id: ChangeId, answer: Answer, ctx: &mut Context) {
-        self.sent.remove(&id);
-        if let Some(to) = self.waits.remove(&id) {
-            ctx.send(to, Msg::OpEnd { id, answer });
+        self.submitted.remove(&id);
+        if let Some(caller) = self.callers.remove(&id) {
+            ctx.send(caller, Msg::OpEnd { id, answer });
         }
     }
 
-    fn told(&mut self, tell: &RouterTell, ctx: &mut Context) {
+    fn note_leaving(&mut self, tell: &RouterTell, ctx: &mut Context) {
         if !ctx.views.role.head || !ctx.views.role.ready || ctx.views.role.copies < ctx.views.role.need {
             return;
         }
+        self.leaving_submitted.retain(|_, since| ctx.now.since(*since) < RESUBMIT_AFTER);
         for name in &tell.leaving {
-            let key = ChangeId(hash(&name.0, 0x1eaf));
-            let listed = ctx.views.state.runner(name).is_some_and(|r| !r.leaving);
-            if listed && self.sent.get(&key).is_none_or(|t| ctx.now.since(*t) >= AGAIN) {
-                self.sent.insert(key, ctx.now);
-                let id = ChangeId(ctx.rand.next() | 1);
+            let listed = ctx.views.state.runner(name).is_some_and(|runner| !runner.leaving);
+            if listed && !self.leaving_submitted.contains_key(name) {
+                self.leaving_submitted.insert(name.clone(), ctx.now);
+                let id = ChangeId::random(ctx.rand);
                 let change = Change::Leaving { id, instance: name.clone() };
                 ctx.publish(JournalEvent::Submitted(Arc::new(change)));
             }
         }
     }
 
+    /// Hands a change to the chain.
     pub(super) fn submit(&mut self, id: ChangeId, change: Change, ctx: &mut Context) {
-        self.sent.insert(id, ctx.now);
+        self.submitted.insert(id, ctx.now);
         ctx.publish(JournalEvent::Submitted(Arc::new(change)));
     }
 
-    fn work(&mut self, ctx: &mut Context) {
-        if ctx.views.state.trial.is_some() {
-            return;
-        }
-        let asked = self.trying.is_some_and(|t| ctx.now.since(t) < AGAIN);
-        if asked {
-            return;
-        }
-        if let Some((id, op)) = self.inbox.pop_front() {
-            self.take(id, op, ctx);
-        }
-    }
-
-    fn take(&mut self, id: ChangeId, op: Op, ctx: &mut Context) {
-        let now_at = ctx.views.state.config_at;
-        let (base, tree) = match op {
-            Op::Whole { base, text } => (base, Tree::parse(&text)),
-            Op::Part { base: Some(base), .. } if base != now_at => {
-                let text = format!("base {base} is not the current {now_at}; read it and send again");
-                self.end(id, Answer::new(409, "stale-base", &text, 0), ctx);
-                return self.work(ctx);
-            }
-            Op::Part { text, .. } => {
-                let base = Some(now_at);
-                let mut whole = ctx.views.state.config.tree();
-                let part = Tree::parse(&text).map(|t| {
-                    whole.merge(t);
-                    whole
-                });
-                (base, part)
-            }
-            Op::Runners(list) => return self.submit(id, Change::Runners { id, list }, ctx),
-            Op::Leaving(instance) => return self.submit(id, Change::Leaving { id, instance }, ctx),
-            Op::Propose => return self.submit(id, Change::PlanAsk { id }, ctx),
-            Op::Accept(at) => return self.submit(id, Change::Accept { id, at }, ctx),
-            Op::Internal(_) | Op::Foreign { .. } => return,
-            Op::Move { service, model, from, to, want } => {
-                let plan = MovePlan {
-                    id: MoveId(id.0),
-                    service,
-                    model,
-                    from,
-                    to,
-                    want,
-                    phase: Phase::Load,
-                    why: String::new(),
-                    stages: vec![],
-                };
-                return match crate::placement::plan::check(&plan, &ctx.views.state) {
-                    Ok(()) => self.submit(id, Change::Move { id, plan }, ctx),
-                    Err(f) => self.end(id, Answer::new(400, "bad-move", &f.to_string(), 0), ctx),
-                };
-            }
-        };
-        let parsed = tree.map_err(|why| {
-            let remedy = "send one well-formed JSON object";
-            vec![Fault::new(crate::kernel::fault::Kind::Config, "configuration", why, remedy)]
-        });
-        match parsed.and_then(|t| read(&t)) {
-            Err(bad) => {
-                self.end(id, faults(&bad), ctx);
-                self.work(ctx);
-            }
-            Ok(config) => {
-                let base = base.unwrap_or(now_at);
-                self.trying = Some(ctx.now);
-                self.submit(id, Change::Propose { id, base, config: Box::new(config) }, ctx);
-            }
-        }
-    }
-
     fn settle(&mut self, ctx: &mut Context) {
-        let safe = ctx.views.role.safe;
-        let ids: Vec<ChangeId> = self.waits.keys().copied().filter(|_| safe).collect();
-        for id in ids {
-            if let Some(o) = ctx.views.state.outcome(id) {
-                let answer = outcome(o);
-                self.end(id, answer, ctx);
-            }
+        let waiting: Vec<ChangeId> = self.callers.keys().copied().collect();
+        for id in waiting {
+            self.answer_if_decided(id, ctx);
         }
         let state = &ctx.views.state;
-        self.sent.retain(|id, t| {
-            state.outcome(*id).is_none()
-                && state.trial.as_ref().is_none_or(|c| c.id != *id)
-                && ctx.now.since(*t) < AGAIN
+        self.submitted.retain(|id, since| {
+            state.decision(*id).is_none()
+                && state.trial.as_ref().is_none_or(|candidate| candidate.id != *id)
+                && ctx.now.since(*since) < RESUBMIT_AFTER
         });
         if ctx.views.role.head {
             self.work(ctx);
-            self.foreign_work(ctx);
+            self.adopt_next(ctx);
         } else {
-            self.inbox.clear();
-            self.foreign.clear();
-            self.waits.clear();
+            self.stand_down();
         }
     }
+
+    /// Forgets what waits: only the head answers, and entry nodes send again to the new one.
+    fn stand_down(&mut self) {
+        self.inbox.clear();
+        self.adoptions.clear();
+        self.callers.clear();
+        self.refusals.clear();
+    }
+}
+
+/// Why nothing can be written now. It says nothing of the change itself: an earlier try may have been taken.
+fn cannot_write(ctx: &Context) -> Option<Answer> {
+    if ctx.room < ROOM && !ctx.views.role.spare {
+        let text = "the head's disk is nearly full and nothing was written; free room there";
+        return Some(Answer::new(507, "disk-full", text, 5));
+    }
+    if ctx.views.role.copies < ctx.views.role.need {
+        let text = "the chain has too few members left and takes no change; bring back a controller";
+        return Some(Answer::new(503, "too-few-copies", text, 2));
+    }
+    None
+}
+
+/// The answer to a change that finds the queue full.
+pub(super) fn queue_full() -> Answer {
+    Answer::new(503, "inbox-full", "too many changes wait; send it again later", 1)
 }
 
 impl Component for ChangeQueue {
@@ -212,19 +180,19 @@
     fn on(&mut self, ev: &Event, ctx: &mut Context) {
         match ev {
             Event::Mail { from, msg, .. } => match msg {
-                Msg::Op { id, op } => self.op(*from, *id, op, ctx),
+                Msg::Op { id, op } => self.receive(*from, *id, op, ctx),
                 Msg::Ask { id, path } => self.ask(*from, *id, path, ctx),
                 Msg::Tell(tell) => {
-                    self.foreign.told(*from, ctx.now, tell);
-                    self.told(tell, ctx);
+                    self.adoptions.note_live(*from, ctx.now, tell);
+                    self.note_leaving(tell, ctx);
                 }
                 Msg::UpdateRequest { nonce, direct: true, have } => self.news(*from, *nonce, have, ctx),
                 _ => {}
             },
             Event::Journal(JournalEvent::Committed { change, .. }) => {
                 match **change {
-                    Change::Propose { .. } => self.trying = None,
-                    Change::Adopt { id, .. } => self.foreign.folded(id),
+                    Change::Propose { .. } => self.proposing = None,
+                    Change::Adopt { id, .. } | Change::Refuse { id, .. } => self.adoptions.committed(id),
                     _ => {}
                 }
                 self.settle(ctx);
--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod acceptor;
 pub mod adoption;
+pub mod adoption_queue;
 pub mod change_queue;
 pub mod core;
 pub mod founding;
@@ -12,6 +13,7 @@
 pub mod join;
 pub mod lease;
 pub mod messages;
+pub mod own_change;
 pub mod publish;
 pub mod recovery;
 pub mod replicate;
--- /dev/null
+++ b/src/chain/own_change.rs
@@ -0,0 +1,146 @@
+//! Changes in the product's own format: one is under way at a time, and each is rehearsed before it is in force.
+
+use super::change_queue::{ChangeQueue, RESUBMIT_AFTER};
+use super::reply::{beyond_memory, faults, status};
+use crate::fleet::read::read;
+use crate::fleet::state::*;
+use crate::json::Tree;
+use crate::kernel::component::Context;
+use crate::kernel::fault::{Fault, Kind};
+use crate::kernel::ids::*;
+use crate::msg::{Answer, Op};
+
+/// A refusal that needs no revision to be passed before it can be forgotten.
+const NO_LAST_REVISION: u64 = u64::MAX;
+
+impl ChangeQueue {
+    /// Takes the next change from the queue, unless one is under way.
+    pub(super) fn work(&mut self, ctx: &mut Context) {
+        let proposing = self.proposing.is_some_and(|since| ctx.now.since(since) < RESUBMIT_AFTER);
+        if ctx.views.state.trial.is_some() || proposing {
+            return;
+        }
+        if let Some((id, op)) = self.inbox.pop_front() {
+            self.take(id, op, ctx);
+        }
+    }
+
+    pub(super) fn take(&mut self, id: ChangeId, op: Op, ctx: &mut Context) {
+        match op {
+            Op::Whole { base, text } => self.propose(id, base, Tree::parse(&text), true, ctx),
+            Op::Part { base, text } => self.propose_part(id, base, &text, ctx),
+            Op::Runners(list) => self.submit(id, Change::Runners { id, list }, ctx),
+            Op::Leaving(instance) => self.submit(id, Change::Leaving { id, instance }, ctx),
+            Op::Propose => self.submit(id, Change::PlanAsk { id }, ctx),
+            Op::Accept(at) => self.submit(id, Change::Accept { id, at }, ctx),
+            Op::Move { service, model, from, to, want } => {
+                let plan = MovePlan {
+                    id: MoveId(id.short()),
+                    service,
+                    model,
+                    from,
+                    to,
+                    want,
+                    phase: Phase::Load,
+                    why: String::new(),
+                    stages: vec![],
+                };
+                self.plan_move(id, plan, ctx);
+            }
+            Op::Internal(_) | Op::Foreign { .. } => {}
+        }
+    }
+
+    fn plan_move(&mut self, id: ChangeId, plan: MovePlan, ctx: &mut Context) {
+        match crate::placement::plan::check(&plan, &ctx.views.state) {
+            Ok(()) => self.submit(id, Change::Move { id, plan }, ctx),
+            Err(fault) => {
+                let code = OutcomeCode::BadMove;
+                let answer = Answer::new(status(code), &code.to_string(), &fault.to_string(), 0);
+                self.refuse_for_good(id, code, fault.to_string(), answer, ctx);
+            }
+        }
+    }
+
+    fn propose_part(&mut self, id: ChangeId, base: Option<Version>, text: &str, ctx: &mut Context) {
+        let current = ctx.views.state.config_at;
+        match base {
+            Some(base) if base > current => self.end(id, unknown_base(base, current), ctx),
+            Some(base) if base < current => self.end(id, stale_base(base, ctx), ctx),
+            _ => {
+                let mut whole = ctx.views.state.config.tree();
+                let merged = Tree::parse(text).map(|part| {
+                    whole.merge(part);
+                    whole
+                });
+                return self.propose(id, Some(current), merged, base.is_some(), ctx);
+            }
+        }
+        self.work(ctx);
+    }
+
+    /// Hands a configuration to the chain. `lasting`: a fault in it now is a fault in it at any time.
+    fn propose(
+        &mut self,
+        id: ChangeId,
+        base: Option<Version>,
+        tree: Result<Tree, String>,
+        lasting: bool,
+        ctx: &mut Context,
+    ) {
+        let current = ctx.views.state.config_at;
+        if base.is_some_and(|base| ctx.views.state.ledger.may_have_forgotten_version(base)) {
+            self.end(id, beyond_memory(), ctx);
+            return self.work(ctx);
+        }
+        let parsed = tree.map_err(|why| {
+            vec![Fault::new(Kind::Config, "configuration", why, "send one well-formed JSON object")]
+        });
+        match parsed.and_then(|tree| read(&tree)) {
+            Ok(config) => {
+                let base = base.unwrap_or(current);
+                self.proposing = Some(ctx.now);
+                self.submit(id, Change::Propose { id, base, config: Box::new(config) }, ctx);
+            }
+            Err(bad) => {
+                if lasting {
+                    self.end(id, faults(&bad), ctx);
+                } else {
+                    let text = bad[0].to_string();
+                    self.refuse_for_good(id, OutcomeCode::BadConfiguration, text, faults(&bad), ctx);
+                }
+                self.work(ctx);
+            }
+        }
+    }
+
+    /// Has a refusal committed before it is told, where the same change might be good at another time.
+    fn refuse_for_good(
+        &mut self,
+        id: ChangeId,
+        code: OutcomeCode,
+        text: String,
+        answer: Answer,
+        ctx: &mut Context,
+    ) {
+        self.refusals.insert(id, answer);
+        let last_revision = NO_LAST_REVISION;
+        self.submit(id, Change::Refuse { id, base: None, last_revision, code, text }, ctx);
+    }
+}
+
+fn stale_base(base: Version, ctx: &Context) -> Answer {
+    let state = &ctx.views.state;
+    if state.ledger.may_have_forgotten_version(base) {
+        return beyond_memory();
+    }
+    let code = OutcomeCode::StaleBase;
+    let text = format!("base {base} is not the current {}; read it and send again", state.config_at);
+    Answer::new(status(code), &code.to_string(), &text, 0)
+}
+
+/// The tail commits first, so a base that was read there may be one that this head has yet to hear of.
+fn unknown_base(base: Version, current: Version) -> Answer {
+    let text = format!("base {base} is not known here yet, the newest is {current}; send it again");
+    Answer::new(503, "base-unknown", &text, 1)
+}
--- a/src/chain/reply.rs
+++ b/src/chain/reply.rs
@@ -1,8 +1,12 @@
-use crate::fleet::state::Outcome;
+//! The answers to operators: what is known of a change, as a status and a body.
+
+use crate::fleet::ledger::{LedgerEntry, TakenOrder};
+use crate::fleet::state::{Decision, Outcome, OutcomeCode};
 use crate::json::tree::map;
 use crate::kernel::fault::Fault;
 use crate::msg::Answer;
 
+/// The refusal of a document, with every fault found in it.
 pub fn faults(bad: &[Fault]) -> Answer {
     let rows = bad.iter().map(|f| {
         map(&[
@@ -12,19 +16,58 @@
         ])
     });
     let body = map(&[
-        ("code", "bad-configuration".into()),
+        ("code", OutcomeCode::BadConfiguration.to_string().into()),
         ("text", "nothing was changed; mend every fault listed and send again".into()),
         ("faults", rows.collect::<Vec<_>>().into()),
     ]);
-    Answer { status: 400, body: body.to_string(), retry_s: 0 }
+    Answer { status: status(OutcomeCode::BadConfiguration), body: body.to_string(), retry_s: 0 }
 }
 
-pub fn outcome(o: &Outcome) -> Answer {
-    let status = match o.code.as_str() {
-        "ok" => 200,
-        "rehearsal-failed" => 422,
-        "unknown-runner" => 404,
+/// The status that tells an end.
+pub fn status(code: OutcomeCode) -> u16 {
+    match code {
+        OutcomeCode::Ok => 200,
+        OutcomeCode::BadConfiguration | OutcomeCode::OldRevision | OutcomeCode::BadMove => 400,
+        OutcomeCode::UnknownRunner => 404,
+        OutcomeCode::RehearsalFailed => 422,
         _ => 409,
-    };
-    Answer { status, body: o.tree().to_string(), retry_s: 0 }
+    }
+}
+
+/// The answer to a change whose end is known.
+pub fn decided(decision: Decision) -> Answer {
+    match decision {
+        Decision::Outcome(outcome) => ended(outcome),
+        Decision::Ledger(LedgerEntry::Taken(order)) => taken(&order),
+        Decision::Ledger(LedgerEntry::Refused) => {
+            let text = "this very change was refused before; read the current one and send a new one";
+            Answer::new(409, &OutcomeCode::StaleBase.to_string(), text, 0)
+        }
+        Decision::Ledger(LedgerEntry::NameInUse) => {
+            let text = "another change was sent under this id; choose a new id";
+            Answer::new(409, "id-reused", text, 0)
+        }
+    }
+}
+
+/// The answer to a change whose end is kept in full.
+pub fn ended(outcome: &Outcome) -> Answer {
+    Answer { status: status(outcome.code), body: outcome.tree().to_string(), retry_s: 0 }
+}
+
+/// The answer to a change that is remembered as taken.
+pub fn taken(order: &TakenOrder) -> Answer {
+    let body = map(&[
+        ("id", order.id.to_string().into()),
+        ("code", OutcomeCode::Ok.to_string().into()),
+        ("text", "it was taken before; changes may have been made on top of it".into()),
+        ("version", order.at.to_string().into()),
+    ]);
+    Answer::ok(body.to_string())
+}
+
+/// The answer to a change that may have been taken so long ago that nobody remembers it.
+pub fn beyond_memory() -> Answer {
+    let text = "its base is older than this fleet remembers; it may have been taken: read the current one";
+    Answer::new(503, "outcome-unknown", text, 5)
 }
--- a/src/chain/show.rs
+++ b/src/chain/show.rs
@@ -39,11 +39,14 @@
         ["runners"] => state.runners.iter().map(|r| r.tree()).collect::<Vec<_>>().into(),
         ["nodes"] => nodes(views),
         ["change", id] => {
-            let id = ChangeId::parse(id);
-            if let Some(o) = id.and_then(|id| state.outcome(id)) {
+            let name = ChangeId::parse_name(id);
+            if let Some(o) = name.and_then(|name| state.outcome_named(name)) {
                 return Answer::ok(o.tree().to_string());
             }
-            if state.trial.as_ref().is_some_and(|t| Some(t.id) == id) {
+            if let Some(order) = name.and_then(|name| state.ledger.taken_as(name)) {
+                return super::reply::taken(order);
+            }
+            if state.trial.as_ref().is_some_and(|t| Some(t.id.name) == name) {
                 return Answer::new(202, "rehearsing", "the change is under rehearsal; ask again", 1);
             }
             let text = "no such change is recorded; it was not taken, or is too old to be kept";
--- a/src/daemon/driver.rs
+++ b/src/daemon/driver.rs
@@ -71,7 +71,7 @@
 
 struct Run {
     node: Node,
-    asks: BTreeMap<ChangeId, oneshot::Sender<Answer>>,
+    asks: BTreeMap<ChangeId, Vec<oneshot::Sender<Answer>>>,
     own: VecDeque<Event>,
     shown: u64,
     hold: Hold,
@@ -152,7 +152,7 @@
                     Input::Event(ev) => out.extend(r.node.feed(now, ev)),
                     Input::Envelope(l) => out.extend(letter(&mut r.node, now, *l)),
                     Input::Ask(id, ev, tx) => {
-                        r.asks.insert(id, tx);
+                        r.asks.entry(id).or_default().push(tx);
                         out.extend(r.node.feed(now, ev));
                     }
                     Input::Seeds(seeds) => {
@@ -206,8 +206,8 @@
                 }
                 Effect::SendAt { addr, msg } => self.post(&r.node, NodeId(0), addr, msg),
                 Effect::Answer { id, answer } => {
-                    if let Some(tx) = r.asks.remove(&id) {
-                        let _ = tx.send(answer);
+                    for tx in r.asks.remove(&id).unwrap_or_default() {
+                        let _ = tx.send(answer.clone());
                     }
                 }
                 other => (self.act)(other),
--- a/src/fleet/fold.rs
+++ b/src/fleet/fold.rs
@@ -1,106 +1,47 @@
+//! Applies committed changes to the fleet's state. Each member does so in the same order, so whatever is decided
+//! here is known to all of them and for good.
+
+use super::ledger::{RefusedOrder, TakenOrder};
 use super::state::*;
 use crate::kernel::ids::*;
 
 impl FleetState {
+    /// Applies the change that was committed as version `at`.
     pub fn fold(&mut self, at: Version, change: &Change) {
         self.at = at;
         match change {
-            Change::Propose { id, base, config } => {
-                if self.outcome(*id).is_some() || self.trial.as_ref().is_some_and(|t| t.id == *id) {
-                    return;
-                }
-                if *base != self.config_at {
-                    let text =
-                        format!("base {base} is not the current {}; read it and send again", self.config_at);
-                    return self.end(*id, "stale-base", text, vec![]);
-                }
-                if let Some(old) = &self.trial {
-                    let text = format!("change {} is under rehearsal; send again once it has ended", old.id);
-                    return self.end(*id, "change-pending", text, vec![]);
-                }
-                self.trial = Some(Candidate { id: *id, at, config: config.clone() });
-                self.touch(Scope::Trial);
-            }
+            Change::Propose { id, base, config } => self.propose(*id, *base, config),
             Change::Adopt { id, base, config, stages } => self.adopt(*id, *base, config, stages),
-            Change::Settle { id, verdict, stages } => self.settle(*id, verdict, stages),
-            Change::Runners { id, list } => {
-                if self.outcome(*id).is_some() {
-                    return;
-                }
-                let mut list = list.clone();
-                for new in &mut list {
-                    let old = self.runners.iter().find(|r| r.instance == new.instance);
-                    new.leaving |= old.is_some_and(|r| r.leaving);
-                }
-                for r in self.runners.iter().chain(&list) {
-                    self.touched.insert(Scope::Service(r.service.clone()), at);
-                }
-                self.runners = list;
-                self.touch(Scope::Duty);
-                self.end(*id, "ok", "runner list taken".into(), vec![]);
-            }
-            Change::Leaving { id, instance } => {
-                if self.outcome(*id).is_some() {
-                    return;
-                }
-                let Some(r) = self.runners.iter_mut().find(|r| r.instance == *instance) else {
-                    return self.end(
-                        *id,
-                        "unknown-runner",
-                        format!("runner {instance} is not listed"),
-                        vec![],
-                    );
-                };
-                r.leaving = true;
-                let scope = Scope::Service(r.service.clone());
-                self.touch(scope);
-                self.touch(Scope::Duty);
-                self.end(*id, "ok", format!("runner {instance} is leaving"), vec![]);
-            }
-            Change::Duty { holder } => {
-                let term = self.duty.as_ref().map_or(Term(1), |d| d.term.next());
-                self.duty = Some(Duty { holder: *holder, term });
-                let names: Vec<Name> = self.config.services.iter().map(|s| s.name.clone()).collect();
-                for name in names {
-                    self.touch(Scope::Service(name));
-                }
-                self.touch(Scope::Duty);
-            }
-            Change::Move { id, plan } => {
-                if self.outcome(*id).is_some() || self.moves.iter().any(|m| m.id == plan.id) {
-                    return;
-                }
-                let busy = self.live_moves().find(|m| m.clashes(plan));
-                if let Some(m) = busy {
-                    let text = format!("move {} holds one of the two runners; wait for its end", m.id);
-                    return self.end(*id, "move-pending", text, vec![]);
-                }
-                self.moves.push(plan.clone());
-                if self.moves.len() > MOVES {
-                    let old = self.moves.iter().position(|m| !m.live()).unwrap_or(0);
-                    self.moves.remove(old);
-                }
-                self.touch(Scope::Service(plan.service.clone()));
-                self.touch(Scope::Duty);
-                self.end(*id, "ok", format!("move {} is planned", plan.id), vec![]);
+            Change::Refuse { id, base, last_revision, code, text } => {
+                self.refuse(*id, *base, *last_revision, *code, text)
             }
+            Change::Settle { id, verdict, stages } => self.settle(*id, verdict, stages),
+            Change::Runners { id, list } => self.take_runners(*id, list),
+            Change::Leaving { id, instance } => self.mark_leaving(*id, instance),
+            Change::Duty { holder } => self.give_duty(*holder),
+            Change::Move { id, plan } => self.take_move(*id, plan),
             Change::Plan { term, plan, asked } => self.fold_plan(*term, plan, *asked),
             Change::PlanAsk { id } => self.fold_ask(*id),
             Change::Accept { id, at } => self.fold_accept(*id, *at),
             Change::PlanStage { id, term, state, figure } => self.fold_stage(*id, *term, *state, figure),
-            Change::Step { id, term, phase, why, stage } => {
-                if self.duty.as_ref().is_some_and(|d| d.term != *term) {
-                    return;
-                }
-                let Some(m) = self.moves.iter_mut().find(|m| m.id == *id && m.live()) else { return };
-                m.phase = *phase;
-                m.why = why.clone();
-                m.stages.extend(stage.clone());
-                let scope = Scope::Service(m.service.clone());
-                self.touch(scope);
-                self.touch(Scope::Duty);
-            }
+            Change::Step { id, term, phase, why, stage } => self.step(*id, *term, *phase, why, stage),
+        }
+    }
+
+    fn propose(&mut self, id: ChangeId, base: Version, config: &super::FleetConfig) {
+        if self.decision(id).is_some() || self.trial.as_ref().is_some_and(|t| t.id == id) {
+            return;
+        }
+        if base != self.config_at {
+            let text = format!("base {base} is not the current {}; read it and send again", self.config_at);
+            return self.end(id, OutcomeCode::StaleBase, text, vec![]);
+        }
+        if let Some(old) = &self.trial {
+            let text = format!("change {} is under rehearsal; send again once it has ended", old.id);
+            return self.end(id, OutcomeCode::ChangePending, text, vec![]);
         }
+        self.trial = Some(Candidate { id, at: self.at, config: Box::new(config.clone()) });
+        self.touch(Scope::Trial);
     }
 
     fn settle(&mut self, id: ChangeId, verdict: &Verdict, stages: &[StageFigure]) {
@@ -111,10 +52,10 @@
         self.touch(Scope::Trial);
         let Verdict::Commit = verdict else {
             let Verdict::Refuse(why) = verdict else { return };
-            return self.end(id, "rehearsal-failed", why.clone(), stages.to_vec());
+            return self.end(id, OutcomeCode::RehearsalFailed, why.clone(), stages.to_vec());
         };
         self.take_config(*t.config);
-        self.end(id, "ok", format!("configuration {} is in force", self.at), stages.to_vec());
+        self.end(id, OutcomeCode::Ok, format!("configuration {} is in force", self.at), stages.to_vec());
     }
 
     fn take_config(&mut self, new: super::FleetConfig) {
@@ -131,26 +72,134 @@
     }
 
     fn adopt(&mut self, id: ChangeId, base: u64, config: &super::FleetConfig, stages: &[StageFigure]) {
-        if self.outcome(id).is_some() {
+        if self.decision(id).is_some() {
             return;
         }
         let now = self.config.revision;
         if base != now || config.revision <= now {
             let text = format!("revision {} builds on {base}; the current one is {now}", config.revision);
-            return self.end(id, "stale-base", text, vec![]);
+            let last_revision = config.revision.saturating_sub(1);
+            return self.end_refused(id, OutcomeCode::StaleBase, text, last_revision);
         }
         self.take_config(config.clone());
-        self.end(id, "ok", format!("configuration {} is in force", config.revision), stages.to_vec());
+        let text = format!("configuration {} is in force", config.revision);
+        self.end(id, OutcomeCode::Ok, text, stages.to_vec());
+    }
+
+    /// Makes a refusal final, unless the order was taken before it or has become good meanwhile.
+    fn refuse(&mut self, id: ChangeId, base: Option<u64>, last_revision: u64, code: OutcomeCode, text: &str) {
+        let base_came = base == Some(self.config.revision);
+        if self.decision(id).is_some() || base_came {
+            return;
+        }
+        self.end_refused(id, code, text.to_string(), last_revision);
+    }
+
+    fn take_runners(&mut self, id: ChangeId, list: &[super::runner::Runner]) {
+        if self.decision(id).is_some() {
+            return;
+        }
+        let mut list = list.to_vec();
+        for new in &mut list {
+            let old = self.runners.iter().find(|r| r.instance == new.instance);
+            new.leaving |= old.is_some_and(|r| r.leaving);
+        }
+        for r in self.runners.iter().chain(&list) {
+            self.touched.insert(Scope::Service(r.service.clone()), self.at);
+        }
+        self.runners = list;
+        self.touch(Scope::Duty);
+        self.end(id, OutcomeCode::Ok, "runner list taken".into(), vec![]);
+    }
+
+    fn mark_leaving(&mut self, id: ChangeId, instance: &Name) {
+        if self.decision(id).is_some() {
+            return;
+        }
+        let Some(runner) = self.runners.iter_mut().find(|r| r.instance == *instance) else {
+            let text = format!("runner {instance} is not listed");
+            return self.end(id, OutcomeCode::UnknownRunner, text, vec![]);
+        };
+        runner.leaving = true;
+        let scope = Scope::Service(runner.service.clone());
+        self.touch(scope);
+        self.touch(Scope::Duty);
+        self.end(id, OutcomeCode::Ok, format!("runner {instance} is leaving"), vec![]);
+    }
+
+    fn give_duty(&mut self, holder: NodeId) {
+        let term = self.duty.as_ref().map_or(Term(1), |d| d.term.next());
+        self.duty = Some(Duty { holder, term });
+        let names: Vec<Name> = self.config.services.iter().map(|s| s.name.clone()).collect();
+        for name in names {
+            self.touch(Scope::Service(name));
+        }
+        self.touch(Scope::Duty);
+    }
+
+    fn take_move(&mut self, id: ChangeId, plan: &MovePlan) {
+        if self.decision(id).is_some() || self.moves.iter().any(|m| m.id == plan.id) {
+            return;
+        }
+        let busy = self.live_moves().find(|m| m.clashes(plan));
+        if let Some(m) = busy {
+            let text = format!("move {} holds one of the two runners; wait for its end", m.id);
+            return self.end(id, OutcomeCode::MovePending, text, vec![]);
+        }
+        self.moves.push(plan.clone());
+        if self.moves.len() > MOVES {
+            let old = self.moves.iter().position(|m| !m.live()).unwrap_or(0);
+            self.moves.remove(old);
+        }
+        self.touch(Scope::Service(plan.service.clone()));
+        self.touch(Scope::Duty);
+        self.end(id, OutcomeCode::Ok, format!("move {} is planned", plan.id), vec![]);
+    }
+
+    fn step(&mut self, id: MoveId, term: Term, phase: Phase, why: &str, stage: &Option<StageFigure>) {
+        if self.duty.as_ref().is_some_and(|d| d.term != term) {
+            return;
+        }
+        let Some(m) = self.moves.iter_mut().find(|m| m.id == id && m.live()) else { return };
+        m.phase = phase;
+        m.why = why.to_string();
+        m.stages.extend(stage.clone());
+        let scope = Scope::Service(m.service.clone());
+        self.touch(scope);
+        self.touch(Scope::Duty);
     }
 
+    /// Notes that the part of the state named by `scope` changed.
     pub fn touch(&mut self, scope: Scope) {
         self.touched.insert(scope, self.at);
     }
 
-    pub fn end(&mut self, id: ChangeId, code: &str, text: String, stages: Vec<StageFigure>) {
-        self.outcomes.push(Outcome { id, at: self.at, code: code.into(), text, stages });
-        if self.outcomes.len() > OUTCOMES {
-            self.outcomes.remove(0);
+    /// Ends a change for good: an order that is refused here is never taken later.
+    pub fn end(&mut self, id: ChangeId, code: OutcomeCode, text: String, stages: Vec<StageFigure>) {
+        match code {
+            OutcomeCode::Ok => {
+                self.ledger.record_taken(TakenOrder { id, at: self.at, revision: self.config.revision })
+            }
+            _ => self.ledger.record_refused(RefusedOrder { id, last_revision: u64::MAX }),
+        }
+        self.keep_outcome(id, code, text, stages);
+    }
+
+    /// Ends an order that nothing could take once the revision in force is above `last_revision`.
+    fn end_refused(&mut self, id: ChangeId, code: OutcomeCode, text: String, last_revision: u64) {
+        self.ledger.record_refused(RefusedOrder { id, last_revision });
+        self.keep_outcome(id, code, text, vec![]);
+    }
+
+    /// Keeps an end for who asks; operators' ends and the fleet's own don't take each other's room.
+    fn keep_outcome(&mut self, id: ChangeId, code: OutcomeCode, text: String, stages: Vec<StageFigure>) {
+        let (rows, most) = match id.is_operators() {
+            true => (&mut self.outcomes, OUTCOMES),
+            false => (&mut self.internal_outcomes, INTERNAL_OUTCOMES),
+        };
+        rows.push(Outcome { id, at: self.at, code, text, stages });
+        if rows.len() > most {
+            rows.remove(0);
         }
     }
 }
--- a/src/fleet/fold_plan.rs
+++ b/src/fleet/fold_plan.rs
@@ -31,22 +31,22 @@
         self.touch(Scope::Duty);
         if let Some(id) = asked {
             self.plan_ask = None;
-            self.end(id, "ok", text, vec![]);
+            self.end(id, OutcomeCode::Ok, text, vec![]);
         }
     }
 
     pub fn fold_ask(&mut self, id: ChangeId) {
-        if self.outcome(id).is_some() || self.plan_ask == Some(id) {
+        if self.decision(id).is_some() || self.plan_ask == Some(id) {
             return;
         }
         if let Some(old) = self.plan_ask.replace(id) {
-            self.end(old, "superseded", format!("proposal {id} was asked for after it"), vec![]);
+            self.end(old, OutcomeCode::Superseded, format!("proposal {id} was asked for after it"), vec![]);
         }
         self.touch(Scope::Duty);
     }
 
     pub fn fold_accept(&mut self, id: ChangeId, at: Version) {
-        if self.outcome(id).is_some() {
+        if self.decision(id).is_some() {
             return;
         }
         let open = self.plans.iter().find(|p| p.state == PlanState::Proposed).map(|p| p.at);
@@ -63,10 +63,10 @@
             Some(p) => {
                 p.state = PlanState::Running;
                 self.touch(Scope::Duty);
-                return self.end(id, "ok", format!("plan {at} is accepted"), vec![]);
+                return self.end(id, OutcomeCode::Ok, format!("plan {at} is accepted"), vec![]);
             }
         };
-        self.end(id, "stale-plan", text, vec![]);
+        self.end(id, OutcomeCode::StalePlan, text, vec![]);
     }
 
     pub fn fold_stage(&mut self, id: PlanId, term: Term, to: PlanState, figure: &StageFigure) {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,8 @@
 pub mod fold;
 pub mod fold_plan;
 pub mod holdings;
+pub mod ledger;
+pub mod outcome;
 pub mod plan;
 pub mod read;
 pub mod routes;
--- a/src/fleet/show.rs
+++ b/src/fleet/show.rs
@@ -147,7 +147,7 @@
     pub fn tree(&self) -> Tree {
         map(&[
             ("id", self.id.to_string().into()),
-            ("code", self.code.as_str().into()),
+            ("code", self.code.to_string().into()),
             ("text", self.text.as_str().into()),
             ("version", self.at.to_string().into()),
             ("stages", stages(&self.stages)),
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -1,4 +1,6 @@
 use super::config::FleetConfig;
+use super::ledger::{LedgerEntry, OrderLedger};
+pub use super::outcome::{Outcome, OutcomeCode};
 use super::plan::{PlacementPlan, PlanState};
 use super::runner::Runner;
 use crate::kernel::ids::*;
@@ -7,18 +9,70 @@
 
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub enum Change {
-    Propose { id: ChangeId, base: Version, config: Box<FleetConfig> },
-    Adopt { id: ChangeId, base: u64, config: Box<FleetConfig>, stages: Vec<StageFigure> },
-    Settle { id: ChangeId, verdict: Verdict, stages: Vec<StageFigure> },
-    Runners { id: ChangeId, list: Vec<Runner> },
-    Leaving { id: ChangeId, instance: Name },
-    Duty { holder: NodeId },
-    Move { id: ChangeId, plan: MovePlan },
-    Plan { term: Term, plan: PlacementPlan, asked: Option<ChangeId> },
-    PlanAsk { id: ChangeId },
-    Accept { id: ChangeId, at: Version },
-    PlanStage { id: PlanId, term: Term, state: PlanState, figure: StageFigure },
-    Step { id: MoveId, term: Term, phase: Phase, why: String, stage: Option<StageFigure> },
+    Propose {
+        id: ChangeId,
+        base: Version,
+        config: Box<FleetConfig>,
+    },
+    Adopt {
+        id: ChangeId,
+        base: u64,
+        config: Box<FleetConfig>,
+        stages: Vec<StageFigure>,
+    },
+    /// An operator's order that must not be taken any more, unless it was taken or its base came before this.
+    Refuse {
+        id: ChangeId,
+        base: Option<u64>,
+        last_revision: u64,
+        code: OutcomeCode,
+        text: String,
+    },
+    Settle {
+        id: ChangeId,
+        verdict: Verdict,
+        stages: Vec<StageFigure>,
+    },
+    Runners {
+        id: ChangeId,
+        list: Vec<Runner>,
+    },
+    Leaving {
+        id: ChangeId,
+        instance: Name,
+    },
+    Duty {
+        holder: NodeId,
+    },
+    Move {
+        id: ChangeId,
+        plan: MovePlan,
+    },
+    Plan {
+        term: Term,
+        plan: PlacementPlan,
+        asked: Option<ChangeId>,
+    },
+    PlanAsk {
+        id: ChangeId,
+    },
+    Accept {
+        id: ChangeId,
+        at: Version,
+    },
+    PlanStage {
+        id: PlanId,
+        term: Term,
+        state: PlanState,
+        figure: StageFigure,
+    },
+    Step {
+        id: MoveId,
+        term: Term,
+        phase: Phase,
+        why: String,
+        stage: Option<StageFigure>,
+    },
 }
 
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
@@ -73,15 +127,6 @@
     pub term: Term,
 }
 
-#[derive(Clone, PartialEq, Debug, Encode, Decode)]
-pub struct Outcome {
-    pub id: ChangeId,
-    pub at: Version,
-    pub code: String,
-    pub text: String,
-    pub stages: Vec<StageFigure>,
-}
-
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug, Encode, Decode)]
 pub enum Scope {
     Routes,
@@ -101,16 +146,38 @@
     pub moves: Vec<MovePlan>,
     pub plans: Vec<PlacementPlan>,
     pub plan_ask: Option<ChangeId>,
+    /// The ends of operators' changes, oldest first.
     pub outcomes: Vec<Outcome>,
+    /// The ends of the fleet's own changes, oldest first.
+    pub internal_outcomes: Vec<Outcome>,
+    pub ledger: OrderLedger,
     pub touched: BTreeMap<Scope, Version>,
 }
 
 pub const OUTCOMES: usize = 512;
+pub const INTERNAL_OUTCOMES: usize = 256;
 pub const MOVES: usize = 64;
 
 impl FleetState {
     pub fn outcome(&self, id: ChangeId) -> Option<&Outcome> {
-        self.outcomes.iter().rev().find(|o| o.id == id)
+        let rows = if id.is_operators() { &self.outcomes } else { &self.internal_outcomes };
+        rows.iter().rev().find(|o| o.id == id)
+    }
+
+    /// The end of the operator's change of that name.
+    pub fn outcome_named(&self, name: u128) -> Option<&Outcome> {
+        self.outcomes.iter().chain(&self.internal_outcomes).rev().find(|o| o.id.name == name)
+    }
+
+    /// What is known for good of a change: its end, or what the ledger remembers of it.
+    pub fn decision(&self, id: ChangeId) -> Option<Decision<'_>> {
+        if let Some(outcome) = self.outcome(id) {
+            return Some(Decision::Outcome(outcome));
+        }
+        if id.is_operators() && self.outcomes.iter().any(|o| o.id.name == id.name) {
+            return Some(Decision::Ledger(LedgerEntry::NameInUse));
+        }
+        self.ledger.find(id).map(Decision::Ledger)
     }
 
     pub fn runner(&self, name: &Name) -> Option<&Runner> {
@@ -126,6 +193,13 @@
     }
 }
 
+/// What is known for good of a change.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Decision<'a> {
+    Outcome(&'a Outcome),
+    Ledger(LedgerEntry),
+}
+
 impl MovePlan {
     pub fn clashes(&self, other: &MovePlan) -> bool {
         let shared = [&self.from, &self.to].into_iter().any(|r| *r == other.from || *r == other.to);
--- a/src/hollow/days.rs
+++ b/src/hollow/days.rs
@@ -63,7 +63,7 @@
     }
 
     fn change(&mut self, op: Op, say: Say) -> bool {
-        let id = ChangeId(self.rand.next() | 1);
+        let id = ChangeId::random(&mut self.rand);
         let routers = self.live(Role::Router);
         let Some(place) = routers.first().copied() else { return false };
         let (asked, old) = (self.now, self.top());
@@ -101,7 +101,7 @@
         if !self.change(Op::Whole { base: None, text }, say) {
             return false;
         }
-        let id = ChangeId(self.rand.next() | 1);
+        let id = ChangeId::random(&mut self.rand);
         self.feed_made(0, "change", &|w| {
             let list = (0..w.size.runners).map(|n| w.size.runner(n)).collect();
             msg::Event::Op { id, op: Op::Runners(list) }
--- a/src/hollow/node.rs
+++ b/src/hollow/node.rs
@@ -51,7 +51,7 @@
             watch: false,
             routes_at: Version(0),
             proven: BTreeMap::new(),
-            trial: ChangeId(0),
+            trial: ChangeId::default(),
             demand: vec![],
             up: Time(0),
         }
@@ -85,7 +85,7 @@
         RouterTell {
             trial_seen: self.trial,
             routes_at: self.routes_at,
-            rehearsal: (self.trial != ChangeId(0)).then_some(row),
+            rehearsal: (self.trial != ChangeId::default()).then_some(row),
             demand: wants.collect(),
             tries: vec![(Name::from("assistant"), 0, 0, 50)],
             ..RouterTell::default()
@@ -97,7 +97,7 @@
             self.routes_at = self.routes_at.max(at);
         }
         if let Some(Slice::Trial(t)) = slice {
-            self.trial = t.as_ref().map_or(ChangeId(0), |c| c.id);
+            self.trial = t.as_ref().map_or(ChangeId::default(), |c| c.id);
         }
         let row = self.proven.entry(scope.clone()).or_default();
         *row = (*row).max(proven);
--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -3,10 +3,12 @@
 use crate::fleet::runner::Runner;
 use crate::json::Tree;
 use crate::kernel::ids::*;
+use crate::kernel::rand::Kernel;
 use crate::msg::{Answer, Event, Op};
 use crate::seam::{OperatorSide, Wish};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use hyper::header::HeaderMap;
 use hyper::{Method, Request, Response, StatusCode};
 use std::sync::Arc;
 
@@ -26,6 +28,40 @@
     text: String,
 }
 
+impl Told {
+    /// The digest of all that the call asks for.
+    fn document(&self) -> DocumentDigest {
+        let stated: &[u8] = if self.base.is_some() { b"on" } else { b"any" };
+        let base = self.base.as_deref().unwrap_or("").as_bytes();
+        DocumentDigest::of(&[
+            self.method.as_bytes(),
+            self.path.as_bytes(),
+            stated,
+            base,
+            self.text.as_bytes(),
+        ])
+    }
+}
+
+/// The value of `If-Match`. Several headers make a list, and bytes that are no text stay unreadable, so that
+/// neither passes for a call that states no base.
+fn base_of(headers: &HeaderMap) -> Option<String> {
+    let values: Vec<String> = headers
+        .get_all("if-match")
+        .iter()
+        .map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned())
+        .collect();
+    (!values.is_empty()).then(|| values.join(","))
+}
+
+/// The name under which the caller wants the change known; one of our own if it gives none.
+fn name_of(headers: &HeaderMap) -> Option<u128> {
+    match headers.get("x-change-id") {
+        Some(name) => name.to_str().ok().and_then(ChangeId::parse_name),
+        None => Some(ChangeId::random(&mut Kernel).name),
+    }
+}
+
 fn bad(text: &str) -> Answer {
     Answer::new(400, "bad-order", text, 0)
 }
@@ -40,10 +76,13 @@
 
     async fn wished(&self, side: &dyn OperatorSide, call: &Told) -> Option<Response<OutBody>> {
         let base = call.base.as_deref();
-        let id = side.id(&call.method, base, &call.text);
+        let id = match call.method.as_str() {
+            "GET" => ChangeId::random(&mut Kernel),
+            _ => side.id(&call.method, base, &call.text),
+        };
         let answer = match side.wish(id, &call.method, &call.path, base, &call.text)? {
             Wish::Ready => return Some(self.ready_answer()),
-            Wish::Event(ev) => self.hand.ask(id, ev).await,
+            Wish::Event(ev) => self.hand.ask(id, *ev).await,
             Wish::Bad(answer) => answer,
         };
         let mut response = operator(&answer);
@@ -53,11 +92,11 @@
 
     pub async fn answer(self: Arc<ChangeQueue>, order: Request<Incoming>) -> Response<OutBody> {
         let path = order.uri().path().trim_matches('/').to_string();
-        let base = order.headers().get("if-match").and_then(|v| v.to_str().ok()).map(|s| s.to_string());
-        let id = order.headers().get("x-change-id").and_then(|v| v.to_str().ok()).and_then(ChangeId::parse);
-        let id = id.unwrap_or_else(|| {
-            ChangeId(crate::kernel::rand::Rand::next(&mut crate::kernel::rand::Kernel) | 1)
-        });
+        let base = base_of(order.headers());
+        let Some(name) = name_of(order.headers()) else {
+            let text = "X-Change-Id is no id; give up to 32 hexadecimal digits, or none";
+            return own(400, "bad-order", text, 0, "refused");
+        };
         let method = order.method().clone();
         match (&method, path.as_str()) {
             (&Method::GET, "ready") => return self.ready_answer(),
@@ -66,7 +105,7 @@
             _ => {}
         }
         let body = match Limited::new(order.into_body(), BODY).collect().await {
-            Ok(b) => String::from_utf8_lossy(&b.to_bytes()).into_owned(),
+            Ok(b) => b.to_bytes().to_vec(),
             Err(_) => {
                 return own(
                     413,
@@ -77,7 +116,11 @@
                 );
             }
         };
-        let call = Told { method: method.to_string(), path: format!("/{path}"), base, text: body };
+        let Ok(text) = String::from_utf8(body) else {
+            return own(400, "bad-order", "the body is no UTF-8; send the document as UTF-8", 0, "refused");
+        };
+        let call = Told { method: method.to_string(), path: format!("/{path}"), base, text };
+        let id = ChangeId::named(name, call.document());
         if let Some(side) = &self.operator
             && let Some(response) = self.wished(&**side, &call).await
         {
--- a/src/json/tree.rs
+++ b/src/json/tree.rs
@@ -1,30 +1,29 @@
-use nanoserde::{DeJsonState, DeJsonTok, SerJson, SerJsonState};
+//! JSON documents as trees.
+
+use super::number::write;
+use super::parse::parse;
 use std::fmt;
 
+/// Whole numbers up to this are exact, wherever they are read.
+pub const EXACT_INTEGERS: u64 = 1 << 53;
+
+/// A JSON value; members of an object keep their order.
 #[derive(Clone, PartialEq, Debug)]
 pub enum Tree {
     Null,
     Bool(bool),
     Num(f64),
+    /// A number that no float holds exactly, as it was written.
+    Literal(String),
     Text(String),
     List(Vec<Tree>),
     Map(Vec<(String, Tree)>),
 }
 
-const DEPTH: usize = 32;
-
 impl Tree {
+    /// Reads one JSON document.
     pub fn parse(text: &str) -> Result<Tree, String> {
-        let mut state = DeJsonState::default();
-        let mut input = text.chars();
-        state.next(&mut input);
-        let told = |e: nanoserde::DeJsonErr| e.to_string();
-        state.next_tok(&mut input).map_err(told)?;
-        let tree = value(&mut state, &mut input, 0)?;
-        if state.tok != DeJsonTok::Eof {
-            return Err(format!("text after the end at line {}", state.line + 1));
-        }
-        Ok(tree)
+        parse(text).map_err(|error| error.to_string())
     }
 
     pub fn get(&self, key: &str) -> Option<&Tree> {
@@ -41,7 +40,27 @@
 
     pub fn num(&self, key: &str) -> Option<u64> {
         match self.get(key)? {
-            Tree::Num(n) if *n >= 0.0 => Some(*n as u64),
+            Tree::Num(n) if *n >= 0.0 => Some((*n as u64).min(EXACT_INTEGERS)),
+            Tree::Literal(text) if !text.starts_with('-') => {
+                Some((text.parse::<f64>().ok()? as u64).min(EXACT_INTEGERS))
+            }
+            _ => None,
+        }
+    }
+
+    /// A whole number that is exactly what was written.
+    pub fn whole(&self, key: &str) -> Option<u64> {
+        match self.get(key)? {
+            Tree::Num(n) if *n >= 0.0 && n.fract() == 0.0 && *n <= EXACT_INTEGERS as f64 => Some(*n as u64),
+            _ => None,
+        }
+    }
+
+    /// The nearest finite float.
+    pub fn float(&self, key: &str) -> Option<f64> {
+        match self.get(key)? {
+            Tree::Num(n) => Some(*n),
+            Tree::Literal(text) => text.parse::<f64>().ok().map(|n| n.clamp(f64::MIN, f64::MAX)),
             _ => None,
         }
     }
@@ -102,51 +121,13 @@
     }
 }
 
-fn value(s: &mut DeJsonState, i: &mut std::str::Chars, deep: usize) -> Result<Tree, String> {
-    if deep > DEPTH {
-        return Err(format!("nested deeper than {DEPTH} at line {}", s.line + 1));
-    }
-    let told = |e: nanoserde::DeJsonErr| e.to_string();
-    let tree = match &s.tok {
-        DeJsonTok::Null => Tree::Null,
-        DeJsonTok::Bool(b) => Tree::Bool(*b),
-        DeJsonTok::U64(n) => Tree::Num(*n as f64),
-        DeJsonTok::I64(n) => Tree::Num(*n as f64),
-        DeJsonTok::F64(n) => Tree::Num(*n),
-        DeJsonTok::Str => Tree::Text(s.as_string().map_err(told)?),
-        DeJsonTok::BlockOpen => {
-            s.next_tok(i).map_err(told)?;
-            let mut rows = Vec::new();
-            while s.tok != DeJsonTok::BlockClose {
-                rows.push(value(s, i, deep + 1)?);
-                s.eat_comma_block(i).map_err(told)?;
-            }
-            Tree::List(rows)
-        }
-        DeJsonTok::CurlyOpen => {
-            s.next_tok(i).map_err(told)?;
-            let mut rows = Vec::new();
-            while s.tok != DeJsonTok::CurlyClose {
-                let key = s.as_string().map_err(told)?;
-                s.next_tok(i).map_err(told)?;
-                s.colon(i).map_err(told)?;
-                rows.push((key, value(s, i, deep + 1)?));
-                s.eat_comma_curly(i).map_err(told)?;
-            }
-            Tree::Map(rows)
-        }
-        _ => return Err(format!("a value is missing at line {}", s.line + 1)),
-    };
-    s.next_tok(i).map_err(told)?;
-    Ok(tree)
-}
-
 impl fmt::Display for Tree {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Tree::Null => f.write_str("null"),
             Tree::Bool(b) => write!(f, "{b}"),
-            Tree::Num(n) => write!(f, "{n}"),
+            Tree::Num(n) => f.write_str(&write(*n)),
+            Tree::Literal(text) => f.write_str(text),
             Tree::Text(t) => f.write_str(&quote(t)),
             Tree::List(rows) => {
                 f.write_str("[")?;
@@ -167,9 +148,21 @@
 }
 
 fn quote(text: &str) -> String {
-    let mut s = SerJsonState::new(String::new());
-    text.to_string().ser_json(0, &mut s);
-    s.out
+    let mut out = String::with_capacity(text.len() + 2);
+    out.push('"');
+    for c in text.chars() {
+        match c {
+            '"' => out.push_str("\\\""),
+            '\\' => out.push_str("\\\\"),
+            '\n' => out.push_str("\\n"),
+            '\r' => out.push_str("\\r"),
+            '\t' => out.push_str("\\t"),
+            c if c < ' ' => out.push_str(&format!("\\u{:04x}", u32::from(c))),
+            c => out.push(c),
+        }
+    }
+    out.push('"');
+    out
 }
 
 impl From<&str> for Tree {
--- a/src/kernel/ids.rs
+++ b/src/kernel/ids.rs
@@ -1,3 +1,6 @@
+//! Typed numbers and names.
+
+pub use super::change_id::{ChangeId, DocumentDigest};
 use bitcode::{Decode, Encode};
 use std::fmt;
 
@@ -28,7 +31,6 @@
     Version, "v";
     ViewNo, "w";
     Term, "t";
-    ChangeId, "c";
     MoveId, "m";
     OrderId, "o";
     Ticket, "k";
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -1,3 +1,4 @@
+pub mod change_id;
 pub mod component;
 pub mod disk;
 pub mod event;
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -51,7 +51,7 @@
 pub enum Op {
     Whole { base: Option<Version>, text: String },
     Part { base: Option<Version>, text: String },
-    Foreign { base: u64, part: bool, text: String },
+    Foreign { base: Option<u64>, part: bool, text: String },
     Runners(Vec<Runner>),
     Leaving(Name),
     Propose,
@@ -60,6 +60,13 @@
     Internal(Change),
 }
 
+impl Op {
+    /// The digest of what is asked for, for calls that come in as such and not as a document.
+    pub fn document(&self) -> DocumentDigest {
+        DocumentDigest::of(&[&bitcode::encode(self)])
+    }
+}
+
 /// The answer to an operator: `retry_s` tells when to ask again, 0 for never.
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub struct Answer {
--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -212,7 +212,7 @@
         self.asked_plan = Some((id, ctx.now));
         let counted = self.counted(s, ctx.now);
         let p = self.picture(s, demand, &counted, ctx);
-        let mut plan = whole(&p, PlanId(id.0), "asked for by an operator", usize::MAX);
+        let mut plan = whole(&p, PlanId(id.short()), "asked for by an operator", usize::MAX);
         let tried = rehearse(&p, &plan);
         plan.state = if tried.faults.is_empty() { PlanState::Proposed } else { PlanState::Stopped };
         plan.rehearsal = format!("{} {}", tried.note, tried.faults.join("; "));
--- a/src/placement/drive.rs
+++ b/src/placement/drive.rs
@@ -118,7 +118,7 @@
                 if !sent {
                     self.sent.insert(*id, ctx.now);
                     ctx.log_event("move-planned", format!("{id} {} {}>{}", plan.model, plan.from, plan.to));
-                    let id = ChangeId(ctx.rand.next() | 1);
+                    let id = ChangeId::random(ctx.rand);
                     self.tell_head(Change::Move { id, plan }, ctx);
                     self.tried(p);
                 }
--- a/src/placement/fill.rs
+++ b/src/placement/fill.rs
@@ -42,7 +42,7 @@
         if list.iter().all(known) && s.runners.iter().all(here) {
             return;
         }
-        let id = ChangeId(ctx.rand.next() | 1);
+        let id = ChangeId::random(ctx.rand);
         let Some(head) = ctx.views.view.as_ref().and_then(|v| v.head()) else { return };
         ctx.log_event("runners-listed", list.len().to_string());
         ctx.send(head, Msg::Op { id, op: Op::Runners(list.to_vec()) });
@@ -50,7 +50,7 @@
 
     pub fn tell_head(&mut self, change: Change, ctx: &mut Context) {
         let Some(head) = ctx.views.view.as_ref().and_then(|v| v.head()) else { return };
-        let id = ChangeId(ctx.rand.next() | 1);
+        let id = ChangeId::random(ctx.rand);
         ctx.send(head, Msg::Op { id, op: Op::Internal(change) });
     }
 
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -11,6 +11,9 @@
 const RANKS: [Class; 4] = [Class::Counter, Class::Chat, Class::Normal, Class::Bulk];
 const ADAPTER_MS: u64 = 10;
 const FINE: f64 = 10_000.0;
+const MAX_WEIGHT: f64 = 1e12;
+const MAX_ADAPTERS: f64 = 10_000.0;
+const REVISION: &str = "Revision";
 
 fn bad(place: impl Into<String>, what: impl Into<String>, remedy: &str) -> Fault {
     Fault::new(Kind::Config, place, what, remedy)
@@ -71,6 +74,11 @@
     Ok(Tree::Map(rows))
 }
 
+/// The revision that a document names.
+pub fn revision(text: &str) -> Option<u64> {
+    Tree::parse(text).ok()?.whole(REVISION)
+}
+
 pub fn read(f: &Figures, now: &FleetConfig, text: &str, part: bool) -> Result<FleetConfig, Vec<Fault>> {
     let mut tree = parse(text)?;
     let mut source = text.to_string();
@@ -91,9 +99,11 @@
 
 fn whole(f: &Figures, tree: &Tree, faults: &mut Vec<Fault>) -> FleetConfig {
     let mut c = FleetConfig { budget: f.budget.clone(), store: f.store.clone(), ..FleetConfig::default() };
-    match tree.num("Revision") {
+    match tree.whole(REVISION) {
         Some(n) => c.revision = n,
-        None => faults.push(bad("Revision", "is missing", "give a number above the current one")),
+        None => {
+            faults.push(bad(REVISION, "is no whole number up to 2^53", "give a number above the current one"))
+        }
     }
     if let Some(l) = tree.get("Limits") {
         let d = Limits::default();
@@ -153,13 +163,17 @@
         s.stride = e.num("Stride").unwrap_or(1).max(1);
         s.room_mb = e.num("WeightsMb").unwrap_or(0);
         s.places = e.num("AdapterCapacity").unwrap_or(0);
-        if let Some(Tree::Num(rate)) = e.get("LoadRateS") {
+        if let Some(rate) = e.float("LoadRateS") {
             c.store.loads_per_minute = (rate * 60.0) as u64;
         }
         for m in e.list("Models") {
             let Some(name) = m.text("Name") else { continue };
-            let num = |k: &str| if let Some(Tree::Num(n)) = m.get(k) { *n } else { 0.0 };
+            let num = |k: &str| m.float(k).unwrap_or(0.0);
             let load_ms = (num("LoadTimeS") * 1000.0) as u64;
+            if num("Adapters") > MAX_ADAPTERS {
+                faults.push(bad(format!("{name}.Adapters"), "is over 10000", "name fewer"));
+                continue;
+            }
             s.models.push(Name::from(name));
             c.models.push(Model { name: name.into(), weight_mb: num("WeightsMb").ceil() as u64, load_ms });
             for k in 1..=num("Adapters") as u64 {
@@ -174,7 +188,7 @@
 }
 
 fn weight(t: &Tree) -> f64 {
-    if let Some(Tree::Num(n)) = t.get("Weight") { *n } else { 0.0 }
+    t.float("Weight").unwrap_or(0.0).min(MAX_WEIGHT)
 }
 
 fn route(at: &str, t: &Tree, c: &FleetConfig, faults: &mut Vec<Fault>) -> Option<(Name, Route)> {
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -1,9 +1,11 @@
-use super::config::read;
+//! How the users' operators speak: the configuration's path, what `If-Match` may hold, the statuses of ends.
+
+use super::config::{read, revision};
+use super::precondition::Precondition;
 use crate::fleet::FleetConfig;
 use crate::fleet::config::{Budget, Store};
 use crate::kernel::fault::Fault;
-use crate::kernel::ids::ChangeId;
-use crate::kernel::rand::hash;
+use crate::kernel::ids::{ChangeId, DocumentDigest};
 use crate::msg::{Answer, Event, Op};
 use crate::seam::{OperatorSide, Wish};
 
@@ -22,7 +24,9 @@
 
 impl OperatorSide for Operator {
     fn id(&self, method: &str, base: Option<&str>, text: &str) -> ChangeId {
-        ChangeId(hash(&format!("{method} {base:?} {text}"), 0x0dd) | 1)
+        let base = Precondition::read(base).key();
+        let parts = [method.as_bytes(), base.as_bytes(), text.as_bytes()];
+        ChangeId::of_document(DocumentDigest::of(&parts))
     }
 
     fn wish(&self, id: ChangeId, method: &str, path: &str, base: Option<&str>, text: &str) -> Option<Wish> {
@@ -32,27 +36,28 @@
         if path != CONFIG {
             return None;
         }
-        let base = match base.map(|b| b.trim().trim_matches('"').parse::<u64>()) {
-            None => u64::MAX,
-            Some(Ok(n)) => n,
-            Some(Err(_)) => {
-                let text = "If-Match is no revision; give the number of the one it builds on";
-                return Some(Wish::Bad(Answer::new(412, "stale-base", text, 0)));
-            }
+        if method == "GET" {
+            return Some(Wish::Event(Box::new(Event::Ask { id, path: "source".into() })));
+        }
+        if method != "PUT" && method != "PATCH" {
+            return Some(Wish::Bad(Answer::new(405, "bad-order", "GET, PUT or PATCH the configuration", 0)));
+        }
+        let base = match Precondition::read(base).revision() {
+            Ok(base) => base,
+            Err(why) => return Some(Wish::Bad(Answer::new(412, "stale-base", &why.to_string(), 0))),
         };
-        let op = |part| Event::Op { id, op: Op::Foreign { base, part, text: text.to_string() } };
-        Some(match method {
-            "GET" => Wish::Event(Event::Ask { id, path: "source".into() }),
-            "PUT" => Wish::Event(op(false)),
-            "PATCH" => Wish::Event(op(true)),
-            _ => Wish::Bad(Answer::new(405, "bad-order", "GET, PUT or PATCH the configuration", 0)),
-        })
+        let op = Op::Foreign { base, part: method == "PATCH", text: text.to_string() };
+        Some(Wish::Event(Box::new(Event::Op { id, op })))
     }
 
     fn status(&self, answer: &Answer) -> u16 {
         if answer.status == 409 { 412 } else { answer.status }
     }
 
+    fn revision(&self, text: &str) -> Option<u64> {
+        revision(text)
+    }
+
     fn read(&self, now: &FleetConfig, text: &str, part: bool) -> Result<FleetConfig, Vec<Fault>> {
         read(&self.figures, now, text, part)
     }
--- a/src/seam.rs
+++ b/src/seam.rs
@@ -80,16 +80,18 @@
 /// What an operator's call asks of this node.
 pub enum Wish {
     Ready,
-    Event(Event),
+    Event(Box<Event>),
     Bad(Answer),
 }
 
 /// How operators speak, and how they write their configurations.
 pub trait OperatorSide: Send + Sync {
     fn wish(&self, id: ChangeId, method: &str, path: &str, base: Option<&str>, text: &str) -> Option<Wish>;
-    /// The id under which a call that is sent again is known.
+    /// The id under which a call that is sent again is known: of method, base and text, collision-resistant.
     fn id(&self, method: &str, base: Option<&str>, text: &str) -> ChangeId;
     fn status(&self, answer: &Answer) -> u16;
+    /// The revision that a document says it makes, if it can be read.
+    fn revision(&self, text: &str) -> Option<u64>;
     /// The configuration that `text` makes of `now`: whole, or named items of it.
     fn read(&self, now: &FleetConfig, text: &str, part: bool) -> Result<FleetConfig, Vec<Fault>>;
 }
--- a/src/sim/callers.rs
+++ b/src/sim/callers.rs
@@ -163,7 +163,7 @@
     }
 
     pub fn fresh_id(&mut self) -> ChangeId {
-        ChangeId(self.rand.next() | 1)
+        ChangeId::random(&mut self.rand)
     }
 
     pub fn tick_rides(&mut self, place: usize, life: u64) {
--- a/src/sim/check_config.rs
+++ b/src/sim/check_config.rs
@@ -3,6 +3,7 @@
 use super::replay::{Replay, replay};
 use super::world::World;
 use crate::fleet::slice::{routes_print, service_slice};
+use crate::fleet::state::OutcomeCode;
 use crate::kernel::ids::*;
 use crate::kernel::rand::hash;
 use crate::kernel::time::Span;
@@ -118,12 +119,12 @@
     for c in &r.taken {
         let found = state.outcome(c.id);
         let aged = found.is_none() && state.outcomes.len() >= crate::fleet::state::OUTCOMES;
-        if !aged && found.is_none_or(|o| o.code != "ok") {
+        if !aged && found.is_none_or(|o| o.code != OutcomeCode::Ok) {
             bad.push(format!("6 change {} was acknowledged as {} and is lost", c.id, c.at));
         }
     }
     for id in &r.refused {
-        if state.outcome(*id).is_some_and(|o| o.code == "ok") {
+        if state.outcome(*id).is_some_and(|o| o.code == OutcomeCode::Ok) {
             bad.push(format!("6 change {id} was refused and is in force"));
         }
     }
--- a/src/sim/setup.rs
+++ b/src/sim/setup.rs
@@ -92,7 +92,7 @@
     }
 
     pub fn ask(&mut self, place: usize, op: Op) -> ChangeId {
-        let id = self.fresh_id();
+        let id = ChangeId::named(self.fresh_id().name, op.document());
         self.note(Fact::Asked { id, what: Asked::of(&op) });
         self.operate(place, msg::Event::Op { id, op });
         id
--- a/tests/common/adopt.rs
+++ b/tests/common/adopt.rs
@@ -5,7 +5,6 @@
 use spindledock::fleet::slice::{route_rows, routes_print};
 use spindledock::kernel::fault::{Fault, Kind};
 use spindledock::kernel::ids::*;
-use spindledock::kernel::rand::hash;
 use spindledock::kernel::time::Span;
 use spindledock::launch::deployment::Deployment;
 use spindledock::msg::{Answer, Event, Op};
@@ -24,7 +23,12 @@
     }
 
     fn id(&self, method: &str, base: Option<&str>, text: &str) -> ChangeId {
-        ChangeId(hash(&format!("{method}{base:?}{text}"), 3) | 1)
+        let base = base.map_or("any".to_string(), |base| format!("on {base}"));
+        ChangeId::of_document(DocumentDigest::of(&[method.as_bytes(), base.as_bytes(), text.as_bytes()]))
+    }
+
+    fn revision(&self, text: &str) -> Option<u64> {
+        text.split(' ').next()?.parse().ok()
     }
 
     fn status(&self, answer: &Answer) -> u16 {
@@ -54,6 +58,9 @@
     }
 }
 
+/// Stands for a change that states no base.
+pub const NO_BASE: u64 = u64::MAX;
+
 pub struct Sent {
     pub base: u64,
     pub text: String,
@@ -85,6 +92,7 @@
         let row = Sent { base, text: text.to_string(), part, ends: vec![] };
         self.sent.entry(id).or_insert(row);
         self.w.answers.remove(&id);
+        let base = (base != NO_BASE).then_some(base);
         let op = Op::Foreign { base, part, text: text.to_string() };
         self.w.operate(place, Event::Op { id, op });
         id
