--- a/src/sim/hurts.rs
+++ b/src/sim/hurts.rs
@@ -38,7 +38,9 @@
             "{{\"services\":[{{\"name\":\"assistant\",\"routes\":[{old}{{\"prefix\":\"/x{mark}\",\"resumable\":true}}]}}]}}"
         );
         let base = if race { base } else { None };
-        w.ask(n, Op::Part { base, text });
+        let op = Op::Part { base, text };
+        let id = w.ask(n, op.clone());
+        send_again(w, id, &op, &all);
         marks.push(mark);
     }
     for mark in marks.iter().copied().chain(w.turn) {
@@ -47,6 +49,14 @@
     w.turn = marks.pop();
 }
 
+/// Sends a change again under its id, soon and late, as an operator does whose answers are lost.
+fn send_again(w: &mut World, id: ChangeId, op: &Op, all: &[usize]) {
+    for _ in 0..w.rand.below(3) {
+        let (n, wait, op) = (one(w, all), span(w, 200, 9000), op.clone());
+        w.at(w.now + wait, move |w| w.ask_as(n, id, op));
+    }
+}
+
 fn probe(w: &mut World, mark: u64) {
     let until = w.now + Span::ms(6000);
     w.start_flow(SimFlow {
--- a/src/sim/replay.rs
+++ b/src/sim/replay.rs
@@ -27,12 +27,48 @@
     pub bad: Bad,
 }
 
+/// A change that was sent, once or more often, and the clear answers that it got.
 struct Ask<'a> {
     asked: Time,
     base: Option<Version>,
     text: &'a str,
     part: bool,
-    end: Option<(Time, u16, Version)>,
+    ends: Vec<(Time, u16, Version)>,
+}
+
+impl Ask<'_> {
+    fn acknowledged(&self) -> Option<(Time, Version)> {
+        self.ends.iter().find(|end| end.1 == 200).map(|end| (end.0, end.2))
+    }
+}
+
+/// Whether a status leaves open if the change was taken.
+pub fn is_unclear(status: u16) -> bool {
+    status >= 500 || status == 429
+}
+
+/// One change has one end, and one name and one base have one change.
+fn contradictions(asks: &BTreeMap<ChangeId, Ask>) -> Bad {
+    let mut bad = Bad::new();
+    let taken: Vec<(&ChangeId, &Ask)> = asks.iter().filter(|row| row.1.acknowledged().is_some()).collect();
+    for (n, (id, ask)) in taken.iter().enumerate() {
+        let at = ask.acknowledged().map(|end| end.1);
+        if let Some(end) = ask.ends.iter().find(|end| end.1 != 200) {
+            bad.push(format!("6 change {id} was acknowledged and refused with {}", end.1));
+        }
+        if ask.ends.iter().any(|end| Some(end.2) != at) {
+            bad.push(format!("6 change {id} was acknowledged as two versions"));
+        }
+        for (other, two) in &taken[n + 1..] {
+            if other.name == id.name {
+                bad.push(format!("6 two changes were acknowledged under the name {id}"));
+            }
+            if ask.base.is_some() && ask.base == two.base {
+                bad.push(format!("6 changes {id} and {other} were acknowledged on one base"));
+            }
+        }
+    }
+    bad
 }
 
 fn next(old: &FleetConfig, ask: &Ask) -> Option<FleetConfig> {
@@ -50,24 +86,25 @@
     for (t, f) in rows {
         match f {
             Fact::Asked { id, what: Asked::Config { base, text, part } } => {
-                asks.insert(*id, Ask { asked: *t, base: *base, text, part: *part, end: None });
+                let first = Ask { asked: *t, base: *base, text, part: *part, ends: vec![] };
+                asks.entry(*id).or_insert(first);
             }
             Fact::Answered { id, status, at } => {
                 let Some(ask) = asks.get_mut(id) else { continue };
-                if *status != 504 && ask.end.is_none_or(|e| e.1 != 200) {
-                    ask.end = Some((*t, *status, *at));
+                if !is_unclear(*status) {
+                    ask.ends.push((*t, *status, *at));
                 }
             }
             _ => {}
         }
     }
-    let known_until = asks.values().filter(|a| a.end.is_none()).map(|a| a.asked).min();
-    let mut out = Replay { known_until, ..Replay::default() };
+    let known_until = asks.values().filter(|a| a.ends.is_empty()).map(|a| a.asked).min();
+    let mut out = Replay { known_until, bad: contradictions(&asks), ..Replay::default() };
     let mut order: Vec<(Version, ChangeId)> = Vec::new();
     for (id, a) in &asks {
-        match a.end {
-            Some((_, 200, at)) => order.push((at, *id)),
-            Some(_) => out.refused.push(*id),
+        match a.acknowledged() {
+            Some((_, at)) => order.push((at, *id)),
+            None if !a.ends.is_empty() => out.refused.push(*id),
             None => {}
         }
     }
@@ -90,7 +127,7 @@
         };
         config = new;
         last = at;
-        let acked = a.end.map_or(a.asked, |e| e.0);
+        let acked = a.acknowledged().map_or(a.asked, |end| end.0);
         let (routes, print) = (route_rows(&config), hash(&config.tree().to_string(), 4));
         out.taken.push(Taken { id, at, asked: a.asked, acked, config: config.clone(), routes, print });
     }
--- a/src/sim/setup.rs
+++ b/src/sim/setup.rs
@@ -93,9 +93,14 @@
 
     pub fn ask(&mut self, place: usize, op: Op) -> ChangeId {
         let id = ChangeId::named(self.fresh_id().name, op.document());
+        self.ask_as(place, id, op);
+        id
+    }
+
+    /// Sends an operator's change under a given id, for the first time or again.
+    pub fn ask_as(&mut self, place: usize, id: ChangeId, op: Op) {
         self.note(Fact::Asked { id, what: Asked::of(&op) });
         self.operate(place, msg::Event::Op { id, op });
-        id
     }
 
     pub fn answer(&mut self, id: ChangeId, most: Span) -> Option<u16> {
--- a/src/sim/shows.rs
+++ b/src/sim/shows.rs
@@ -1,5 +1,7 @@
 use super::record::{Asked, Fact};
+use super::replay::is_unclear;
 use super::world::{Event, World};
+use crate::chain::reply::status;
 use crate::fleet::read::read;
 use crate::json::Tree;
 use crate::kernel::ids::*;
@@ -55,7 +57,7 @@
         for (_, f) in &self.record.rows {
             match f {
                 Fact::Asked { id, what: Asked::Config { .. } } => drop(open.insert(*id)),
-                Fact::Answered { id, status, .. } if *status != 504 => drop(open.remove(id)),
+                Fact::Answered { id, status, .. } if !is_unclear(*status) => drop(open.remove(id)),
                 _ => {}
             }
         }
@@ -73,10 +75,12 @@
             let Some(got) = self.answers.get(&ask).cloned() else { continue };
             let found = Tree::parse(&got.body).ok().and_then(|t| t.text("code").map(|c| c.to_string()));
             let status = match found.as_deref() {
-                Some("ok") => 200,
-                Some("rehearsal-failed" | "stale-base" | "change-pending") => 409,
                 Some("unknown-change") => 404,
-                _ => continue,
+                Some(code) => match code.parse().map(status) {
+                    Ok(status) => status,
+                    Err(_) => continue,
+                },
+                None => continue,
             };
             self.note(Fact::Answered { id, status, at: version_of(&got.body) });
         }
--- /dev/null
+++ b/tests/order_again.rs
@@ -0,0 +1,154 @@
+//! An order that is sent again: acknowledged for as long as it is remembered, never refused after it was taken.
+
+#[path = "common/adopt.rs"]
+mod adopt;
+mod common;
+
+use adopt::{NO_BASE, Office};
+use common::seeded;
+use spindledock::kernel::ids::*;
+use spindledock::kernel::rand::Rand;
+use spindledock::kernel::time::Span;
+use spindledock::launch::deployment::vanua;
+use spindledock::msg::{Event, Op};
+
+fn ledger_len(o: &Office, place: usize) -> usize {
+    o.w.nodes[place].node.as_ref().map_or(0, |n| n.views.state.ledger.taken_len())
+}
+
+/// A whole configuration on top of revision `base`.
+fn whole(base: u64) -> String {
+    format!("{} r{base}", base + 1)
+}
+
+/// The fleet's own changes, as its nodes send them to the head.
+fn internal_storm(o: &mut Office, count: u64) {
+    for n in 0..count {
+        let id = ChangeId::random(&mut o.w.rand);
+        let place = n as usize % o.w.nodes.len();
+        o.w.operate(place, Event::Op { id, op: Op::Runners(vec![]) });
+        o.w.run_for(Span::ms(12));
+    }
+    o.w.run_for(Span::ms(1000));
+}
+
+#[test]
+fn given_hundreds_of_changes_and_a_storm_of_internal_ones_when_any_is_sent_again_then_it_is_acknowledged() {
+    let mut o = Office::open(vanua(), 3);
+    assert_eq!(o.done(0, 0, "1 a"), Some(200));
+    for n in 1..300 {
+        assert_eq!(o.done(n as usize % 9, n, &whole(n)), Some(200));
+    }
+    internal_storm(&mut o, 1200);
+    for (n, place) in [(1, 4), (2, 0), (57, 7), (150, 1), (299, 8)] {
+        assert_eq!(o.done(place, n, &whole(n)), Some(200), "{n} at {place}");
+    }
+    assert_eq!(o.done(5, 0, "1 a"), Some(200));
+    o.judge();
+}
+
+#[test]
+fn given_a_ledger_when_members_are_wiped_and_all_lose_power_then_each_copy_has_it_again() {
+    seeded(1..3, |seed| {
+        let mut o = Office::open(vanua(), seed);
+        assert_eq!(o.done(0, 0, "1 a"), Some(200));
+        for n in 1..40 {
+            assert_eq!(o.done(3, n, &whole(n)), Some(200));
+        }
+        internal_storm(&mut o, 700);
+        for lost in 0..3 {
+            o.w.kill_node(lost);
+            o.w.nodes[lost].disk.wipe();
+            o.w.run_for(Span::ms(3000));
+            o.w.start_node(lost);
+            assert!(o.w.until(Span::ms(20_000), |w| w.nodes[lost].ready).is_some());
+        }
+        let all: Vec<usize> = (0..o.w.nodes.len()).collect();
+        all.iter().for_each(|n| o.w.kill_node(*n));
+        all.iter().for_each(|n| o.w.start_node(*n));
+        assert!(o.w.until(Span::ms(20_000), |w| (0..3).all(|n| w.nodes[n].ready)).is_some());
+        assert_eq!(o.insist(0, "1 a"), 200);
+        assert_eq!(o.insist(20, &whole(20)), 200);
+        o.w.run_for(Span::ms(2000));
+        assert_eq!((0..3).map(|n| ledger_len(&o, n)).collect::<Vec<_>>(), [40, 40, 40]);
+    });
+}
+
+#[test]
+fn given_changes_on_each_others_revisions_when_slow_disks_make_them_wait_long_then_all_are_taken() {
+    seeded(1..7, |seed| {
+        let mut o = Office::open(vanua(), seed);
+        assert_eq!(o.done(0, 0, "2 z"), Some(200));
+        for n in o.w.controllers() {
+            o.w.nodes[n].sync = Span::ms(90);
+        }
+        let mut turn: Vec<u64> = (1..9).collect();
+        for n in (1..turn.len()).rev() {
+            let k = o.w.rand.below(n as u64 + 1) as usize;
+            turn.swap(n, k);
+        }
+        let mut ids = Vec::new();
+        for n in turn {
+            let place = o.w.rand.below(o.w.nodes.len() as u64) as usize;
+            ids.push(o.send(place, 2 * n, &format!("{} +n{n}", 2 * n + 2)));
+        }
+        for id in ids {
+            assert_eq!(o.end(id, Span::ms(12_000)), Some(200), "{}", o.sent[&id].text);
+        }
+        o.all_have("18 z n1 n2 n3 n4 n5 n6 n7 n8");
+    });
+}
+
+#[test]
+fn given_an_order_refused_for_a_base_to_come_when_an_earlier_copy_comes_after_the_base_then_it_stays_refused()
+{
+    seeded(1..5, |seed| {
+        let mut o = Office::open(vanua(), seed);
+        assert_eq!(o.done(0, 0, "2 a"), Some(200));
+        let entry = o.w.routers()[0];
+        for n in o.w.controllers() {
+            o.w.cuts.insert((entry, n));
+        }
+        o.send(entry, 7, "9 +early");
+        o.w.run_for(Span::ms(200 * seed));
+        assert_eq!(o.done(o.w.routers()[1], 7, "9 +early"), Some(409), "its base never came");
+        assert_eq!(o.done(o.w.routers()[2], 2, "7 +b"), Some(200));
+        o.w.cuts.clear();
+        o.w.run_for(Span::ms(5000));
+        assert_eq!(o.done(0, 7, "9 +early"), Some(409), "a refusal is final");
+        assert_eq!(o.done(1, 7, "9 +other"), Some(200));
+        o.all_have("9 a b other");
+    });
+}
+
+#[test]
+fn given_a_change_on_no_base_that_was_refused_when_it_would_be_good_later_then_it_stays_refused() {
+    let mut o = Office::open(vanua(), 6);
+    assert_eq!(o.done(0, 0, "2 a"), Some(200));
+    assert_eq!(o.done(4, NO_BASE, "bad +x"), Some(400));
+    assert_eq!(o.done(5, NO_BASE, "bad +x"), Some(400));
+    assert_eq!(o.done(4, NO_BASE, "2 +x"), Some(400), "its revision is not above the current one");
+    assert_eq!(o.done(4, NO_BASE, "3 +x"), Some(200));
+    assert_eq!(o.done(2, NO_BASE, "3 +x"), Some(200), "sent again");
+    assert_eq!(o.done(2, 2, "3 +x"), Some(409), "another order: it states a base");
+    assert_eq!(o.source(0), "3 a x");
+}
+
+#[test]
+fn given_two_orders_of_the_same_number_and_base_when_sent_at_once_and_again_then_one_is_confirmed() {
+    seeded(1..13, |seed| {
+        let mut o = Office::open(vanua(), seed);
+        assert_eq!(o.done(0, 0, "1 a"), Some(200));
+        o.w.slow_net = seed * 3000;
+        let places: Vec<usize> = (0..4).map(|_| o.w.rand.below(9) as usize).collect();
+        let one = o.send(places[0], 1, "2 +one");
+        let two = o.send(places[1], 1, "2 +two");
+        let ends = [o.end(one, Span::ms(25_000)), o.end(two, Span::ms(25_000))];
+        assert!(matches!(ends, [Some(200), Some(409)] | [Some(409), Some(200)]), "{ends:?}");
+        let won = if ends[0] == Some(200) { "one" } else { "two" };
+        assert_eq!(o.done(places[2], 2, "3 +later"), Some(200));
+        assert_eq!(o.done(places[3], 1, "2 +one"), ends[0], "the same end again");
+        assert_eq!(o.done(places[2], 1, "2 +two"), ends[1], "the same end again");
+        o.all_have(&format!("3 a {won} later"));
+    });
+}
