--- a/src/chain/adoption_queue.rs
+++ b/src/chain/adoption_queue.rs
@@ -16,6 +16,7 @@
 const LIVE_FOR: Span = Span::ms(6000);
 
 /// An order that is to be decided on.
+#[derive(Clone)]
 pub(super) struct WaitingOrder {
     pub id: ChangeId,
     pub base: Option<u64>,
@@ -39,6 +40,7 @@
 }
 
 /// The order whose adoption was handed to the chain.
+#[derive(Clone)]
 pub(super) struct UnderWay {
     pub id: ChangeId,
     pub since: Time,
@@ -46,7 +48,7 @@
 }
 
 /// The orders that wait at the head, and the one that is on its way through the chain.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct AdoptionQueue {
     pub(super) side: Option<Arc<dyn OperatorSide>>,
     pub(super) orders: Vec<WaitingOrder>,
--- a/src/chain/change_queue.rs
+++ b/src/chain/change_queue.rs
@@ -15,6 +15,7 @@
 
 use super::adoption_queue::AdoptionQueue;
 use super::heartbeat::ROOM;
+use super::read_index::ReadIndex;
 use super::reply::decided;
 
 /// How many changes wait at the head, for each of the two formats.
@@ -23,15 +24,17 @@
 pub(super) const RESUBMIT_AFTER: Span = Span::ms(2000);
 
 /// The changes that wait at the head, and the nodes that wait for their ends.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct ChangeQueue {
     pub(super) inbox: VecDeque<(ChangeId, Op)>,
-    callers: BTreeMap<ChangeId, NodeId>,
+    /// Who waits for the end of a change, and under which attempt.
+    callers: BTreeMap<ChangeId, (NodeId, u64)>,
     submitted: BTreeMap<ChangeId, Time>,
     leaving_submitted: BTreeMap<Name, Time>,
     pub(super) proposing: Option<Time>,
     /// Full answers to changes whose refusal is on its way through the chain.
     pub(super) refusals: BTreeMap<ChangeId, Answer>,
+    pub(super) read_index: ReadIndex,
     pub(super) adoptions: AdoptionQueue,
     pub(super) source: Publisher,
 }
@@ -42,22 +45,14 @@
         ChangeQueue { adoptions: AdoptionQueue::new(side), ..ChangeQueue::default() }
     }
 
-    fn receive(&mut self, from: NodeId, id: ChangeId, op: &Op, ctx: &mut Context) {
-        if !ctx.views.role.head || !ctx.views.role.ready {
-            return;
-        }
-        if let Op::Internal(change) = op {
-            if ctx.room >= ROOM || ctx.views.role.spare {
-                ctx.publish(JournalEvent::Submitted(Arc::new(change.clone())));
-            }
-            return;
-        }
-        self.callers.insert(id, from);
+    /// Decides on an order. The head's state was proven to be current after the order arrived (`read_index`).
+    pub(super) fn decide(&mut self, from: NodeId, id: ChangeId, attempt: u64, op: &Op, ctx: &mut Context) {
+        self.callers.insert(id, (from, attempt));
         if ctx.views.state.decision(id).is_some() {
             return self.answer_if_decided(id, ctx);
         }
         if self.is_under_way(id, ctx) {
-            return;
+            return ctx.send(from, Msg::OpPending { id, attempt });
         }
         if let Some(answer) = cannot_write(ctx) {
             return self.end(id, answer, ctx);
@@ -99,8 +94,8 @@
     /// Answers whoever waits for the change and forgets it.
     pub(super) fn end(&mut self, id: ChangeId, answer: Answer, ctx: &mut Context) {
         self.submitted.remove(&id);
-        if let Some(caller) = self.callers.remove(&id) {
-            ctx.send(caller, Msg::OpEnd { id, answer });
+        if let Some((caller, attempt)) = self.callers.remove(&id) {
+            ctx.send(caller, Msg::OpEnd { id, attempt, answer });
         }
     }
 
@@ -149,6 +144,7 @@
     fn stand_down(&mut self) {
         self.inbox.clear();
         self.adoptions.clear();
+        self.read_index.clear();
         self.callers.clear();
         self.refusals.clear();
     }
@@ -180,8 +176,14 @@
     fn on(&mut self, ev: &Event, ctx: &mut Context) {
         match ev {
             Event::Mail { from, msg, .. } => match msg {
-                Msg::Op { id, op } => self.receive(*from, *id, op, ctx),
-                Msg::Ask { id, path } => self.ask(*from, *id, path, ctx),
+                Msg::Op { id, attempt, op } => self.received(*from, *id, *attempt, op, ctx),
+                Msg::Ask { attempt, path } => self.ask(*from, *attempt, path, ctx),
+                Msg::Chain(ChainMsg::ReadIndexRequest { view, sent }) => {
+                    self.proof_requested(*view, *sent, ctx)
+                }
+                Msg::Chain(ChainMsg::ReadIndexReply { view, sent, committed }) => {
+                    self.proof_given(*view, *sent, *committed, ctx)
+                }
                 Msg::Tell(tell) => {
                     self.adoptions.note_live(*from, ctx.now, tell);
                     self.note_leaving(tell, ctx);
@@ -195,9 +197,11 @@
                     Change::Adopt { id, .. } | Change::Refuse { id, .. } => self.adoptions.committed(id),
                     _ => {}
                 }
+                self.admit(ctx);
                 self.settle(ctx);
             }
             Event::Tick => {
+                self.read_index_tick(ctx);
                 self.settle(ctx);
                 self.push(ctx);
             }
