--- a/src/fleet/outcome.rs
+++ b/src/fleet/outcome.rs
@@ -1,5 +1,6 @@
 //! How a change ended, as the replicated state keeps it.
 
+use super::ledger::LedgerEntry;
 use super::state::StageFigure;
 use crate::kernel::ids::{ChangeId, Version};
 use bitcode::{Decode, Encode};
@@ -65,3 +66,10 @@
     pub text: String,
     pub stages: Vec<StageFigure>,
 }
+
+/// What is known for good of a change.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Decision<'a> {
+    Outcome(&'a Outcome),
+    Ledger(LedgerEntry),
+}
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -1,6 +1,6 @@
 use super::config::FleetConfig;
 use super::ledger::{LedgerEntry, OrderLedger};
-pub use super::outcome::{Outcome, OutcomeCode};
+pub use super::outcome::{Decision, Outcome, OutcomeCode};
 use super::plan::{PlacementPlan, PlanState};
 use super::runner::Runner;
 use crate::kernel::ids::*;
@@ -219,13 +219,6 @@
     }
 }
 
-/// What is known for good of a change.
-#[derive(Clone, Copy, PartialEq, Debug)]
-pub enum Decision<'a> {
-    Outcome(&'a Outcome),
-    Ledger(LedgerEntry),
-}
-
 impl MovePlan {
     pub fn clashes(&self, other: &MovePlan) -> bool {
         let shared = [&self.from, &self.to].into_iter().any(|r| *r == other.from || *r == other.to);
