--- a/tests/order_again.rs
+++ b/tests/order_again.rs
@@ -6,6 +6,7 @@
 
 use adopt::{NO_BASE, Office};
 use common::seeded;
+use spindledock::fleet::ledger::TAKEN_CAPACITY;
 use spindledock::kernel::ids::*;
 use spindledock::kernel::rand::Rand;
 use spindledock::kernel::time::Span;
@@ -53,6 +54,19 @@
     o.judge();
 }
 
+#[test]
+fn given_an_order_older_than_the_memory_when_sent_again_then_no_answer_refuses_it() {
+    let mut o = Office::open(vanua(), 8);
+    let most = TAKEN_CAPACITY as u64 + 20;
+    for n in 0..most {
+        assert_eq!(clear(&mut o, n as usize % 9, n, &whole(n)), 200, "{n}");
+    }
+    for (n, want) in [(0, 503), (3, 503), (19, 503), (20, 200), (most / 2, 200)] {
+        assert_eq!(o.done(4, n, &whole(n)), Some(want), "{n}");
+    }
+    assert_eq!(clear(&mut o, 5, 7, &format!("{} r", most + 5)), 409, "its revision was never forgotten");
+}
+
 #[test]
 fn given_a_ledger_when_members_are_wiped_and_all_lose_power_then_each_copy_has_it_again() {
     seeded(1..3, |seed| {
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -23,7 +23,7 @@
 room|src/placement/room.rs|if free_mb\(o, f\) < mb|if false|must_never_too never_overrun
 in-flight|src/placement/flights.rs|self.rows.values\(\).filter\(new\).map\(\|f\| f.mb\).sum\(\)|0|placement in_flight
 store-rate|src/placement/duty.rs|if self.flights.store < 1.0|if false|must_never_too never_overrun
-compare-swap|src/fleet/fold.rs|if \*base != self.config_at|if false|must_never one_wins
+compare-swap|src/fleet/fold.rs|if base != self.config_at|if false|must_never one_wins
 sync-first|src/sim/nodes.rs|self.nodes\[place\].disk.synced\(\);||news before_it_is_synced
 ready-kept|src/chain/recovery.rs|self.ready_in = Some\(view\)|drop(view)|must_never they_are_kept
 lead-folded|src/chain/core.rs|self.is_head\(\) && self.committed >= self.lead_from|self.is_head()|lead the_rest_is_kept
@@ -36,7 +36,7 @@
 plan-allowance|src/placement/drive.rs|if ms > most.ms \|\| tries > most.tries|if false|plan at_its_allowance
 route-again|src/gate/tell.rs|if order.routes_at == self.routes.0|if true|turn their_route_is_dropped
 mark-gossip|src/gate/table.rs|h.leaving = true;\s+g.wake\(now\);|g.wake(now);|leaving tells_only_it
-refused-in-force|src/fleet/fold.rs|return self.end\(id, "rehearsal-failed"|self.config = t.config; self.config_at = self.at; self.touch(Scope::Routes); return self.end(id, "rehearsal-failed"|rehearse live_orders
+refused-in-force|src/fleet/fold.rs|return self.end\(id, OutcomeCode::RehearsalFailed|self.config = *t.config; self.config_at = self.at; self.touch(Scope::Routes); return self.end(id, OutcomeCode::RehearsalFailed|rehearse live_orders
 restart-credit|src/gate/budget.rs|credit: 0.0|credit: 10.0|tries restarts
 saved-credit|src/gate/budget.rs|self.share.max\(LEAST as f64\)|500.0|tries quiet_time
 vote-when-ready|src/chain/view.rs|next.chain.push\(new\);|next.chain.push(new); next.give_vacant_votes(&[new]);|second_loss lost_for_good_at_once
@@ -65,6 +65,15 @@
 rest-time|src/http/client.rs|now.since\(since\) > limit.max|false && now.since(since) > limit.max|platform_limits at_rest
 rest-longer|src/http/client.rs|limit.max\(Span::ms\(limits.idle_ms\)\)|Span::ms(limits.idle_ms)|platform_limits limit_shrinks
 move-runners|src/pass/shift.rs|if self.opened >= self.order.tries \{\s+return;|if false { return;|ride most_runners
+order-digest|src/kernel/change_id.rs|hasher.update\(part\);|hasher.update(&part[..part.len().min(2)]);|order_identity digests_differ
+order-digest-lengths|src/kernel/change_id.rs|hasher.update\(\(part.len\(\) as u64\).to_le_bytes\(\)\);||order_identity digests_differ
+ledger-apart|src/fleet/ledger.rs|if !order.id.is_operators\(\) \{\s+return;\s+\}\s+self.taken|self.taken|order_identity thousands_of_internal
+ledger-asked|src/fleet/state.rs|self.ledger.find\(id\).map\(Decision::Ledger\)|None|order_again older_than_the_memory
+ledger-in-snapshot|src/chain/recovery.rs|let state = Box::new\(state.clone\(\)\);|let mut state = Box::new(state.clone()); state.ledger = Default::default(); state.outcomes.clear();|order_again each_copy_has_it
+beyond-memory|src/chain/adoption.rs|if forgotten \{|if false {|order_again older_than_the_memory
+refusal-committed|src/chain/adoption.rs|Step::Refuse\(code, text, answer\)|{ drop(text); Step::Answer(answer) }|order_again stays_refused
+base-in-queue|src/chain/adoption.rs| \|\| self.adoptions.expects\(base\)||order_again slow_disks
+one-per-base|src/fleet/fold.rs|if base != now \|\| config.revision <= now \{|if false {|order_killed eight_orders
 R
 }
 
