--- a/src/explore/cluster.rs
+++ b/src/explore/cluster.rs
@@ -120,7 +120,8 @@
     pub fn submit(&mut self, place: usize) {
         let clock = self.replicas[place].clock(self.now);
         let attempt = self.history.submitted;
-        let id = ChangeId(FIRST_CHANGE + attempt);
+        let document = DocumentDigest::of(&[&attempt.to_le_bytes()]);
+        let id = ChangeId::named(u128::from(FIRST_CHANGE + attempt), document);
         let Some(process) = &mut self.replica(place).process else { return };
         process.handed.push((id, clock));
         let fleet = process.views.fleet;
