--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod acceptor;
 pub mod adoption;
+pub mod adoption_queue;
 pub mod change_queue;
 pub mod core;
 pub mod founding;
@@ -14,6 +15,7 @@
 pub mod lease;
 pub mod leaving;
 pub mod messages;
+pub mod own_change;
 pub mod publish;
 pub mod read_index;
 pub mod recovery;
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -14,6 +14,7 @@
 pub use crate::tell::*;
 use bitcode::{Decode, Encode};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub struct Envelope {
@@ -45,7 +46,7 @@
     OpEnd { id: ChangeId, attempt: u64, answer: Answer },
     Ask { attempt: u64, path: String },
     AskEnd { attempt: u64, answer: Answer },
-    Tell(Box<RouterTell>),
+    Tell(Arc<RouterTell>),
     Nudge,
     Want(Vec<Want>),
     Held(Box<HeldTell>),
@@ -57,7 +58,7 @@
 pub enum Op {
     Whole { base: Option<Version>, text: String },
     Part { base: Option<Version>, text: String },
-    Foreign { base: u64, part: bool, text: String },
+    Foreign { base: Option<u64>, part: bool, text: String },
     Runners(Vec<Runner>),
     Leaving(Name),
     Propose,
@@ -66,6 +67,13 @@
     Internal(Change),
 }
 
+impl Op {
+    /// The digest of what is asked for, for calls that come in as such and not as a document.
+    pub fn document(&self) -> DocumentDigest {
+        DocumentDigest::of(&[&bitcode::encode(self)])
+    }
+}
+
 /// The answer to an operator: `retry_s` tells when to ask again, 0 for never.
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub struct Answer {
