--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -5,18 +5,24 @@
 
 pub mod acceptor;
 pub mod adoption;
+pub mod adoption_queue;
 pub mod change_queue;
 pub mod core;
 pub mod founding;
 pub mod heartbeat;
+pub mod installation;
 pub mod join;
 pub mod lease;
+pub mod leaving;
 pub mod messages;
+pub mod own_change;
 pub mod publish;
+pub mod read_index;
 pub mod recovery;
 pub mod replicate;
 pub mod replication_log;
 pub mod reply;
+pub mod serving_leases;
 pub mod show;
 pub mod view;
 pub mod view_change;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -11,4 +11,6 @@
 pub mod run;
 pub mod serve;
 pub mod status;
+pub mod stop;
+pub mod ticks;
 pub mod writer;
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -6,6 +6,7 @@
 use super::serve::{Work, bind, serve_clients};
 use super::writer::Writer;
 use super::{logs, poll};
+use crate::chain::leaving::Departure;
 use crate::gate::Table;
 use crate::http::client::ClientConnections;
 use crate::http::pool::Pool;
@@ -23,9 +24,6 @@
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 
-/// What the last answers need to reach the socket.
-const FLUSH_TIME: Duration = Duration::from_millis(100);
-
 /// Every how many ticks of a router the limits on clients are applied.
 const SWEEP_TICKS: u32 = 4;
 
@@ -79,6 +77,7 @@
         bear: c.bear,
         first: c.first,
         proof: Span::ms(c.proof_ms),
+        lease: Span::ms(c.lease_ms),
         policy: super::assemble::Policy::Move,
         sides: c.sides.clone(),
     }
@@ -111,7 +110,9 @@
     let runners: Runners = Arc::default();
     let fit = Arc::new(AtomicBool::new(false));
     let list = super::roster::Roster::new(&c.sides, pool.clone(), hand.clone());
-    let act = act(&table, &clock, &pool, &hand, &routers, (&runners, &fit), (&c.sides, list));
+    let departure: Arc<Mutex<Departure>> = Arc::default();
+    let flags = (&runners, &fit, &departure);
+    let act = act(&table, &clock, &pool, &hand, &routers, flags, (&c.sides, list));
     let (spot, role, ticks) = (place(&c), c.role, clock.clone());
     let build = Box::new(move |records| {
         let now = ticks.now();
@@ -156,22 +157,10 @@
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
-    log::info!(event = "warned", drain_ms = c.drain_ms; "");
     stopping.store(true, Ordering::SeqCst);
-    front.leaving.store(true, Ordering::SeqCst);
-    hand.feed(Event::Warned);
-    let due = clock.now() + Span::ms(c.drain_ms);
-    tokio::time::sleep(Duration::from_millis(c.lame_ms)).await;
-    front.stopping.store(true, Ordering::SeqCst);
-    table.stop(clock.now());
-    tokio::time::sleep(Duration::from_millis(400)).await;
-    let busy = || front.open.load(Ordering::SeqCst) > 0 || front.clients.serving() > 0;
-    while busy() && clock.now() < due {
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-    tokio::time::sleep(FLUSH_TIME).await;
-    let left = front.open.load(Ordering::SeqCst);
-    log::info!(event = "stopped", broken_streams = left; "");
+    let (drain, lame) = (Span::ms(c.drain_ms), Duration::from_millis(c.lame_ms));
+    let stop = super::stop::Stop { role: c.role, drain, lame, front, table, clock, hand, departure };
+    stop.run().await;
     let _ = tx.send(Input::Stop);
     let _ = thread.join();
     std::process::exit(0);
@@ -183,15 +172,17 @@
     pool: &Arc<Pool>,
     hand: &Hand,
     routers: &Arc<AtomicU64>,
-    (runners, fit): (&Runners, &Arc<AtomicBool>),
+    (runners, fit, departure): (&Runners, &Arc<AtomicBool>, &Arc<Mutex<Departure>>),
     (sides, list): (&Sides, Option<Arc<super::roster::Roster>>),
 ) -> super::driver::Act {
     let (table, clock, pool, hand, routers) =
         (table.clone(), clock.clone(), pool.clone(), hand.clone(), routers.clone());
     let (runners, fit, side) = (runners.clone(), fit.clone(), sides.runner.clone());
+    let departure = departure.clone();
     let rt = tokio::runtime::Handle::current();
     Box::new(move |e| match e {
         Effect::Learn { scope, at, slice, proven } => table.learn(clock.now(), &scope, at, slice, proven),
+        Effect::Leased { scopes, until } => table.lease(clock.now(), &scopes, until),
         Effect::Mark(name) => table.mark(clock.now(), &name),
         Effect::Routers(n) => routers.store(n, Ordering::SeqCst),
         Effect::Watch(list) => *runners.lock().unwrap() = list,
@@ -207,6 +198,7 @@
             });
         }
         Effect::Ready(ready) => fit.store(ready, Ordering::SeqCst),
+        Effect::Leaving(now) => *departure.lock().unwrap() = now,
         Effect::Drive(order) => {
             let (pool, clock, hand, side) = (pool.clone(), clock.clone(), hand.clone(), side.clone());
             rt.spawn(async move {
--- a/src/kernel/event.rs
+++ b/src/kernel/event.rs
@@ -1,5 +1,6 @@
 //! What enters a node, what its components tell each other, and what leaves it.
 
+use crate::chain::leaving::Departure;
 use crate::chain::messages::{ChainRole, Record};
 use crate::chain::view::View;
 use crate::fleet::FleetState;
@@ -22,10 +23,18 @@
     Members(Arc<Vec<Row>>),
     ViewHeard(View),
     ViewInstalled(View),
-    Committed { at: Version, change: Arc<Change> },
+    MemberReady(ViewNo),
+    Committed {
+        at: Version,
+        change: Arc<Change>,
+    },
     StateLoaded(Arc<FleetState>),
     Submitted(Arc<Change>),
     Role(ChainRole),
+    /// This node has installed the first view of a new fleet: no other tail was there before.
+    Founded,
+    /// Changes up to this version may be acknowledged (see `chain::serving_leases`).
+    Released(Version),
     RunnerMarked(Name),
     Text(&'static str, String),
 }
@@ -40,7 +49,7 @@
     Ask { id: ChangeId, path: String },
     Report { instance: Name, report: Option<Report> },
     Ordered { order: OrderId, status: u16 },
-    RouterState(Box<RouterTell>),
+    RouterState(Arc<RouterTell>),
     Listed(Vec<Runner>),
     Wanted(Want),
     Warned,
@@ -62,12 +71,21 @@
 /// What a node asks its driver (daemon, simulator or explorer) to do.
 #[derive(Clone, Debug)]
 pub enum Effect {
-    Send { to: NodeId, msg: Msg },
-    SendAt { addr: SocketAddr, msg: Msg },
+    Send {
+        to: NodeId,
+        msg: Msg,
+    },
+    SendAt {
+        addr: SocketAddr,
+        msg: Msg,
+    },
     Save(Record),
     Rewrite(Vec<Record>),
     Reset(String),
-    Answer { id: ChangeId, answer: Answer },
+    Answer {
+        id: ChangeId,
+        answer: Answer,
+    },
     Drive(RunnerOrder),
     Routers(u64),
     Watch(Vec<Runner>),
@@ -76,7 +94,18 @@
     Held(Vec<HeldRow>),
     Mark(Name),
     Ready(bool),
-    Learn { scope: Scope, at: Version, slice: Option<Slice>, proven: Time },
+    /// These topics may be served by until then, without a newer proof.
+    Leased {
+        scopes: Vec<Scope>,
+        until: Time,
+    },
+    Leaving(Departure),
+    Learn {
+        scope: Scope,
+        at: Version,
+        slice: Option<Slice>,
+        proven: Time,
+    },
 }
 
 impl JournalEvent {
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -2,7 +2,7 @@
 
 pub use crate::chain::messages::*;
 use crate::chain::view::View;
-pub use crate::distribution::messages::TopicUpdate;
+pub use crate::distribution::messages::{ServingLeaseGrant, ServingLeaseRequest, TopicUpdate};
 use crate::fleet::holdings::{HeldTell, Want};
 use crate::fleet::runner::Runner;
 use crate::fleet::state::{Change, Scope};
@@ -12,6 +12,7 @@
 pub use crate::tell::*;
 use bitcode::{Decode, Encode};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub struct Envelope {
@@ -36,10 +37,14 @@
     UpdateReply { nonce: u64, items: Vec<TopicUpdate> },
     UpdatePush { items: Vec<TopicUpdate> },
     UpdateRefused { nonce: u64, view: Option<View> },
-    Op { id: ChangeId, op: Op },
-    OpEnd { id: ChangeId, answer: Answer },
-    Ask { id: ChangeId, path: String },
-    Tell(Box<RouterTell>),
+    ServingLeaseRequest(ServingLeaseRequest),
+    ServingLeaseGrant(ServingLeaseGrant),
+    Op { id: ChangeId, attempt: u64, op: Op },
+    OpPending { id: ChangeId, attempt: u64 },
+    OpEnd { id: ChangeId, attempt: u64, answer: Answer },
+    Ask { attempt: u64, path: String },
+    AskEnd { attempt: u64, answer: Answer },
+    Tell(Arc<RouterTell>),
     Nudge,
     Want(Vec<Want>),
     Held(Box<HeldTell>),
@@ -51,7 +56,7 @@
 pub enum Op {
     Whole { base: Option<Version>, text: String },
     Part { base: Option<Version>, text: String },
-    Foreign { base: u64, part: bool, text: String },
+    Foreign { base: Option<u64>, part: bool, text: String },
     Runners(Vec<Runner>),
     Leaving(Name),
     Propose,
@@ -60,6 +65,13 @@
     Internal(Change),
 }
 
+impl Op {
+    /// The digest of what is asked for, for calls that come in as such and not as a document.
+    pub fn document(&self) -> DocumentDigest {
+        DocumentDigest::of(&[&bitcode::encode(self)])
+    }
+}
+
 /// The answer to an operator: `retry_s` tells when to ask again, 0 for never.
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub struct Answer {
--- a/src/sim/record.rs
+++ b/src/sim/record.rs
@@ -1,8 +1,10 @@
+use crate::chain::view::View;
 use crate::kernel::ids::*;
 use crate::kernel::time::Time;
-use crate::msg::Op;
+use crate::msg::{ChainMsg, JournalEvent, Msg, Op};
 use crate::standin::tally::End;
 
+/// Something that happened in a simulated run, for the checks that judge it.
 #[derive(Clone, Debug)]
 pub enum Fact {
     Called { call: u64, service: Name, path: String, body: Option<String>, last: u64, resumable: bool },
@@ -21,9 +23,37 @@
     Down { place: usize },
     Up { place: usize },
     Told { what: &'static str, text: String },
+    ViewInstalled { node: NodeId, view: View },
+    PrepareSent { life: u64, no: ViewNo, ballot: Ballot },
+    AcceptSent { ballot: Ballot, view: View },
+    MemberReady { node: NodeId, no: ViewNo },
     Healed,
 }
 
+impl Fact {
+    /// What is judged of a message as it leaves a node, in this life of its process.
+    pub fn of_message(life: u64, msg: &Msg) -> Option<Fact> {
+        match msg {
+            Msg::Chain(ChainMsg::Prepare { no, ballot, .. }) => {
+                Some(Fact::PrepareSent { life, no: *no, ballot: *ballot })
+            }
+            Msg::Chain(ChainMsg::Accept { ballot, view }) => {
+                Some(Fact::AcceptSent { ballot: *ballot, view: view.clone() })
+            }
+            _ => None,
+        }
+    }
+
+    /// What is judged of the journal of `node`.
+    pub fn of_journal(node: NodeId, event: &JournalEvent) -> Option<Fact> {
+        match event {
+            JournalEvent::ViewInstalled(view) => Some(Fact::ViewInstalled { node, view: view.clone() }),
+            JournalEvent::MemberReady(no) => Some(Fact::MemberReady { node, no: *no }),
+            other => other.text().map(|(what, text)| Fact::Told { what, text }),
+        }
+    }
+}
+
 impl Asked {
     pub fn of(op: &Op) -> Asked {
         match op {
