--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -25,15 +25,11 @@
 room|src/placement/room.rs|if free_mb\(c, o, f\) < mb|if false|must_never_too never_overrun
 in-flight|src/placement/flights.rs|self.rows.values\(\).filter\(new\).map\(\|f\| f.mb\).sum\(\)|0|placement in_flight
 store-rate|src/placement/flights.rs|self.pacer.left\(rule\) >= 1.0|true|must_never_too never_overrun
-compare-swap|src/fleet/fold.rs|if \*base != self.config_at|if false|must_never one_wins
 sync-first|src/kernel/hold.rs|if self.queue.is_empty\(\) \{|if true {|news before_it_is_synced
-store-rate|src/placement/duty.rs|if self.flights.store < 1.0|if false|must_never_too never_overrun
 compare-swap|src/fleet/fold.rs|if base != self.config_at|if false|must_never one_wins
-sync-first|src/sim/nodes.rs|self.nodes\[place\].disk.synced\(\);||news before_it_is_synced
 ready-kept|src/chain/recovery.rs|self.ready_in = Some\(view\)|drop(view)|must_never they_are_kept
 lead-folded|src/chain/installation.rs|self.is_head\(\) && self.committed >= self.lead_from|self.is_head()|lead the_rest_is_kept
 ready-stays|src/chain/installation.rs|went_on && self.ready && view.has\(self.ident\)|false|mend all_the_same
-mending|src/chain/view_change.rs|if !self.in_chain\(\) \|\| !self.ready|if true|chain changes_go_on
 mending|src/chain/view_change.rs|if !self.in_chain\(\) \|\| !self.ready \|\| !self.hears_majority\(ctx.now\)|if true|chain changes_go_on
 return-time|src/placement/duty.rs|QUIET: Span = Span::ms\(4000\)|QUIET: Span = Span::ms(14000)|back each_herd
 wait-refused|src/gate/wait.rs|if now \+ wait < order.due \{|if true {|wait hear_it_early
@@ -42,8 +38,6 @@
 plan-allowance|src/placement/drive.rs|if ms > most.ms \|\| tries > most.tries|if false|plan at_its_allowance
 route-again|src/gate/tell.rs|if order.routes_at == self.routes.0|if true|turn their_route_is_dropped
 mark-gossip|src/gate/sweep.rs|h.leaving = true;\s+g.wake\(now\);|g.wake(now);|leaving tells_only_it
-refused-in-force|src/fleet/fold.rs|return self.end\(id, "rehearsal-failed"|self.config = t.config; self.config_at = self.at; self.touch(Scope::Routes); return self.end(id, "rehearsal-failed"|rehearse live_orders
-mark-gossip|src/gate/table.rs|h.leaving = true;\s+g.wake\(now\);|g.wake(now);|leaving tells_only_it
 refused-in-force|src/fleet/fold.rs|return self.end\(id, OutcomeCode::RehearsalFailed|self.config = *t.config; self.config_at = self.at; self.touch(Scope::Routes); return self.end(id, OutcomeCode::RehearsalFailed|rehearse live_orders
 restart-credit|src/gate/budget.rs|credit: 0.0|credit: 10.0|tries restarts
 saved-credit|src/gate/budget.rs|self.share.max\(LEAST as f64\)|500.0|tries quiet_time
@@ -52,17 +46,14 @@
 tick-pace|src/daemon/ticks.rs|if now.since\(self.last\) < period|if false|ticks fifty_times
 distrust|src/placement/look.rs|self.distrust.failed\(runner, ctx.now\);||liar serve_on
 read-index|src/chain/read_index.rs|return self.arrived\(from, id, attempt, op, ctx\)|return self.op(from, id, attempt, op, ctx)|cut_off nothing_old_is_said
-lease-release|src/chain/reply.rs|o.at <= views.released|true|dark_core acknowledgement_waits
+lease-release|src/chain/reply.rs|taken_at\(decision\).is_none_or\(\|at\| at <= views.released\)|true|dark_core acknowledgement_waits
 lease-unknown|src/chain/serving_leases.rs|ctx.now \+ ctx.me.lease \+ LEASE;|ctx.now;|dark_core core_restarts
 lease-ledger|src/chain/serving_leases.rs|rows.iter\(\).for_each\(\|a\| self.record\(a, ctx\)\);||dark_core new_tail_waits
 lease-newest|src/chain/serving_leases.rs|if self.history.is_newest\(&a.request.versions\)|if true|dark_core cut_off_as_a_change_comes
-lease-unknown|src/chain/serving_leases.rs|ctx.now \+ ctx.me.lease \};|ctx.now };|dark_core new_tail_waits
-lease-newest|src/chain/serving_leases.rs|filter\(\|s\| s.versions == request.versions\)|filter(\|s\| s.versions.len() == request.versions.len())|dark_core cut_off_later
 vote-when-ready|src/chain/view.rs|next.chain.push\(new\);|next.chain.push(new); next.give_vacant_votes(&[new]);|second_loss lost_for_good_at_once
 ballot-synced|src/chain/view_change.rs|ctx.save\(Record::Promise \{ no, ballot \}\);||second_loss its_ballot_is_new
 ready-copies|src/chain/replicate.rs|if self.ready \{ self.lowest\(\) \} else \{ Version\(0\) \}|self.lowest()|second_loss could_go_on
 leave-in-order|src/chain/leaving.rs|self.copies >= self.copies_wanted && self.votes >= self.majority|true|departure waits_for_the_others
-vote-passed-on|src/chain/view.rs|next.give_vacant_votes\(candidates\);\s+next\n|next\n|departure vote_passed_on
 vote-passed-on|src/chain/view.rs|next.give_vacant_votes\(candidates\);(?=\s+next\s)||departure vote_passed_on
 stop-waits|src/sim/hurts_more.rs|if left \|\| w.now >= due|if true|departure waits_for_the_others
 held-credit|src/gate/budget.rs| - self.held;|;|tries quiet_time
