--- a/src/hollow/node.rs
+++ b/src/hollow/node.rs
@@ -52,7 +52,7 @@
             routes_at: Version(0),
             proven: BTreeMap::new(),
             leased: BTreeMap::new(),
-            trial: ChangeId(0),
+            trial: ChangeId::default(),
             demand: vec![],
             up: Time(0),
         }
@@ -86,7 +86,7 @@
         RouterTell {
             trial_seen: self.trial,
             routes_at: self.routes_at,
-            rehearsal: (self.trial != ChangeId(0)).then_some(row),
+            rehearsal: (self.trial != ChangeId::default()).then_some(row),
             demand: wants.collect(),
             tries: vec![(Name::from("assistant"), 0, 0, 50)],
             ..RouterTell::default()
--- a/tests/cut_off.rs
+++ b/tests/cut_off.rs
@@ -99,9 +99,9 @@
     fn write(&mut self) {
         let base = self.newest;
         self.sent += 1;
-        let id = self.office.w.fresh_id();
+        let op = Op::Foreign { base: Some(base), part: true, text: format!("nothing {}", self.sent) };
+        let id = ChangeId::named(self.office.w.fresh_id().name, op.document());
         self.questions.push(Question { id, at: self.office.w.now, newest: base, base: Some(base) });
-        let op = Op::Foreign { base, part: true, text: format!("nothing {}", self.sent) };
         self.office.w.operate(self.lost, Event::Op { id, op });
     }
 
