--- a/src/membership/marks.rs
+++ b/src/membership/marks.rs
@@ -1,3 +1,6 @@
+//! Runners marked as leaving, spread like the rows of the table: by changes and a digest.
+#![deny(missing_docs)]
+
 use crate::kernel::component::Context;
 use crate::kernel::ids::Name;
 use crate::kernel::rand::hash;
@@ -5,18 +8,25 @@
 use crate::msg::{Effect, Mark};
 use std::collections::BTreeMap;
 
+/// How long a mark is kept.
 const KEEP: Span = Span::ms(600_000);
+/// How many marks are kept; the oldest goes first.
 const MOST: usize = 2048;
 
+/// The marked runners this node knows of.
 #[derive(Default)]
 pub struct Marks {
+    /// When each was marked, and the number of that change.
     rows: BTreeMap<Name, (Time, u64)>,
     order: BTreeMap<u64, Name>,
+    /// The number of the last change.
     pub seq: u64,
+    /// Over all names; equal on two nodes that know the same marks.
     pub digest: u64,
 }
 
 impl Marks {
+    /// Marks a runner, as of `age` ago.
     pub fn add(&mut self, name: &Name, age: Span, ctx: &mut Context) {
         if age >= KEEP || self.rows.contains_key(name) {
             return;
@@ -41,18 +51,21 @@
         }
     }
 
+    /// Takes in marks that another node sent.
     pub fn learn(&mut self, marks: &[Mark], ctx: &mut Context) {
         for m in marks {
             self.add(&m.instance, m.age, ctx);
         }
     }
 
+    /// Drops marks that are too old.
     pub fn forget(&mut self, now: Time) {
         let old: Vec<Name> =
             self.rows.iter().filter(|r| now.since(r.1.0) >= KEEP).map(|r| r.0.clone()).collect();
         old.iter().for_each(|n| self.drop(n));
     }
 
+    /// At most `most` marks after change `seq`, and the number up to which they go.
     pub fn since(&self, seq: u64, most: usize, now: Time) -> (Vec<Mark>, u64) {
         let rows: Vec<(&u64, &Name)> = self.order.range(seq + 1..).take(most).collect();
         let upto = if rows.len() < most { self.seq } else { rows.last().map_or(self.seq, |r| *r.0) };
--- a/src/membership/rendezvous.rs
+++ b/src/membership/rendezvous.rs
@@ -1,27 +1,37 @@
+//! Rendezvous hashing: which nodes watch a node, and which router is the home of a topic.
+#![deny(missing_docs)]
+
 use crate::kernel::ids::NodeId;
 use crate::kernel::rand::{hash, mix};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// How many nodes watch each node.
 pub const WATCHERS: usize = 3;
 
 fn weight(of: NodeId, by: NodeId) -> u64 {
     mix(of.0 ^ mix(by.0))
 }
 
+/// All candidates for the home of a topic, the best first.
 pub fn homes(scope: &str, all: &[NodeId]) -> Vec<NodeId> {
     let mut rows: Vec<(u64, NodeId)> = all.iter().map(|n| (hash(scope, n.0), *n)).collect();
     rows.sort();
     rows.into_iter().map(|r| r.1).collect()
 }
 
+/// The home of a topic among the live routers.
 pub fn home(scope: &str, all: &[NodeId]) -> Option<NodeId> {
     all.iter().copied().min_by_key(|n| (hash(scope, n.0), *n))
 }
 
+/// The watchers of each known node, kept up to date as nodes come and go.
 #[derive(Default)]
 pub struct Watch {
+    /// The live nodes, which may watch others.
     pool: BTreeSet<NodeId>,
+    /// The best of the pool for each known node, with their weights.
     top: BTreeMap<NodeId, Vec<(u64, NodeId)>>,
+    /// Raised by each change of who watches whom.
     pub turn: u64,
 }
 
@@ -34,6 +44,7 @@
         best
     }
 
+    /// A node became known and is watched from now on.
     pub fn add(&mut self, of: NodeId) {
         if !self.top.contains_key(&of) {
             self.turn += 1;
@@ -41,6 +52,7 @@
         }
     }
 
+    /// A node is forgotten.
     pub fn drop(&mut self, of: NodeId) {
         self.leave(of);
         if self.top.remove(&of).is_some() {
@@ -48,6 +60,7 @@
         }
     }
 
+    /// A node is live and may watch others.
     pub fn join(&mut self, by: NodeId) {
         if self.pool.insert(by) {
             self.turn += 1;
@@ -57,6 +70,7 @@
         }
     }
 
+    /// A node fell silent; others take over what it watched.
     pub fn leave(&mut self, by: NodeId) {
         if !self.pool.remove(&by) {
             return;
@@ -69,10 +83,12 @@
         }
     }
 
+    /// The watchers of a node.
     pub fn watchers(&self, of: NodeId) -> impl Iterator<Item = NodeId> {
         self.top.get(&of).into_iter().flatten().map(|r| r.1)
     }
 
+    /// The nodes that a node watches.
     pub fn watched(&self, by: NodeId) -> Vec<NodeId> {
         self.top.iter().filter(|r| r.1.iter().any(|w| w.1 == by)).map(|r| *r.0).collect()
     }
