--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -127,6 +127,8 @@
   elif grep -q "test result: FAILED" <<<"$out"; then
     n=$(grep -cE "^(vanua|quebec) seed|^[0-9/]+ " <<<"$out")
     echo "$name: fails as it must ($n objections): $(grep -m1 -E '^(vanua|quebec) seed|^[0-9/]+ |assert|must' <<<"$out" | cut -c1-150)"
+  elif ! grep -q "test result" <<<"$out"; then
+    echo "$name: not built and run within 400 s"; bad=1
   else
     echo "$name: STILL PASSES with the guard off"; bad=1
   fi
