--- a/src/explore/cluster.rs
+++ b/src/explore/cluster.rs
@@ -34,6 +34,8 @@
     pub counts: Counts,
     pub bear: usize,
     pub next_flight: u64,
+    /// Whether single messages about leases are worth being disturbed.
+    pub leases_count: bool,
     pub spent: Spent,
     pub(super) members: Arc<Vec<Row>>,
     /// The place whose save with this number brings it down, in the present step.
@@ -53,6 +55,7 @@
             counts: Counts::default(),
             bear,
             next_flight: 0,
+            leases_count: false,
             spent: Spent::default(),
             members: Arc::default(),
             crash_at: None,
@@ -117,7 +120,8 @@
     pub fn submit(&mut self, place: usize) {
         let clock = self.replicas[place].clock(self.now);
         let attempt = self.history.submitted;
-        let id = ChangeId(FIRST_CHANGE + attempt);
+        let document = DocumentDigest::of(&[&attempt.to_le_bytes()]);
+        let id = ChangeId::named(u128::from(FIRST_CHANGE + attempt), document);
         let Some(process) = &mut self.replica(place).process else { return };
         process.handed.push((id, clock));
         let fleet = process.views.fleet;
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -25,8 +25,8 @@
 room|src/placement/room.rs|if free_mb\(c, o, f\) < mb|if false|must_never_too never_overrun
 in-flight|src/placement/flights.rs|self.rows.values\(\).filter\(new\).map\(\|f\| f.mb\).sum\(\)|0|placement in_flight
 store-rate|src/placement/flights.rs|self.pacer.left\(rule\) >= 1.0|true|must_never_too never_overrun
-compare-swap|src/fleet/fold.rs|if \*base != self.config_at|if false|must_never one_wins
 sync-first|src/kernel/hold.rs|if self.queue.is_empty\(\) \{|if true {|news before_it_is_synced
+compare-swap|src/fleet/fold.rs|if base != self.config_at|if false|must_never one_wins
 ready-kept|src/chain/recovery.rs|self.ready_in = Some\(view\)|drop(view)|must_never they_are_kept
 lead-folded|src/chain/installation.rs|self.is_head\(\) && self.committed >= self.lead_from|self.is_head()|lead the_rest_is_kept
 ready-stays|src/chain/installation.rs|went_on && self.ready && view.has\(self.ident\)|false|mend all_the_same
@@ -38,7 +38,7 @@
 plan-allowance|src/placement/drive.rs|if ms > most.ms \|\| tries > most.tries|if false|plan at_its_allowance
 route-again|src/gate/tell.rs|if order.routes_at == self.routes.0|if true|turn their_route_is_dropped
 mark-gossip|src/gate/sweep.rs|h.leaving = true;\s+g.wake\(now\);|g.wake(now);|leaving tells_only_it
-refused-in-force|src/fleet/fold.rs|return self.end\(id, "rehearsal-failed"|self.config = t.config; self.config_at = self.at; self.touch(Scope::Routes); return self.end(id, "rehearsal-failed"|rehearse live_orders
+refused-in-force|src/fleet/fold.rs|return self.end\(id, OutcomeCode::RehearsalFailed|self.config = *t.config; self.config_at = self.at; self.touch(Scope::Routes); return self.end(id, OutcomeCode::RehearsalFailed|rehearse live_orders
 restart-credit|src/gate/budget.rs|credit: 0.0|credit: 10.0|tries restarts
 saved-credit|src/gate/budget.rs|self.share.max\(LEAST as f64\)|500.0|tries quiet_time
 round-pace|src/placement/quick.rs|if now.since\(self.work.last_round\) < gap|if false|grown holder_orders_soon
@@ -46,9 +46,10 @@
 tick-pace|src/daemon/ticks.rs|if now.since\(self.last\) < period|if false|ticks fifty_times
 distrust|src/placement/look.rs|self.distrust.failed\(runner, ctx.now\);||liar serve_on
 read-index|src/chain/read_index.rs|return self.arrived\(from, id, attempt, op, ctx\)|return self.op(from, id, attempt, op, ctx)|cut_off nothing_old_is_said
-lease-release|src/chain/reply.rs|o.at <= views.released|true|dark_core acknowledgement_waits
-lease-unknown|src/chain/serving_leases.rs|ctx.now \+ ctx.me.lease \};|ctx.now };|dark_core new_tail_waits
-lease-newest|src/chain/serving_leases.rs|filter\(\|s\| s.versions == request.versions\)|filter(\|s\| s.versions.len() == request.versions.len())|dark_core cut_off_later
+lease-release|src/chain/reply.rs|taken_at\(decision\).is_none_or\(\|at\| at <= views.released\)|true|dark_core acknowledgement_waits
+lease-unknown|src/chain/serving_leases.rs|ctx.now \+ ctx.me.lease \+ LEASE;|ctx.now;|dark_core core_restarts
+lease-ledger|src/chain/serving_leases.rs|rows.iter\(\).for_each\(\|a\| self.record\(a, ctx\)\);||dark_core new_tail_waits
+lease-newest|src/chain/serving_leases.rs|if self.history.is_newest\(&a.request.versions\)|if true|dark_core cut_off_as_a_change_comes
 vote-when-ready|src/chain/view.rs|next.chain.push\(new\);|next.chain.push(new); next.give_vacant_votes(&[new]);|second_loss lost_for_good_at_once
 ballot-synced|src/chain/view_change.rs|ctx.save\(Record::Promise \{ no, ballot \}\);||second_loss its_ballot_is_new
 ready-copies|src/chain/replicate.rs|if self.ready \{ self.lowest\(\) \} else \{ Version\(0\) \}|self.lowest()|second_loss could_go_on
@@ -61,7 +62,7 @@
 reuse-written|src/http/connection.rs|if !written \|\||if|platform_connection before_the_request_was_read
 reuse-close|src/http/connection.rs|if rest == Duration::ZERO \|\||if|platform_connection names_an_end
 reuse-rest|src/http/connection.rs|now >= self.until \|\||false \|\||platform_connection names_an_end
-drop-resets|src/http/connection.rs|self.guard.reset_on_close\(\);||platform_connection not_read_to_its_end
+drop-resets|src/http/connection.rs|self.guard.give_up\(\);||platform_gone long_body_half_way
 interim|src/http/exchange.rs|if self.response.status\(\).is_informational\(\)|if false|platform_connection interim_status
 no-resend|src/http/leg.rs|Err\(SendError::NotSent\) if used|Err(SendError::NotSent \| SendError::Unsure) if used|platform_gone after_a_request_came
 once-after-reset|src/pass/resume.rs|        self.order.resumable \|\| \(self|        true \|\| (self|platform_cuts_runner may_run_once
@@ -76,6 +77,15 @@
 rest-longer|src/http/client.rs|limit.max\(Span::ms\(limits.idle_ms\)\)|Span::ms(limits.idle_ms)|platform_limits limit_shrinks
 dark-once|src/pass/shift.rs|self.may_run_again\(\) && gate.dark|gate.dark|ride that_is_dark
 move-runners|src/pass/shift.rs|if self.opened >= self.order.tries \{\s+return;|if false { return;|ride most_runners
+order-digest|src/kernel/change_id.rs|hasher.update\(part\);|hasher.update(&part[..part.len().min(2)]);|order_identity digests_differ
+order-digest-lengths|src/kernel/change_id.rs|hasher.update\(\(part.len\(\) as u64\).to_le_bytes\(\)\);||order_identity digests_differ
+ledger-apart|src/fleet/ledger.rs|if !order.id.is_operators\(\) \{\s+return;\s+\}\s+self.taken|self.taken|order_identity thousands_of_internal
+ledger-asked|src/fleet/state.rs|self.ledger.find\(id\).map\(Decision::Ledger\)|None|order_again older_than_the_memory
+ledger-in-snapshot|src/chain/recovery.rs|let state = Box::new\(state.clone\(\)\);|let mut state = Box::new(state.clone()); state.ledger = Default::default(); state.outcomes.clear();|order_again each_copy_has_it
+beyond-memory|src/chain/adoption.rs|if forgotten \{|if false {|order_again older_than_the_memory
+refusal-committed|src/chain/adoption.rs|Step::Refuse\(code, text, answer\)|{ drop(text); Step::Answer(answer) }|order_again stays_refused
+base-in-queue|src/chain/adoption.rs| \|\| self.adoptions.expects\(base\)||order_again slow_disks
+one-per-base|src/fleet/fold.rs|if base != now \|\| config.revision <= now \{|if false {|order_killed eight_orders
 R
 }
 
