A member that cannot write goes on granting leases; it takes no entry and no vote

Wiped and full at once: of three members one could not sync and one was new. The first fell silent because its saves hung, so the tail got no majority for its lease; what was left proposed views that could not be voted, and each promise paused its own grants for a second. Routers refused until there was room.

Heartbeats and leases need no disk and now leave while a save hangs; a heartbeat says when its sender cannot write, so that the others still count it as lost. With under 512 KB of room a member takes no entry and no vote, so that nothing of it is unsynced. No view is proposed while no majority can sync a vote.

--- a/src/chain/acceptor.rs
+++ b/src/chain/acceptor.rs
@@ -1,4 +1,5 @@
 use super::core::{Chain, SILENCE_LIMIT};
+use super::heartbeat::ROOM_TO_WRITE;
 use super::view::View;
 use super::view_change::PROPOSAL_TIMEOUT;
 use crate::kernel::component::Context;
@@ -65,7 +66,8 @@
         if no <= view.no {
             return ctx.chain(from, ChainMsg::ViewDecided { view });
         }
-        if no != view.no.next() || !view.voters.contains(&self.ident) {
+        let may_write = ctx.room >= ROOM_TO_WRITE;
+        if no != view.no.next() || !view.voters.contains(&self.ident) || !may_write {
             return;
         }
         if let ChainMsg::Prepare { lost: Some(lost), quiet, .. } = msg {
--- a/src/chain/core.rs
+++ b/src/chain/core.rs
@@ -11,7 +11,7 @@
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 pub const HEARTBEAT_INTERVAL: Span = Span::ms(150);
@@ -29,6 +29,9 @@
     pub successor: SuccessorProgress,
     pub alive_at: BTreeMap<NodeId, Time>,
     pub reached_at: BTreeMap<NodeId, Time>,
+    /// Members that say of themselves that they hear no majority or cannot write. They beat and grant leases;
+    /// the others count them as lost all the same, so that the chain goes on without them.
+    pub impaired: BTreeSet<NodeId>,
     pub acceptor: Acceptor,
     pub proposal: Option<ViewProposal>,
     pub lease: Lease,
@@ -59,6 +62,7 @@
             successor: SuccessorProgress::default(),
             alive_at: BTreeMap::new(),
             reached_at: BTreeMap::new(),
+            impaired: BTreeSet::new(),
             acceptor: Acceptor::default(),
             proposal: None,
             lease: Lease::default(),
@@ -171,7 +175,10 @@
 
     fn mail(&mut self, from: NodeId, fleet: FleetId, msg: &ChainMsg, ctx: &mut Context) {
         self.reached_at.insert(from, ctx.now);
-        if !matches!(msg, ChainMsg::Heartbeat { isolated: true, .. }) {
+        if let ChainMsg::Heartbeat { impaired, .. } = msg {
+            self.note_impaired(from, *impaired);
+        }
+        if !self.impaired.contains(&from) {
             self.alive_at.insert(from, ctx.now);
         }
         match msg {
--- a/src/chain/heartbeat.rs
+++ b/src/chain/heartbeat.rs
@@ -6,6 +6,9 @@
 
 const GAP: Span = Span::ms(300);
 pub const ROOM: u64 = 4 << 20;
+/// With less room than this a member takes nothing that it would have to write: what it has stays synced, so
+/// that it goes on granting leases and answering reads.
+pub const ROOM_TO_WRITE: u64 = 512 << 10;
 
 impl Chain {
     pub fn tick(&mut self, ctx: &mut Context) {
@@ -38,8 +41,9 @@
         }
         self.beat_at = ctx.now;
         let room = ctx.room >= ROOM;
+        let impaired = isolated || ctx.stuck || ctx.room < ROOM_TO_WRITE;
         for node in all.iter().filter(|n| **n != self.ident) {
-            ctx.chain(*node, ChainMsg::Heartbeat { view: no, room, isolated });
+            ctx.chain(*node, ChainMsg::Heartbeat { view: no, room, impaired });
         }
         if !isolated {
             self.announce(ctx);
@@ -55,6 +59,14 @@
         }
     }
 
+    pub fn note_impaired(&mut self, node: NodeId, impaired: bool) {
+        if impaired {
+            self.impaired.insert(node);
+        } else {
+            self.impaired.remove(&node);
+        }
+    }
+
     pub fn quiet(&self, node: NodeId, now: Time) -> Span {
         now.since(self.alive_at.get(&node).copied().unwrap_or_default())
     }
@@ -75,6 +87,19 @@
         n >= view.majority()
     }
 
+    /// Whether enough voters can sync a vote. Asking for votes that cannot come would only pause the leases that
+    /// the same voters still grant.
+    pub fn has_writing_majority(&self, ctx: &Context) -> bool {
+        let Some(view) = &self.view else { return false };
+        let may_write = ctx.room >= ROOM_TO_WRITE && !ctx.stuck;
+        let near = |v: &NodeId| self.reached_at.get(v).is_some_and(|t| ctx.now.since(*t) < SILENCE_LIMIT);
+        let writes = |v: &&NodeId| match **v == self.ident {
+            true => may_write,
+            false => near(v) && !self.impaired.contains(*v),
+        };
+        view.voters.iter().filter(writes).count() >= view.majority()
+    }
+
     pub fn lowest(&self) -> Version {
         match self.view.as_ref().and_then(|v| v.after(self.ident)) {
             Some(_) => self.chain_synced.min(self.log.last()),
--- a/src/chain/join.rs
+++ b/src/chain/join.rs
@@ -1,4 +1,5 @@
 use super::core::{Chain, SILENCE_LIMIT};
+use super::heartbeat::ROOM_TO_WRITE;
 use super::replication_log::{Fit, ReplicationLog};
 use crate::fleet::FleetState;
 use crate::kernel::component::Context;
@@ -37,7 +38,7 @@
         if self.in_chain() || self.fleet == FleetId(0) || ctx.now.since(self.joiner.asked) < KNOCK {
             return;
         }
-        if ctx.slow {
+        if ctx.slow || ctx.room < ROOM_TO_WRITE {
             return self.try_disk(ctx);
         }
         let Some(view) = ctx.views.view.clone() else { return };
--- a/src/chain/messages.rs
+++ b/src/chain/messages.rs
@@ -24,7 +24,7 @@
     Pledged { fleet: FleetId, sent: Time },
     Append { view: ViewNo, first: bool, upto: Version, entries: Vec<Entry> },
     Progress { view: ViewNo, synced: Version, committed: Version, chain_synced: Version },
-    Heartbeat { view: ViewNo, room: bool, isolated: bool },
+    Heartbeat { view: ViewNo, room: bool, impaired: bool },
     Join { have: Version, following: bool },
     JoinHeard,
     Snapshot { at: Version, state: Box<FleetState> },
--- a/src/chain/replicate.rs
+++ b/src/chain/replicate.rs
@@ -1,6 +1,7 @@
 //! Entries on their way down the chain, and progress on its way up.
 
 use super::core::Chain;
+use super::heartbeat::ROOM_TO_WRITE;
 use super::replication_log::Fit;
 use crate::kernel::component::Context;
 use crate::kernel::ids::*;
@@ -51,7 +52,7 @@
 impl Chain {
     pub fn submit(&mut self, change: &Shared, ctx: &mut Context) {
         let Some(view) = self.view.clone() else { return };
-        if !self.is_head() || !self.ready || view.chain.len() < ctx.me.need() || self.log.is_full() {
+        if !self.is_head() || !self.ready || view.chain.len() < ctx.me.need() || !self.takes_entries(ctx) {
             return;
         }
         let entry = Entry { at: self.log.last().next(), view: view.no, change: change.clone() };
@@ -73,6 +74,10 @@
         ctx.chain(to, ChainMsg::Append { view, first: false, upto, entries });
     }
 
+    fn takes_entries(&self, ctx: &Context) -> bool {
+        ctx.room >= ROOM_TO_WRITE && !self.log.is_full()
+    }
+
     pub fn append_entry(&mut self, entry: Entry, ctx: &mut Context) {
         ctx.save(Record::Entry { entry: Box::new(entry.clone()) });
         self.log.push(entry);
@@ -95,7 +100,7 @@
 
     pub fn append(&mut self, from: NodeId, no: ViewNo, upto: Version, rows: &[Entry], ctx: &mut Context) {
         let Some(view) = self.view.clone() else { return };
-        if view.no != no || view.before(self.ident) != Some(from) {
+        if view.no != no || view.before(self.ident) != Some(from) || ctx.room < ROOM_TO_WRITE {
             return;
         }
         let mut added = Vec::new();
--- a/src/chain/view_change.rs
+++ b/src/chain/view_change.rs
@@ -59,6 +59,9 @@
 
     pub fn propose_view(&mut self, want: View, lost: Option<NodeId>, quiet: Span, ctx: &mut Context) {
         let Some(view) = self.view.clone() else { return };
+        if !self.has_writing_majority(ctx) {
+            return;
+        }
         let round = self.acceptor.top.max(self.acceptor.promised.round) + 1;
         self.acceptor.top = round;
         let ballot = Ballot { round, node: self.ident };
--- a/src/daemon/driver.rs
+++ b/src/daemon/driver.rs
@@ -158,6 +158,7 @@
             if let Some(disk) = &self.disk {
                 r.node.room = disk.room();
                 r.node.slow = r.hold.slow(now);
+                r.node.stuck = r.hold.stuck(now);
             }
             let mut done = Vec::new();
             let mut out = Vec::new();
--- a/src/kernel/component.rs
+++ b/src/kernel/component.rs
@@ -93,6 +93,8 @@
     pub me: &'a Me,
     pub room: u64,
     pub slow: bool,
+    /// Whether a write has been under way for too long: nothing that depends on it leaves this node.
+    pub stuck: bool,
     pub rand: &'a mut dyn Rand,
     pub views: &'a mut Views,
     pub journal: &'a mut Journal,
--- a/src/kernel/hold.rs
+++ b/src/kernel/hold.rs
@@ -1,7 +1,7 @@
 use super::disk::Disk;
 use super::fault::Fault;
 use super::time::{Span, Time};
-use crate::msg::{Effect, Msg, Record};
+use crate::msg::{ChainMsg, Effect, Msg, Record};
 use std::collections::VecDeque;
 
 pub const STUCK: Span = Span::ms(400);
@@ -93,10 +93,23 @@
         Effect::Answer { .. } | Effect::Ready(_) | Effect::Routers(_) | Effect::Watch(_) => true,
         Effect::Reset(_) | Effect::Drive(_) => true,
         Effect::Send { msg: Msg::Op { .. } | Msg::Ask { .. }, .. } => !bare,
+        Effect::Send { msg: Msg::Chain(msg), .. } => needs_no_disk(msg),
         _ => false,
     }
 }
 
+/// Whether a message says nothing of what is on this node's disk. A lease is granted from the memory of the
+/// voter alone: a restart waits for longer than any grant lasts before it votes.
+fn needs_no_disk(msg: &ChainMsg) -> bool {
+    matches!(
+        msg,
+        ChainMsg::Heartbeat { .. }
+            | ChainMsg::LeaseRequest { .. }
+            | ChainMsg::LeaseGrant { .. }
+            | ChainMsg::JoinHeard
+    )
+}
+
 fn sent(e: &Effect) -> bool {
     matches!(e, Effect::Send { .. } | Effect::SendAt { .. })
 }
--- a/src/kernel/node.rs
+++ b/src/kernel/node.rs
@@ -13,6 +13,7 @@
     rand: Box<dyn Rand>,
     pub room: u64,
     pub slow: bool,
+    pub stuck: bool,
 }
 
 impl Node {
@@ -25,6 +26,7 @@
             rand,
             room: u64::MAX,
             slow: false,
+            stuck: false,
         }
     }
 
@@ -56,6 +58,7 @@
                     me: &self.me,
                     room: self.room,
                     slow: self.slow,
+                    stuck: self.stuck,
                     rand: &mut *self.rand,
                     views: &mut self.views,
                     journal: &mut self.journal,
--- a/src/sim/disk.rs
+++ b/src/sim/disk.rs
@@ -1,7 +1,7 @@
 //! The disk of a simulated controller: the real log file in a simulated folder.
 #![deny(missing_docs)]
 
-use super::folder::SimFolder;
+use super::folder::{Files, SimFolder};
 use crate::kernel::disk::{Disk, LogFile};
 use crate::kernel::fault::Fault;
 use crate::kernel::folder::Folder;
@@ -65,6 +65,16 @@
         found.into_iter().rev().find_map(read).unwrap_or_default()
     }
 
+    /// All files, as the process sees them.
+    pub fn files(&self) -> Files {
+        self.folder.files()
+    }
+
+    /// Puts other files in the place of all.
+    pub fn set_files(&self, files: Files) {
+        self.folder.set_files(files);
+    }
+
     /// The bytes of all files.
     pub fn bytes(&self) -> usize {
         self.folder.files().values().map(Vec::len).sum()
--- a/src/sim/nodes.rs
+++ b/src/sim/nodes.rs
@@ -185,6 +185,7 @@
         let Some(node) = &mut n.node else { return };
         node.room = n.disk.room();
         node.slow = n.hold.slow(now);
+        node.stuck = n.hold.stuck(now);
         let from = node.journal.len();
         let out = node.feed(now, ev);
         let told: Vec<(&'static str, String)> = node.journal.since(from).filter_map(|r| r.2.text()).collect();
@@ -201,6 +202,7 @@
         let Some(node) = &mut n.node else { return };
         node.room = n.disk.room();
         node.slow = n.hold.slow(now);
+        node.stuck = n.hold.stuck(now);
         let out = keep::letter(node, now, l);
         self.carry(place, out);
     }
--- a/tests/hold.rs
+++ b/tests/hold.rs
@@ -5,7 +5,7 @@
 use spindledock::msg::*;
 
 fn send() -> Effect {
-    Effect::Send { to: NodeId(2), msg: Msg::Chain(ChainMsg::JoinHeard) }
+    Effect::Send { to: NodeId(2), msg: Msg::Chain(ChainMsg::Nack { no: ViewNo(1), ballot: Ballot::default() }) }
 }
 
 fn save() -> Effect {
@@ -42,6 +42,18 @@
     assert!(!hold.slow(now + Span::ms(80)));
 }
 
+#[test]
+fn given_a_save_that_hangs_when_leases_are_granted_then_these_and_heartbeats_leave_at_once() {
+    let (mut hold, now) = (Hold::default(), Time(1_000_000));
+    let chain = |msg| Effect::Send { to: NodeId(2), msg: Msg::Chain(msg) };
+    let (out, _) = hold.take(now, vec![save(), chain(ChainMsg::LeaseGrant { view: ViewNo(1), sent: now })]);
+    assert_eq!(out.len(), 1);
+    let beat = ChainMsg::Heartbeat { view: ViewNo(1), room: false, impaired: true };
+    let vote = ChainMsg::Accepted { no: ViewNo(2), ballot: Ballot::default() };
+    let (out, _) = hold.take(now + STUCK, vec![chain(beat), chain(vote)]);
+    assert!(matches!(out[..], [Effect::Send { msg: Msg::Chain(ChainMsg::Heartbeat { .. }), .. }]), "{out:?}");
+}
+
 #[test]
 fn given_a_save_that_hangs_when_messages_follow_then_they_are_dropped_until_it_is_synced() {
     let (mut hold, now) = (Hold::default(), Time(1_000_000));
