--- a/src/chain/heartbeat.rs
+++ b/src/chain/heartbeat.rs
@@ -1,4 +1,5 @@
 use super::core::{Chain, HEARTBEAT_INTERVAL, SILENCE_LIMIT};
+use super::leaving::PeerState;
 use crate::kernel::component::Context;
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
@@ -15,6 +16,7 @@
         let slept = ctx.now.since(self.ticked) > GAP;
         self.ticked = ctx.now;
         self.found(ctx);
+        self.update_departure(ctx);
         let Some(view) = self.view.clone() else {
             return self.join(ctx);
         };
@@ -40,10 +42,9 @@
             return;
         }
         self.beat_at = ctx.now;
-        let room = ctx.room >= ROOM;
-        let impaired = isolated || ctx.stuck || ctx.room < ROOM_TO_WRITE;
+        let beat = self.heartbeat(no, ctx);
         for node in all.iter().filter(|n| **n != self.ident) {
-            ctx.chain(*node, ChainMsg::Heartbeat { view: no, room, impaired });
+            ctx.chain(*node, beat.clone());
         }
         if !isolated {
             self.announce(ctx);
@@ -51,22 +52,48 @@
         }
     }
 
-    pub fn beat(&mut self, from: NodeId, no: ViewNo, room: bool, ctx: &mut Context) {
-        self.spare.insert(from, room);
+    fn heartbeat(&self, view: ViewNo, ctx: &Context) -> ChainMsg {
+        let (room, leaving) = (ctx.room >= ROOM, self.departure.is_some());
+        let impaired = self.isolated || !self.can_write(ctx);
+        ChainMsg::Heartbeat { view, room, impaired, leaving }
+    }
+
+    /// Takes a heartbeat. One that cannot write is left out of the view and cannot ask to join, so nobody would
+    /// speak to it; the answer shows it that it still reaches a majority.
+    pub fn beat(&mut self, from: NodeId, no: ViewNo, said: PeerState, ctx: &mut Context) {
+        self.peers.insert(from, said);
         let Some(view) = self.view.clone() else { return };
         if no < view.no {
-            ctx.chain(from, ChainMsg::ViewDecided { view });
+            return ctx.chain(from, ChainMsg::ViewDecided { view });
+        }
+        if said.impaired && !view.all().contains(&from) {
+            let answer = self.heartbeat(view.no, ctx);
+            ctx.chain(from, answer);
         }
     }
 
-    pub fn note_impaired(&mut self, node: NodeId, impaired: bool) {
-        if impaired {
-            self.impaired.insert(node);
-        } else {
-            self.impaired.remove(&node);
+    /// Notes that something came from a controller. One that says that it is impaired still counts toward the
+    /// majority that hears this node, and as lost from the chain all the same.
+    pub fn note_heard(&mut self, from: NodeId, msg: &ChainMsg, now: Time) {
+        self.reached_at.insert(from, now);
+        if let ChainMsg::Heartbeat { impaired, .. } = msg {
+            self.peers.entry(from).or_default().impaired = *impaired;
+        }
+        let needs_no_disk = matches!(msg, ChainMsg::LeaseRequest { .. } | ChainMsg::LeaseGrant { .. });
+        if !needs_no_disk && !self.is_impaired(from) {
+            self.alive_at.insert(from, now);
         }
     }
 
+    fn is_impaired(&self, node: NodeId) -> bool {
+        self.peers.get(&node).is_some_and(|said| said.impaired)
+    }
+
+    /// Whether a vote or an entry of this node would be synced soon.
+    pub fn can_write(&self, ctx: &Context) -> bool {
+        ctx.room >= ROOM_TO_WRITE && !ctx.stuck
+    }
+
     pub fn quiet(&self, node: NodeId, now: Time) -> Span {
         now.since(self.alive_at.get(&node).copied().unwrap_or_default())
     }
@@ -91,11 +118,10 @@
     /// the same voters still grant.
     pub fn has_writing_majority(&self, ctx: &Context) -> bool {
         let Some(view) = &self.view else { return false };
-        let may_write = ctx.room >= ROOM_TO_WRITE && !ctx.stuck;
         let near = |v: &NodeId| self.reached_at.get(v).is_some_and(|t| ctx.now.since(*t) < SILENCE_LIMIT);
         let writes = |v: &&NodeId| match **v == self.ident {
-            true => may_write,
-            false => near(v) && !self.impaired.contains(*v),
+            true => self.can_write(ctx),
+            false => near(v) && !self.is_impaired(**v),
         };
         view.voters.iter().filter(writes).count() >= view.majority()
     }
@@ -114,7 +140,7 @@
 
     pub fn spared(&self, ctx: &Context) -> bool {
         let Some(view) = &self.view else { return false };
-        let fine = |n: &&NodeId| self.hears(**n, ctx.now) && self.spare.get(*n) == Some(&true);
+        let fine = |n: &&NodeId| self.hears(**n, ctx.now) && self.peers.get(*n).is_some_and(|p| p.room);
         view.chain.iter().filter(|n| **n != self.ident).filter(fine).count() >= ctx.me.need()
     }
 }
--- a/src/kernel/hold.rs
+++ b/src/kernel/hold.rs
@@ -55,7 +55,7 @@
         let (stuck, bare) = (self.stuck(now), self.queue.iter().any(|h| h.bare));
         let mut free = Vec::new();
         for e in rest {
-            if apart(&e, bare) {
+            if apart(&e, bare) || (stuck && needs_no_disk(&e)) {
                 free.push(e);
             } else if let (false, Some(last)) = (stuck && sent(&e), self.queue.back_mut()) {
                 last.rest.push(e);
@@ -93,14 +93,14 @@
         Effect::Answer { .. } | Effect::Ready(_) | Effect::Routers(_) | Effect::Watch(_) => true,
         Effect::Reset(_) | Effect::Drive(_) => true,
         Effect::Send { msg: Msg::Op { .. } | Msg::Ask { .. }, .. } => !bare,
-        Effect::Send { msg: Msg::Chain(msg), .. } => needs_no_disk(msg),
         _ => false,
     }
 }
 
-/// Whether a message says nothing of what is on this node's disk. A lease is granted from the memory of the
-/// voter alone: a restart waits for longer than any grant lasts before it votes.
-fn needs_no_disk(msg: &ChainMsg) -> bool {
+/// Whether this says nothing of what is on this node's disk, so that it leaves even while a write hangs. A lease is
+/// granted from the memory of the voter alone: a restart waits for longer than any grant lasts before it votes.
+fn needs_no_disk(e: &Effect) -> bool {
+    let Effect::Send { msg: Msg::Chain(msg), .. } = e else { return false };
     matches!(
         msg,
         ChainMsg::Heartbeat { .. }
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -12,6 +12,7 @@
 pub use crate::tell::*;
 use bitcode::{Decode, Encode};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub struct Envelope {
@@ -36,10 +37,12 @@
     UpdateReply { nonce: u64, items: Vec<TopicUpdate> },
     UpdatePush { items: Vec<TopicUpdate> },
     UpdateRefused { nonce: u64, view: Option<View> },
-    Op { id: ChangeId, op: Op },
-    OpEnd { id: ChangeId, answer: Answer },
-    Ask { id: ChangeId, path: String },
-    Tell(Box<RouterTell>),
+    Op { id: ChangeId, attempt: u64, op: Op },
+    OpPending { id: ChangeId, attempt: u64 },
+    OpEnd { id: ChangeId, attempt: u64, answer: Answer },
+    Ask { attempt: u64, path: String },
+    AskEnd { attempt: u64, answer: Answer },
+    Tell(Arc<RouterTell>),
     Nudge,
     Want(Vec<Want>),
     Held(Box<HeldTell>),
--- a/src/sim/disk.rs
+++ b/src/sim/disk.rs
@@ -75,6 +75,13 @@
         self.folder.set_files(files);
     }
 
+    /// The records that no loss of power takes.
+    pub fn certain_records(&self) -> Vec<Record> {
+        let folder = SimFolder::default();
+        folder.set_files(self.folder.certain());
+        LogFile::inside(Box::new(folder)).load().unwrap_or_default()
+    }
+
     /// The bytes of all files.
     pub fn bytes(&self) -> usize {
         self.folder.files().values().map(Vec::len).sum()
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -10,7 +10,7 @@
 
 rows() {
 cat <<'R'
-run-once|src/pass/resume.rs|if !self.order.resumable \|\| !gate|if !gate|must_never none_runs_twice
+run-once|src/pass/resume.rs|if !self.may_run_again\(\) \|\||if|must_never none_runs_twice
 refusal-truth|src/pass/ride.rs|\} else if self.sent \{|} else if false {|must_never none_runs_twice
 stray-legs|src/pass/ride.rs|if self.over \|\| self.is_stray\(&ev\)|if self.over|ride closed_leg
 last-check|src/gate/core.rs|if now >= order.due \{\s+return Err\(Why::Due\);|if true { return Ok(()); } if now >= order.due { return Err(Why::Due);|must_never after_the_thaw
@@ -39,13 +39,50 @@
 refused-in-force|src/fleet/fold.rs|return self.end\(id, "rehearsal-failed"|self.config = t.config; self.config_at = self.at; self.touch(Scope::Routes); return self.end(id, "rehearsal-failed"|rehearse live_orders
 restart-credit|src/gate/budget.rs|credit: 0.0|credit: 10.0|tries restarts
 saved-credit|src/gate/budget.rs|self.share.max\(LEAST as f64\)|500.0|tries quiet_time
+vote-when-ready|src/chain/view.rs|next.chain.push\(new\);|next.chain.push(new); next.give_vacant_votes(&[new]);|second_loss lost_for_good_at_once
+ballot-synced|src/chain/view_change.rs|ctx.save\(Record::Promise \{ no, ballot \}\);||second_loss its_ballot_is_new
+ready-copies|src/chain/replicate.rs|if self.ready \{ self.lowest\(\) \} else \{ Version\(0\) \}|self.lowest()|second_loss could_go_on
+leave-in-order|src/chain/leaving.rs|self.copies >= self.copies_wanted && self.votes >= self.majority|true|departure waits_for_the_others
+vote-passed-on|src/chain/view.rs|next.give_vacant_votes\(candidates\);\s+next$|next|departure vote_passed_on
+stop-waits|src/sim/hurts_more.rs|if left \|\| w.now >= due|if true|departure waits_for_the_others
+distrust|src/placement/look.rs|self.distrust.failed\(runner, ctx.now\);||liar serve_on
+log-folder-sync|src/kernel/log_file.rs|wrote.and_then\(\|\(\)\| self.folder.sync_folder\(\)\)|wrote|log_file power_goes_at_any_step
+log-discard|src/kernel/log_file.rs|self.discard_due = Some\(generation\);||log_file nothing_acknowledged_is_lost
+log-read-synced|src/kernel/log_file.rs|self.sync_what_was_read\(\*generation\)\?;||log_file what_it_read_is_still_there
+log-header|src/kernel/log_format.rs|Some\(\(other, _\)\) => return Content::OtherFormat\(other\),|Some(_) => {}|log_file refused_by_name
+log-bytes|src/chain/replication_log.rs|self.bytes >= BYTES_MAX && |false && |storm catches_up
+journal-state|src/kernel/journal.rs|if carries_state\(&note\)|if false|storm catches_up
+snapshot-back|src/chain/join.rs|pred != Some\(from\) \|\| at <= self.log.last\(\)|pred != Some(from) \|\| at <= self.committed|snapshot comes_late
+lost-tail-reset|src/chain/replicate.rs|if synced > self.log.last\(\) \{|if false {|snapshot resets_and_joins
+stuck-grants|src/kernel/hold.rs|\|\| \(stuck && needs_no_disk\(&e\)\)||hold leave_at_once
+hopeless-votes|src/chain/view_change.rs|if !self.can_write\(ctx\) \|\| !self.has_writing_majority\(ctx\)|if false|full_and_wiped served_all_the_while
 held-credit|src/gate/budget.rs| - self.held;|;|tries quiet_time
+reuse-quiet|src/http/connection.rs| \|\| !self.link.guard.is_quiet\(\)||platform_connection nobody_has_read_it_yet
+reuse-unread|src/http/exchange.rs|if !self.whole \{|if false {|platform_connection not_read_to_its_end
+reuse-written|src/http/connection.rs|if !written \|\||if|platform_connection before_the_request_was_read
+reuse-close|src/http/connection.rs|if rest == Duration::ZERO \|\||if|platform_connection names_an_end
+reuse-rest|src/http/connection.rs|now >= self.until \|\||false \|\||platform_connection names_an_end
+drop-resets|src/http/connection.rs|self.guard.reset_on_close\(\);||platform_connection not_read_to_its_end
+interim|src/http/exchange.rs|if self.response.status\(\).is_informational\(\)|if false|platform_connection interim_status
+no-resend|src/http/leg.rs|Err\(SendError::NotSent\) if used|Err(SendError::NotSent \| SendError::Unsure) if used|platform_gone after_a_request_came
+once-after-reset|src/pass/resume.rs|        self.order.resumable \|\| \(self|        true \|\| (self|platform_cuts_runner may_run_once
+own-id|src/platform/runner.rs|if other \{\s+return Verdict::Stray;|if false { return Verdict::Stray;|platform_links surplus_answer
+deadline-left|src/http/leg.rs|job.order.end.since\(job.clock.now\(\)\)|job.order.aim|platform_links told_what_is_left
+caller-gone|src/http/carry.rs|_ = gone\(&mut c.first, &c.body\) => In::Gone,||platform_gone caller_that_leaves
+whole-by|src/pass/shift.rs|self.order.whole_by.is_some_and|None::<Time>.is_some_and|platform_gone answer_that_has_begun
+late-answer|src/pass/shift.rs|if !self.began && now >= self.order.end|if false|platform_gone late_answer
+head-size|src/http/serve.rs|if head_bytes\(&order\) > |if false && 0 > |platform_limits limit_on_heads
+head-time|src/http/client.rs|now.since\(since\) > Span::ms\(limits.head_ms\)|false|platform_limits comes_slowly
+rest-time|src/http/client.rs|now.since\(since\) > limit.max|false && now.since(since) > limit.max|platform_limits at_rest
+rest-longer|src/http/client.rs|limit.max\(Span::ms\(limits.idle_ms\)\)|Span::ms(limits.idle_ms)|platform_limits limit_shrinks
+dark-once|src/pass/shift.rs|self.may_run_again\(\) && gate.dark|gate.dark|ride that_is_dark
+move-runners|src/pass/shift.rs|if self.opened >= self.order.tries \{\s+return;|if false { return;|ride most_runners
 R
 }
 
 if [ "${1:-}" = "--ci" ]; then
   set -- same-event refusal-truth mark-gossip route-again refused-in-force restart-credit held-credit \
-    in-flight plan-allowance wait-refused overlap
+    in-flight plan-allowance wait-refused overlap reuse-quiet drop-resets own-id head-size
 fi
 bad=0
 while IFS='|' read -r line; do
