--- a/src/chain/acceptor.rs
+++ b/src/chain/acceptor.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs)]
 
 use super::core::{Chain, SILENCE_LIMIT};
+use super::heartbeat::ROOM_TO_WRITE;
 use super::view::View;
 use super::view_change::PROPOSAL_TIMEOUT;
 use crate::kernel::component::Context;
@@ -118,14 +119,14 @@
         }
     }
 
-    /// Whether this node has a vote on view `no`; who asks about a view already decided is told it.
+    /// Whether this node has a vote on view `no` and can sync it; who asks about a view already decided is told it.
     fn votes_on(&mut self, from: NodeId, no: ViewNo, ctx: &mut Context) -> bool {
         let Some(view) = self.view.clone() else { return false };
         if no <= view.no {
             ctx.chain(from, ChainMsg::ViewDecided { view });
             return false;
         }
-        no == view.no.next() && view.voters.contains(&self.ident)
+        no == view.no.next() && view.voters.contains(&self.ident) && ctx.room >= ROOM_TO_WRITE
     }
 
     /// Whether the member named lost is so for this voter too: unheard here, or by the proposer for long.
--- a/src/chain/core.rs
+++ b/src/chain/core.rs
@@ -126,17 +126,14 @@
     }
 
     fn mail(&mut self, from: NodeId, fleet: FleetId, msg: &ChainMsg, ctx: &mut Context) {
-        self.reached_at.insert(from, ctx.now);
-        if !matches!(msg, ChainMsg::Heartbeat { isolated: true, .. }) {
-            self.alive_at.insert(from, ctx.now);
-        }
+        self.note_heard(from, msg, ctx.now);
         match msg {
             ChainMsg::Pledge { fleet, members, sent } => self.pledge(from, *fleet, members, *sent, ctx),
             ChainMsg::Pledged { fleet, sent } => self.pledged(from, *fleet, *sent, ctx),
             ChainMsg::Append { view, upto, entries, .. } => self.append(from, *view, *upto, entries, ctx),
             ChainMsg::Progress { .. } => self.have(from, msg, ctx),
-            ChainMsg::Heartbeat { view, room, leaving, .. } => {
-                let said = PeerState { room: *room, leaving: *leaving };
+            ChainMsg::Heartbeat { view, room, leaving, impaired } => {
+                let said = PeerState { impaired: *impaired, room: *room, leaving: *leaving };
                 self.beat(from, *view, said, ctx)
             }
             ChainMsg::Join { have, following } => self.join_asked(from, *have, *following, ctx),
--- a/src/chain/heartbeat.rs
+++ b/src/chain/heartbeat.rs
@@ -7,6 +7,9 @@
 
 const GAP: Span = Span::ms(300);
 pub const ROOM: u64 = 4 << 20;
+/// With less room than this a member takes nothing that it would have to write: what it has stays synced, so
+/// that it goes on granting leases and answering reads.
+pub const ROOM_TO_WRITE: u64 = 512 << 10;
 
 impl Chain {
     pub fn tick(&mut self, ctx: &mut Context) {
@@ -39,9 +42,9 @@
             return;
         }
         self.beat_at = ctx.now;
-        let (room, leaving) = (ctx.room >= ROOM, self.departure.is_some());
+        let beat = self.heartbeat(no, ctx);
         for node in all.iter().filter(|n| **n != self.ident) {
-            ctx.chain(*node, ChainMsg::Heartbeat { view: no, room, isolated, leaving });
+            ctx.chain(*node, beat.clone());
         }
         if !isolated {
             self.announce(ctx);
@@ -49,14 +52,48 @@
         }
     }
 
+    fn heartbeat(&self, view: ViewNo, ctx: &Context) -> ChainMsg {
+        let (room, leaving) = (ctx.room >= ROOM, self.departure.is_some());
+        let impaired = self.isolated || !self.can_write(ctx);
+        ChainMsg::Heartbeat { view, room, impaired, leaving }
+    }
+
+    /// Takes a heartbeat. One that cannot write is left out of the view and cannot ask to join, so nobody would
+    /// speak to it; the answer shows it that it still reaches a majority.
     pub fn beat(&mut self, from: NodeId, no: ViewNo, said: PeerState, ctx: &mut Context) {
         self.peers.insert(from, said);
         let Some(view) = self.view.clone() else { return };
         if no < view.no {
-            ctx.chain(from, ChainMsg::ViewDecided { view });
+            return ctx.chain(from, ChainMsg::ViewDecided { view });
+        }
+        if said.impaired && !view.all().contains(&from) {
+            let answer = self.heartbeat(view.no, ctx);
+            ctx.chain(from, answer);
+        }
+    }
+
+    /// Notes that something came from a controller. One that says that it is impaired still counts toward the
+    /// majority that hears this node, and as lost from the chain all the same.
+    pub fn note_heard(&mut self, from: NodeId, msg: &ChainMsg, now: Time) {
+        self.reached_at.insert(from, now);
+        if let ChainMsg::Heartbeat { impaired, .. } = msg {
+            self.peers.entry(from).or_default().impaired = *impaired;
+        }
+        let needs_no_disk = matches!(msg, ChainMsg::LeaseRequest { .. } | ChainMsg::LeaseGrant { .. });
+        if !needs_no_disk && !self.is_impaired(from) {
+            self.alive_at.insert(from, now);
         }
     }
 
+    fn is_impaired(&self, node: NodeId) -> bool {
+        self.peers.get(&node).is_some_and(|said| said.impaired)
+    }
+
+    /// Whether a vote or an entry of this node would be synced soon.
+    pub fn can_write(&self, ctx: &Context) -> bool {
+        ctx.room >= ROOM_TO_WRITE && !ctx.stuck
+    }
+
     pub fn quiet(&self, node: NodeId, now: Time) -> Span {
         now.since(self.alive_at.get(&node).copied().unwrap_or_default())
     }
@@ -77,6 +114,18 @@
         n >= view.majority()
     }
 
+    /// Whether enough voters can sync a vote. Asking for votes that cannot come would only pause the leases that
+    /// the same voters still grant.
+    pub fn has_writing_majority(&self, ctx: &Context) -> bool {
+        let Some(view) = &self.view else { return false };
+        let near = |v: &NodeId| self.reached_at.get(v).is_some_and(|t| ctx.now.since(*t) < SILENCE_LIMIT);
+        let writes = |v: &&NodeId| match **v == self.ident {
+            true => self.can_write(ctx),
+            false => near(v) && !self.is_impaired(**v),
+        };
+        view.voters.iter().filter(writes).count() >= view.majority()
+    }
+
     pub fn lowest(&self) -> Version {
         match self.view.as_ref().and_then(|v| v.after(self.ident)) {
             Some(_) => self.chain_synced.min(self.log.last()),
--- a/src/chain/leaving.rs
+++ b/src/chain/leaving.rs
@@ -134,6 +134,8 @@
 /// What a member said of itself in its last heartbeat.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PeerState {
+    /// It hears no majority or cannot write: it beats and grants leases, and counts as lost from the chain.
+    pub impaired: bool,
     /// Its disk has room for changes.
     pub room: bool,
     /// It was told to stop and is about to leave.
--- a/src/chain/messages.rs
+++ b/src/chain/messages.rs
@@ -46,7 +46,8 @@
     Heartbeat {
         view: ViewNo,
         room: bool,
-        isolated: bool,
+        /// The sender hears no majority, or cannot write.
+        impaired: bool,
         leaving: bool,
     },
     Join {
--- a/src/sim/nodes.rs
+++ b/src/sim/nodes.rs
@@ -189,6 +189,7 @@
         let Some(node) = &mut n.node else { return };
         node.room = n.disk.room();
         node.slow = n.hold.slow(now);
+        node.stuck = n.hold.stuck(now);
         let from = node.journal.len();
         let out = node.feed(now, ev);
         let own = node.me.node;
@@ -206,6 +207,7 @@
         let Some(node) = &mut n.node else { return };
         node.room = n.disk.room();
         node.slow = n.hold.slow(now);
+        node.stuck = n.hold.stuck(now);
         let (own, from) = (node.me.node, node.journal.len());
         let out = keep::letter(node, now, l);
         let agreed = node.journal.since(from).filter_map(|r| Fact::of_journal(own, &r.2));
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -56,6 +56,16 @@
 leave-in-order|src/chain/leaving.rs|self.copies >= self.copies_wanted && self.votes >= self.majority|true|departure waits_for_the_others
 vote-passed-on|src/chain/view.rs|next.give_vacant_votes\(candidates\);(?=\s+next\s)||departure vote_passed_on
 stop-waits|src/sim/hurts_more.rs|if left \|\| w.now >= due|if true|departure waits_for_the_others
+log-folder-sync|src/kernel/log_file.rs|wrote.and_then\(\|\(\)\| self.folder.sync_folder\(\)\)|wrote|log_file power_goes_at_any_step
+log-discard|src/kernel/log_file.rs|self.discard_due = Some\(generation\);||log_file nothing_acknowledged_is_lost
+log-read-synced|src/kernel/log_file.rs|self.sync_what_was_read\(\*generation\)\?;||log_file what_it_read_is_still_there
+log-header|src/kernel/log_format.rs|Some\(\(other, _\)\) => return Content::OtherFormat\(other\),|Some(_) => {}|log_file refused_by_name
+log-bytes|src/chain/replication_log.rs|self.bytes >= BYTES_MAX && |false && |storm catches_up
+journal-state|src/kernel/journal.rs|if carries_state\(&note\)|if false|storm catches_up
+snapshot-back|src/chain/join.rs|pred != Some\(from\) \|\| at <= self.log.last\(\)|pred != Some(from) \|\| at <= self.committed|snapshot comes_late
+lost-tail-reset|src/chain/replicate.rs|if synced > self.log.last\(\) \{|if false {|snapshot resets_and_joins
+stuck-grants|src/kernel/hold.rs|\|\| \(stuck && needs_no_disk\(&e\)\)||hold leave_at_once
+hopeless-votes|src/chain/view_change.rs|if !self.can_write\(ctx\) \|\| !self.has_writing_majority\(ctx\)|if false|full_and_wiped served_all_the_while
 held-credit|src/gate/budget.rs| - self.held;|;|tries quiet_time
 reuse-quiet|src/http/connection.rs| \|\| !self.link.guard.is_quiet\(\)||platform_connection nobody_has_read_it_yet
 reuse-unread|src/http/exchange.rs|if !self.whole \{|if false {|platform_connection not_read_to_its_end
