--- a/src/chain/read_index.rs
+++ b/src/chain/read_index.rs
@@ -7,6 +7,7 @@
 
 use super::change_queue::{ChangeQueue, queue_full};
 use super::heartbeat::ROOM;
+use super::view::View;
 use crate::kernel::component::Context;
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
@@ -121,9 +122,7 @@
     /// confirms only while it holds its lease in that very view.
     pub(super) fn proof_requested(&mut self, view: ViewNo, sent: Time, ctx: &mut Context) {
         let (role, own) = (ctx.views.role, ctx.me.node);
-        let Some(chain) = ctx.views.view.clone().filter(|v| v.no == view && role.view == view) else {
-            return;
-        };
+        let Some(chain) = proof_view(view, ctx) else { return };
         if let Some(next) = chain.after(own) {
             return ctx.chain(next, ChainMsg::ReadIndexRequest { view, sent });
         }
@@ -136,9 +135,7 @@
     /// A reply goes back the same way, until it is at the head.
     pub(super) fn proof_given(&mut self, view: ViewNo, sent: Time, committed: Version, ctx: &mut Context) {
         let (role, own) = (ctx.views.role, ctx.me.node);
-        let Some(chain) = ctx.views.view.clone().filter(|v| v.no == view && role.view == view) else {
-            return;
-        };
+        let Some(chain) = proof_view(view, ctx) else { return };
         if let Some(previous) = chain.before(own) {
             return ctx.chain(previous, ChainMsg::ReadIndexReply { view, sent, committed });
         }
@@ -170,3 +167,11 @@
         }
     }
 }
+
+/// The chain that a proof of `view` passes along. A member that hears no majority stays silent: its letters would
+/// count as signs of life, and it would not be left out.
+fn proof_view(view: ViewNo, ctx: &Context) -> Option<View> {
+    let role = ctx.views.role;
+    let current = ctx.views.view.clone().filter(|v| v.no == view && role.view == view);
+    current.filter(|_| !role.isolated)
+}
--- a/src/chain/serving_leases.rs
+++ b/src/chain/serving_leases.rs
@@ -69,8 +69,12 @@
         role.tail && self.view == Some(role.view) && ctx.now < role.until
     }
 
-    /// The view that this node and its chain agree on.
+    /// The view that this node and its chain agree on. A member that hears no majority stays silent: its letters
+    /// would count as signs of life, and it would not be left out.
     fn current_view(&self, ctx: &Context) -> Option<View> {
+        if ctx.views.role.isolated {
+            return None;
+        }
         ctx.views.view.clone().filter(|v| Some(v.no) == self.view && v.no == ctx.views.role.view)
     }
 
@@ -173,11 +177,10 @@
     /// Tells the member before this one in the chain, which tells the one before it.
     fn tell(&mut self, ctx: &mut Context) {
         self.told = ctx.now;
-        let (role, upto) = (ctx.views.role, ctx.views.released);
-        let before = |view: &View| view.before(ctx.me.node);
-        let previous = ctx.views.view.as_ref().filter(|v| v.no == role.view).and_then(before);
-        if let Some(previous) = previous {
-            ctx.chain(previous, ChainMsg::Released { view: role.view, upto });
+        let Some(view) = self.current_view(ctx) else { return };
+        if let Some(previous) = view.before(ctx.me.node) {
+            let upto = ctx.views.released;
+            ctx.chain(previous, ChainMsg::Released { view: view.no, upto });
         }
     }
 
