--- a/src/chain/serving_leases.rs
+++ b/src/chain/serving_leases.rs
@@ -25,6 +25,7 @@
 const REPEAT_INTERVAL: Span = Span::ms(150);
 
 /// A router with a lease.
+#[derive(Clone)]
 struct Holder {
     until: Time,
     /// What it has confirmed to have.
@@ -34,7 +35,7 @@
 }
 
 /// Component of the controllers that keeps the ledger, and passes on what is released.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct ServingLeases {
     holders: BTreeMap<NodeId, Holder>,
     history: VersionHistory,
@@ -47,6 +48,11 @@
 }
 
 impl ServingLeases {
+    /// Until when serving leases that this member doesn't know of may run.
+    pub fn unknown_until(&self) -> Time {
+        self.unknown_until
+    }
+
     /// Follows the view. A member that was in the chain of the view before has recorded every application that
     /// was granted in it; another one, or one that was restarted, counts a whole lease for what it doesn't know.
     fn follow_view(&mut self, ctx: &mut Context) {
