--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -50,7 +50,6 @@
 lease-unknown|src/chain/serving_leases.rs|ctx.now \+ ctx.me.lease \+ LEASE;|ctx.now;|dark_core core_restarts
 lease-ledger|src/chain/serving_leases.rs|rows.iter\(\).for_each\(\|a\| self.record\(a, ctx\)\);||dark_core new_tail_waits
 lease-newest|src/chain/serving_leases.rs|if self.history.is_newest\(&a.request.versions\)|if true|dark_core acknowledgement_waits
-lease-newest|src/chain/serving_leases.rs|if self.history.is_newest\(&a.request.versions\)|if true|dark_core cut_off_as_a_change_comes
 vote-when-ready|src/chain/view.rs|next.chain.push\(new\);|next.chain.push(new); next.give_vacant_votes(&[new]);|second_loss lost_for_good_at_once
 ballot-synced|src/chain/view_change.rs|ctx.save\(Record::Promise \{ no, ballot \}\);||second_loss its_ballot_is_new
 ready-copies|src/chain/replicate.rs|if self.ready \{ self.lowest\(\) \} else \{ Version\(0\) \}|self.lowest()|second_loss could_go_on
