--- a/src/http/leg.rs
+++ b/src/http/attempt.rs
@@ -1,3 +1,5 @@
+//! One attempt to have a request run by one runner: the request as it is sent, and what came of it, step by step.
+
 use super::connection::SendError;
 use super::exchange::{Answer, BodyBroken, Exchange, Judged};
 use super::guard::Check;
@@ -16,9 +18,9 @@
 use std::sync::Arc;
 use tokio::sync::mpsc;
 
-const WHOLE: usize = 64 << 20;
+const WHOLE_LIMIT: usize = 64 << 20;
 
-const HOP: [&str; 9] = [
+const HOP_BY_HOP: [&str; 9] = [
     "connection",
     "keep-alive",
     "proxy-authenticate",
@@ -30,6 +32,7 @@
     "upgrade",
 ];
 
+/// The headers that are meant for the far end, without those of one connection.
 pub fn end_to_end(heads: &HeaderMap) -> HeaderMap {
     let named: Vec<String> = heads
         .get_all("connection")
@@ -40,7 +43,7 @@
     let mut out = HeaderMap::new();
     for (k, v) in heads {
         let name = k.as_str();
-        if HOP.contains(&name) || named.iter().any(|n| n == name) {
+        if HOP_BY_HOP.contains(&name) || named.iter().any(|n| n == name) {
             continue;
         }
         out.append(k.clone(), v.clone());
@@ -48,21 +51,25 @@
     out
 }
 
-pub struct Shape {
+/// A caller's request as it is handed on.
+pub struct ForwardedRequest {
     pub method: Method,
     pub uri: Uri,
     pub heads: HeaderMap,
     pub body: Bytes,
 }
 
-pub type HeadSlot = (LegNo, u16, HeaderMap);
+/// The head of a runner's answer: the attempt, its status and headers.
+pub type AttemptHead = (LegNo, u16, HeaderMap);
 
-pub enum LegEvent {
+/// What an attempt tells the forwarding that made it.
+pub enum AttemptEvent {
     Step(In),
-    Head(HeadSlot),
+    Head(AttemptHead),
 }
 
-pub fn order_for(job: &LegJob) -> Request<Full<Bytes>> {
+/// The request as this attempt's runner gets it.
+pub fn request_for(job: &Attempt) -> Request<Full<Bytes>> {
     let (shape, runner) = (&job.shape, &job.runner);
     let mut order = Request::new(Full::new(shape.body.clone()));
     *order.method_mut() = shape.method.clone();
@@ -79,27 +86,28 @@
     order
 }
 
-pub struct LegJob {
+/// All that one attempt needs.
+pub struct Attempt {
     pub no: LegNo,
     pub runner: Runner,
     pub last: Option<String>,
     pub order: Order,
     pub side: Arc<dyn RunnerSide>,
     pub clock: Arc<dyn Clock>,
-    pub shape: Arc<Shape>,
+    pub shape: Arc<ForwardedRequest>,
     pub pool: Arc<Pool>,
     pub check: Check,
     pub why: Box<dyn Fn() -> Option<Why> + Send + Sync>,
-    pub tx: mpsc::Sender<LegEvent>,
+    pub tx: mpsc::Sender<AttemptEvent>,
 }
 
 /// Sends the request, its deadline counted from the moment it is sent. A connection that turns out to be gone
 /// before a byte was written is replaced by a new one.
-async fn send(job: &LegJob) -> Result<(Exchange, HeaderMap), SendError> {
+async fn send(job: &Attempt) -> Result<(Exchange, HeaderMap), SendError> {
     loop {
         let connection = job.pool.connect(job.runner.addr).await?;
         let used = connection.is_used();
-        let request = order_for(job);
+        let request = request_for(job);
         let sent = request.headers().clone();
         match connection.send(request, job.check.clone()).await {
             Err(SendError::NotSent) if used => continue,
@@ -109,9 +117,9 @@
 }
 
 /// One try at one runner, told step by step to the forwarding that asked for it.
-pub async fn run(job: LegJob) {
+pub async fn run(job: Attempt) {
     let leg = job.no;
-    let say = |ev: In| job.tx.send(LegEvent::Step(ev));
+    let say = |ev: In| job.tx.send(AttemptEvent::Step(ev));
     let (exchange, sent) = match send(&job).await {
         Ok(done) => done,
         Err(SendError::NotSent) => return drop(say(In::OpenFailed { leg, why: None }).await),
@@ -134,28 +142,28 @@
     }
 }
 
-async fn turned_away(job: &LegJob, answer: Answer, gone: bool) {
+async fn turned_away(job: &Attempt, answer: Answer, gone: bool) {
     job.pool.drain(job.runner.addr, answer).await;
-    let _ = job.tx.send(LegEvent::Step(In::Shed { leg: job.no, gone })).await;
+    let _ = job.tx.send(AttemptEvent::Step(In::Shed { leg: job.no, gone })).await;
 }
 
 /// Hands the runner's answer on. One to a request that may run again is read as a whole first, so that another
 /// runner can still give it.
-async fn pass_on(job: &LegJob, mut answer: Answer) {
+async fn pass_on(job: &Attempt, mut answer: Answer) {
     let leg = job.no;
-    let say = |ev: In| job.tx.send(LegEvent::Step(ev));
+    let say = |ev: In| job.tx.send(AttemptEvent::Step(ev));
     let status = answer.status();
     let heads = end_to_end(answer.headers());
     let kind = heads.get("content-type").and_then(|v| v.to_str().ok()).unwrap_or("");
     let stream = kind.starts_with("text/event-stream");
     let mut whole = None;
     if job.order.kind == RouteKind::Idempotent && !stream {
-        match answer.collect(WHOLE).await {
+        match answer.collect(WHOLE_LIMIT).await {
             Ok(body) => whole = Some(body),
             Err(BodyBroken) => return drop(say(In::Lost { leg }).await),
         }
     }
-    if job.tx.send(LegEvent::Head((leg, status, heads))).await.is_err()
+    if job.tx.send(AttemptEvent::Head((leg, status, heads))).await.is_err()
         || say(In::Head { leg, status, stream }).await.is_err()
     {
         return;
--- a/src/http/carry.rs
+++ b/src/http/forward.rs
@@ -1,5 +1,7 @@
+//! Forwarding one request: carries out what the forwarding's state machine decides.
+
 use super::answer::{Broken, Flow, OutBody, own, refused};
-use super::leg::{self, LegEvent, LegJob, Shape};
+use super::attempt::{self, Attempt, AttemptEvent, ForwardedRequest};
 use super::pool::Pool;
 use crate::gate::{Gate, Order, Plan};
 use crate::kernel::time::Clock;
@@ -19,38 +21,41 @@
 const TICK: Duration = Duration::from_millis(50);
 const STALL: Duration = Duration::from_secs(30);
 
-pub struct Carrier {
+/// The work on one request.
+pub struct Forwarder {
     pub gate: Arc<Mutex<Gate>>,
     pub pool: Arc<Pool>,
     pub clock: Arc<dyn Clock>,
-    pub shape: Arc<Shape>,
+    pub shape: Arc<ForwardedRequest>,
     pub side: Arc<dyn RunnerSide>,
     pub caller: Arc<dyn CallerSide>,
     ride: Ride,
     legs: BTreeMap<LegNo, JoinHandle<()>>,
     heads: BTreeMap<LegNo, (u16, HeaderMap)>,
-    tx: mpsc::Sender<LegEvent>,
+    tx: mpsc::Sender<AttemptEvent>,
     woken: mpsc::UnboundedSender<Plan>,
     first: Option<oneshot::Sender<Response<OutBody>>>,
     body: Option<mpsc::Sender<Result<Bytes, Broken>>>,
 }
 
-pub struct Cargo {
+/// A request to be forwarded.
+pub struct ForwardJob {
     pub order: Order,
-    pub shape: Arc<Shape>,
+    pub shape: Arc<ForwardedRequest>,
     pub sides: Sides,
 }
 
-pub async fn carry(
+/// Forwards a request until its answer is whole, broken off or nobody waits for it any more.
+pub async fn forward(
     gate: Arc<Mutex<Gate>>,
     pool: Arc<Pool>,
     clock: Arc<dyn Clock>,
-    job: Cargo,
+    job: ForwardJob,
     first: oneshot::Sender<Response<OutBody>>,
 ) {
     let (tx, mut rx) = mpsc::channel(16);
     let (woken, mut wakes) = mpsc::unbounded_channel();
-    let mut c = Carrier {
+    let mut c = Forwarder {
         gate,
         pool,
         clock,
@@ -72,8 +77,8 @@
         let ev = tokio::select! {
             Some(plan) = wakes.recv() => In::Woken(plan),
             Some(ev) = rx.recv() => match ev {
-                LegEvent::Step(ev) => ev,
-                LegEvent::Head((leg, status, heads)) => {
+                AttemptEvent::Step(ev) => ev,
+                AttemptEvent::Head((leg, status, heads)) => {
                     c.heads.insert(leg, (status, heads));
                     continue;
                 }
@@ -103,7 +108,7 @@
     }
 }
 
-impl Carrier {
+impl Forwarder {
     async fn step(&mut self, ev: In) {
         let now = self.clock.now();
         let outs = self.ride.step(now, ev, &mut self.gate.lock().unwrap());
@@ -160,7 +165,7 @@
             move || gate.lock().unwrap().check(clock.now(), &order, &name).err()
         };
         let again = check.clone();
-        let job = LegJob {
+        let job = Attempt {
             no,
             runner,
             last,
@@ -173,7 +178,7 @@
             why: Box::new(again),
             tx: self.tx.clone(),
         };
-        self.legs.insert(no, tokio::spawn(leg::run(job)));
+        self.legs.insert(no, tokio::spawn(attempt::run(job)));
     }
 
     fn answer(&mut self, response: Response<OutBody>) {
@@ -211,7 +216,7 @@
     }
 }
 
-impl Drop for Carrier {
+impl Drop for Forwarder {
     fn drop(&mut self) {
         for h in self.legs.values() {
             h.abort();
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,11 +1,13 @@
+//! HTTP/1.1 on both sides: connections from clients and operators, connections to runners, and the way between.
+
 pub mod admin;
 pub mod answer;
-pub mod carry;
+pub mod attempt;
 pub mod client;
 pub mod connection;
 pub mod exchange;
+pub mod forward;
 pub mod guard;
-pub mod leg;
 pub mod own;
 pub mod pool;
 pub mod sender;
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -1,7 +1,7 @@
 use super::answer::{OutBody, own, refused, too_slow};
-use super::carry::{Cargo, carry};
+use super::attempt::{ForwardedRequest, end_to_end};
 use super::client::ClientConnections;
-use super::leg::{Shape, end_to_end};
+use super::forward::{ForwardJob, forward};
 use super::pool::Pool;
 use crate::fleet::config::Sort;
 use crate::fleet::slice::RouteRow;
@@ -118,13 +118,13 @@
         };
         self.seen.add(&order, &host, parts.uri.path(), body.len());
         let uri = parts.uri.path_and_query().map_or("/", |p| p.as_str()).parse().unwrap_or_default();
-        let shape = Arc::new(Shape { method: parts.method, uri, heads, body });
+        let shape = Arc::new(ForwardedRequest { method: parts.method, uri, heads, body });
         let (tx, rx) = oneshot::channel();
-        let work = carry(
+        let work = forward(
             gate,
             self.pool.clone(),
             self.clock.clone(),
-            Cargo { order, shape, sides: self.sides.clone() },
+            ForwardJob { order, shape, sides: self.sides.clone() },
             tx,
         );
         let me = self.clone();
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -58,11 +58,11 @@
 reuse-rest|src/http/connection.rs|now >= self.until \|\||false \|\||platform_connection names_an_end
 drop-resets|src/http/connection.rs|self.guard.give_up\(\);||platform_gone long_body_half_way
 interim|src/http/exchange.rs|if self.response.status\(\).is_informational\(\)|if false|platform_connection interim_status
-no-resend|src/http/leg.rs|Err\(SendError::NotSent\) if used|Err(SendError::NotSent \| SendError::Unsure) if used|platform_gone after_a_request_came
+no-resend|src/http/attempt.rs|Err\(SendError::NotSent\) if used|Err(SendError::NotSent \| SendError::Unsure) if used|platform_gone after_a_request_came
 once-after-reset|src/pass/resume.rs|        self.order.resumable \|\| \(self|        true \|\| (self|platform_cuts_runner may_run_once
 own-id|src/platform/runner.rs|if other \{\s+return Verdict::Stray;|if false { return Verdict::Stray;|platform_links surplus_answer
-deadline-left|src/http/leg.rs|job.order.end.since\(job.clock.now\(\)\)|job.order.aim|platform_links told_what_is_left
-caller-gone|src/http/carry.rs|_ = gone\(&mut c.first, &c.body\) => In::Gone,||platform_gone caller_that_leaves
+deadline-left|src/http/attempt.rs|job.order.end.since\(job.clock.now\(\)\)|job.order.aim|platform_links told_what_is_left
+caller-gone|src/http/forward.rs|_ = gone\(&mut c.first, &c.body\) => In::Gone,||platform_gone caller_that_leaves
 whole-by|src/pass/shift.rs|self.order.whole_by.is_some_and|None::<Time>.is_some_and|platform_gone answer_that_has_begun
 late-answer|src/pass/shift.rs|if !self.began && now >= self.order.end|if false|platform_gone late_answer
 head-size|src/http/serve.rs|if head_bytes\(&order\) > |if false && 0 > |platform_limits limit_on_heads
