--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod acceptor;
 pub mod adoption;
+pub mod adoption_queue;
 pub mod change_queue;
 pub mod core;
 pub mod founding;
@@ -14,6 +15,7 @@
 pub mod lease;
 pub mod leaving;
 pub mod messages;
+pub mod own_change;
 pub mod publish;
 pub mod read_index;
 pub mod recovery;
@@ -22,6 +24,7 @@
 pub mod reply;
 pub mod serving_leases;
 pub mod show;
+pub mod version_history;
 pub mod view;
 pub mod view_change;
 pub use self::core::Chain;
--- a/src/chain/read_index.rs
+++ b/src/chain/read_index.rs
@@ -5,7 +5,7 @@
 //! request sent after the order arrived, that it holds its lease in the head's own view, and until the head has
 //! applied all that the tail had committed then. Without that the order is turned away untouched.
 
-use super::change_queue::ChangeQueue;
+use super::change_queue::{ChangeQueue, queue_full};
 use super::heartbeat::ROOM;
 use crate::kernel::component::Context;
 use crate::kernel::ids::*;
@@ -99,9 +99,7 @@
     fn arrived(&mut self, from: NodeId, id: ChangeId, attempt: u64, op: &Op, ctx: &mut Context) {
         let arrival = Arrival { from, id, attempt, op: op.clone(), since: ctx.now };
         if !self.read_index.add(arrival) {
-            let text = "too many changes wait; this one was not taken, send it again later";
-            let answer = Answer::new(429, "inbox-full", text, 1);
-            return ctx.send(from, Msg::OpEnd { id, attempt, answer });
+            return ctx.send(from, Msg::OpEnd { id, attempt, answer: queue_full() });
         }
         self.request_proof(ctx);
     }
@@ -153,7 +151,7 @@
     /// Decides on all orders that are older than the proof.
     pub(super) fn admit(&mut self, ctx: &mut Context) {
         for a in self.read_index.confirmed(ctx.views.state.at) {
-            self.op(a.from, a.id, a.attempt, &a.op, ctx);
+            self.decide(a.from, a.id, a.attempt, &a.op, ctx);
         }
     }
 
--- a/src/chain/show.rs
+++ b/src/chain/show.rs
@@ -1,5 +1,6 @@
 use super::change_queue::ChangeQueue;
-use super::reply::TAKEN;
+use crate::fleet::FleetState;
+use crate::fleet::state::OutcomeCode;
 use crate::json::Tree;
 use crate::json::tree::map;
 use crate::kernel::component::{Context, Views};
@@ -42,19 +43,18 @@
         ["runners"] => state.runners.iter().map(|r| r.tree()).collect::<Vec<_>>().into(),
         ["nodes"] => nodes(views),
         ["change", id] => {
-            let id = ChangeId::parse(id);
-            if let Some(o) = id.and_then(|id| state.outcome(id)) {
-                if o.code == TAKEN && o.at > views.released {
-                    return Answer::new(
-                        202,
-                        "taken",
-                        "the change is on its way to the routers; ask again",
-                        1,
-                    );
-                }
+            let name = ChangeId::parse_name(id);
+            if let Some(at) = name.and_then(|name| taken_at(state, name)).filter(|at| *at > views.released) {
+                let text = format!("the change is on its way to the routers as {at}; ask again");
+                return Answer::new(202, "taken", &text, 1);
+            }
+            if let Some(o) = name.and_then(|name| state.outcome_named(name)) {
                 return Answer::ok(o.tree().to_string());
             }
-            if state.trial.as_ref().is_some_and(|t| Some(t.id) == id) {
+            if let Some(order) = name.and_then(|name| state.ledger.taken_as(name)) {
+                return super::reply::taken(order);
+            }
+            if state.trial.as_ref().is_some_and(|t| Some(t.id.name) == name) {
                 return Answer::new(202, "rehearsing", "the change is under rehearsal; ask again", 1);
             }
             let text = "no such change is recorded; it was not taken, or is too old to be kept";
@@ -65,6 +65,14 @@
     Answer::ok(tree.to_string())
 }
 
+/// The version of the change of this name, if it was taken.
+fn taken_at(state: &FleetState, name: u128) -> Option<Version> {
+    match state.outcome_named(name) {
+        Some(outcome) => (outcome.code == OutcomeCode::Ok).then_some(outcome.at),
+        None => state.ledger.taken_as(name).map(|order| order.at),
+    }
+}
+
 fn status(views: &Views) -> Tree {
     let Tree::Map(mut rows) = views.state.tree() else { return Tree::Null };
     rows.push(("fleet".into(), views.fleet.to_string().into()));
--- a/src/hollow/freshness.rs
+++ b/src/hollow/freshness.rs
@@ -13,7 +13,7 @@
             self.routes_at = self.routes_at.max(at);
         }
         if let Some(Slice::Trial(t)) = slice {
-            self.trial = t.as_ref().map_or(ChangeId(0), |c| c.id);
+            self.trial = t.as_ref().map_or(ChangeId::default(), |c| c.id);
         }
         let row = self.proven.entry(scope.clone()).or_default();
         *row = (*row).max(proven);
