--- a/src/chain/core.rs
+++ b/src/chain/core.rs
@@ -152,7 +152,10 @@
             }
             ChainMsg::LeaseRequest { view, sent } => self.lease_requested(from, *view, *sent, ctx),
             ChainMsg::LeaseGrant { view, sent } => self.lease_granted(from, *view, *sent, ctx),
-            ChainMsg::ReadIndexRequest { .. } | ChainMsg::ReadIndexReply { .. } => {}
+            ChainMsg::LeaseApplications { .. }
+            | ChainMsg::Released { .. }
+            | ChainMsg::ReadIndexRequest { .. }
+            | ChainMsg::ReadIndexReply { .. } => {}
         }
     }
 }
--- a/src/chain/installation.rs
+++ b/src/chain/installation.rs
@@ -35,6 +35,9 @@
         }
         self.joiner.stop(view.has(self.ident));
         self.lead_from = self.log.last();
+        if self.view.is_none() && view.no == ViewNo(1) {
+            ctx.publish(JournalEvent::Founded);
+        }
         self.view = Some(view.clone());
         ctx.publish(JournalEvent::ViewInstalled(view));
         self.announce(ctx);
--- /dev/null
+++ b/src/chain/serving_leases.rs
@@ -0,0 +1,229 @@
+//! The ledger of serving leases, kept by all members of the chain, and the version up to which changes are released.
+//!
+//! Routers serve by a lease for longer than `proof` after their last contact (see
+//! `distribution::serving_lease`). So that nobody is served by an old configuration `proof` after a newer one was
+//! acknowledged, the head acknowledges a change only once it is *released*: each router that holds a lease has
+//! confirmed it, or has at most `proof` left of that lease.
+//!
+//! Requests enter at the head and go along the chain; each member records one in memory before the next member
+//! gets it, and the tail grants it. So whichever member is the next tail has the whole ledger. A member that is
+//! new in the chain, or was restarted, counts all that it can't know as running for a whole lease from then.
+
+use super::lease::LEASE;
+use super::version_history::VersionHistory;
+use super::view::View;
+use crate::kernel::component::{Component, Context};
+use crate::kernel::ids::*;
+use crate::kernel::time::{Span, Time};
+use crate::msg::*;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// What a router's clock may lose against the tail's while a lease runs.
+const CLOCK_DRIFT_MARGIN: Span = Span::ms(20);
+/// How often the released version is told up the chain again.
+const REPEAT_INTERVAL: Span = Span::ms(150);
+
+/// A router with a lease.
+#[derive(Clone)]
+struct Holder {
+    until: Time,
+    /// What it has confirmed to have.
+    versions: Vec<Version>,
+    address: Option<SocketAddr>,
+    number: LeaseNumber,
+}
+
+/// Component of the controllers that keeps the ledger, and passes on what is released.
+#[derive(Clone, Default)]
+pub struct ServingLeases {
+    holders: BTreeMap<NodeId, Holder>,
+    history: VersionHistory,
+    /// The view in which this node is a member, and the ledger is whole but for what `unknown_until` covers.
+    view: Option<ViewNo>,
+    unknown_until: Time,
+    waiting: Vec<LeaseApplication>,
+    count: u64,
+    told: Time,
+}
+
+impl ServingLeases {
+    /// Until when serving leases that this member doesn't know of may run.
+    pub fn unknown_until(&self) -> Time {
+        self.unknown_until
+    }
+
+    /// Follows the view. A member that was in the chain of the view before has recorded every application that
+    /// was granted in it; another one, or one that was restarted, counts a whole lease for what it doesn't know.
+    fn follow_view(&mut self, ctx: &mut Context) {
+        let view = ctx.views.role.view;
+        if self.view == Some(view) {
+            return;
+        }
+        let inside = ctx.views.view.as_ref().is_some_and(|v| v.no == view && v.has(ctx.me.node));
+        let went_on = inside && self.view.is_some_and(|old| old.next() == view);
+        if !went_on {
+            self.holders.clear();
+            self.history.clear();
+            self.unknown_until = ctx.now + ctx.me.lease + LEASE;
+        }
+        self.view = inside.then_some(view);
+    }
+
+    fn leads(&self, ctx: &Context) -> bool {
+        let role = ctx.views.role;
+        role.tail && self.view == Some(role.view) && ctx.now < role.until
+    }
+
+    /// The view that this node and its chain agree on.
+    fn current_view(&self, ctx: &Context) -> Option<View> {
+        ctx.views.view.clone().filter(|v| Some(v.no) == self.view && v.no == ctx.views.role.view)
+    }
+
+    /// At the head: a request is numbered and goes along the chain with the others of this moment.
+    fn requested(&mut self, router: NodeId, request: &ServingLeaseRequest, ctx: &mut Context) {
+        let view = self.current_view(ctx).filter(|v| v.head() == Some(ctx.me.node));
+        let Some(view) = view else {
+            let view = ctx.views.view.clone();
+            return ctx.send(router, Msg::UpdateRefused { nonce: 0, view });
+        };
+        self.count += 1;
+        let number = LeaseNumber { view: view.no, count: self.count };
+        let address = ctx.views.member(router).map(|m| m.addr);
+        self.waiting.push(LeaseApplication { number, router, address, request: request.clone() });
+    }
+
+    fn pass_waiting(&mut self, ctx: &mut Context) {
+        let rows = std::mem::take(&mut self.waiting);
+        if let (Some(view), false) = (self.current_view(ctx), rows.is_empty()) {
+            self.applied(view.no, &rows, ctx);
+        }
+    }
+
+    /// Records applications, and passes them on; the tail grants them.
+    fn applied(&mut self, no: ViewNo, rows: &[LeaseApplication], ctx: &mut Context) {
+        let Some(view) = self.current_view(ctx).filter(|v| v.no == no) else { return };
+        self.history.follow(&ctx.views.state);
+        if let Some(next) = view.after(ctx.me.node) {
+            rows.iter().for_each(|a| self.record(a, ctx));
+            return ctx.chain(next, ChainMsg::LeaseApplications { view: no, rows: rows.to_vec() });
+        }
+        if self.leads(ctx) {
+            rows.iter().for_each(|a| self.judge(a, ctx));
+            self.release(ctx);
+        }
+    }
+
+    fn record(&mut self, a: &LeaseApplication, ctx: &Context) {
+        self.end_earlier_lives(a);
+        let until = ctx.now + ctx.me.lease;
+        let versions = a.request.versions.clone();
+        self.holders.insert(a.router, Holder { until, versions, address: a.address, number: a.number });
+    }
+
+    /// The tail grants a lease to a router that has the newest of everything; else it only notes what it has.
+    fn judge(&mut self, a: &LeaseApplication, ctx: &mut Context) {
+        if self.history.is_newest(&a.request.versions) {
+            self.record(a, ctx);
+            let (nonce, grant, length) = (a.request.nonce, a.number, ctx.me.lease);
+            return ctx.send(a.router, Msg::ServingLeaseGrant(ServingLeaseGrant { nonce, grant, length }));
+        }
+        self.end_earlier_lives(a);
+        let covered = self.history.covers(&a.request.versions);
+        if let Some(holder) = self.holders.get_mut(&a.router)
+            && covered >= self.history.covers(&holder.versions)
+        {
+            holder.versions = a.request.versions.clone();
+            holder.number = a.number;
+        }
+    }
+
+    /// A process that got a grant is alive after it. Another one at its address that had asked before has ended
+    /// since: two processes never hold one address at a time.
+    fn end_earlier_lives(&mut self, a: &LeaseApplication) {
+        if a.address.is_some() {
+            let ended = |id: &NodeId, h: &Holder| {
+                *id != a.router && h.address == a.address && h.number < a.request.last_grant
+            };
+            self.holders.retain(|id, h| !ended(id, h));
+        }
+    }
+
+    /// The newest version that no router can be behind of for longer than `proof` from now.
+    fn releasable(&mut self, ctx: &Context) -> Version {
+        let horizon = ctx.now + ctx.me.proof;
+        if self.unknown_until + CLOCK_DRIFT_MARGIN > horizon {
+            return Version(0);
+        }
+        self.holders.retain(|_, h| h.until + CLOCK_DRIFT_MARGIN > horizon);
+        let confirmed = self.holders.values().map(|h| self.history.covers(&h.versions));
+        confirmed.min().unwrap_or(ctx.views.state.at).min(ctx.views.state.at)
+    }
+
+    fn release(&mut self, ctx: &mut Context) {
+        if !self.leads(ctx) {
+            return;
+        }
+        self.history.follow(&ctx.views.state);
+        let upto = self.releasable(ctx);
+        self.raise(upto, ctx);
+    }
+
+    fn raise(&mut self, upto: Version, ctx: &mut Context) {
+        if upto > ctx.views.released {
+            ctx.publish(JournalEvent::Released(upto));
+            self.tell(ctx);
+        }
+    }
+
+    /// Tells the member before this one in the chain, which tells the one before it.
+    fn tell(&mut self, ctx: &mut Context) {
+        self.told = ctx.now;
+        let (role, upto) = (ctx.views.role, ctx.views.released);
+        let before = |view: &View| view.before(ctx.me.node);
+        let previous = ctx.views.view.as_ref().filter(|v| v.no == role.view).and_then(before);
+        if let Some(previous) = previous {
+            ctx.chain(previous, ChainMsg::Released { view: role.view, upto });
+        }
+    }
+
+    fn tick(&mut self, ctx: &mut Context) {
+        self.follow_view(ctx);
+        self.pass_waiting(ctx);
+        self.release(ctx);
+        if ctx.now.since(self.told) >= REPEAT_INTERVAL {
+            self.tell(ctx);
+        }
+    }
+}
+
+impl Component for ServingLeases {
+    fn name(&self) -> &'static str {
+        "serving_leases"
+    }
+
+    fn on(&mut self, ev: &Event, ctx: &mut Context) {
+        self.follow_view(ctx);
+        match ev {
+            Event::Journal(JournalEvent::Founded) => self.unknown_until = ctx.now,
+            Event::Mail { from, msg: Msg::ServingLeaseRequest(request), .. } => {
+                self.requested(*from, request, ctx)
+            }
+            Event::Mail { msg: Msg::Chain(ChainMsg::LeaseApplications { view, rows }), .. } => {
+                self.applied(*view, rows, ctx)
+            }
+            Event::Mail { msg: Msg::Chain(ChainMsg::Released { view, upto }), .. }
+                if *view == ctx.views.role.view =>
+            {
+                self.raise(*upto, ctx)
+            }
+            Event::Journal(JournalEvent::Committed { .. }) => self.release(ctx),
+            Event::Tick => self.tick(ctx),
+            _ => {}
+        }
+    }
+
+    fn status(&self, _now: Time) -> Vec<(&'static str, String)> {
+        vec![("holders", self.holders.len().to_string())]
+    }
+}
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -2,7 +2,9 @@
 
 pub use crate::chain::messages::*;
 use crate::chain::view::View;
-pub use crate::distribution::messages::TopicUpdate;
+pub use crate::distribution::messages::{
+    LeaseApplication, LeaseNumber, ServingLeaseGrant, ServingLeaseRequest, TopicUpdate,
+};
 use crate::fleet::holdings::{HeldTell, Want};
 use crate::fleet::runner::Runner;
 use crate::fleet::state::{Change, Scope};
@@ -37,6 +39,8 @@
     UpdateReply { nonce: u64, items: Vec<TopicUpdate> },
     UpdatePush { items: Vec<TopicUpdate> },
     UpdateRefused { nonce: u64, view: Option<View> },
+    ServingLeaseRequest(ServingLeaseRequest),
+    ServingLeaseGrant(ServingLeaseGrant),
     Op { id: ChangeId, attempt: u64, op: Op },
     OpPending { id: ChangeId, attempt: u64 },
     OpEnd { id: ChangeId, attempt: u64, answer: Answer },
@@ -54,7 +58,7 @@
 pub enum Op {
     Whole { base: Option<Version>, text: String },
     Part { base: Option<Version>, text: String },
-    Foreign { base: u64, part: bool, text: String },
+    Foreign { base: Option<u64>, part: bool, text: String },
     Runners(Vec<Runner>),
     Leaving(Name),
     Propose,
@@ -63,6 +67,13 @@
     Internal(Change),
 }
 
+impl Op {
+    /// The digest of what is asked for, for calls that come in as such and not as a document.
+    pub fn document(&self) -> DocumentDigest {
+        DocumentDigest::of(&[&bitcode::encode(self)])
+    }
+}
+
 /// The answer to an operator: `retry_s` tells when to ask again, 0 for never.
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub struct Answer {
--- a/tests/cut_off.rs
+++ b/tests/cut_off.rs
@@ -99,9 +99,9 @@
     fn write(&mut self) {
         let base = self.newest;
         self.sent += 1;
-        let id = self.office.w.fresh_id();
+        let op = Op::Foreign { base: Some(base), part: true, text: format!("nothing {}", self.sent) };
+        let id = ChangeId::named(self.office.w.fresh_id().name, op.document());
         self.questions.push(Question { id, at: self.office.w.now, newest: base, base: Some(base) });
-        let op = Op::Foreign { base, part: true, text: format!("nothing {}", self.sent) };
         self.office.w.operate(self.lost, Event::Op { id, op });
     }
 
@@ -148,7 +148,6 @@
         while self.office.w.now.since(since) < due {
             self.read();
             let id = self.questions.last().expect("one was asked").id;
-            let lost = self.lost;
             let _ = self.office.w.until(STEP, |w| w.answers.contains_key(&id));
             if self.office.w.answers.get(&id).is_some_and(|a| a.status == 200) {
                 return Some(self.office.w.now.since(since));
