Log file: an append follows the failed call (not run yet)

The guard log-discard still passed: the story repeated the failed rewrite itself, which never shows a leftover.

--- a/tests/log_file.rs
+++ b/tests/log_file.rs
@@ -119,7 +119,7 @@
             states += judge_every_loss(&folder, &held, &next);
             folder.reach();
             let mut held = if done { next } else { held };
-            for more in &STORY[call..] {
+            for more in [&[Call::Add(50)][..], &STORY[call..]].concat().iter() {
                 assert!(carry_out(&mut log, *more), "it goes on after the failure");
                 let next = after(&held, *more);
                 states += judge_every_loss(&folder, &held, &next);
