--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -77,10 +77,6 @@
 rest-longer|src/http/client.rs|limit.max\(Span::ms\(limits.idle_ms\)\)|Span::ms(limits.idle_ms)|platform_limits limit_shrinks
 dark-once|src/pass/shift.rs|self.may_run_again\(\) && gate.dark|gate.dark|ride that_is_dark
 move-runners|src/pass/shift.rs|if self.opened >= self.order.tries \{\s+return;|if false { return;|ride most_runners
-explore-majority|src/chain/view.rs|self.voters.len\(\) / 2 \+ 1|self.voters.len() / 2|explore searched_by_levels
-explore-lease|src/chain/acceptor.rs|if ends_lease && self.lease_may_run|if false && ends_lease && self.lease_may_run|explore searched_by_levels
-explore-grant|src/chain/acceptor.rs|self.accepted.is_none\(\) && self.deferred.is_none\(\) && now >= self.pause|now.0 > 0|explore searched_by_levels
-explore-sync|src/kernel/hold.rs|if apart\(&e, bare\)|if apart(&e, bare) \|\| sent(&e)|explore searched_by_levels
 order-digest|src/kernel/change_id.rs|hasher.update\(part\);|hasher.update(&part[..part.len().min(2)]);|order_identity digests_differ
 order-digest-lengths|src/kernel/change_id.rs|hasher.update\(\(part.len\(\) as u64\).to_le_bytes\(\)\);||order_identity digests_differ
 ledger-apart|src/fleet/ledger.rs|if !order.id.is_operators\(\) \{\s+return;\s+\}\s+self.taken|self.taken|order_identity thousands_of_internal
