--- a/src/chain/adoption.rs
+++ b/src/chain/adoption.rs
@@ -13,7 +13,7 @@
 use crate::kernel::ids::*;
 use crate::kernel::time::Span;
 use crate::msg::*;
-use std::cell::OnceCell;
+use std::sync::OnceLock;
 
 /// How long an order waits for a base that nobody has sent yet.
 const BASE_WAIT: Span = Span::ms(600);
@@ -40,7 +40,7 @@
         }
         let (base, part, text) = (*base, *part, text.clone());
         let order =
-            WaitingOrder { id, base, part, text, revision: OnceCell::new(), since: ctx.now, refusing: None };
+            WaitingOrder { id, base, part, text, revision: OnceLock::new(), since: ctx.now, refusing: None };
         self.adoptions.orders.push(order);
         self.adopt_next(ctx);
     }
--- a/src/chain/adoption_queue.rs
+++ b/src/chain/adoption_queue.rs
@@ -8,9 +8,9 @@
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 use crate::seam::OperatorSide;
-use std::cell::OnceCell;
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::OnceLock;
 
 /// How long a router's account of its live routes is used.
 const LIVE_FOR: Span = Span::ms(6000);
@@ -23,7 +23,7 @@
     pub part: bool,
     pub text: String,
     /// The revision that it would make, if its document names one; read when it is first asked for.
-    pub revision: OnceCell<Option<u64>>,
+    pub revision: OnceLock<Option<u64>>,
     pub since: Time,
     /// When its refusal was handed to the chain.
     pub refusing: Option<Time>,
--- a/src/chain/change_queue.rs
+++ b/src/chain/change_queue.rs
@@ -16,7 +16,7 @@
 use super::adoption_queue::AdoptionQueue;
 use super::heartbeat::ROOM;
 use super::read_index::ReadIndex;
-use super::reply::decided;
+use super::reply::{answerable, decided};
 
 /// How many changes wait at the head, for each of the two formats.
 pub(super) const QUEUE_CAPACITY: usize = 64;
@@ -49,7 +49,10 @@
     pub(super) fn decide(&mut self, from: NodeId, id: ChangeId, attempt: u64, op: &Op, ctx: &mut Context) {
         self.callers.insert(id, (from, attempt));
         if ctx.views.state.decision(id).is_some() {
-            return self.answer_if_decided(id, ctx);
+            if self.answer_if_decided(id, ctx) {
+                return;
+            }
+            return ctx.send(from, Msg::OpPending { id, attempt });
         }
         if self.is_under_way(id, ctx) {
             return ctx.send(from, Msg::OpPending { id, attempt });
@@ -79,16 +82,15 @@
             || self.submitted.get(&id).is_some_and(|since| ctx.now.since(*since) < RESUBMIT_AFTER)
     }
 
-    /// Tells whoever asked the committed end of a change, once the chain holds it in enough copies.
-    fn answer_if_decided(&mut self, id: ChangeId, ctx: &mut Context) {
-        if !ctx.views.role.safe {
-            return;
-        }
-        let Some(decision) = ctx.views.state.decision(id) else { return };
+    /// Tells whoever asked the committed end of a change, if it may be told; whether it did.
+    fn answer_if_decided(&mut self, id: ChangeId, ctx: &mut Context) -> bool {
+        let decision = ctx.views.state.decision(id).filter(|decision| answerable(decision, ctx.views));
+        let Some(decision) = decision else { return false };
         let refused = matches!(decision, Decision::Outcome(outcome) if outcome.code != OutcomeCode::Ok);
         let full = self.refusals.remove(&id).filter(|_| refused);
         let answer = full.unwrap_or_else(|| decided(decision));
         self.end(id, answer, ctx);
+        true
     }
 
     /// Answers whoever waits for the change and forgets it.
@@ -200,6 +202,7 @@
                 self.admit(ctx);
                 self.settle(ctx);
             }
+            Event::Journal(JournalEvent::Released(_)) => self.settle(ctx),
             Event::Tick => {
                 self.read_index_tick(ctx);
                 self.settle(ctx);
--- a/src/chain/reply.rs
+++ b/src/chain/reply.rs
@@ -3,6 +3,7 @@
 use crate::fleet::ledger::{LedgerEntry, TakenOrder};
 use crate::fleet::state::{Decision, Outcome, OutcomeCode};
 use crate::json::tree::map;
+use crate::kernel::component::Views;
 use crate::kernel::fault::Fault;
 use crate::msg::Answer;
 
@@ -71,3 +72,9 @@
     let text = "its base is older than this fleet remembers; it may have been taken: read the current one";
     Answer::new(503, "outcome-unknown", text, 5)
 }
+
+/// Whether the end may be told: all copies that must be there have it, and a change that was taken is released
+/// (see `serving_leases`).
+pub fn answerable(decision: &Decision, views: &Views) -> bool {
+    views.role.safe && decision.taken_at().is_none_or(|at| at <= views.released)
+}
--- a/src/chain/show.rs
+++ b/src/chain/show.rs
@@ -1,4 +1,5 @@
 use super::change_queue::ChangeQueue;
+use crate::fleet::state::OutcomeCode;
 use crate::json::Tree;
 use crate::json::tree::map;
 use crate::kernel::component::{Context, Views};
@@ -43,6 +44,14 @@
         ["change", id] => {
             let name = ChangeId::parse_name(id);
             if let Some(o) = name.and_then(|name| state.outcome_named(name)) {
+                if o.code == OutcomeCode::Ok && o.at > views.released {
+                    return Answer::new(
+                        202,
+                        "taken",
+                        "the change is on its way to the routers; ask again",
+                        1,
+                    );
+                }
                 return Answer::ok(o.tree().to_string());
             }
             if let Some(order) = name.and_then(|name| state.ledger.taken_as(name)) {
--- a/src/fleet/outcome.rs
+++ b/src/fleet/outcome.rs
@@ -73,3 +73,14 @@
     Outcome(&'a Outcome),
     Ledger(LedgerEntry),
 }
+
+impl Decision<'_> {
+    /// The version that the change made, if it was taken.
+    pub fn taken_at(&self) -> Option<Version> {
+        match self {
+            Decision::Outcome(outcome) => (outcome.code == OutcomeCode::Ok).then_some(outcome.at),
+            Decision::Ledger(LedgerEntry::Taken(order)) => Some(order.at),
+            Decision::Ledger(_) => None,
+        }
+    }
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,6 +1,8 @@
+pub mod board;
 pub mod choose;
 pub mod decision;
 pub mod demand;
+pub mod distrust;
 pub mod drive;
 pub mod duty;
 pub mod fill;
@@ -8,6 +10,7 @@
 pub mod holder;
 pub mod job;
 pub mod look;
+pub mod meet;
 pub mod nominate;
 pub mod order;
 pub mod pacer;
