--- a/tests/order_identity.rs
+++ b/tests/order_identity.rs
@@ -44,6 +44,7 @@
     let of = DocumentDigest::of;
     assert_ne!(of(&[b"PUT", b"5 {}"]), of(&[b"PUT5", b" {}"]));
     assert_ne!(of(&[b"", b"a"]), of(&[b"a", b""]));
+    assert_ne!(of(&[b"PUT", b"one beginning 1"]), of(&[b"PUT", b"one beginning 2"]));
     assert_eq!(ChangeId::of_document(of(&[b"a"])), ChangeId::of_document(of(&[b"a"])));
 }
 
