--- a/src/chain/change_queue.rs
+++ b/src/chain/change_queue.rs
@@ -49,10 +49,10 @@
     pub(super) fn decide(&mut self, from: NodeId, id: ChangeId, attempt: u64, op: &Op, ctx: &mut Context) {
         self.callers.insert(id, (from, attempt));
         if ctx.views.state.decision(id).is_some() {
-            if !self.answer_if_decided(id, ctx) {
-                ctx.send(from, Msg::OpPending { id, attempt });
+            if self.answer_if_decided(id, ctx) {
+                return;
             }
-            return;
+            return ctx.send(from, Msg::OpPending { id, attempt });
         }
         if self.is_under_way(id, ctx) {
             return ctx.send(from, Msg::OpPending { id, attempt });
@@ -82,9 +82,9 @@
             || self.submitted.get(&id).is_some_and(|since| ctx.now.since(*since) < RESUBMIT_AFTER)
     }
 
-    /// Tells whoever asked the committed end of a change, once the chain holds it in enough copies.
+    /// Tells whoever asked the committed end of a change, if it may be told; whether it did.
     fn answer_if_decided(&mut self, id: ChangeId, ctx: &mut Context) -> bool {
-        let decision = ctx.views.state.decision(id).filter(|d| answerable(d, ctx.views));
+        let decision = ctx.views.state.decision(id).filter(|decision| answerable(decision, ctx.views));
         let Some(decision) = decision else { return false };
         let refused = matches!(decision, Decision::Outcome(outcome) if outcome.code != OutcomeCode::Ok);
         let full = self.refusals.remove(&id).filter(|_| refused);
--- a/src/chain/reply.rs
+++ b/src/chain/reply.rs
@@ -5,7 +5,6 @@
 use crate::json::tree::map;
 use crate::kernel::component::Views;
 use crate::kernel::fault::Fault;
-use crate::kernel::ids::Version;
 use crate::msg::Answer;
 
 /// The refusal of a document, with every fault found in it.
@@ -77,14 +76,5 @@
 /// Whether the end may be told: all copies that must be there have it, and a change that was taken is released
 /// (see `serving_leases`).
 pub fn answerable(decision: &Decision, views: &Views) -> bool {
-    views.role.safe && taken_at(decision).is_none_or(|at| at <= views.released)
-}
-
-/// The version of a change that was taken.
-fn taken_at(decision: &Decision) -> Option<Version> {
-    match decision {
-        Decision::Outcome(outcome) if outcome.code == OutcomeCode::Ok => Some(outcome.at),
-        Decision::Ledger(LedgerEntry::Taken(order)) => Some(order.at),
-        _ => None,
-    }
+    views.role.safe && decision.taken_at().is_none_or(|at| at <= views.released)
 }
--- a/tests/order_identity.rs
+++ b/tests/order_identity.rs
@@ -44,6 +44,7 @@
     let of = DocumentDigest::of;
     assert_ne!(of(&[b"PUT", b"5 {}"]), of(&[b"PUT5", b" {}"]));
     assert_ne!(of(&[b"", b"a"]), of(&[b"a", b""]));
+    assert_ne!(of(&[b"PUT", b"one beginning 1"]), of(&[b"PUT", b"one beginning 2"]));
     assert_eq!(ChangeId::of_document(of(&[b"a"])), ChangeId::of_document(of(&[b"a"])));
 }
 
@@ -141,3 +142,17 @@
         sound(&w);
     });
 }
+
+#[test]
+fn given_two_whole_configurations_on_one_base_when_sent_at_once_then_one_is_confirmed() {
+    seeded(1..5, |seed| {
+        let mut w = World::boot(vanua(), seed);
+        let base = w.nodes[0].node.as_ref().map(|n| n.views.state.config_at);
+        let text = w.plan.config();
+        let ids = [0, 1].map(|n: usize| w.ask(3 + n, Op::Whole { base, text: text.clone() }));
+        let mut ends = ids.map(|id| w.answer(id, Span::ms(20_000)));
+        ends.sort();
+        assert_eq!(ends, [Some(200), Some(409)]);
+        sound(&w);
+    });
+}
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -26,7 +26,7 @@
 in-flight|src/placement/flights.rs|self.rows.values\(\).filter\(new\).map\(\|f\| f.mb\).sum\(\)|0|placement in_flight
 store-rate|src/placement/flights.rs|self.pacer.left\(rule\) >= 1.0|true|must_never_too never_overrun
 sync-first|src/kernel/hold.rs|if self.queue.is_empty\(\) \{|if true {|news before_it_is_synced
-compare-swap|src/fleet/fold.rs|if base != self.config_at|if false|must_never one_wins
+compare-swap|src/fleet/fold.rs|if base != self.config_at|if false|order_identity whole_configurations_on_one_base
 ready-kept|src/chain/recovery.rs|self.ready_in = Some\(view\)|drop(view)|must_never they_are_kept
 lead-folded|src/chain/installation.rs|self.is_head\(\) && self.committed >= self.lead_from|self.is_head()|lead the_rest_is_kept
 ready-stays|src/chain/installation.rs|went_on && self.ready && view.has\(self.ident\)|false|mend all_the_same
@@ -46,7 +46,7 @@
 tick-pace|src/daemon/ticks.rs|if now.since\(self.last\) < period|if false|ticks fifty_times
 distrust|src/placement/look.rs|self.distrust.failed\(runner, ctx.now\);||liar serve_on
 read-index|src/chain/read_index.rs|return self.arrived\(from, id, attempt, op, ctx\)|return self.op(from, id, attempt, op, ctx)|cut_off nothing_old_is_said
-lease-release|src/chain/reply.rs|taken_at\(decision\).is_none_or\(\|at\| at <= views.released\)|true|dark_core acknowledgement_waits
+lease-release|src/chain/reply.rs|decision.taken_at\(\).is_none_or\(\|at\| at <= views.released\)|true|dark_core acknowledgement_waits
 lease-unknown|src/chain/serving_leases.rs|ctx.now \+ ctx.me.lease \+ LEASE;|ctx.now;|dark_core core_restarts
 lease-ledger|src/chain/serving_leases.rs|rows.iter\(\).for_each\(\|a\| self.record\(a, ctx\)\);||dark_core new_tail_waits
 lease-newest|src/chain/serving_leases.rs|if self.history.is_newest\(&a.request.versions\)|if true|dark_core acknowledgement_waits
