--- a/src/chain/founding.rs
+++ b/src/chain/founding.rs
@@ -1,3 +1,8 @@
+//! Founding a fleet: once, on the first start, when all seeds answer that they know none.
+//!
+//! The founder asks all first members for a pledge, which they sync; with all of them it installs view 1.
+#![deny(missing_docs)]
+
 use super::core::Chain;
 use super::view::View;
 use crate::kernel::component::Context;
@@ -6,31 +11,47 @@
 use crate::msg::*;
 use std::collections::BTreeMap;
 
+/// A pledge asked for longer ago than this counts for nothing.
 const STALE: Span = Span::ms(2000);
+/// After this silence of its founder a member drops its pledge.
 const GIVE_UP: Span = Span::ms(10_000);
+/// A controller heard within this span may be a first member.
 const LIVE: Span = Span::ms(1500);
+/// Each next candidate waits this much longer before it founds.
 const TURN: Span = Span::ms(3000);
+/// Without news of another controller for this span, fewer members do.
 const CALM: Span = Span::ms(2500);
 
+/// What a node knows of a founding.
 #[derive(Clone, Default)]
 pub struct Founder {
+    /// The fleet and first members that this node has pledged itself to; synced.
     pub pledge: Option<(FleetId, Vec<NodeId>)>,
+    /// Which seeds said, and when, whether they know no fleet.
     pub answers: BTreeMap<NodeId, (bool, Time)>,
+    /// When the pledge of each member that came back was asked for.
     pub pledges: BTreeMap<NodeId, Time>,
+    /// When pledges were asked for last.
     pub asked: Time,
+    /// When the founder was heard last.
     pub heard: Time,
+    /// When this node began to found.
     pub began: Time,
+    /// How many controllers are known.
     pub known: usize,
+    /// When their number grew last.
     pub grown: Time,
 }
 
 impl Founder {
+    /// Notes a seed's answer.
     pub fn welcome(&mut self, from: NodeId, empty: bool, now: Time) {
         self.answers.insert(from, (empty, now));
     }
 }
 
 impl Chain {
+    /// Takes up the fleet that a message names, unless this node is pledged to found another.
     pub fn adopt(&mut self, fleet: FleetId, ctx: &mut Context) {
         if fleet == FleetId(0) || self.fleet != FleetId(0) {
             return;
@@ -82,6 +103,7 @@
         Some(all)
     }
 
+    /// Asks for pledges, if this node is to found.
     pub fn found(&mut self, ctx: &mut Context) {
         let known = ctx.views.controllers().count();
         if known > self.founder.known {
@@ -125,6 +147,7 @@
         }
     }
 
+    /// Answers a founder.
     pub fn pledge(
         &mut self,
         from: NodeId,
@@ -149,6 +172,7 @@
         ctx.chain(from, ChainMsg::Pledged { fleet, sent });
     }
 
+    /// Counts a pledge; with all of them the fleet is founded.
     pub fn pledged(&mut self, from: NodeId, fleet: FleetId, sent: Time, ctx: &mut Context) {
         let Some((mine, members)) = self.founder.pledge.clone() else { return };
         if mine != fleet || self.fleet != FleetId(0) || members.first() != Some(&self.ident) {
--- a/src/chain/heartbeat.rs
+++ b/src/chain/heartbeat.rs
@@ -1,3 +1,6 @@
+//! Heartbeats between members, who is heard, and what the members together hold.
+#![deny(missing_docs)]
+
 use super::core::{Chain, HEARTBEAT_INTERVAL, SILENCE_LIMIT};
 use super::leaving::PeerState;
 use crate::kernel::component::Context;
@@ -5,12 +8,15 @@
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 
-const GAP: Span = Span::ms(300);
+/// A tick that comes this much after the last one follows a sleep or a freeze.
+const SLEPT: Span = Span::ms(300);
+/// The free bytes below which a disk counts as nearly full.
 pub const ROOM: u64 = 4 << 20;
 
 impl Chain {
+    /// All that this member does by time: heartbeats, lease, agreement, repair and joining.
     pub fn tick(&mut self, ctx: &mut Context) {
-        let slept = ctx.now.since(self.ticked) > GAP;
+        let slept = ctx.now.since(self.ticked) > SLEPT;
         self.ticked = ctx.now;
         self.found(ctx);
         self.update_departure(ctx);
@@ -49,6 +55,7 @@
         }
     }
 
+    /// Takes a peer's heartbeat; one with an older view is told the present one.
     pub fn beat(&mut self, from: NodeId, no: ViewNo, said: PeerState, ctx: &mut Context) {
         self.peers.insert(from, said);
         let Some(view) = self.view.clone() else { return };
@@ -57,19 +64,23 @@
         }
     }
 
+    /// For how long nothing was heard of `node`.
     pub fn quiet(&self, node: NodeId, now: Time) -> Span {
         now.since(self.alive_at.get(&node).copied().unwrap_or_default())
     }
 
+    /// Counts `node` as heard just now.
     pub fn mark_alive(&mut self, node: NodeId, now: Time) {
         self.alive_at.insert(node, now);
         self.reached_at.insert(node, now);
     }
 
+    /// Whether `node` was heard of lately.
     pub fn hears(&self, node: NodeId, now: Time) -> bool {
         node == self.ident || self.quiet(node, now) < SILENCE_LIMIT
     }
 
+    /// Whether messages of a majority of the voters, this node's own vote included, came through lately.
     pub fn hears_majority(&self, now: Time) -> bool {
         let Some(view) = &self.view else { return false };
         let near = |v: &NodeId| self.reached_at.get(v).is_some_and(|t| now.since(*t) < SILENCE_LIMIT);
@@ -77,6 +88,7 @@
         n >= view.majority()
     }
 
+    /// The version up to which this member and all behind it have synced every change.
     pub fn lowest(&self) -> Version {
         match self.view.as_ref().and_then(|v| v.after(self.ident)) {
             Some(_) => self.chain_synced.min(self.log.last()),
@@ -84,11 +96,13 @@
         }
     }
 
+    /// Whether enough members hold all that is committed here, so that it may be acknowledged.
     pub fn safe(&self, ctx: &Context) -> bool {
         let copies = self.view.as_ref().map_or(0, |v| v.chain.len());
         copies >= ctx.me.need() && self.lowest() >= self.committed
     }
 
+    /// Whether enough other members have room on their disks.
     pub fn spared(&self, ctx: &Context) -> bool {
         let Some(view) = &self.view else { return false };
         let fine = |n: &&NodeId| self.hears(**n, ctx.now) && self.peers.get(*n).is_some_and(|p| p.room);
--- a/src/chain/join.rs
+++ b/src/chain/join.rs
@@ -1,3 +1,6 @@
+//! Joining the chain: a snapshot, then the changes after it, then a place at the end.
+#![deny(missing_docs)]
+
 use super::core::{Chain, SILENCE_LIMIT};
 use super::replication_log::{Fit, ReplicationLog};
 use crate::fleet::FleetState;
@@ -8,22 +11,32 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-const KNOCK: Span = Span::ms(250);
-const SOON: Span = Span::ms(60);
-const TRY: Span = Span::ms(1000);
+/// How often a node outside the chain asks to join.
+const ASK_INTERVAL: Span = Span::ms(250);
+/// How soon it asks again while members have not answered yet.
+const ASK_SOON: Span = Span::ms(60);
+/// How often a slow disk is tried.
+const DISK_TRIAL_INTERVAL: Span = Span::ms(1000);
+/// A joiner is taken in once it lacks at most so many changes.
 const NEAR: u64 = 8;
 /// Behind by more bytes than this (and than two configurations), a member that joins is sent the snapshot.
 const SNAPSHOT_FROM: usize = 512 << 10;
 
+/// What a node outside the chain remembers of its joining.
 #[derive(Clone, Default)]
 pub struct Joiner {
+    /// Whether it has a snapshot and follows changes.
     pub following: bool,
+    /// When it asked to join last.
     pub asked: Time,
+    /// When it tried its disk last.
     pub tried: Time,
+    /// When each member answered last.
     pub met: BTreeMap<NodeId, Time>,
 }
 
 impl Joiner {
+    /// Ends joining when a view comes; what was followed outside the chain is not relied on.
     pub fn stop(&mut self, inside: bool) {
         if !inside {
             self.following = false;
@@ -33,11 +46,12 @@
 }
 
 impl Chain {
+    /// Asks the tail to be taken in, once all other members are in touch.
     pub fn join(&mut self, ctx: &mut Context) {
         if self.departure.is_some() {
             return;
         }
-        if self.in_chain() || self.fleet == FleetId(0) || ctx.now.since(self.joiner.asked) < KNOCK {
+        if self.in_chain() || self.fleet == FleetId(0) || ctx.now.since(self.joiner.asked) < ASK_INTERVAL {
             return;
         }
         if ctx.slow {
@@ -52,17 +66,18 @@
             ctx.chain(node, ChainMsg::Join { have, following });
         }
         if !all {
-            self.joiner.asked = ctx.now - Span(KNOCK.0 - SOON.0);
+            self.joiner.asked = ctx.now - Span(ASK_INTERVAL.0 - ASK_SOON.0);
         }
     }
 
     fn try_disk(&mut self, ctx: &mut Context) {
-        if ctx.now.since(self.joiner.tried) >= TRY {
+        if ctx.now.since(self.joiner.tried) >= DISK_TRIAL_INTERVAL {
             self.joiner.tried = ctx.now;
             ctx.save(Record::Ident { node: self.ident });
         }
     }
 
+    /// Answers a node that wants to join: with a snapshot, changes, or a proposal that takes it in.
     pub fn join_asked(&mut self, from: NodeId, have: Version, following: bool, ctx: &mut Context) {
         let Some(view) = self.view.clone() else { return };
         if !self.is_tail() || view.has(from) {
@@ -87,6 +102,7 @@
         }
     }
 
+    /// Takes a whole state in place of the own log.
     pub fn snapshot(&mut self, from: NodeId, at: Version, state: &FleetState, ctx: &mut Context) {
         let pred = self.view.as_ref().and_then(|v| v.before(self.ident));
         if self.in_chain() && (pred != Some(from) || at <= self.log.last()) {
@@ -105,6 +121,7 @@
         ctx.publish(JournalEvent::StateLoaded(Arc::new(state.clone())));
     }
 
+    /// Takes the changes after the snapshot.
     pub fn follow(&mut self, from: NodeId, entries: &[Entry], ctx: &mut Context) {
         let tail = ctx.views.view.as_ref().and_then(|v| v.tail());
         if self.in_chain() || !self.joiner.following || tail != Some(from) {
