--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -62,7 +62,6 @@
 ballot-synced|src/chain/view_change.rs|ctx.save\(Record::Promise \{ no, ballot \}\);||second_loss its_ballot_is_new
 ready-copies|src/chain/replicate.rs|if self.ready \{ self.lowest\(\) \} else \{ Version\(0\) \}|self.lowest()|second_loss could_go_on
 leave-in-order|src/chain/leaving.rs|self.copies >= self.copies_wanted && self.votes >= self.majority|true|departure waits_for_the_others
-vote-passed-on|src/chain/view.rs|next.give_vacant_votes\(candidates\);\s+next\n|next |departure vote_passed_on
 vote-passed-on|src/chain/view.rs|next.give_vacant_votes\(candidates\);(?=\s+next\s)||departure vote_passed_on
 stop-waits|src/sim/hurts_more.rs|if left \|\| w.now >= due|if true|departure waits_for_the_others
 held-credit|src/gate/budget.rs| - self.held;|;|tries quiet_time
