--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -33,7 +33,6 @@
 ready-kept|src/chain/recovery.rs|self.ready_in = Some\(view\)|drop(view)|must_never they_are_kept
 lead-folded|src/chain/installation.rs|self.is_head\(\) && self.committed >= self.lead_from|self.is_head()|lead the_rest_is_kept
 ready-stays|src/chain/installation.rs|went_on && self.ready && view.has\(self.ident\)|false|mend all_the_same
-mending|src/chain/view_change.rs|if !self.in_chain\(\) \|\| !self.ready|if true|chain changes_go_on
 mending|src/chain/view_change.rs|if !self.in_chain\(\) \|\| !self.ready \|\| !self.hears_majority\(ctx.now\)|if true|chain changes_go_on
 return-time|src/placement/duty.rs|QUIET: Span = Span::ms\(4000\)|QUIET: Span = Span::ms(14000)|back each_herd
 wait-refused|src/gate/wait.rs|if now \+ wait < order.due \{|if true {|wait hear_it_early
