--- a/src/chain/reply.rs
+++ b/src/chain/reply.rs
@@ -21,7 +21,7 @@
         ("text", "nothing was changed; mend every fault listed and send again".into()),
         ("faults", rows.collect::<Vec<_>>().into()),
     ]);
-    Answer { status: status(OutcomeCode::BadConfiguration), body: body.to_string(), retry_s: 0 }
+    Answer { status: status(OutcomeCode::BadConfiguration), body: body.to_string(), retry_s: 0, redirect: None }
 }
 
 /// The status that tells an end.
@@ -53,7 +53,7 @@
 
 /// The answer to a change whose end is kept in full.
 pub fn ended(outcome: &Outcome) -> Answer {
-    Answer { status: status(outcome.code), body: outcome.tree().to_string(), retry_s: 0 }
+    Answer { status: status(outcome.code), body: outcome.tree().to_string(), retry_s: 0, redirect: None }
 }
 
 /// The answer to a change that is remembered as taken.
--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -8,7 +8,7 @@
 use crate::seam::{OperatorSide, Wish};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, LOCATION};
 use hyper::{Method, Request, Response, StatusCode};
 use std::sync::Arc;
 
@@ -87,6 +87,12 @@
         };
         let mut response = operator(&answer);
         *response.status_mut() = StatusCode::from_u16(side.status(&answer)).unwrap_or_default();
+        if response.status().is_redirection()
+            && let Some(address) = answer.redirect
+            && let Ok(location) = format!("http://{address}{}", call.path).parse()
+        {
+            response.headers_mut().insert(LOCATION, location);
+        }
         Some(response)
     }
 
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -80,4 +80,6 @@
     pub status: u16,
     pub body: String,
     pub retry_s: u64,
+    /// Where another controller takes operators' calls, if this node can't answer.
+    pub redirect: Option<SocketAddr>,
 }
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -51,7 +51,11 @@
     }
 
     fn status(&self, answer: &Answer) -> u16 {
-        if answer.status == 409 { 412 } else { answer.status }
+        match answer.status {
+            409 => 412,
+            503 if answer.redirect.is_some() => 307,
+            status => status,
+        }
     }
 
     fn revision(&self, text: &str) -> Option<u64> {
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -8,6 +8,7 @@
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 /// How often a call is sent again while nothing came back for it.
 const RESEND_INTERVAL: Span = Span::ms(300);
@@ -78,12 +79,22 @@
     }
 }
 
+/// Where another member of the chain takes calls; `draw` spreads the callers over all of them.
+fn another_member(ctx: &Context, draw: u64) -> Option<SocketAddr> {
+    let own = ctx.me.node;
+    let chain = ctx.views.view.as_ref().map_or(vec![], |view| view.chain.clone());
+    let others: Vec<NodeId> = chain.into_iter().filter(|node| *node != own).collect();
+    let place = draw.checked_rem(others.len() as u64)? as usize;
+    ctx.views.member(*others.get(place)?).map(|member| member.admin)
+}
+
 impl Relay {
     fn add(&mut self, id: ChangeId, call: Call, ctx: &mut Context) {
         let attempt = ctx.rand.next() | 1;
         let job = Job { call, attempt, since: ctx.now, sent: None, pending: false };
         if ctx.views.role.isolated {
-            return ctx.answer(id, job.unanswered(id, true));
+            let redirect = another_member(ctx, attempt);
+            return ctx.answer(id, Answer { redirect, ..job.unanswered(id, true) });
         }
         self.jobs.insert(id, job);
         self.send(id, ctx);
@@ -150,12 +161,12 @@
     /// An answer with a code, and a text that names the remedy.
     pub fn new(status: u16, code: &str, text: &str, retry_s: u64) -> Answer {
         let body = crate::json::tree::map(&[("code", code.into()), ("text", text.into())]).to_string();
-        Answer { status, body, retry_s }
+        Answer { status, body, retry_s, redirect: None }
     }
 
     /// A success that carries what was asked for.
     pub fn ok(body: String) -> Answer {
-        Answer { status: 200, body, retry_s: 0 }
+        Answer { status: 200, body, retry_s: 0, redirect: None }
     }
 }
 
--- a/tests/platform_precondition.rs
+++ b/tests/platform_precondition.rs
@@ -1,7 +1,7 @@
 //! What `If-Match` may hold, and what each form of it means.
 
 use spindledock::kernel::ids::ChangeId;
-use spindledock::msg::{Event, Op};
+use spindledock::msg::{Answer, Event, Op};
 use spindledock::platform::operator::{Figures, Operator};
 use spindledock::seam::{OperatorSide, Wish};
 
@@ -79,3 +79,12 @@
         assert!(all[n + 1..].iter().all(|two| one != two && one.name != two.name));
     }
 }
+
+#[test]
+fn given_an_answer_that_names_another_controller_when_it_is_told_then_it_is_a_redirect() {
+    let side = Operator { figures: Figures::default() };
+    let unanswered = Answer::new(503, "no-majority", "ask another node", 1);
+    assert_eq!(side.status(&unanswered), 503);
+    let redirect = "10.0.0.4:8080".parse().ok();
+    assert_eq!(side.status(&Answer { redirect, ..unanswered }), 307);
+}
