A proposal is given up when no majority is heard, and needs a majority of voters that are alive

Cause: with lease messages no longer counting as signs of life, a member hears its majority for up to 0.15 s after it counts all others as lost; in that window it proposed a view of itself alone, said Prepare again after the heal, and the others, not yet sure of each other, promised it (cuts, all links cut, six members: chain of one, changes refused as too-few-copies). Excluded: the serving leases; no lease was asked for in that window.

--- a/src/chain/heartbeat.rs
+++ b/src/chain/heartbeat.rs
@@ -17,7 +17,8 @@
 pub const ROOM_TO_WRITE: u64 = 512 << 10;
 
 impl Chain {
-    /// All that this member does by time: heartbeats, lease, agreement, repair and joining.
+    /// All that this member does by time: heartbeats, lease, agreement, repair and joining. A proposal that is
+    /// under way when no majority is heard is given up: whom it leaves out was judged by links that are cut.
     pub fn tick(&mut self, ctx: &mut Context) {
         let slept = ctx.now.since(self.ticked) > SLEPT;
         self.ticked = ctx.now;
@@ -33,6 +34,9 @@
             }
         }
         self.isolated = isolated;
+        if isolated {
+            self.proposal = None;
+        }
         self.speak(&view.all(), view.no, isolated, ctx);
         if !isolated {
             self.renew_lease(ctx);
@@ -128,10 +132,9 @@
     /// the same voters still grant.
     pub fn has_writing_majority(&self, ctx: &Context) -> bool {
         let Some(view) = &self.view else { return false };
-        let near = |v: &NodeId| self.reached_at.get(v).is_some_and(|t| ctx.now.since(*t) < SILENCE_LIMIT);
         let writes = |v: &&NodeId| match **v == self.ident {
             true => self.can_write(ctx),
-            false => near(v) && !self.is_impaired(**v),
+            false => self.hears(**v, ctx.now) && !self.is_impaired(**v),
         };
         view.voters.iter().filter(writes).count() >= view.majority()
     }
--- a/src/chain/reply.rs
+++ b/src/chain/reply.rs
@@ -21,7 +21,12 @@
         ("text", "nothing was changed; mend every fault listed and send again".into()),
         ("faults", rows.collect::<Vec<_>>().into()),
     ]);
-    Answer { status: status(OutcomeCode::BadConfiguration), body: body.to_string(), retry_s: 0, redirect: None }
+    Answer {
+        status: status(OutcomeCode::BadConfiguration),
+        body: body.to_string(),
+        retry_s: 0,
+        redirect: None,
+    }
 }
 
 /// The status that tells an end.
