--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -16,7 +16,7 @@
 const FRESH_TELL: Span = Span::ms(1200);
 const IDLE_MOST: usize = 4;
 /// How long nothing is laid out anew after a plan came out empty.
-const FILL_AGAIN: Span = Span::ms(500);
+const FILL_AGAIN: Span = Span::ms(0);
 
 impl Placement {
     pub(super) fn credit(&self, service: &Name, ctx: &Context) -> u64 {
