--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -45,7 +45,7 @@
 tell-few|src/rollout/tell.rs|ctx.now.since\(self.changed\) >= UNSETTLED|false|grown only_head_and_holder
 tick-pace|src/daemon/ticks.rs|if now.since\(self.last\) < period|if false|ticks fifty_times
 distrust|src/placement/look.rs|self.distrust.failed\(runner, ctx.now\);||liar serve_on
-read-index|src/chain/read_index.rs|return self.arrived\(from, id, attempt, op, ctx\)|return self.op(from, id, attempt, op, ctx)|cut_off nothing_old_is_said
+read-index|src/chain/read_index.rs|return self.arrived\(from, id, attempt, op, ctx\)|return self.decide(from, id, attempt, op, ctx)|cut_off nothing_old_is_said
 lease-release|src/chain/reply.rs|decision.taken_at\(\).is_none_or\(\|at\| at <= views.released\)|true|dark_core acknowledgement_waits
 lease-unknown|src/chain/serving_leases.rs|ctx.now \+ ctx.me.lease \+ LEASE;|ctx.now;|dark_core core_restarts
 lease-ledger|src/chain/serving_leases.rs|rows.iter\(\).for_each\(\|a\| self.record\(a, ctx\)\);||dark_core new_tail_waits
