Placement: small fleets are decided on, told and telling without pauses, as before rounds

Cause, by trials that switched parts off: - Routers heard of changed holdings only every 20 ms (push GAP). Up to 32 runners there is now no pause between rounds; up to 32 routers none between tells, and all controllers are told and listen.

--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -16,6 +16,7 @@
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
+use crate::rollout::tell::tells_all;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
@@ -207,7 +208,7 @@
                     self.proven = self.proven.max(l.proven);
                 }
             }
-            Event::Mail { from, msg: Msg::Tell(tell), .. } if self.term > Term(0) => {
+            Event::Mail { from, msg: Msg::Tell(tell), .. } if self.term > Term(0) || tells_all(ctx.views) => {
                 self.told(*from, tell, ctx.now);
             }
             Event::Mail { from, msg: Msg::Want(rows), .. } if self.term > Term(0) => {
--- a/src/placement/push.rs
+++ b/src/placement/push.rs
@@ -10,10 +10,10 @@
 
 const BEAT: Span = Span::ms(500);
 const MINOR: Span = Span::ms(200);
-/// The shortest time between two looks for changes: this long for each router that is told, and
+/// Up to this many routers are told of every change at once.
+const ROUTERS_TOLD_AT_ONCE: usize = 32;
+/// The shortest time between two looks for changes with more routers: this long for each of them.
 const GAP_PER_ROUTER: Span = Span::ms(1);
-/// at least this long.
-const GAP: Span = Span::ms(20);
 /// How much longer mere figures may wait than the rest, in gaps.
 const MINOR_GAPS: u64 = 5;
 const GONE: Span = Span::ms(10_000);
@@ -55,7 +55,10 @@
 
     /// Tells routers what changed, unless they were told a moment ago; a later tick then does.
     pub fn push(&mut self, ctx: &mut Context) {
-        let gap = Span((GAP_PER_ROUTER.0 * self.tells.len() as u64).max(GAP.0));
+        let gap = match self.tells.len() {
+            few if few <= ROUTERS_TOLD_AT_ONCE => Span(0),
+            many => Span(GAP_PER_ROUTER.0 * many as u64),
+        };
         if ctx.now.since(self.push.looked) >= gap {
             self.push_now(gap, ctx);
         }
@@ -63,7 +66,7 @@
 
     /// Tells routers at once that a name is closing, before the order to unload it goes out.
     pub fn push_closing(&mut self, ctx: &mut Context) {
-        self.push_now(GAP, ctx);
+        self.push_now(Span(0), ctx);
     }
 
     fn push_now(&mut self, gap: Span, ctx: &mut Context) {
--- a/src/placement/quick.rs
+++ b/src/placement/quick.rs
@@ -20,12 +20,12 @@
 const EASY: u64 = 10;
 const COPIES: usize = 4;
 const BLIND: Span = Span::ms(400);
-/// The shortest time between two rounds of decisions: this long for each runner over the few that are weighed
-/// at once whenever something changes.
+/// Up to this many runners are weighed on every event, without a pause between two rounds.
+const RUNNERS_WEIGHED_AT_ONCE: usize = 32;
+/// The shortest time between two rounds of decisions over more runners: this long for each of them.
 const ROUND_PER_RUNNER: Span = Span::ms(1);
-const RUNNERS_WEIGHED_AT_ONCE: u64 = 32;
 /// The longest time between two rounds while something is wanted.
-const ROUND_AT_REST: Span = Span::ms(20);
+const ROUND_AT_REST: Span = Span::ms(100);
 
 /// How often decisions were looked for, for the status page.
 #[derive(Default)]
@@ -96,9 +96,11 @@
     }
 
     fn is_round_due(&mut self, now: Time) -> bool {
-        let more = (self.reports.len() as u64).saturating_sub(RUNNERS_WEIGHED_AT_ONCE);
-        let shortest = Span(ROUND_PER_RUNNER.0 * more);
-        let gap = if self.work.stirred { shortest } else { shortest.max(ROUND_AT_REST) };
+        let gap = match self.reports.len() {
+            few if few <= RUNNERS_WEIGHED_AT_ONCE => Span(0),
+            many if self.work.stirred => Span(ROUND_PER_RUNNER.0 * many as u64),
+            _ => ROUND_AT_REST,
+        };
         if now.since(self.work.last_round) < gap {
             return false;
         }
--- a/src/rollout/tell.rs
+++ b/src/rollout/tell.rs
@@ -1,7 +1,7 @@
 //! What a router tells of itself, sent to the controllers that use it.
 
 use crate::chain::view::View;
-use crate::kernel::component::{Component, Context};
+use crate::kernel::component::{Component, Context, Views};
 use crate::kernel::ids::{NodeId, ViewNo};
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
@@ -9,8 +9,17 @@
 
 /// How long all controllers are told after the view or the holder of the placement duty changed.
 const UNSETTLED: Span = Span::ms(2000);
+/// With up to this many routers all controllers are told, so that a new holder knows the use of names at once.
+const ROUTERS_TELLING_ALL: usize = 32;
 
-/// Sends a router's state to the head, which rolls out changes, and to the holder of the placement duty.
+/// Whether the routers are few enough to tell all controllers of themselves.
+pub fn tells_all(views: &Views) -> bool {
+    let routers = views.members.iter().filter(|row| row.who.role == Role::Router);
+    routers.count() <= ROUTERS_TELLING_ALL
+}
+
+/// Sends a router's state to the head, which rolls out changes, and to the holder of the placement duty; in a
+/// small fleet to all controllers.
 #[derive(Default)]
 pub struct Teller {
     contact: HolderContact,
@@ -30,8 +39,9 @@
 
     fn receivers(&self, ctx: &Context) -> Vec<NodeId> {
         let head = ctx.views.view.as_ref().and_then(View::head);
+        let is_settled = ctx.now.since(self.changed) >= UNSETTLED;
         match (head, self.holder) {
-            (Some(head), Some(holder)) if ctx.now.since(self.changed) >= UNSETTLED => {
+            (Some(head), Some(holder)) if is_settled && !tells_all(ctx.views) => {
                 let mut both = vec![head, holder];
                 both.dedup();
                 both
