A joined member takes its predecessor's lease ledger; orders wait when the chain shrinks

Members stopped and started in turn: a member that joined counted unknown serving leases for a whole lease and 0.8 s, and as the new tail released nothing for over 3 s, again at each turn. It now asks its predecessor for the ledger, which has recorded each application before it; times travel as what is left, and a nonce per life and view voids answers to an earlier life. Members without a predecessor or an answer wait as before.

One copy left while a change was under way: the 503 was too-few-copies from the head. The order had arrived while two members were in the chain, got no proof from the slow tail, and was decided on as the head was alone. The operator in the simulator was not at fault, nor the turning away without proof. Such an order now waits for a member, as one does that was handed to the chain. Orders that arrive at a lone head are answered at once.

The disk story also prints the answer's body when it fails.

--- a/src/chain/change_queue.rs
+++ b/src/chain/change_queue.rs
@@ -159,12 +159,17 @@
         return Some(Answer::new(507, "disk-full", text, 5));
     }
     if ctx.views.role.copies < ctx.views.role.need {
-        let text = "the chain has too few members left and takes no change; bring back a controller";
-        return Some(Answer::new(503, "too-few-copies", text, 2));
+        return Some(too_few_copies());
     }
     None
 }
 
+/// The answer to a change that the chain has too few members for.
+pub(super) fn too_few_copies() -> Answer {
+    let text = "the chain has too few members left and takes no change; bring back a controller";
+    Answer::new(503, "too-few-copies", text, 2)
+}
+
 /// The answer to a change that finds the queue full.
 pub(super) fn queue_full() -> Answer {
     Answer::new(503, "inbox-full", "too many changes wait; send it again later", 1)
--- a/src/chain/core.rs
+++ b/src/chain/core.rs
@@ -153,6 +153,8 @@
             ChainMsg::LeaseRequest { view, sent } => self.lease_requested(from, *view, *sent, ctx),
             ChainMsg::LeaseGrant { view, sent } => self.lease_granted(from, *view, *sent, ctx),
             ChainMsg::LeaseApplications { .. }
+            | ChainMsg::LeaseLedgerRequest { .. }
+            | ChainMsg::LeaseLedger { .. }
             | ChainMsg::Released { .. }
             | ChainMsg::ReadIndexRequest { .. }
             | ChainMsg::ReadIndexReply { .. } => {}
--- a/src/chain/messages.rs
+++ b/src/chain/messages.rs
@@ -1,6 +1,7 @@
 //! Messages between controllers, and the records that they keep on disk.
 
 use super::acceptor::AcceptedView;
+use super::ledger_transfer::LeaseLedger;
 use super::view::View;
 use crate::distribution::messages::LeaseApplication;
 use crate::fleet::FleetState;
@@ -118,6 +119,17 @@
         sent: Time,
         committed: Version,
     },
+    /// A member that is new in the chain or was restarted asks its predecessor for the ledger of serving leases.
+    LeaseLedgerRequest {
+        view: ViewNo,
+        nonce: u64,
+    },
+    /// The predecessor's ledger of serving leases, in answer to the request with this nonce.
+    LeaseLedger {
+        view: ViewNo,
+        nonce: u64,
+        ledger: LeaseLedger,
+    },
 }
 
 /// What a controller keeps on its disk.
--- a/src/chain/mod.rs
+++ b/src/chain/mod.rs
@@ -14,6 +14,7 @@
 pub mod join;
 pub mod lease;
 pub mod leaving;
+pub mod ledger_transfer;
 pub mod messages;
 pub mod own_change;
 pub mod publish;
--- a/src/chain/read_index.rs
+++ b/src/chain/read_index.rs
@@ -4,8 +4,11 @@
 //! stale, invalid on top of this) may be wrong. So an order waits at the head until the tail has confirmed, in a
 //! request sent after the order arrived, that it holds its lease in the head's own view, and until the head has
 //! applied all that the tail had committed then. Without that the order is turned away untouched.
+//!
+//! An order that came while the chain had members enough, and is not decided on when it loses one too many, waits
+//! for another member as a change does that was handed to the chain before.
 
-use super::change_queue::{ChangeQueue, queue_full};
+use super::change_queue::{ChangeQueue, queue_full, too_few_copies};
 use super::heartbeat::ROOM;
 use super::view::View;
 use crate::kernel::component::Context;
@@ -30,6 +33,8 @@
     attempt: u64,
     op: Op,
     since: Time,
+    /// Whether the chain had members enough when it arrived.
+    copies_sufficed: bool,
 }
 
 /// The tail's answer to a request sent at `sent`; it counts once the head has applied `committed`.
@@ -68,13 +73,15 @@
         room
     }
 
-    /// Takes out the orders that arrived before the confirmed request was sent.
-    fn confirmed(&mut self, applied: Version) -> Vec<Arrival> {
+    /// Takes out the orders that arrived before the confirmed request was sent, but for those that wait for a
+    /// member.
+    fn confirmed(&mut self, applied: Version, copies_suffice: bool) -> Vec<Arrival> {
         let Some(proof) = self.confirmation.as_ref().filter(|c| c.committed <= applied) else {
             return vec![];
         };
         let sent = proof.sent;
-        self.arrivals.extract_if(.., |a| a.since <= sent).collect()
+        let waits_for_member = |a: &Arrival| a.copies_sufficed && !copies_suffice;
+        self.arrivals.extract_if(.., |a| a.since <= sent && !waits_for_member(a)).collect()
     }
 
     fn expired(&mut self, now: Time) -> Vec<Arrival> {
@@ -98,7 +105,8 @@
 
     /// An order has arrived: it is decided on once the head's state is proven.
     fn arrived(&mut self, from: NodeId, id: ChangeId, attempt: u64, op: &Op, ctx: &mut Context) {
-        let arrival = Arrival { from, id, attempt, op: op.clone(), since: ctx.now };
+        let (op, copies_sufficed) = (op.clone(), copies_suffice(ctx));
+        let arrival = Arrival { from, id, attempt, op, since: ctx.now, copies_sufficed };
         if !self.read_index.add(arrival) {
             return ctx.send(from, Msg::OpEnd { id, attempt, answer: queue_full() });
         }
@@ -147,7 +155,7 @@
 
     /// Decides on all orders that are older than the proof.
     pub(super) fn admit(&mut self, ctx: &mut Context) {
-        for a in self.read_index.confirmed(ctx.views.state.at) {
+        for a in self.read_index.confirmed(ctx.views.state.at, copies_suffice(ctx)) {
             self.decide(a.from, a.id, a.attempt, &a.op, ctx);
         }
     }
@@ -156,9 +164,7 @@
     pub(super) fn read_index_tick(&mut self, ctx: &mut Context) {
         self.admit(ctx);
         for a in self.read_index.expired(ctx.now) {
-            let text =
-                "no majority of the controllers confirms this head; nothing was taken, ask another node";
-            let answer = Answer::new(503, "no-majority", text, 1);
+            let answer = if copies_suffice(ctx) { unconfirmed() } else { too_few_copies() };
             ctx.send(a.from, Msg::OpEnd { id: a.id, attempt: a.attempt, answer });
         }
         let waits = !self.read_index.arrivals.is_empty();
@@ -168,6 +174,16 @@
     }
 }
 
+fn copies_suffice(ctx: &Context) -> bool {
+    ctx.views.role.copies >= ctx.views.role.need
+}
+
+/// The answer to an order that got no proof in time.
+fn unconfirmed() -> Answer {
+    let text = "no majority of the controllers confirms this head; nothing was taken, ask another node";
+    Answer::new(503, "no-majority", text, 1)
+}
+
 /// The chain that a proof of `view` passes along. A member that hears no majority stays silent: its letters would
 /// count as signs of life, and it would not be left out.
 fn proof_view(view: ViewNo, ctx: &Context) -> Option<View> {
--- a/src/chain/serving_leases.rs
+++ b/src/chain/serving_leases.rs
@@ -7,9 +7,11 @@
 //!
 //! Requests enter at the head and go along the chain; each member records one in memory before the next member
 //! gets it, and the tail grants it. So whichever member is the next tail has the whole ledger. A member that is
-//! new in the chain, or was restarted, counts all that it can't know as running for a whole lease from then.
+//! new in the chain, or was restarted, counts all that it can't know as running for a whole lease from then, or
+//! until its predecessor has given it the ledger (`ledger_transfer`).
 
 use super::lease::LEASE;
+use super::ledger_transfer::LedgerRequest;
 use super::version_history::VersionHistory;
 use super::view::View;
 use crate::kernel::component::{Component, Context};
@@ -26,18 +28,18 @@
 
 /// A router with a lease.
 #[derive(Clone)]
-struct Holder {
-    until: Time,
+pub(super) struct Holder {
+    pub(super) until: Time,
     /// What it has confirmed to have.
-    versions: Vec<Version>,
-    address: Option<SocketAddr>,
-    number: LeaseNumber,
+    pub(super) versions: Vec<Version>,
+    pub(super) address: Option<SocketAddr>,
+    pub(super) number: LeaseNumber,
 }
 
 /// Component of the controllers that keeps the ledger, and passes on what is released.
 #[derive(Clone, Default)]
 pub struct ServingLeases {
-    holders: BTreeMap<NodeId, Holder>,
+    pub(super) holders: BTreeMap<NodeId, Holder>,
     history: VersionHistory,
     /// The view in which this node is a member, and the ledger is whole but for what `unknown_until` covers.
     view: Option<ViewNo>,
@@ -45,6 +47,7 @@
     waiting: Vec<LeaseApplication>,
     count: u64,
     told: Time,
+    pub(super) ledger_request: LedgerRequest,
 }
 
 impl ServingLeases {
@@ -53,6 +56,11 @@
         self.unknown_until
     }
 
+    /// All leases that this member doesn't know of have ended by `until`.
+    pub(super) fn limit_unknown(&mut self, until: Time) {
+        self.unknown_until = self.unknown_until.min(until);
+    }
+
     /// Follows the view. A member that was in the chain of the view before has recorded every application that
     /// was granted in it; another one, or one that was restarted, counts a whole lease for what it doesn't know.
     fn follow_view(&mut self, ctx: &mut Context) {
@@ -66,6 +74,7 @@
             self.holders.clear();
             self.history.clear();
             self.unknown_until = ctx.now + ctx.me.lease + LEASE;
+            self.renew_ledger_request(ctx);
         }
         self.view = inside.then_some(view);
     }
@@ -77,7 +86,7 @@
 
     /// The view that this node and its chain agree on. A member that hears no majority stays silent: its letters
     /// would count as signs of life, and it would not be left out.
-    fn current_view(&self, ctx: &Context) -> Option<View> {
+    pub(super) fn current_view(&self, ctx: &Context) -> Option<View> {
         if ctx.views.role.isolated {
             return None;
         }
@@ -191,7 +200,7 @@
     }
 
     fn tick(&mut self, ctx: &mut Context) {
-        self.follow_view(ctx);
+        self.request_ledger(ctx);
         self.pass_waiting(ctx);
         self.release(ctx);
         if ctx.now.since(self.told) >= REPEAT_INTERVAL {
@@ -215,6 +224,12 @@
             Event::Mail { msg: Msg::Chain(ChainMsg::LeaseApplications { view, rows }), .. } => {
                 self.applied(*view, rows, ctx)
             }
+            Event::Mail { from, msg: Msg::Chain(ChainMsg::LeaseLedgerRequest { view, nonce }), .. } => {
+                self.ledger_requested(*from, *view, *nonce, ctx)
+            }
+            Event::Mail { msg: Msg::Chain(ChainMsg::LeaseLedger { view, nonce, ledger }), .. } => {
+                self.ledger_given(*view, *nonce, ledger, ctx)
+            }
             Event::Mail { msg: Msg::Chain(ChainMsg::Released { view, upto }), .. }
                 if *view == ctx.views.role.view =>
             {
--- a/tests/disk.rs
+++ b/tests/disk.rs
@@ -146,7 +146,12 @@
         w.run_for(Span::ms(40 * seed));
         w.start_node(last);
         let told = w.until(Span::ms(5000), |w| w.answers.contains_key(&id));
-        assert_eq!(w.answers.get(&id).map(|a| a.status), Some(200), "{told:?}");
+        assert_eq!(
+            w.answers.get(&id).map(|a| a.status),
+            Some(200),
+            "{told:?} {:?}",
+            w.answers.get(&id).map(|a| &a.body)
+        );
         let holds = |n: &usize| {
             let node = w.nodes[*n].node.as_ref();
             node.is_some_and(|x| x.views.state.runner(&name).is_some_and(|r| r.leaving))
