--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -101,7 +101,7 @@
 
 # Run in CI after the tests: guards of the control side under bad days (docs/control-safety.md) and of the data path.
 # Each costs a build and one story, and was seen to fail with its guard off on the sources that name it here.
-CONTROL_SAFETY_GUARDS="tail-term vote-when-ready log-folder-sync"
+CONTROL_SAFETY_GUARDS="tail-term lease-release order-digest vote-when-ready log-folder-sync"
 CONNECTION_GUARDS="reuse-quiet own-id"
 
 check_only=
