Sight: the log says how a resumed run differs and why a stream was broken off

resume-differs names ids, lengths, the first differing byte and the fields of both events, never their content; stream-broken names the reason, the attempts, the events passed and the credit of tries left.

--- a/src/pass/legs.rs
+++ b/src/pass/legs.rs
@@ -1,6 +1,6 @@
 use super::ride::*;
 use crate::fleet::runner::Runner;
-use crate::gate::Gate;
+use crate::gate::{Gate, Refusal};
 use crate::kernel::ids::*;
 use crate::kernel::time::Time;
 use crate::transfer::tape::{Item, Splitter};
@@ -140,6 +140,14 @@
         out.push(Out::Finish);
     }
 
+    /// What is known of a request as it ends without a whole answer: for the log.
+    pub fn standing(&self, refusal: &Refusal, gate: &Gate) -> String {
+        let last = self.last.as_deref().unwrap_or("none");
+        let (opened, most, credit) = (self.opened, self.order.tries, gate.tries.credit());
+        let why = refusal.code();
+        format!("{why} passed={} last={last} attempts={opened}/{most} credit={credit:.1}", self.passed)
+    }
+
     pub fn runner_of(&mut self, leg: LegNo) -> Option<Name> {
         self.leg(leg).map(|l| l.runner.instance.clone())
     }
--- a/src/pass/resume.rs
+++ b/src/pass/resume.rs
@@ -36,7 +36,10 @@
         }
         gate.count("resume_differs");
         let runner = self.runner_of(leg).unwrap_or_default();
-        out.push(Out::Told("resume-differs", format!("{runner} repeats the last passed event otherwise")));
+        let difference = want.difference(item);
+        let text =
+            format!("{runner} repeats the last passed event otherwise: {difference} passed={}", self.passed);
+        out.push(Out::Told("resume-differs", text));
         self.close(now, leg, Some(false), gate, out);
         self.resume(now, runner, gate, out);
         false
--- a/src/pass/ride.rs
+++ b/src/pass/ride.rs
@@ -154,6 +154,7 @@
         self.close_all(now, gate, out);
         if self.began {
             gate.count("broken");
+            out.push(Out::Told("stream-broken", self.standing(&r, gate)));
             out.push(Out::Break("no runner could go on with the stream"));
         } else if self.sent {
             gate.count("unknown");
--- a/src/transfer/tape.rs
+++ b/src/transfer/tape.rs
@@ -6,6 +6,35 @@
     pub raw: Bytes,
 }
 
+impl Item {
+    /// How another event of the same place differs, without any of the caller's content: for the log.
+    pub fn difference(&self, other: &Item) -> String {
+        let name = |item: &Item| item.id.clone().unwrap_or_else(|| "none".into());
+        let (mine, theirs) = (&self.raw, &other.raw);
+        let at = mine.iter().zip(theirs.iter()).take_while(|(a, b)| a == b).count();
+        let fields = |item: &Item| field_names(&item.raw).join("+");
+        format!(
+            "id={}/{} bytes={}/{} first_difference={at} fields={}/{}",
+            name(self),
+            name(other),
+            mine.len(),
+            theirs.len(),
+            fields(self),
+            fields(other)
+        )
+    }
+}
+
+/// The names of the lines of an event, in order.
+fn field_names(raw: &[u8]) -> Vec<String> {
+    let text = String::from_utf8_lossy(raw);
+    let lines = text.lines().filter(|line| !line.is_empty());
+    lines.map(|line| line.split(':').next().unwrap_or("").chars().take(FIELD_NAME_MAX).collect()).collect()
+}
+
+/// So much of a field's name is logged.
+const FIELD_NAME_MAX: usize = 24;
+
 #[derive(Default)]
 pub struct Splitter {
     rest: BytesMut,
