A silent run is left only once another goes on; runs are joined by their ids

(1) A runner silent for four pauses was taken for lost and its run closed before anything had taken its place. (2) The run that was to go on had to repeat the last event byte for byte. Our own stand-ins promise that; the platform does not: each run there has content of its own, so no resumed run and no moved stream could ever pass the comparison, and with MaxRetries 2 the answer was broken off.

Mended by design: RunContract says what runners promise (same events, or same ids; the platform's side says ids). On the platform a run is asked for at exactly the last passed id and joined where its first id follows, else left. Moves compare places the same way.

--- a/src/gate/order.rs
+++ b/src/gate/order.rs
@@ -2,6 +2,7 @@
 use crate::fleet::runner::Runner;
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
+use crate::transfer::continuation::RunContract;
 use compact_str::CompactString;
 
 #[derive(Clone, Debug)]
@@ -28,6 +29,8 @@
     pub gap: Span,
     pub size: Size,
     pub parts: Parts,
+    /// What runs of this request at different runners have in common.
+    pub runs: RunContract,
 }
 
 impl Default for Order {
@@ -54,6 +57,7 @@
             gap: Span(0),
             size: Size::default(),
             parts: Parts::default(),
+            runs: RunContract::default(),
         }
     }
 }
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -174,6 +174,7 @@
             gap: Span::ms(row.route.gap_ms),
             size: keys.size,
             parts: keys.parts,
+            runs: self.sides.runner.run_contract(),
             ..Order::default()
         })
     }
--- /dev/null
+++ b/src/pass/failure.rs
@@ -0,0 +1,79 @@
+//! What follows when a runner cannot be reached, or is lost with a request under way.
+
+use super::ride::*;
+use crate::fleet::config::RouteKind;
+use crate::gate::order::Why;
+use crate::gate::{Gate, Plan, Refusal};
+use crate::kernel::time::Time;
+
+impl Ride {
+    pub fn open_failed(
+        &mut self,
+        now: Time,
+        leg: LegNo,
+        why: Option<Why>,
+        gate: &mut Gate,
+        out: &mut Vec<Out>,
+    ) {
+        if self.is_dest(leg) {
+            return self.dest_failed(now, "the destination could not be reached", gate, out);
+        }
+        self.opened = self.opened.saturating_sub(1);
+        if self.is_standby(leg) {
+            let good = why.is_none().then_some(false);
+            return self.standby_failed(now, "it could not be reached", good, gate, out);
+        }
+        let Some(runner) = self.leg(leg).map(|l| l.runner.instance.clone()) else { return };
+        let good = if why.is_none() { Some(false) } else { None };
+        self.close(now, leg, good, gate, out);
+        if self.began || self.sent {
+            return self.resume(now, runner, gate, out);
+        }
+        match why {
+            Some(Why::Due) => self.refuse(now, Refusal::new(Why::Due, 1), gate, out),
+            Some(_) => {
+                let plan = gate.plan(now, &self.order, &self.avoid);
+                self.again(now, plan, gate, out);
+            }
+            None => {
+                gate.unreachable(now, &runner);
+                gate.count("open_failed");
+                self.avoid.push(runner);
+                if !gate.tries.spend() {
+                    return self.refuse(now, Refusal::new(Why::NoBudget, 1), gate, out);
+                }
+                let plan = gate.plan(now, &self.order, &self.avoid);
+                self.again(now, plan, gate, out);
+            }
+        }
+    }
+
+    pub fn again(&mut self, now: Time, plan: Plan, _gate: &mut Gate, out: &mut Vec<Out>) {
+        match plan {
+            Plan::Send(runner) => self.open_main(now, runner, out),
+            Plan::Wait(_) => out.push(Out::Wait { avoid: self.avoid.clone() }),
+            Plan::Refuse(r) => self.refuse(now, r, _gate, out),
+        }
+    }
+
+    pub fn lost(&mut self, now: Time, leg: LegNo, gate: &mut Gate, out: &mut Vec<Out>) {
+        if self.is_dest(leg) {
+            return self.dest_failed(now, "the destination failed", gate, out);
+        }
+        if self.is_standby(leg) {
+            return self.standby_failed(now, "it failed", Some(false), gate, out);
+        }
+        let Some(runner) = self.leg(leg).map(|l| l.runner.instance.clone()) else { return };
+        self.source_failed(now, gate, out);
+        self.sent = true;
+        self.close(now, leg, Some(false), gate, out);
+        gate.count("lost");
+        if self.standby_steps_in(&runner, out) {
+            return;
+        }
+        if self.stream || !self.began || self.order.kind == RouteKind::Idempotent {
+            return self.resume(now, runner, gate, out);
+        }
+        self.refuse(now, Refusal::new(Why::NoRunner, 1), gate, out);
+    }
+}
--- a/src/pass/legs.rs
+++ b/src/pass/legs.rs
@@ -1,3 +1,4 @@
+use super::resume::Joined;
 use super::ride::*;
 use crate::fleet::runner::Runner;
 use crate::gate::{Gate, Refusal};
@@ -5,6 +6,18 @@
 use crate::kernel::time::Time;
 use crate::transfer::tape::{Item, Splitter};
 
+/// What the first event of a run must be, so that the stream can go on with it.
+#[derive(Clone, PartialEq, Debug)]
+pub enum Join {
+    /// The first run, or one whose first event was found right: anything goes.
+    Open,
+    /// The last event that was passed on, once more; it is not passed on again.
+    Repeat(Item),
+    /// The event behind the last one that was passed on.
+    Next,
+}
+
+/// One attempt at a runner, as the request's state machine sees it.
 pub struct Leg {
     pub no: LegNo,
     pub runner: Runner,
@@ -13,13 +26,13 @@
     pub since: Time,
     pub buffer: Vec<Item>,
     pub ended: bool,
-    pub skip: Option<Item>,
+    pub join: Join,
 }
 
 impl Leg {
     pub fn new(no: LegNo, runner: Runner, since: Time) -> Leg {
         let cut = Splitter::default();
-        Leg { no, runner, cut, head: false, since, buffer: Vec::new(), ended: false, skip: None }
+        Leg { no, runner, cut, head: false, since, buffer: Vec::new(), ended: false, join: Join::Open }
     }
 }
 
@@ -37,8 +50,11 @@
         gate: &mut Gate,
         out: &mut Vec<Out>,
     ) {
-        self.heard = now;
         let fit = stream && status == 200;
+        if self.is_standby(leg) {
+            return self.standby_head(now, leg, fit, gate, out);
+        }
+        self.heard = now;
         if self.is_dest(leg) {
             if !fit {
                 self.dest_failed(now, "the destination did not answer with a stream", gate, out);
@@ -65,12 +81,16 @@
     }
 
     pub fn chunk(&mut self, now: Time, leg: LegNo, raw: &bytes::Bytes, gate: &mut Gate, out: &mut Vec<Out>) {
+        if self.is_standby(leg) {
+            return self.standby_chunk(now, leg, raw, gate, out);
+        }
         let dest = self.is_dest(leg);
         if !dest {
             self.heard = now;
             if leg != self.main {
                 return;
             }
+            self.source_heard(now, gate, out);
             if !(self.order.resumable && self.stream) {
                 out.push(Out::Pass(raw.clone()));
                 return;
@@ -85,10 +105,11 @@
             if dest && self.is_dest(leg) {
                 self.dest_item(now, item, gate, out);
             } else if leg == self.main {
-                if !self.overlaps(now, leg, &item, gate, out) {
-                    continue;
+                match self.joined(leg, &item) {
+                    Joined::Goes => self.main_item(now, item, gate, out),
+                    Joined::Skipped => {}
+                    Joined::Differs(how) => self.main_differs(now, leg, &how, gate, out),
                 }
-                self.main_item(now, item, gate, out);
             }
             if self.over || self.legs.iter().all(|l| l.no != leg) {
                 return;
@@ -96,14 +117,15 @@
         }
     }
 
-    fn step_into_lost(&mut self, now: Time, leg: LegNo, gate: &mut Gate, out: &mut Vec<Out>) {
+    pub fn step_into_lost(&mut self, now: Time, leg: LegNo, gate: &mut Gate, out: &mut Vec<Out>) {
         let more = self.step(now, In::Lost { leg }, gate);
         out.extend(more);
     }
 
     pub fn pass_item(&mut self, item: Item, out: &mut Vec<Out>) {
-        if item.id.is_some() {
-            self.prev = std::mem::replace(&mut self.last, item.id.clone());
+        if let Some(id) = &item.id {
+            self.prev = self.sequence.last().map(|last| last.to_string());
+            self.sequence.push(id);
             self.tail = Some(item.clone());
         }
         self.passed += 1;
@@ -117,10 +139,13 @@
             }
             return self.dest_ended(now, gate, out);
         }
+        if self.is_standby(leg) {
+            return self.standby_failed(now, "it ended without a word", None, gate, out);
+        }
         if leg != self.main {
             return;
         }
-        if self.leg(leg).is_some_and(|l| l.skip.is_some()) {
+        if self.leg(leg).is_some_and(|l| l.join != Join::Open) {
             return self.step_into_lost(now, leg, gate, out);
         }
         self.source_ended(now, gate, out);
@@ -142,7 +167,7 @@
 
     /// What is known of a request as it ends without a whole answer: for the log.
     pub fn standing(&self, refusal: &Refusal, gate: &Gate) -> String {
-        let last = self.last.as_deref().unwrap_or("none");
+        let last = self.sequence.last().unwrap_or("none");
         let (opened, most, credit) = (self.opened, self.order.tries, gate.tries.credit());
         let why = refusal.code();
         format!("{why} passed={} last={last} attempts={opened}/{most} credit={credit:.1}", self.passed)
--- a/src/pass/resume.rs
+++ b/src/pass/resume.rs
@@ -1,3 +1,4 @@
+use super::legs::Join;
 use super::ride::*;
 use crate::fleet::config::RouteKind;
 use crate::fleet::runner::Runner;
@@ -6,43 +7,72 @@
 use crate::kernel::ids::Name;
 use crate::kernel::time::{Span, Time};
 use crate::seam::Load;
+use crate::transfer::continuation::RunContract;
 use crate::transfer::tape::Item;
 
+/// So long a request that was begun may wait for another runner.
+const RESUME_WITHIN: Span = Span::ms(3000);
 const FIRST: Span = Span::ms(450);
 const NEXT: Span = Span::ms(1000);
 
+/// What an event of a run means for the stream that is to go on with it.
+pub enum Joined {
+    /// It is passed on.
+    Goes,
+    /// It is not passed on, and nothing is wrong.
+    Skipped,
+    /// The run does not go on where the stream stands, as told.
+    Differs(String),
+}
+
 impl Ride {
     pub fn open_main(&mut self, now: Time, runner: Runner, out: &mut Vec<Out>) {
         self.opened += 1;
-        let from = if self.tail.is_some() { self.prev.clone() } else { self.last.clone() };
-        self.main = self.open(now, runner, from, out);
-        let (no, tail) = (self.main, self.tail.clone());
-        if let Some(l) = self.leg(no) {
-            l.skip = tail;
+        self.main = self.open_at_last(now, runner, out);
+    }
+
+    /// Opens a run that is to go on where the stream stands.
+    pub fn open_at_last(&mut self, now: Time, runner: Runner, out: &mut Vec<Out>) -> LegNo {
+        let last = self.sequence.last().map(|last| last.to_string());
+        let (from, join) = match (self.order.runs, &self.tail) {
+            (_, None) => (last, Join::Open),
+            (RunContract::SameEvents, Some(tail)) => (self.prev.clone(), Join::Repeat(tail.clone())),
+            (RunContract::SameIds, Some(_)) => (last, Join::Next),
+        };
+        let no = self.open(now, runner, from, out);
+        if let Some(leg) = self.leg(no) {
+            leg.join = join;
         }
+        no
     }
 
-    pub fn overlaps(
-        &mut self,
-        now: Time,
-        leg: LegNo,
-        item: &Item,
-        gate: &mut Gate,
-        out: &mut Vec<Out>,
-    ) -> bool {
-        let Some(want) = self.leg(leg).and_then(|l| l.skip.take()) else { return true };
-        if want == *item {
-            return false;
+    /// Whether an event of `leg` goes on with the stream; asked for each event, it matters for the first.
+    pub fn joined(&mut self, leg: LegNo, item: &Item) -> Joined {
+        let join = self.leg(leg).map_or(Join::Open, |l| l.join.clone());
+        let joined = match &join {
+            Join::Open => return Joined::Goes,
+            Join::Next if item.id.is_none() => return Joined::Skipped,
+            Join::Repeat(last) if last == item => Joined::Skipped,
+            Join::Repeat(last) => Joined::Differs(last.difference(item)),
+            Join::Next if item.id.as_deref().is_some_and(|id| self.sequence.is_next(id)) => Joined::Goes,
+            Join::Next => {
+                let last = self.sequence.last().unwrap_or("none");
+                Joined::Differs(format!("id {} does not follow {last}", item.id.as_deref().unwrap_or("none")))
+            }
+        };
+        if let Some(l) = self.leg(leg) {
+            l.join = Join::Open;
         }
+        joined
+    }
+
+    /// The run that was to go on with the stream does not: another one is asked.
+    pub fn main_differs(&mut self, now: Time, leg: LegNo, how: &str, gate: &mut Gate, out: &mut Vec<Out>) {
         gate.count("resume_differs");
         let runner = self.runner_of(leg).unwrap_or_default();
-        let difference = want.difference(item);
-        let text =
-            format!("{runner} repeats the last passed event otherwise: {difference} passed={}", self.passed);
-        out.push(Out::Told("resume-differs", text));
+        out.push(Out::Told("resume-differs", format!("{runner}: {how}; passed={}", self.passed)));
         self.close(now, leg, Some(false), gate, out);
         self.resume(now, runner, gate, out);
-        false
     }
 
     /// How long a runner of an order that may run again is waited for: to its first event, then to the next.
@@ -63,6 +93,10 @@
             return self.dest_failed(now, "the destination turned it away", gate, out);
         }
         let Some(runner) = self.runner_of(leg) else { return };
+        if self.is_standby(leg) {
+            gate.turned_away(now, &runner, &self.order, gone);
+            return self.standby_failed(now, "it turned the request away", None, gate, out);
+        }
         self.close(now, leg, None, gate, out);
         gate.count(if gone { "not_there" } else { "shed" });
         gate.turned_away(now, &runner, &self.order, gone);
@@ -94,10 +128,16 @@
             return self.refuse(now, Refusal::new(Why::NoBudget, 1), gate, out);
         }
         gate.count("resumed");
-        self.order.due = self.order.due.max(now + Span::ms(3000)).min(self.order.end.max(self.order.due));
-        self.order.last = self.last.clone();
-        self.order.resumed = true;
+        self.order_resumed(now);
         let plan = gate.plan(now, &self.order, &self.avoid);
         self.again(now, plan, gate, out);
     }
+
+    /// From now on the request is one that was begun: it may wait longer for a runner, and is not given up early.
+    pub fn order_resumed(&mut self, now: Time) {
+        let order = &mut self.order;
+        order.due = order.due.max(now + RESUME_WITHIN).min(order.end.max(order.due));
+        order.last = self.sequence.last().map(|last| last.to_string());
+        order.resumed = true;
+    }
 }
--- a/src/pass/ride.rs
+++ b/src/pass/ride.rs
@@ -1,5 +1,4 @@
 use super::legs::Leg;
-use crate::fleet::config::RouteKind;
 use crate::fleet::runner::Runner;
 use crate::gate::order::Why;
 use crate::gate::{Gate, Order, Plan, Refusal};
@@ -7,6 +6,7 @@
 use crate::kernel::time::{Span, Time};
 use crate::seam::Load;
 use crate::transfer::Handover;
+use crate::transfer::continuation::Sequence;
 use crate::transfer::tape::Item;
 use bytes::Bytes;
 
@@ -54,7 +54,8 @@
     pub began: bool,
     pub sent: bool,
     pub counted: bool,
-    pub last: Option<String>,
+    /// The ids that were passed on.
+    pub sequence: Sequence,
     pub prev: Option<String>,
     pub tail: Option<Item>,
     pub passed: u64,
@@ -66,11 +67,15 @@
     pub heard: Time,
     pub ticked: Time,
     pub stream: bool,
+    /// Another run that may go on with the stream while its own runner is silent.
+    pub standby: Option<LegNo>,
+    /// No standby is looked for before.
+    pub standby_next: Time,
 }
 
 impl Ride {
     pub fn new(order: Order) -> Ride {
-        let last = order.last.clone();
+        let sequence = Sequence::after(order.last.clone());
         Ride {
             order,
             legs: Vec::new(),
@@ -80,7 +85,7 @@
             began: false,
             sent: false,
             counted: false,
-            last,
+            sequence,
             prev: None,
             tail: None,
             passed: 0,
@@ -92,6 +97,8 @@
             heard: Time(0),
             ticked: Time(0),
             stream: false,
+            standby: None,
+            standby_next: Time(0),
         }
     }
 
@@ -187,63 +194,11 @@
     pub fn close_all(&mut self, now: Time, gate: &mut Gate, out: &mut Vec<Out>) {
         self.over = true;
         self.hand = None;
+        self.standby = None;
         gate.tries.give_back(std::mem::take(&mut self.reserved));
         let all: Vec<LegNo> = self.legs.iter().map(|l| l.no).collect();
         for leg in all {
             self.close(now, leg, None, gate, out);
         }
     }
-
-    fn open_failed(&mut self, now: Time, leg: LegNo, why: Option<Why>, gate: &mut Gate, out: &mut Vec<Out>) {
-        if self.is_dest(leg) {
-            return self.dest_failed(now, "the destination could not be reached", gate, out);
-        }
-        self.opened = self.opened.saturating_sub(1);
-        let Some(runner) = self.leg(leg).map(|l| l.runner.instance.clone()) else { return };
-        let good = if why.is_none() { Some(false) } else { None };
-        self.close(now, leg, good, gate, out);
-        if self.began || self.sent {
-            return self.resume(now, runner, gate, out);
-        }
-        match why {
-            Some(Why::Due) => self.refuse(now, Refusal::new(Why::Due, 1), gate, out),
-            Some(_) => {
-                let plan = gate.plan(now, &self.order, &self.avoid);
-                self.again(now, plan, gate, out);
-            }
-            None => {
-                gate.unreachable(now, &runner);
-                gate.count("open_failed");
-                self.avoid.push(runner);
-                if !gate.tries.spend() {
-                    return self.refuse(now, Refusal::new(Why::NoBudget, 1), gate, out);
-                }
-                let plan = gate.plan(now, &self.order, &self.avoid);
-                self.again(now, plan, gate, out);
-            }
-        }
-    }
-
-    pub fn again(&mut self, now: Time, plan: Plan, _gate: &mut Gate, out: &mut Vec<Out>) {
-        match plan {
-            Plan::Send(runner) => self.open_main(now, runner, out),
-            Plan::Wait(_) => out.push(Out::Wait { avoid: self.avoid.clone() }),
-            Plan::Refuse(r) => self.refuse(now, r, _gate, out),
-        }
-    }
-
-    fn lost(&mut self, now: Time, leg: LegNo, gate: &mut Gate, out: &mut Vec<Out>) {
-        if self.is_dest(leg) {
-            return self.dest_failed(now, "the destination failed", gate, out);
-        }
-        let Some(runner) = self.leg(leg).map(|l| l.runner.instance.clone()) else { return };
-        self.source_failed(now, gate, out);
-        self.sent = true;
-        self.close(now, leg, Some(false), gate, out);
-        gate.count("lost");
-        if self.stream || !self.began || self.order.kind == RouteKind::Idempotent {
-            return self.resume(now, runner, gate, out);
-        }
-        self.refuse(now, Refusal::new(Why::NoRunner, 1), gate, out);
-    }
 }
--- a/src/pass/shift.rs
+++ b/src/pass/shift.rs
@@ -162,7 +162,9 @@
         }
         self.reserved = NEEDS;
         self.opened += 1;
-        let (hand, steps) = Handover::new(plan.id, plan.to.clone(), s.moving.clone(), now, self.last.clone());
+        let rules = (s.moving.clone(), self.order.runs);
+        let last = self.sequence.last().map(|last| last.to_string());
+        let (hand, steps) = Handover::new(plan.id, plan.to.clone(), rules, now, last);
         self.hand = Some((0, hand));
         self.apply(now, steps, gate, out);
     }
@@ -193,12 +195,15 @@
             self.close_all(now, gate, out);
             return out.push(Out::Break("the answer was not complete within the time of its route"));
         }
-        let silent = self.silence().is_some_and(|s| idle > s) && gate.tries.credit() >= 1.0;
+        let waits = self.standby.is_none() && now >= self.standby_next;
+        let silent = waits && self.silence().is_some_and(|s| idle > s) && gate.tries.credit() >= 1.0;
         if silent {
             gate.count("runner_silent");
             gate.unreachable(now, &runner);
         }
-        if self.began && idle > QUIET || dark || silent {
+        if (dark || silent) && self.has_standby_rights() && idle <= QUIET {
+            self.open_standby(now, &runner, gate, out);
+        } else if self.began && idle > QUIET || dark || silent {
             out.push(Out::Told("runner-quiet", format!("{runner} {idle}")));
             let more = self.step(now, In::Lost { leg: main }, gate);
             return out.extend(more);
@@ -209,7 +214,7 @@
             let steps = if steps.is_empty() && gone { hand.withdrawn() } else { steps };
             return self.apply(now, steps, gate, out);
         }
-        if self.began && self.stream && self.order.resumable {
+        if self.has_standby_rights() && self.standby.is_none() {
             self.begin(now, gate, out);
         }
     }
--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -6,6 +6,7 @@
 use crate::kernel::time::Span;
 use crate::msg::RunnerOrder;
 use crate::seam::{Call, Load, RunnerSide, Verdict, adapter_name};
+use crate::transfer::continuation::RunContract;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -95,6 +96,11 @@
         Some(Load { running: n.next()??, waiting: n.next()??, slots: n.next()?? })
     }
 
+    /// The platform says where a run goes on, not that it gives what another run would have given.
+    fn run_contract(&self) -> RunContract {
+        RunContract::SameIds
+    }
+
     fn plain_reports(&self) -> bool {
         false
     }
--- a/src/seam.rs
+++ b/src/seam.rs
@@ -7,6 +7,7 @@
 use crate::kernel::ids::{ChangeId, Name};
 use crate::kernel::time::Span;
 use crate::msg::{Answer, Event, RunnerOrder};
+use crate::transfer::continuation::RunContract;
 use bytes::Bytes;
 use compact_str::CompactString;
 use http_body_util::Full;
@@ -69,6 +70,10 @@
         true
     }
     fn load(&self, heads: &HeaderMap) -> Option<Load>;
+    /// What two runs of the same request have in common.
+    fn run_contract(&self) -> RunContract {
+        RunContract::SameEvents
+    }
     /// Whether runners of plain services report too.
     fn plain_reports(&self) -> bool;
     fn report(&self, runner: &Runner) -> Call;
--- a/src/transfer/handover.rs
+++ b/src/transfer/handover.rs
@@ -1,3 +1,4 @@
+use super::continuation::RunContract;
 use super::tape::Item;
 use crate::fleet::config::Moving;
 use crate::kernel::ids::*;
@@ -28,6 +29,7 @@
     pub rounds_ms: Vec<u64>,
     pub gaps: Vec<u64>,
     plan: Moving,
+    contract: RunContract,
     tape: VecDeque<Item>,
     heard: VecDeque<Item>,
     alike: u64,
@@ -38,7 +40,13 @@
 }
 
 impl Handover {
-    pub fn new(id: MoveId, to: Name, plan: Moving, now: Time, last: Option<String>) -> (Handover, Vec<Out>) {
+    pub fn new(
+        id: MoveId,
+        to: Name,
+        (plan, contract): (Moving, RunContract),
+        now: Time,
+        last: Option<String>,
+    ) -> (Handover, Vec<Out>) {
         let h = Handover {
             id,
             to,
@@ -47,6 +55,7 @@
             rounds_ms: Vec::new(),
             gaps: Vec::new(),
             plan,
+            contract,
             tape: VecDeque::new(),
             heard: VecDeque::new(),
             alike: 0,
@@ -58,7 +67,11 @@
         (h, vec![Out::Open { last, cut: false }])
     }
 
+    /// An event of the source. One without a place is passed on as it comes.
     pub fn source(&mut self, now: Time, item: Item) -> Vec<Out> {
+        if !self.contract.is_placed(&item) {
+            return vec![Out::Pass(item)];
+        }
         match self.step {
             Step::Warm => {
                 self.tape.push_back(item.clone());
@@ -73,7 +86,11 @@
         }
     }
 
+    /// An event of the destination; only those with a place count before the cut.
     pub fn dest(&mut self, now: Time, item: Item) -> Vec<Out> {
+        if !self.contract.is_placed(&item) {
+            return vec![];
+        }
         self.heard.push_back(item);
         self.judge(now)
     }
@@ -87,7 +104,7 @@
 
     fn judge_warm(&mut self, now: Time) -> Vec<Out> {
         while let (Some(a), Some(b)) = (self.tape.get(self.alike as usize), self.heard.front()) {
-            if a != b {
+            if !self.contract.same_place(a, b) {
                 return self.stop("the destination's event differs from the source's of the same place");
             }
             self.alike += 1;
@@ -113,7 +130,7 @@
 
     fn judge_cut(&mut self) -> Vec<Out> {
         let (Some(a), Some(b)) = (self.held.front(), self.heard.front()) else { return vec![] };
-        if a != b {
+        if !self.contract.same_place(a, b) {
             return self.stop("the destination's first event differs from the source's");
         }
         let mut out = vec![Out::Switch];
--- a/src/transfer/mod.rs
+++ b/src/transfer/mod.rs
@@ -1,3 +1,4 @@
+pub mod continuation;
 pub mod handover;
 pub mod tape;
 pub use handover::Handover;
