Orders to runners name the count they build on; room counts what may yet arrive

Cause of LIMIT: room was judged by the holder's own book alone. A new holder has an empty book, reports of the platform do not say what loads, and 4 s of quiet do not outlast a slow load; an order that was held up on its way arrives when its entry has been struck off. Excluded: late or overtaking reports within a holder's term (1 s at most, entries live 3 s).

Mended by design: each order names how many orders its sender takes the runner to have taken (ExpectedCount on the platform, 'expected' on our own interface), so of two that build on the same state one is taken; after an answer that leaves the count open a report asked for later comes first (placement/sequence.rs). No order goes to a runner that is at work on one this holder doesn't know. An unanswered order takes its room until a later one was taken (60 s at most).

The placement story that freed the room of an unanswered load after 9 s now demands that it stays taken until it is void or a minute old. must_never_too's move waits up to 8 s for a runner to move to. Stand-ins count an order as asking the store unless it was void; orders of the simulator moved to sim/runner_orders.rs. Guards renamed with their lines, seven rows new (not yet run).

--- a/src/http/own.rs
+++ b/src/http/own.rs
@@ -97,6 +97,7 @@
             ("term", o.term.0.into()),
             ("name", o.name.0.as_str().into()),
             ("kind", kind.into()),
+            ("expected", o.expected.into()),
         ]);
         let path = if o.load { "/spindle/load" } else { "/spindle/unload" };
         call("POST", path, &o.runner, body.to_string())
--- a/src/kernel/event.rs
+++ b/src/kernel/event.rs
@@ -65,6 +65,8 @@
     pub load: bool,
     pub name: Name,
     pub adapter: bool,
+    /// How many orders the runner has taken as far as this one's sender knows; it is void if that is no longer so.
+    pub expected: u64,
     pub due: Time,
 }
 
--- a/src/placement/board.rs
+++ b/src/placement/board.rs
@@ -37,7 +37,8 @@
     pub fn board<'a>(&'a self, s: &'a DutySlice, offers: &'a [Offer], now: Time) -> Board<'a> {
         let planned: BTreeSet<Name> = self.busy(s, now).into_iter().collect();
         let mut busy = planned.clone();
-        busy.extend(offers.iter().map(|o| &o.runner.instance).filter(|r| self.flights.open(r)).cloned());
+        let closed = |o: &&Offer| self.flights.open(&o.runner.instance) || self.flights.is_foreign(&o.report);
+        busy.extend(offers.iter().filter(closed).map(|o| o.runner.instance.clone()));
         let mut holders: BTreeMap<&Name, u64> = BTreeMap::new();
         for name in offers.iter().filter(|o| !o.runner.leaving).flat_map(|o| &o.report.holds) {
             *holders.entry(name).or_default() += 1;
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -158,6 +158,8 @@
         if r.leaving {
             ctx.publish(JournalEvent::RunnerMarked(instance.clone()));
         }
+        let asked = self.looks.get(instance).and_then(|l| l.asked()).unwrap_or(ctx.now);
+        self.flights.sequences.reported(ctx.now, asked, r);
         let vanished = self.flights.told(ctx.now, r);
         let restarted = self.reports.get(instance).is_some_and(|old| old.1.orders > r.orders);
         if vanished && !restarted {
--- a/src/placement/flights.rs
+++ b/src/placement/flights.rs
@@ -1,11 +1,20 @@
+use super::look::NO_ROOM;
 use super::pacer::Pacer;
+use super::sequence::Sequences;
 use crate::fleet::config::{FleetConfig, Store};
 use crate::fleet::runner::{Report, Runner};
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
 use std::collections::BTreeMap;
 
+/// A runner's word that it carries an order out.
+const TAKEN: u16 = 202;
+/// So long after its order a load that was taken shows in the reports, held or under way.
 const UNSURE: Span = Span::ms(3000);
+/// So long an order without an answer keeps others from its runner.
+const UNANSWERED: Span = Span::ms(9000);
+/// So long after its order one without an answer is expected to arrive yet, unless a later one was taken.
+const FORGOTTEN: Span = Span::ms(60_000);
 
 #[derive(Clone, Debug)]
 pub struct Flight {
@@ -22,6 +31,10 @@
     pub end: Time,
     pub there: bool,
     pub begun: bool,
+    /// How many orders the runner had taken as this one was decided on.
+    pub expected: u64,
+    /// It was not answered, and others may go ahead; it may still arrive until one of them was taken.
+    pub overdue: bool,
 }
 
 impl Flight {
@@ -41,6 +54,8 @@
             end,
             there: false,
             begun: false,
+            expected: 0,
+            overdue: false,
         }
     }
 }
@@ -50,6 +65,7 @@
     pub rows: BTreeMap<OrderId, Flight>,
     pub pacer: Pacer,
     pub refused: BTreeMap<(Name, Name), Time>,
+    pub sequences: Sequences,
 }
 
 impl Flights {
@@ -72,7 +88,8 @@
 
     /// An order whose outcome is still open: no other is sent to that runner.
     pub fn open(&self, runner: &Name) -> bool {
-        self.rows.values().any(|f| f.runner == *runner && !f.there && (f.load || !f.answered))
+        let blocks = |f: &&Flight| !f.overdue && !f.there && (f.load || !f.answered);
+        self.rows.values().filter(|f| f.runner == *runner).any(|f| blocks(&f))
     }
 
     /// What the runner gave up by an unload it has taken, while its report still shows it.
@@ -102,18 +119,36 @@
     pub fn answered(&mut self, now: Time, order: OrderId, status: u16) {
         self.pacer.answered(order, status);
         let Some(f) = self.rows.get_mut(&order) else { return };
-        if f.behind && status == 409 {
+        if f.behind && status == NO_ROOM {
             self.pacer.give_back(order);
         }
         f.answered = (200..300).contains(&status);
-        f.begun = status == 202;
+        f.begun = status == TAKEN;
         f.end = now + f.takes;
+        let (runner, name, expected, behind) = (f.runner.clone(), f.name.clone(), f.expected, f.behind);
+        if status == TAKEN {
+            self.took(now, &runner, expected);
+        } else if !(behind && status == NO_ROOM) {
+            self.sequences.doubt(now, &runner);
+        }
         if (400..500).contains(&status) {
-            self.refused.insert((f.runner.clone(), f.name.clone()), now);
+            self.refused.insert((runner, name), now);
             self.rows.remove(&order);
         }
     }
 
+    /// The runner took an order that built on `expected`: what is overdue and built on no more is void.
+    fn took(&mut self, now: Time, runner: &Name, expected: u64) {
+        self.sequences.took(now, runner, expected);
+        self.rows.retain(|_, f| f.runner != *runner || !f.overdue || f.expected > expected);
+    }
+
+    /// Whether a report shows an order under way that is none of ours.
+    pub fn is_foreign(&self, report: &Report) -> bool {
+        let busy = report.busy || !report.loading.is_empty();
+        busy && !self.rows.values().any(|f| f.runner == report.instance && !f.overdue)
+    }
+
     /// Takes in a report; whether a load that the runner had taken is neither held nor under way.
     pub fn told(&mut self, now: Time, report: &Report) -> bool {
         let mut vanished = false;
@@ -123,11 +158,16 @@
             }
             let held = report.has(&f.name);
             let busy = report.loading.contains(&f.name) || report.busy;
+            let taken = report.orders > f.expected || report.orders == 0;
+            if !f.answered && report.orders > f.expected && busy {
+                (f.answered, f.begun, f.end, f.overdue) = (true, true, now + f.takes, false);
+            }
             let done = if f.load { held } else { !held };
-            let dead = f.load && !held && !busy && now.since(f.since) > UNSURE && f.answered;
-            let lost = !f.answered && !busy && now.since(f.since) > Span(UNSURE.0 * 3);
+            let dead = f.load && !held && !busy && taken && now.since(f.since) > UNSURE && f.answered;
+            f.overdue |= !f.answered && !busy && now.since(f.since) > UNANSWERED;
+            let void = f.overdue && (report.orders > f.expected || now.since(f.since) > FORGOTTEN);
             vanished |= dead;
-            !(done || dead || lost)
+            !(done || dead || void)
         });
         vanished
     }
--- a/src/placement/look.rs
+++ b/src/placement/look.rs
@@ -21,6 +21,13 @@
     asked: Option<Time>,
 }
 
+impl Look {
+    /// When the report that is awaited was asked for.
+    pub fn asked(&self) -> Option<Time> {
+        self.asked
+    }
+}
+
 pub type Looks = BTreeMap<Name, Look>;
 
 impl Placement {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -21,6 +21,7 @@
 pub mod quick;
 pub mod room;
 pub mod seeker;
+pub mod sequence;
 pub mod stages;
 pub mod trial;
 pub mod uses;
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -31,6 +31,10 @@
             return None;
         }
         let report = self.reports.get(runner).map(|r| self.known(s, &r.1))?;
+        if self.flights.is_foreign(&report) {
+            return None;
+        }
+        let expected = self.flights.sequences.expected(runner)?;
         let offer = Offer { runner: r, report };
         if load && self.distrust.is_paused(runner, ctx.now) {
             return None;
@@ -61,6 +65,8 @@
             end: Time(u64::MAX),
             there: false,
             begun: false,
+            expected,
+            overdue: false,
         };
         let due = self.proven + ORDER_FRESH;
         if counted {
@@ -71,7 +77,7 @@
         let what = if load { "load" } else { "unload" };
         ctx.log_event("runner-order", format!("{what} {name} on {runner} under {term}"));
         let (name, runner) = (name.clone(), offer.runner);
-        ctx.out.push(Effect::Drive(RunnerOrder { order, term, runner, load, name, adapter, due }));
+        ctx.out.push(Effect::Drive(RunnerOrder { order, term, runner, load, name, adapter, expected, due }));
         Some(order)
     }
 
--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -136,6 +136,7 @@
         }
         rows.push(("Owner", self.node.as_str().into()));
         rows.push(("FenceToken", o.term.0.into()));
+        rows.push(("ExpectedCount", o.expected.into()));
         call("POST", "/spindledock/order", &o.runner, map(&rows).to_string())
     }
 }
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -19,6 +19,7 @@
 pub mod record;
 pub mod replay;
 pub mod report;
+pub mod runner_orders;
 pub mod runners;
 pub mod setup;
 pub mod shows;
--- a/src/standin/runner.rs
+++ b/src/standin/runner.rs
@@ -106,7 +106,7 @@
         };
         let name = Name(name.to_string());
         let load = path == "/spindle/load";
-        let (status, why) = self.stock.lock().unwrap().order(id, term, &name, load);
+        let (status, why) = self.stock.lock().unwrap().order(id, term, &name, load, t.num("expected"));
         self.flush();
         if load && status == 200 && why == "loading" {
             let me = self.clone();
--- a/src/standin/stock.rs
+++ b/src/standin/stock.rs
@@ -101,7 +101,15 @@
         }
     }
 
-    pub fn order(&mut self, id: &str, term: u64, name: &Name, load: bool) -> (u16, &'static str) {
+    /// `expected`: how many orders its sender takes this runner to have taken, if it says so.
+    pub fn order(
+        &mut self,
+        id: &str,
+        term: u64,
+        name: &Name,
+        load: bool,
+        expected: Option<u64>,
+    ) -> (u16, &'static str) {
         if term < self.term {
             self.lines.push(format!("order-old term={term} seen={}", self.term));
             return (412, "the term is old");
@@ -110,6 +118,9 @@
             return (*status, "repeated");
         }
         self.term = term;
+        if expected.is_some_and(|n| n != self.orders) {
+            return (409, "other orders were taken since");
+        }
         if load && self.is_over(name) {
             self.lines.push(format!("overfull name={name} used={} room={}", self.used(), self.room_mb));
         }
--- a/tests/hold.rs
+++ b/tests/hold.rs
@@ -25,7 +25,16 @@
         leaving: false,
     };
     let (order, name) = (OrderId(1), Name::from("m00"));
-    Effect::Drive(RunnerOrder { order, term: Term(1), runner, load: true, name, adapter: false, due: now })
+    Effect::Drive(RunnerOrder {
+        order,
+        term: Term(1),
+        runner,
+        load: true,
+        name,
+        adapter: false,
+        expected: 0,
+        due: now,
+    })
 }
 
 #[test]
--- a/tests/must_never_too.rs
+++ b/tests/must_never_too.rs
@@ -31,17 +31,26 @@
     w.run_for(Span::ms(6000));
 }
 
-fn any_move(w: &mut World, differ: bool) -> Name {
-    let from = w.runners.iter().position(|r| r.stock.running() > 2).expect("a busy runner");
-    let (model, _) = w.runners[from].stock.runs.iter().max_by_key(|r| r.1).expect("a run");
-    let model = model.clone();
+/// A busy runner, the model of most of its runs, and another runner that can take them over, if there is one now.
+fn way(w: &World, differ: bool) -> Option<(usize, Name, Name)> {
+    let from = w.runners.iter().position(|r| r.stock.running() > 2)?;
+    let (model, _) = w.runners[from].stock.runs.iter().max_by_key(|r| r.1)?;
     let fits = |r: &&spindledock::sim::runners::SimRunner| {
         r.card.service.0 == "assistant"
             && r.card.instance != w.runners[from].card.instance
             && (!differ || r.stock.running() == 0)
-            && (r.stock.holds.contains(&model) || r.stock.running() == 0)
+            && (r.stock.holds.contains(model) || r.stock.running() == 0)
     };
-    let to = w.runners.iter().find(fits).map(|r| r.card.instance.clone()).expect("a place to go");
+    let to = w.runners.iter().find(fits)?.card.instance.clone();
+    Some((from, model.clone(), to))
+}
+
+fn any_move(w: &mut World, differ: bool) -> Name {
+    assert!(
+        w.until(Span::ms(8000), |w| way(w, differ).is_some()).is_some(),
+        "a busy runner and a place to go"
+    );
+    let (from, model, to) = way(w, differ).expect("as just seen");
     let k = w.runner_at(&to).expect("listed");
     if !w.runners[k].stock.holds.contains(&model) {
         w.runners[k].stock.holds.clear();
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -64,7 +64,14 @@
     f.told(NOW + Span::ms(4000), &offer("a", &[], 0, &[]).report);
     assert_eq!(free_mb(&c, &offer("a", &[], 0, &[]), &f), 40, "an unknown outcome still counts");
     f.told(NOW + Span::ms(9500), &offer("a", &[], 0, &[]).report);
-    assert_eq!(free_mb(&c, &offer("a", &[], 0, &[]), &f), 100);
+    assert_eq!(free_mb(&c, &offer("a", &[], 0, &[]), &f), 40, "it may have been held up and arrive yet");
+    assert!(!f.open(&Name::from("a")), "others may go ahead");
+    let mut later = f.clone();
+    later.told(NOW + Span::ms(61_000), &offer("a", &[], 0, &[]).report);
+    assert_eq!(free_mb(&c, &offer("a", &[], 0, &[]), &later), 100, "it is forgotten in the end");
+    f.rows.insert(OrderId(2), flight("a", "mid", 30));
+    f.answered(NOW + Span::ms(9600), OrderId(2), 202);
+    assert_eq!(free_mb(&c, &offer("a", &[], 0, &[]), &f), 70, "an order that was taken since voids it");
 }
 
 #[test]
--- a/tests/platform_words.rs
+++ b/tests/platform_words.rs
@@ -219,15 +219,17 @@
         load,
         name: Name::from(name),
         adapter,
+        expected: 3,
         due: Time(0),
     };
     let call = words().drive(&order(true, "daka51", false));
     assert_eq!((call.method().as_str(), call.uri().path()), ("POST", "/spindledock/order"));
     assert_eq!(head(&call, "x-target-instance"), "i-7f");
-    let want = r#"{"Opcode":"install","Model":"daka51","Owner":"node-7","FenceToken":41}"#;
+    let want = r#"{"Opcode":"install","Model":"daka51","Owner":"node-7","FenceToken":41,"ExpectedCount":3}"#;
     assert_eq!(body(call).to_string(), want);
-    let want = r#"{"Opcode":"install","Model":"daka51","Adapter":"a3","Owner":"node-7","FenceToken":41}"#;
+    let want = r#"{"Opcode":"install","Model":"daka51","Adapter":"a3","Owner":"node-7","FenceToken":41,"ExpectedCount":3}"#;
     assert_eq!(body(words().drive(&order(true, "daka51/a3", true))).to_string(), want);
-    let want = r#"{"Opcode":"uninstall","Model":"org/daka51","Owner":"node-7","FenceToken":41}"#;
+    let want =
+        r#"{"Opcode":"uninstall","Model":"org/daka51","Owner":"node-7","FenceToken":41,"ExpectedCount":3}"#;
     assert_eq!(body(words().drive(&order(false, "org/daka51", false))).to_string(), want);
 }
--- a/tests/room.rs
+++ b/tests/room.rs
@@ -54,3 +54,24 @@
         sound(&w);
     });
 }
+
+#[test]
+fn given_orders_that_are_held_up_on_their_way_when_they_arrive_late_then_no_runner_is_ordered_over_its_room()
+{
+    seeded(1..13, |seed| {
+        let mut w = terse(24, seed, 1);
+        let before = loads(&w);
+        w.slow_order = 14_000_000;
+        calls(&mut w, "/rare", 6, 3, Span::ms(50_000), rare);
+        let tuned = |n: u64| ("m00".to_string(), Some(format!("m00/a{}", mix(n + 5) % 24)));
+        calls(&mut w, "/chat", 4, 2, Span::ms(50_000), tuned);
+        for _ in 0..3 {
+            w.run_for(Span::ms(14_000 + seed * 130));
+            kill_holder(&mut w);
+        }
+        w.run_for(Span::ms(25_000));
+        assert!(loads(&w) - before >= 8, "loads went on: {}", loads(&w) - before);
+        let over = w.record.rows.iter().filter(|r| matches!(r.1, Fact::Overfull { .. })).count();
+        assert_eq!(over, 0, "orders over a runner's room");
+    });
+}
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -19,7 +19,7 @@
 freshness|src/distribution/reader.rs|Span::ms\(2000\)|Span::ms(20000)|must_never that_router_refuses
 tail-term|src/chain/publish.rs|if ctx.now >= ctx.views.role.until|if false|must_never that_router_refuses
 restart-proof|src/distribution/reader.rs|proven < self.started \|\| ||news slides_back
-same-event|src/transfer/handover.rs|if a != b|if false|must_never_too source_keeps_it
+same-event|src/transfer/handover.rs|if !self.contract.same_place\(a, b\)|if false|must_never_too source_keeps_it
 budget|src/gate/budget.rs|if self.credit < 1.0|if false|must_never_too in_the_budget
 holder-wait|src/placement/duty.rs|QUIET: Span = Span::ms\(4000\)|QUIET: Span = Span::ms(0)|must_never_too three_seconds_apart
 room|src/placement/room.rs|if free_mb\(c, o, f\) < mb|if false|must_never_too never_overrun
@@ -33,7 +33,14 @@
 mending|src/chain/view_change.rs|if !self.in_chain\(\) \|\| !self.ready \|\| !self.hears_majority\(ctx.now\)|if true|chain changes_go_on
 return-time|src/placement/duty.rs|QUIET: Span = Span::ms\(4000\)|QUIET: Span = Span::ms(14000)|back each_herd
 wait-refused|src/gate/wait.rs|if now \+ wait < order.due \{|if true {|wait hear_it_early
-overlap|src/pass/resume.rs|if want == \*item \{|if true {|ride mixed
+overlap|src/pass/resume.rs|Join::Repeat\(last\) if last == item|Join::Repeat(_)|ride mixed
+join-by-id|src/pass/resume.rs|self.sequence.is_next\(id\)\)|self.sequence.is_next(id) \|\| true)|platform_stream never_mixed
+place-by-id|src/transfer/handover.rs|if !self.contract.same_place\(a, b\)|if false|transfer_ids stays_at_its_source
+silent-kept|src/pass/standby.rs|self.began && self.stream && self.order.resumable|false|standby goes_on_meanwhile
+standby-apart|src/pass/standby.rs|return self.standby_failed\(now, &how|return self.main_differs(now, leg, &how|standby whole_and_its_own
+order-sequence|src/sim/runner_orders.rs|Some\(o.expected\)|None|room held_up
+foreign-order|src/placement/flights.rs|busy && !self.rows|false && !self.rows|room predecessor
+overdue-room|src/placement/flights.rs|f.overdue \|= !f.answered|f.there \|= !f.answered|placement in_flight
 plan-accept|src/placement/demand.rs|s.config.placement.auto \{ PlanState::Running|true { PlanState::Running|plan version_is_accepted
 plan-allowance|src/placement/drive.rs|if ms > most.ms \|\| tries > most.tries|if false|plan at_its_allowance
 route-again|src/gate/tell.rs|if order.routes_at == self.routes.0|if true|turn their_route_is_dropped
