--- a/src/placement/job.rs
+++ b/src/placement/job.rs
@@ -35,17 +35,6 @@
     pub fn wants(&self, name: &Name) -> bool {
         self.want == *name
     }
-
-    /// What is loaded in the end.
-    pub fn want(&self) -> &Name {
-        &self.want
-    }
-
-    /// Whether the load is yet to be ordered.
-    pub fn awaits_load(&self) -> bool {
-        let ordered = self.order.is_some() && self.steps.front().is_some_and(|step| step.0);
-        !self.steps.is_empty() && !ordered
-    }
 }
 
 impl Placement {
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -1,7 +1,6 @@
 use super::distrust::weight_of_all;
 use super::duty::{ORDER_FRESH, Placement};
 use super::flights::{Flight, Offer, is_adapter};
-use super::job::Job;
 use super::room::fits;
 use crate::fleet::runner::Report;
 use crate::fleet::slice::DutySlice;
@@ -11,8 +10,6 @@
 use crate::msg::*;
 
 const TINY: Span = Span::ms(5);
-/// So many decisions may make room ahead of the store's allowance, as an unload takes its time too.
-const AHEAD: u64 = 1;
 
 impl Placement {
     pub fn order(&mut self, runner: &Name, name: &Name, load: bool, ctx: &mut Context) -> bool {
@@ -48,8 +45,8 @@
         let adapter = is_adapter(&s.config, name);
         let rule = &s.config.store;
         let kept = self.is_kept(s, runner, name);
-        let counted = load && self.asks_store(s, runner, name);
-        if counted && self.flights.loads_left(rule) == 0 {
+        let counted = load && !kept && (!adapter || rule.adapters);
+        if counted && !self.flights.may_load(rule) {
             return None;
         }
         let order = OrderId(ctx.rand.next() | 1);
@@ -84,20 +81,6 @@
         Some(order)
     }
 
-    /// Whether a load of `name` at this runner takes of the store's allowance.
-    pub fn asks_store(&self, s: &DutySlice, runner: &Name, name: &Name) -> bool {
-        !self.is_kept(s, runner, name) && (!is_adapter(&s.config, name) || s.config.store.adapters)
-    }
-
-    /// How many loads from the store a new decision could order now: those that decisions under way have yet to order
-    /// go first. With none left nothing is unloaded either, since its place would stand empty until the store allows
-    /// the load.
-    pub fn store_left(&mut self, s: &DutySlice) -> u64 {
-        let waits = |row: &(&Name, &Job)| row.1.awaits_load() && self.asks_store(s, row.0, row.1.want());
-        let before = self.jobs.iter().filter(waits).count() as u64;
-        (self.flights.loads_left(&s.config.store) + AHEAD).saturating_sub(before)
-    }
-
     pub fn is_kept(&self, s: &DutySlice, runner: &Name, name: &Name) -> bool {
         s.config.store.kept_ms > 0 && self.kept.get(runner).is_some_and(|k| k.contains(name))
     }
--- a/src/placement/quick.rs
+++ b/src/placement/quick.rs
@@ -115,24 +115,20 @@
         let offers = self.offers(ctx.now);
         let mut left = names.into_iter().map(|row| row.2);
         loop {
-            let store_left = self.store_left(s);
             let board = self.board(s, &offers, ctx.now);
-            let found = left.find_map(|name| Some((self.meet_quick(&board, &name, store_left, s)?, name)));
+            let found = left.find_map(|name| Some((self.meet_quick(&board, &name, s)?, name)));
             let Some((choice, name)) = found else { return };
             self.begin(&name, choice, "is wanted and no runner can take it", ctx);
             self.run_jobs(s, ctx);
         }
     }
 
-    fn meet_quick(&self, board: &Board, name: &Name, store_left: u64, s: &DutySlice) -> Option<Choice> {
+    fn meet_quick(&self, board: &Board, name: &Name, s: &DutySlice) -> Option<Choice> {
         if s.config.weight(name).is_none() || self.coming(name, s) || self.served(board, name, s) {
             return None;
         }
         let want = self.wants.get(name)?;
         let choice = board.choose(&want.service, name)?;
-        if store_left == 0 && self.asks_store(s, &choice.runner, name) {
-            return None;
-        }
         let blind = self.used.is_empty() && board.now().since(want.since) < BLIND;
         if blind && !choice.unloads.is_empty() {
             return None;
@@ -198,7 +194,7 @@
         if !s.config.placement.auto || !self.may_order(ctx.now) || self.jobs.len() >= COPIES {
             return;
         }
-        if self.store_left(s) < 2 {
+        if self.flights.pacer.left(&s.config.store) < 2.0 {
             return;
         }
         let (usage, holdings) = (self.usage.clone(), self.holdings());
