--- a/tests/transfer_ids.rs
+++ b/tests/transfer_ids.rs
@@ -111,3 +111,19 @@
         assert_eq!(after(known).is_next(next), fits, "{known:?} then {next}");
     }
 }
+
+#[test]
+fn given_ids_at_even_distances_when_a_stream_is_taken_up_anywhere_then_only_its_next_event_fits() {
+    for stride in [1u64, 2, 7, 100] {
+        for first in [stride, 40 * stride] {
+            let ids: Vec<u64> = (0..12).map(|n| first + n * stride).collect();
+            for cut in 2..ids.len() {
+                let mut sequence = Sequence::after(None);
+                ids[..cut].iter().for_each(|id| sequence.push(&id.to_string()));
+                let fits: Vec<u64> =
+                    ids.iter().copied().filter(|id| sequence.is_next(&id.to_string())).collect();
+                assert_eq!(fits, [ids[cut]], "distance {stride}, first {first}, cut after {cut}");
+            }
+        }
+    }
+}
