--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -37,7 +37,7 @@
 join-by-id|src/pass/resume.rs|self.sequence.is_next\(id\)\)|self.sequence.is_next(id) \|\| true)|platform_stream never_mixed
 place-by-id|src/transfer/handover.rs|if !self.contract.same_place\(a, b\)|if false|transfer_ids stays_at_its_source
 silent-kept|src/pass/standby.rs|self.began && self.stream && self.order.resumable|false|standby goes_on_meanwhile
-standby-apart|src/pass/standby.rs|return self.standby_failed\(now, &how|return self.main_differs(now, leg, &how|standby whole_and_its_own
+standby-apart|src/pass/standby.rs|return self.standby_failed\(now, &how, Some\(false\), gate, out\)|return self.main_differs(now, leg, &how, gate, out)|standby whole_and_its_own
 order-sequence|src/sim/runner_orders.rs|Some\(o.expected\)|None|room held_up
 foreign-order|src/placement/flights.rs|busy && !self.rows|false && !self.rows|room predecessor
 overdue-room|src/placement/flights.rs|f.overdue \|= !f.answered|f.there \|= !f.answered|placement in_flight
@@ -109,7 +109,7 @@
 # Run in CI after the tests: guards of the control side under bad days (docs/control-safety.md) and of the data path.
 # Each costs a build and one story, and was seen to fail with its guard off on the sources that name it here.
 CONTROL_SAFETY_GUARDS="tail-term lease-release order-digest vote-when-ready log-folder-sync"
-CONNECTION_GUARDS="reuse-quiet own-id"
+CONNECTION_GUARDS="reuse-quiet own-id silent-kept join-by-id order-sequence foreign-order"
 
 check_only=
 case "${1:-}" in
