A tail that cannot write returns its lease as it is left out: no view change stays half made

Cause of the known red story (full disk, another member than the tail wiped): the full member is the tail. The others propose the view without it and wait 850 ms for its lease; a second proposer begins after 200 ms a rank; if a voter is wiped in that time, one voter has accepted, no lease may be granted, and the full one cannot sync a vote, until there is room. Excluded: the wiped member's return (it has no vote under its new id), the routers' proofs. Now the tail, told by Prepare that it is to be left out, gives its lease up at once; voters stop waiting for that very lease (same tail, same request), and a grant that comes late counts no more. The change takes a few messages. Left: a wipe within those few messages.

--- a/src/chain/acceptor.rs
+++ b/src/chain/acceptor.rs
@@ -58,6 +58,8 @@
     pub accepted_at: Time,
     /// Until when a lease that this voter granted may be in use.
     pub hold: Time,
+    /// Who holds that lease, and the time of its request by that tail's clock.
+    pub granted: Option<(NodeId, Time)>,
     /// Until when no lease is granted because of a promise.
     pub pause: Time,
     /// The acceptance that waits for `hold`.
@@ -93,8 +95,8 @@
 
     /// Begins the register after `view`; a lease granted before still counts.
     pub fn reset(&mut self, view: &View) {
-        let hold = self.hold;
-        *self = Acceptor { no: view.no.next(), hold, ..Acceptor::default() };
+        let (hold, granted) = (self.hold, self.granted);
+        *self = Acceptor { no: view.no.next(), hold, granted, ..Acceptor::default() };
     }
 
     /// Whether a lease may be granted: not while a next view is under way.
@@ -107,6 +109,9 @@
     /// Answers a proposer's `Prepare`.
     pub fn prepare_asked(&mut self, from: NodeId, msg: &ChainMsg, ctx: &mut Context) {
         let ChainMsg::Prepare { no, ballot, lost, quiet } = msg else { return };
+        if *lost == Some(self.ident) {
+            self.return_lease(*no, ctx);
+        }
         if self.votes_on(from, *no, ctx) && self.believes_lost(*lost, *quiet, ctx.now) {
             self.promise(from, *no, *ballot, ctx);
         }
@@ -190,8 +195,8 @@
         now < self.acceptor.hold || self.in_restart_wait(now)
     }
 
-    /// Accepts what waited for a lease, gives up an old proposal, and finishes one that was accepted here.
-    pub fn acceptor_tick(&mut self, ctx: &mut Context) {
+    /// Accepts what waited for a lease, once that has run out or was returned.
+    pub fn accept_deferred(&mut self, ctx: &mut Context) {
         if !self.lease_may_run(ctx.now)
             && let Some(d) = self.acceptor.deferred.take()
             && ctx.now.since(d.since) < DEFERRED_KEPT
@@ -199,6 +204,11 @@
         {
             self.accept(d.from, d.proposal, ctx);
         }
+    }
+
+    /// Accepts what waited for a lease, gives up an old proposal, and finishes one that was accepted here.
+    pub fn acceptor_tick(&mut self, ctx: &mut Context) {
+        self.accept_deferred(ctx);
         if self.proposal.as_ref().is_some_and(|b| ctx.now.since(b.since) > PROPOSAL_TIMEOUT) {
             self.proposal = None;
         }
--- a/src/chain/core.rs
+++ b/src/chain/core.rs
@@ -151,7 +151,8 @@
                 }
             }
             ChainMsg::LeaseRequest { view, sent } => self.lease_requested(from, *view, *sent, ctx),
-            ChainMsg::LeaseGrant { view, sent } => self.lease_granted(from, *view, *sent, ctx),
+            ChainMsg::LeaseGrant { view, sent } => self.lease_granted(from, *view, *sent),
+            ChainMsg::LeaseReturned { view, sent } => self.lease_returned(from, *view, *sent, ctx),
             ChainMsg::LeaseApplications { .. }
             | ChainMsg::LeaseLedgerRequest { .. }
             | ChainMsg::LeaseLedger { .. }
--- a/src/chain/lease.rs
+++ b/src/chain/lease.rs
@@ -1,3 +1,10 @@
+//! The tail's lease: only under it the tail answers reads and proves that it is the newest.
+//!
+//! A tail that is to be left out because it cannot write returns its lease, so that the voters need not wait until it
+//! has run out: the change of view then takes a few messages, and a member that is lost meanwhile hardly ever finds it
+//! half made.
+#![deny(missing_docs)]
+
 use super::core::Chain;
 use crate::kernel::component::Context;
 use crate::kernel::ids::*;
@@ -5,24 +12,37 @@
 use crate::msg::ChainMsg;
 use std::collections::BTreeMap;
 
+/// How long a granted lease may be used, counted from its request.
 pub const LEASE: Span = Span::ms(800);
+/// How long a voter that granted a lease neither promises nor accepts a view without its holder.
 pub const LEASE_PROMISE: Span = Span::ms(850);
+/// How often the tail asks for its lease.
 pub const ASK: Span = Span::ms(200);
+/// A tail that returned its lease asks for none for so long; by then the view has changed, or never will.
+const RETURNED_REST: Span = Span::ms(400);
 
+/// The tail's own lease.
 #[derive(Clone, Default)]
 pub struct Lease {
+    /// Until when it may be used.
     pub until: Time,
+    /// When it was asked for last.
     pub asked: Time,
+    /// When it was last returned; grants of what was asked for until then count no more.
+    pub returned: Time,
+    /// The newest request that each voter has granted.
     pub grants: BTreeMap<NodeId, Time>,
 }
 
 impl Chain {
+    /// Asks all voters for the lease, if this is the tail and it is time.
     pub fn renew_lease(&mut self, ctx: &mut Context) {
         let Some(view) = self.view.clone() else { return };
         if !self.is_tail() || !self.ready || self.awaits_first_vote(ctx) {
             return;
         }
-        if ctx.now.since(self.lease.asked) < ASK {
+        let rests = self.lease.returned != Time(0) && ctx.now.since(self.lease.returned) < RETURNED_REST;
+        if rests || ctx.now.since(self.lease.asked) < ASK {
             return;
         }
         self.lease.asked = ctx.now;
@@ -31,6 +51,7 @@
         }
     }
 
+    /// A voter grants the tail its lease, unless a next view is under way.
     pub fn lease_requested(&mut self, from: NodeId, no: ViewNo, sent: Time, ctx: &mut Context) {
         let Some(view) = &self.view else { return };
         if view.no != no || view.tail() != Some(from) || !view.voters.contains(&self.ident) {
@@ -40,12 +61,14 @@
             return;
         }
         self.acceptor.hold = ctx.now + LEASE_PROMISE;
+        self.acceptor.granted = Some((from, sent));
         ctx.chain(from, ChainMsg::LeaseGrant { view: no, sent });
     }
 
-    pub fn lease_granted(&mut self, from: NodeId, no: ViewNo, sent: Time, _kit: &mut Context) {
+    /// Counts a grant; the lease runs from the latest request that a majority has granted.
+    pub fn lease_granted(&mut self, from: NodeId, no: ViewNo, sent: Time) {
         let Some(view) = &self.view else { return };
-        if view.no != no || !self.is_tail() || !view.voters.contains(&from) {
+        if view.no != no || !self.is_tail() || !view.voters.contains(&from) || sent <= self.lease.returned {
             return;
         }
         let best = self.lease.grants.entry(from).or_default();
@@ -58,6 +81,35 @@
         }
     }
 
+    /// Gives the lease up, if this tail cannot write and is to be left out of view `no`: from here on it answers
+    /// nothing as the tail, whatever was granted before.
+    pub fn return_lease(&mut self, no: ViewNo, ctx: &mut Context) {
+        let Some(view) = self.view.clone() else { return };
+        if no != view.no.next() || !self.is_tail() || self.can_write(ctx) {
+            return;
+        }
+        let sent = self.lease.asked;
+        self.lease.until = Time(0);
+        self.lease.returned = ctx.now;
+        self.lease.grants.clear();
+        ctx.log_event("lease-returned", view.no.to_string());
+        for node in &view.voters {
+            ctx.chain(*node, ChainMsg::LeaseReturned { view: view.no, sent });
+        }
+    }
+
+    /// The tail has returned the lease that it asked for at `sent`. Only the very lease that this voter granted last
+    /// ends so: a word that comes late says nothing of a later one.
+    pub fn lease_returned(&mut self, from: NodeId, no: ViewNo, sent: Time, ctx: &mut Context) {
+        let current = self.view.as_ref().is_some_and(|view| view.no == no);
+        if !current || self.acceptor.granted != Some((from, sent)) {
+            return;
+        }
+        self.acceptor.hold = Time(0);
+        self.accept_deferred(ctx);
+    }
+
+    /// Whether this voter may still be bound by a lease that it granted before it was restarted.
     pub fn in_restart_wait(&self, now: Time) -> bool {
         now.since(self.started) < LEASE_PROMISE + Span::ms(50)
     }
--- a/src/chain/messages.rs
+++ b/src/chain/messages.rs
@@ -98,6 +98,11 @@
         view: ViewNo,
         sent: Time,
     },
+    /// The tail uses its lease no longer; `sent` is that of its last request.
+    LeaseReturned {
+        view: ViewNo,
+        sent: Time,
+    },
     /// Routers ask for serving leases; each member records them before the next one, the tail grants them.
     LeaseApplications {
         view: ViewNo,
--- a/src/explore/digest.rs
+++ b/src/explore/digest.rs
@@ -107,6 +107,7 @@
         clock.of(time).hash(hasher);
     }
     clock.of(chain.lease.asked).hash(hasher);
+    clock.of(chain.lease.returned).hash(hasher);
     clock.of_all(&chain.lease.grants, hasher);
     hash_acceptor(chain, clock, hasher);
     hash_proposal(chain, clock, hasher);
@@ -137,6 +138,7 @@
     for time in [acceptor.accepted_at, acceptor.hold, acceptor.pause, acceptor.rest] {
         clock.of(time).hash(hasher);
     }
+    acceptor.granted.map(|(tail, sent)| (tail, clock.of(sent))).hash(hasher);
     acceptor.top.hash(hasher);
     if let Some(deferred) = &acceptor.deferred {
         (deferred.from, clock.of(deferred.since)).hash(hasher);
--- a/src/explore/flight.rs
+++ b/src/explore/flight.rs
@@ -60,6 +60,7 @@
             ChainMsg::ViewDecided { .. } => "view decided",
             ChainMsg::LeaseRequest { .. } => "lease request",
             ChainMsg::LeaseGrant { .. } => "lease grant",
+            ChainMsg::LeaseReturned { .. } => "lease returned",
             _ => "chain",
         }
     }
@@ -93,6 +94,7 @@
         ChainMsg::JoinHeard | ChainMsg::Join { .. } => false,
         ChainMsg::ReadIndexRequest { .. } | ChainMsg::ReadIndexReply { .. } => false,
         ChainMsg::LeaseRequest { .. } | ChainMsg::LeaseGrant { .. } => leases,
+        ChainMsg::LeaseReturned { .. } => leases,
         ChainMsg::Append { entries, .. } => !entries.is_empty(),
         _ => true,
     }
@@ -108,7 +110,9 @@
 fn time_of(msg: &Msg) -> Option<(Owner, Time)> {
     let Msg::Chain(msg) = msg else { return None };
     match msg {
-        ChainMsg::LeaseRequest { sent, .. } | ChainMsg::Pledge { sent, .. } => Some((Owner::Sender, *sent)),
+        ChainMsg::LeaseRequest { sent, .. }
+        | ChainMsg::LeaseReturned { sent, .. }
+        | ChainMsg::Pledge { sent, .. } => Some((Owner::Sender, *sent)),
         ChainMsg::LeaseGrant { sent, .. } | ChainMsg::Pledged { sent, .. } => Some((Owner::Receiver, *sent)),
         _ => None,
     }
@@ -120,6 +124,7 @@
         ChainMsg::LeaseRequest { sent, .. }
         | ChainMsg::Pledge { sent, .. }
         | ChainMsg::LeaseGrant { sent, .. }
+        | ChainMsg::LeaseReturned { sent, .. }
         | ChainMsg::Pledged { sent, .. } => *sent = Time(0),
         _ => {}
     }
--- a/src/kernel/hold.rs
+++ b/src/kernel/hold.rs
@@ -106,6 +106,7 @@
         ChainMsg::Heartbeat { .. }
             | ChainMsg::LeaseRequest { .. }
             | ChainMsg::LeaseGrant { .. }
+            | ChainMsg::LeaseReturned { .. }
             | ChainMsg::JoinHeard
     )
 }
--- /dev/null
+++ b/tests/lease_return.rs
@@ -0,0 +1,152 @@
+//! The tail's lease that is returned before it has run out: a voter stops waiting for it, and for no other.
+
+use spindledock::chain::core::Chain;
+use spindledock::chain::lease::LEASE_PROMISE;
+use spindledock::chain::view::View;
+use spindledock::kernel::component::Me;
+use spindledock::kernel::ids::*;
+use spindledock::kernel::node::Node;
+use spindledock::kernel::rand::Seeded;
+use spindledock::kernel::time::{Span, Time};
+use spindledock::msg::*;
+
+const HEAD: NodeId = NodeId(1);
+const MIDDLE: NodeId = NodeId(2);
+const TAIL: NodeId = NodeId(3);
+const FLEET: FleetId = FleetId(7);
+const NOW: Time = Time(50_000_000);
+const BALLOT: Ballot = Ballot { round: 1, node: HEAD };
+
+fn first_view() -> View {
+    View { no: ViewNo(1), chain: vec![HEAD, MIDDLE, TAIL], voters: vec![HEAD, MIDDLE, TAIL] }
+}
+
+/// The view that leaves the tail out.
+fn next_view() -> View {
+    View { no: ViewNo(2), chain: vec![HEAD, MIDDLE], ..first_view() }
+}
+
+/// A ready member that has run for a while.
+fn member(node: NodeId) -> Node {
+    let address = "10.0.0.1:1".parse().expect("an address");
+    let me = Me {
+        node,
+        role: Role::Controller,
+        domain: Name::from("z1"),
+        addr: address,
+        admin: address,
+        seeds: vec![],
+        seed: false,
+        core: 0,
+        bear: 1,
+        first: false,
+        proof: Span::ms(2000),
+        lease: Span::ms(4500),
+        started: Time(1),
+    };
+    let records = vec![
+        Record::Ident { node },
+        Record::Fleet { fleet: FLEET },
+        Record::View { view: first_view() },
+        Record::Ready { view: ViewNo(1) },
+    ];
+    let mut member = Node::new(me, Box::new(Seeded(node.0)));
+    member.add(Box::new(Chain::new(node, records, Time(1))));
+    member.feed(Time(1), Event::Start);
+    member
+}
+
+fn hear(member: &mut Node, now: Time, from: NodeId, msg: ChainMsg) -> Vec<Effect> {
+    member.feed(now, Event::Mail { from, fleet: FLEET, msg: Msg::Chain(msg) })
+}
+
+fn grants(effects: &[Effect]) -> bool {
+    says(effects, |msg| matches!(msg, ChainMsg::LeaseGrant { .. }))
+}
+
+fn accepts(effects: &[Effect]) -> bool {
+    says(effects, |msg| matches!(msg, ChainMsg::Accepted { .. }))
+}
+
+fn says(effects: &[Effect], wanted: impl Fn(&ChainMsg) -> bool) -> bool {
+    effects.iter().any(|e| matches!(e, Effect::Send { msg: Msg::Chain(msg), .. } if wanted(msg)))
+}
+
+fn request(sent: Time) -> ChainMsg {
+    ChainMsg::LeaseRequest { view: ViewNo(1), sent }
+}
+
+fn returned(sent: Time) -> ChainMsg {
+    ChainMsg::LeaseReturned { view: ViewNo(1), sent }
+}
+
+fn accept() -> ChainMsg {
+    ChainMsg::Accept { ballot: BALLOT, view: next_view() }
+}
+
+/// A voter that has granted what the tail asked for at `sent`, and waits with the view that leaves the tail out.
+fn waiting_voter(sent: Time) -> Node {
+    let mut voter = member(MIDDLE);
+    assert!(grants(&hear(&mut voter, NOW, TAIL, request(sent))));
+    assert!(!accepts(&hear(&mut voter, NOW, HEAD, accept())), "the lease may still be in use");
+    voter
+}
+
+#[test]
+fn given_a_view_that_waits_for_a_lease_when_the_lease_is_returned_then_the_view_is_accepted_at_once() {
+    let mut voter = waiting_voter(Time(500));
+    assert!(accepts(&hear(&mut voter, NOW + Span::ms(1), TAIL, returned(Time(500)))));
+}
+
+#[test]
+fn given_a_view_that_waits_for_a_lease_when_an_older_lease_is_returned_late_then_the_newer_one_is_waited_for() {
+    let mut voter = waiting_voter(Time(700));
+    assert!(!accepts(&hear(&mut voter, NOW + Span::ms(1), TAIL, returned(Time(500)))));
+    assert!(!accepts(&hear(&mut voter, NOW + Span::ms(2), HEAD, returned(Time(700)))), "it is not the head's");
+    let still = NOW + Span(LEASE_PROMISE.0 - 1);
+    assert!(!accepts(&voter.feed(still, Event::Tick)));
+    assert!(accepts(&voter.feed(NOW + LEASE_PROMISE, Event::Tick)));
+}
+
+/// The tail with a lease, and when it asked for it.
+fn leased_tail() -> (Node, Time) {
+    let mut tail = member(TAIL);
+    for voter in [HEAD, MIDDLE] {
+        let beat = ChainMsg::Heartbeat { view: ViewNo(1), room: true, impaired: false, leaving: false };
+        hear(&mut tail, NOW, voter, beat);
+    }
+    tail.feed(NOW, Event::Tick);
+    assert_eq!(tail.views.role.until, Time(0));
+    grant(&mut tail, NOW);
+    assert!(tail.views.role.until > NOW);
+    (tail, NOW)
+}
+
+fn grant(tail: &mut Node, sent: Time) {
+    for voter in [HEAD, MIDDLE] {
+        hear(tail, NOW + Span::ms(5), voter, ChainMsg::LeaseGrant { view: ViewNo(1), sent });
+    }
+}
+
+fn prepare() -> ChainMsg {
+    ChainMsg::Prepare { no: ViewNo(2), ballot: BALLOT, lost: Some(TAIL), quiet: Span::ms(700) }
+}
+
+#[test]
+fn given_a_tail_without_room_when_it_is_to_be_left_out_then_it_returns_its_lease_and_uses_no_late_grant() {
+    let (mut tail, asked) = leased_tail();
+    tail.room = 0;
+    let effects = hear(&mut tail, NOW + Span::ms(10), HEAD, prepare());
+    assert!(says(&effects, |msg| *msg == returned(asked)), "{effects:?}");
+    assert_eq!(tail.views.role.until, Time(0));
+    grant(&mut tail, asked);
+    assert_eq!(tail.views.role.until, Time(0), "a grant that comes late is of a lease already returned");
+}
+
+#[test]
+fn given_a_tail_that_can_write_when_another_would_leave_it_out_then_it_keeps_its_lease() {
+    let (mut tail, _) = leased_tail();
+    let effects = hear(&mut tail, NOW + Span::ms(10), HEAD, prepare());
+    assert!(!says(&effects, |msg| matches!(msg, ChainMsg::LeaseReturned { .. })));
+    assert!(tail.views.role.until > NOW);
+}
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -72,6 +72,9 @@
 snapshot-back|src/chain/join.rs|pred != Some\(from\) \|\| at <= self.log.last\(\)|pred != Some(from) \|\| at <= self.committed|snapshot comes_late
 lost-tail-reset|src/chain/replicate.rs|if synced > self.log.last\(\) \{|if false {|snapshot resets_and_joins
 stuck-grants|src/kernel/hold.rs|\|\| \(stuck && needs_no_disk\(&e\)\)||hold leave_at_once
+lease-returned|src/chain/acceptor.rs|self.return_lease\(\*no, ctx\);||full_and_wiped served_in_each_case
+return-current|src/chain/lease.rs|self.acceptor.granted != Some\(\(from, sent\)\)|false|lease_return waited_for
+late-grant|src/chain/lease.rs| \|\| sent <= self.lease.returned||lease_return late_grant
 hopeless-votes|src/chain/view_change.rs|if !self.can_write\(ctx\) \|\| !self.has_writing_majority\(ctx\)|if false|full_and_wiped served_in_most_cases
 held-credit|src/gate/budget.rs| - self.held;|;|tries quiet_time
 reuse-quiet|src/http/connection.rs| \|\| !self.link.guard.is_quiet\(\)||platform_connection nobody_has_read_it_yet
