--- /dev/null
+++ b/src/placement/copies.rs
@@ -0,0 +1,118 @@
+//! How much of a model's demand the runners that hold it can carry.
+//!
+//! A runner serves all that it holds from the same slots. What each model has under way is counted as spread evenly
+//! over its holders; a holder then carries of one model what its easy load leaves beside the others.
+#![deny(missing_docs)]
+
+use super::flights::Offer;
+use super::uses::Uses;
+use crate::fleet::config::{FleetConfig, Service};
+use crate::kernel::ids::Name;
+use std::collections::BTreeMap;
+
+/// Up to so many requests at once a runner is at ease, if that is at most three quarters of its slots.
+const EASY: u64 = 10;
+
+/// What is known of a model over all its holders.
+#[derive(Clone, Copy, Default, Debug)]
+struct Held {
+    holders: u64,
+    runs: u64,
+    tokens: u64,
+    /// How many requests of this model its holders can carry with ease.
+    supply: f64,
+}
+
+/// The models held, and how many of their requests the holders carry.
+#[derive(Default)]
+pub struct Copies<'a> {
+    rows: BTreeMap<&'a Name, Held>,
+    /// Adapters in use, by their model.
+    adapters: BTreeMap<&'a Name, u64>,
+}
+
+impl<'a> Copies<'a> {
+    /// Counts over the reports of runners that stay.
+    pub fn of(offers: &'a [Offer], uses: &Uses, config: &'a FleetConfig) -> Copies<'a> {
+        let mut copies = Copies::default();
+        let models = |o: &'a Offer| o.report.holds.iter().filter(|n| config.model(n).is_some());
+        let staying = || offers.iter().filter(|o| !o.runner.leaving);
+        for offer in staying() {
+            for name in models(offer) {
+                let held = copies.rows.entry(name).or_default();
+                held.holders += 1;
+                held.runs += offer.report.running;
+                held.tokens += offer.report.tokens;
+            }
+        }
+        for offer in staying() {
+            let Some(service) = config.service(&offer.runner.service) else { continue };
+            let expected: f64 = models(offer).map(|name| copies.share(name, uses)).sum();
+            for name in models(offer) {
+                let others = expected - copies.share(name, uses);
+                let carries = (copies.easy_load(name, service) as f64 - others).max(0.0);
+                if let Some(held) = copies.rows.get_mut(name) {
+                    held.supply += carries;
+                }
+            }
+        }
+        for name in uses.iter().filter(|u| u.1.per_s > 0.0).map(|u| u.0) {
+            if let Some(adapter) = config.adapter(name) {
+                *copies.adapters.entry(&adapter.model).or_default() += 1;
+            }
+        }
+        copies
+    }
+
+    /// The requests of a model that run at each of its holders, if they are spread evenly.
+    fn share(&self, name: &Name, uses: &Uses) -> f64 {
+        let holders = self.rows.get(name).map_or(0, |held| held.holders).max(1);
+        uses.get(name).map_or(0, |u| u.runs) as f64 / holders as f64
+    }
+
+    /// How many requests of a model one runner carries without slowing much.
+    pub fn easy_load(&self, name: &Name, service: &Service) -> u64 {
+        let held = self.rows.get(name).copied().unwrap_or_default();
+        let each = held.tokens.checked_div(held.runs).unwrap_or(0);
+        let by_tokens = if each > 0 && service.tokens > 0 { service.tokens / each } else { u64::MAX };
+        let most = service.slots.min(by_tokens);
+        (most / 4).max((most * 3 / 4).min(EASY)).max(1)
+    }
+
+    /// How many runners that stay hold the model.
+    pub fn holders(&self, name: &Name) -> u64 {
+        self.rows.get(name).map_or(0, |held| held.holders)
+    }
+
+    /// How many more runners should hold a model that so many requests run or wait for, besides those `coming`.
+    pub fn short_by(&self, name: &Name, demand: u64, coming: u64, service: &Service) -> u64 {
+        let held = self.rows.get(name).copied().unwrap_or_default();
+        let easy = self.easy_load(name, service);
+        let unmet = (demand as f64 - held.supply - (coming * easy) as f64).max(0.0);
+        let by_load = (unmet / easy as f64).ceil() as u64;
+        let by_places = match service.places {
+            0 => 0,
+            places => self.adapters.get(name).copied().unwrap_or(0).div_ceil(places),
+        };
+        by_load.max(by_places.saturating_sub(held.holders + coming))
+    }
+
+    /// Whether the model would be short of runners without one of them.
+    pub fn misses_one(&self, name: &Name, demand: u64, service: &Service) -> bool {
+        let held = self.rows.get(name).copied().unwrap_or_default();
+        let left = held.supply * held.holders.saturating_sub(1) as f64 / held.holders.max(1) as f64;
+        let by_places = match service.places {
+            0 => 0,
+            places => self.adapters.get(name).copied().unwrap_or(0).div_ceil(places),
+        };
+        held.holders <= by_places.max(1) || left < demand as f64
+    }
+
+    /// A runner is about to give the model up.
+    pub fn dropped(&mut self, name: &Name) {
+        if let Some(held) = self.rows.get_mut(name) {
+            held.supply -= held.supply / held.holders.max(1) as f64;
+            held.holders = held.holders.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/wants.rs
@@ -0,0 +1,55 @@
+//! The names that requests wait for, as routers tell them.
+#![deny(missing_docs)]
+
+use super::duty::Placement;
+use crate::fleet::config::Class;
+use crate::fleet::holdings::Want;
+use crate::kernel::ids::{Name, NodeId};
+use crate::kernel::time::{Span, Time};
+use std::collections::BTreeMap;
+
+/// How long what a router told of its waiting requests counts.
+const TOLD_COUNTS: Span = Span::ms(1500);
+
+/// A name that requests wait for.
+pub struct Wanted {
+    /// Its service.
+    pub service: Name,
+    /// The most urgent class that waits.
+    pub class: Class,
+    /// Since when.
+    pub since: Time,
+    rows: BTreeMap<NodeId, (Time, u64)>,
+}
+
+impl Wanted {
+    /// How many requests wait.
+    pub fn count(&self) -> u64 {
+        self.rows.values().map(|r| r.1).sum()
+    }
+}
+
+impl Placement {
+    /// A router tells what its requests wait for.
+    pub fn wanted(&mut self, from: NodeId, want: &Want, now: Time) {
+        let row = self.wants.entry(want.name.clone()).or_insert_with(|| {
+            self.work.stirred = true;
+            Wanted { service: want.service.clone(), class: want.class, since: now, rows: BTreeMap::new() }
+        });
+        row.class = row.class.min(want.class);
+        row.rows.insert(from, (now, want.count));
+    }
+
+    /// Forgets what no router has told of lately.
+    pub(super) fn forget_old_wants(&mut self, now: Time) {
+        for wanted in self.wants.values_mut() {
+            wanted.rows.retain(|_, row| now.since(row.0) < TOLD_COUNTS);
+        }
+        self.wants.retain(|_, wanted| !wanted.rows.is_empty());
+    }
+
+    /// How many requests wait for a name.
+    pub fn waits(&self, name: &Name) -> u64 {
+        self.wants.get(name).map_or(0, |w| w.count())
+    }
+}
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -10,6 +10,8 @@
 const LISTS: [&str; 2] = ["RouteMap", "Backends"];
 const RANKS: [Class; 4] = [Class::Counter, Class::Chat, Class::Normal, Class::Bulk];
 const ADAPTER_MS: u64 = 10;
+/// What a load from the runner's own disk takes of one from the store, in a hundred; the platform says only "sooner".
+const KEPT_LOAD_PERCENT: u64 = 30;
 const FINE: f64 = 10_000.0;
 const MAX_WEIGHT: f64 = 1e12;
 const MAX_ADAPTERS: f64 = 10_000.0;
@@ -98,7 +100,8 @@
 }
 
 fn whole(f: &Figures, tree: &Tree, faults: &mut Vec<Fault>) -> FleetConfig {
-    let mut c = FleetConfig { budget: f.budget.clone(), store: f.store.clone(), ..FleetConfig::default() };
+    let mut c = FleetConfig { budget: f.budget.clone(), ..FleetConfig::default() };
+    c.store.adapters = false;
     match tree.whole(REVISION) {
         Some(n) => c.revision = n,
         None => {
@@ -120,7 +123,7 @@
         }
     }
     for t in tree.list("Backends") {
-        service(t, &mut c, faults);
+        service(f, t, &mut c, faults);
     }
     let mut seen = BTreeSet::new();
     for (n, t) in tree.list("RouteMap").iter().enumerate() {
@@ -137,7 +140,7 @@
     c
 }
 
-fn service(t: &Tree, c: &mut FleetConfig, faults: &mut Vec<Fault>) {
+fn service(f: &Figures, t: &Tree, c: &mut FleetConfig, faults: &mut Vec<Fault>) {
     let Some(name) = t.text("Name") else {
         return faults.push(bad("Backends", "one has no Name", "name it"));
     };
@@ -165,6 +168,7 @@
         s.places = e.num("AdapterCapacity").unwrap_or(0);
         if let Some(rate) = e.float("LoadRateS") {
             c.store.loads_per_minute = (rate * 60.0) as u64;
+            c.store.burst = f.origin.burst(rate);
         }
         for m in e.list("Models") {
             let Some(name) = m.text("Name") else { continue };
@@ -174,6 +178,7 @@
                 faults.push(bad(format!("{name}.Adapters"), "is over 10000", "name fewer"));
                 continue;
             }
+            c.store.kept_ms = c.store.kept_ms.max(load_ms * KEPT_LOAD_PERCENT / 100);
             s.models.push(Name::from(name));
             c.models.push(Model { name: name.into(), weight_mb: num("WeightsMb").ceil() as u64, load_ms });
             for k in 1..=num("Adapters") as u64 {
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -3,7 +3,7 @@
 use super::config::{read, revision};
 use super::precondition::Precondition;
 use crate::fleet::FleetConfig;
-use crate::fleet::config::{Budget, Store};
+use crate::fleet::config::Budget;
 use crate::kernel::fault::Fault;
 use crate::kernel::ids::{ChangeId, DocumentDigest};
 use crate::msg::{Answer, Event, Op};
@@ -13,7 +13,34 @@
 #[derive(Clone, Debug, Default)]
 pub struct Figures {
     pub budget: Budget,
-    pub store: Store,
+    pub origin: Origin,
+}
+
+/// How strictly the store of weights is watched: in any span of `window_s` seconds may begin as many loads as its rate
+/// gives times `tolerance`, and `EXTRA_LOADS` more.
+#[derive(Clone, Copy, Debug)]
+pub struct Origin {
+    /// The length of the span in seconds.
+    pub window_s: f64,
+    /// How far the rate may be exceeded within it; 1 is not at all.
+    pub tolerance: f64,
+}
+
+/// So many loads more than the rate gives may begin within one window.
+const EXTRA_LOADS: f64 = 3.0;
+
+impl Default for Origin {
+    fn default() -> Origin {
+        Origin { window_s: 5.0, tolerance: 1.0 }
+    }
+}
+
+impl Origin {
+    /// The most loads that may be saved up for one moment, so that with the steady rate no window holds too many.
+    pub fn burst(&self, loads_per_s: f64) -> u64 {
+        let above_rate = (self.tolerance - 1.0).max(0.0) * loads_per_s * self.window_s;
+        (above_rate + EXTRA_LOADS).floor() as u64
+    }
 }
 
 pub struct Operator {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,6 +1,6 @@
 use super::caller::Caller;
 use super::list::Instances;
-use super::operator::{Figures, Operator};
+use super::operator::{Figures, Operator, Origin};
 use super::runner::RunnerWords;
 use crate::daemon::config::NodeConfig;
 use crate::fleet::config::Budget;
@@ -114,6 +114,10 @@
         percent: (r.num("Timers.RetryBudgetRatio", 0.2) * 100.0) as u64,
         allowance: r.num("Timers.RetryMin", 10.0) as u64,
     };
+    let origin = Origin {
+        window_s: r.num("Timers.OriginWindowS", Origin::default().window_s),
+        tolerance: r.num("Timers.OriginTolerance", Origin::default().tolerance),
+    };
     let grace = r.num("Timers.GraceS", 8.0) * 1000.0;
     let proof_ms = r.num("Timers.ConvergenceMs", 2000.0).max(1000.0) as u64;
     let acknowledged_within = r.num("Timers.AckTimeoutMs", 4000.0) as u64;
@@ -124,7 +128,7 @@
     if !r.faults.is_empty() {
         return Err(r.faults);
     }
-    let figures = Figures { budget, ..Figures::default() };
+    let figures = Figures { budget, origin };
     let sides = Sides {
         caller: Arc::new(Caller),
         runner: Arc::new(RunnerWords { node }),
