Placement decides a round from one picture; loads go out in the order of their decisions

Each decision built the whole picture anew, and each that unloads sent all 64 routers the holdings that change. 186 decisions ended unserved after 5 s: the store's allowance went to jobs by the runner's name, not by age. No copy of a hot model was ever loaded (0 'is hot' of 1,111 decisions): spreading stopped at four decisions in the fleet. Now: a round decides from one picture that it updates itself (8 decisions, or one for 8 runners), tells the routers once, and orders by age. Nothing is unloaded ahead of the store's allowance; without any left what a runner keeps on its own disk may still be loaded. Copies: what the holders of a model carry, beside what else they hold, against what runs and waits (copies.rs); as many as are missing at once. Moves are weighed for the eight most wanted names.

--- a/src/placement/board.rs
+++ b/src/placement/board.rs
@@ -1,11 +1,11 @@
 //! The picture that small decisions are made from.
 
-use super::choose::RunnerCosts;
+use super::choose::{Choice, RunnerCosts};
+use super::copies::Copies;
 use super::duty::Placement;
 use super::flights::{Flights, Offer};
-use super::quick::Holdings;
 use super::uses::Usage;
-use crate::fleet::config::FleetConfig;
+use crate::fleet::config::{FleetConfig, Service};
 use crate::fleet::slice::DutySlice;
 use crate::kernel::ids::Name;
 use crate::kernel::time::Time;
@@ -28,8 +28,12 @@
     pub(super) holders: BTreeMap<&'a Name, u64>,
     /// The models that have adapters.
     pub(super) bases: OnceCell<BTreeSet<&'a Name>>,
-    pub(super) holdings: OnceCell<Holdings<'a>>,
+    pub(super) copies: OnceCell<Copies<'a>>,
     pub(super) costs: Vec<OnceCell<RunnerCosts<'a>>>,
+    /// The places of the offers that may take an order.
+    pub(super) open: Vec<usize>,
+    /// Of them, by model, those that load it from their own disk.
+    pub(super) keepers: OnceCell<BTreeMap<&'a Name, Vec<usize>>>,
 }
 
 impl Placement {
@@ -43,6 +47,8 @@
         for name in offers.iter().filter(|o| !o.runner.leaving).flat_map(|o| &o.report.holds) {
             *holders.entry(name).or_default() += 1;
         }
+        let may_take = |o: &Offer| !o.runner.leaving && !busy.contains(&o.runner.instance);
+        let open = (0..offers.len()).filter(|place| may_take(&offers[*place])).collect();
         Board {
             placement: self,
             fleet: s,
@@ -54,8 +60,10 @@
             planned,
             holders,
             bases: OnceCell::new(),
-            holdings: OnceCell::new(),
+            copies: OnceCell::new(),
             costs: offers.iter().map(|_| OnceCell::new()).collect(),
+            open,
+            keepers: OnceCell::new(),
         }
     }
 }
@@ -90,8 +98,56 @@
         self.now
     }
 
+    /// What the holders of each model carry.
+    pub(super) fn copies(&self) -> &Copies<'a> {
+        self.copies.get_or_init(|| Copies::of(self.offers, &self.usage.names, self.config()))
+    }
+
+    /// How many more runners should hold a model, besides those `coming`.
+    pub fn short_by(&self, name: &Name, demand: u64, coming: u64, service: &Service) -> u64 {
+        self.copies().short_by(name, demand, coming, service)
+    }
+
+    /// The places of open runners that load a model from their own disk.
+    pub(super) fn keepers(&self, name: &Name) -> &[usize] {
+        let keepers = self.keepers.get_or_init(|| {
+            let mut keepers: BTreeMap<&Name, Vec<usize>> = BTreeMap::new();
+            for place in &self.open {
+                let kept = self.placement.kept_at(self.fleet, &self.offers[*place].runner.instance);
+                kept.for_each(|name| keepers.entry(name).or_default().push(*place));
+            }
+            keepers
+        });
+        keepers.get(name).map_or(&[], |places| places)
+    }
+
+    /// Whether a load of `name` at this runner takes of the store's allowance.
+    pub fn asks_store(&self, runner: &Name, name: &Name) -> bool {
+        self.placement.asks_store(self.fleet, runner, name)
+    }
+
+    /// Takes note of a decision: its runner is in use, and what gives way there is held by one runner less.
+    pub fn take(&mut self, choice: &Choice) {
+        self.busy.insert(choice.runner.clone());
+        self.planned.insert(choice.runner.clone());
+        self.open.retain(|place| self.offers[*place].runner.instance != choice.runner);
+        for name in &choice.unloads {
+            if let Some(holders) = self.holders.get_mut(name) {
+                *holders = holders.saturating_sub(1);
+            }
+            if let Some(copies) = self.copies.get_mut() {
+                copies.dropped(name);
+            }
+            for (place, offer) in self.offers.iter().enumerate() {
+                if offer.report.has(name) {
+                    self.costs[place] = OnceCell::new();
+                }
+            }
+        }
+    }
+
     /// Whether a staying runner holds `name`.
     pub fn is_held(&self, name: &Name) -> bool {
-        self.holders.contains_key(name)
+        self.holders.get(name).is_some_and(|holders| *holders > 0)
     }
 }
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -73,8 +73,9 @@
             loss += if self.placement.waits(name) > 0 { AGAIN_MS } else { 0.0 };
         } else {
             loss += u.per_s * 50.0 / others as f64;
-            let holdings = self.holdings.get_or_init(|| self.placement.holdings());
-            if others < self.placement.copies(name, &self.usage.names, self.fleet, holdings) {
+            let demand = u.runs + self.placement.waits(name);
+            let service = self.config().service(&o.runner.service);
+            if service.is_some_and(|s| self.copies().misses_one(name, demand, s)) {
                 loss += AGAIN_MS;
             }
         }
@@ -133,7 +134,7 @@
     fn weigh(&self, place: usize, want: &Name) -> Option<Choice> {
         let (o, c) = (&self.offers[place], self.config());
         let runner = &o.runner.instance;
-        if o.runner.leaving || self.is_busy(runner) || o.report.has(want) {
+        if self.is_busy(runner) || o.report.has(want) {
             return None;
         }
         if self.flights.has(runner, want) || self.flights.was_refused(self.now, runner, want) {
@@ -165,10 +166,13 @@
         (rates.sum::<f64>() * 100.0).min(800.0)
     }
 
-    /// The runner of the service where `want` is held soonest with the least loss.
-    pub fn choose(&self, service: &Name, want: &Name) -> Option<Choice> {
-        let mine = (0..self.offers.len()).filter(|k| self.offers[*k].runner.service == *service);
-        let rows = mine.filter_map(|k| self.weigh(k, want));
+    /// The runner of the service where `want` is held soonest with the least loss. Without `from_store` only those
+    /// count that load it from their own disk, unless such loads don't ask the store at all.
+    pub fn choose(&self, service: &Name, want: &Name, from_store: bool) -> Option<Choice> {
+        let free = is_adapter(self.config(), want) && !self.config().store.adapters;
+        let places = if from_store || free { &self.open } else { self.keepers(want) };
+        let mine = places.iter().filter(|k| self.offers[**k].runner.service == *service);
+        let rows = mine.filter_map(|k| self.weigh(*k, want));
         rows.min_by(|a, b| (a.ms, &a.runner).cmp(&(b.ms, &b.runner)))
     }
 }
--- a/src/placement/flights.rs
+++ b/src/placement/flights.rs
@@ -69,9 +69,11 @@
 }
 
 impl Flights {
-    pub fn may_load(&mut self, rule: &Store) -> bool {
+    /// How many loads the store of weights allows at this moment.
+    pub fn loads_left(&mut self, rule: &Store) -> u64 {
         let under_way = self.rows.values().filter(|f| f.load && f.counted).count() as u64;
-        (rule.at_once == 0 || under_way < rule.at_once) && self.pacer.left(rule) >= 1.0
+        let at_once = if rule.at_once == 0 { u64::MAX } else { rule.at_once.saturating_sub(under_way) };
+        at_once.min(self.pacer.left(rule).max(0.0) as u64)
     }
 
     pub fn has(&self, runner: &Name, name: &Name) -> bool {
--- a/src/placement/job.rs
+++ b/src/placement/job.rs
@@ -35,9 +35,21 @@
     pub fn wants(&self, name: &Name) -> bool {
         self.want == *name
     }
+
+    /// What is loaded in the end.
+    pub fn want(&self) -> &Name {
+        &self.want
+    }
+
+    /// Whether the load is yet to be ordered.
+    pub fn awaits_load(&self) -> bool {
+        let ordered = self.order.is_some() && self.steps.front().is_some_and(|step| step.0);
+        !self.steps.is_empty() && !ordered
+    }
 }
 
 impl Placement {
+    /// Takes up a decision. The routers are to be told of what gives way before its first order goes out.
     pub fn begin(&mut self, want: &Name, choice: Choice, why: &str, ctx: &mut Context) {
         let id = PlanId(ctx.rand.next() | 1);
         let at = self.slice.as_ref().map_or(Version(0), |s| s.config_at);
@@ -63,16 +75,15 @@
             next: ctx.now,
             gap: AGAIN,
         };
-        let closes = job.steps.len() > 1;
         self.jobs.insert(choice.runner, job);
-        if closes {
-            self.push_closing(ctx);
-        }
     }
 
+    /// Orders what the decisions under way need next, the oldest first: they share the store's allowance.
     pub fn run_jobs(&mut self, s: &DutySlice, ctx: &mut Context) {
-        let runners: Vec<Name> = self.jobs.keys().cloned().collect();
-        for r in runners {
+        let mut runners: Vec<(Time, Name)> =
+            self.jobs.iter().map(|(r, job)| (job.since, r.clone())).collect();
+        runners.sort();
+        for (_, r) in runners {
             let Some(job) = self.jobs.remove(&r) else { continue };
             let end = match self.run_job(&r, job, s, ctx) {
                 Ok(job) => {
--- a/src/placement/meet.rs
+++ b/src/placement/meet.rs
@@ -11,6 +11,9 @@
 use crate::kernel::component::Context;
 use crate::kernel::ids::*;
 
+/// So many names are weighed at a time, those that most requests wait for first: each is weighed at every runner.
+const NAMES_WEIGHED: usize = 8;
+
 impl Placement {
     /// Plans moves, or unloads by the policy, for what is wanted and no load could help.
     pub fn meet_demand(
@@ -21,7 +24,7 @@
         demand: &[(Name, Name, u64)],
         ctx: &mut Context,
     ) {
-        let mut left = demand.iter();
+        let mut left = demand.iter().take(NAMES_WEIGHED);
         loop {
             let board = self.board(s, offers, ctx.now);
             let unmet = left.find_map(|(service, want, _)| {
@@ -53,15 +56,16 @@
         if plain || self.claimed(want, ctx.now) || board.is_held(want) && served() || self.coming(want, s) {
             return None;
         }
-        if board.choose(service, want).is_some() {
-            return None;
-        }
         let waited = self.wanted.get(want).map_or(0, |t| ctx.now.since(*t).as_ms());
         let may_move = self.policy == Policy::Move
             && s.config.adapter(want).is_none()
             && waited >= s.config.load_ms(want);
         if !may_move {
-            return (self.policy == Policy::Preempt).then_some(None);
+            let preempts = self.policy == Policy::Preempt && board.choose(service, want, true).is_none();
+            return preempts.then_some(None);
+        }
+        if board.choose(service, want, true).is_some() {
+            return None;
         }
         let offers: Vec<Offer> = mine().cloned().collect();
         let wanted = |n: &Name| hot.contains(n);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,5 +1,6 @@
 pub mod board;
 pub mod choose;
+pub mod copies;
 pub mod decision;
 pub mod demand;
 pub mod distrust;
@@ -25,4 +26,5 @@
 pub mod stages;
 pub mod trial;
 pub mod uses;
+pub mod wants;
 pub use duty::Placement;
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -1,6 +1,7 @@
 use super::distrust::weight_of_all;
 use super::duty::{ORDER_FRESH, Placement};
 use super::flights::{Flight, Offer, is_adapter};
+use super::job::Job;
 use super::room::fits;
 use crate::fleet::runner::Report;
 use crate::fleet::slice::DutySlice;
@@ -45,8 +46,8 @@
         let adapter = is_adapter(&s.config, name);
         let rule = &s.config.store;
         let kept = self.is_kept(s, runner, name);
-        let counted = load && !kept && (!adapter || rule.adapters);
-        if counted && !self.flights.may_load(rule) {
+        let counted = load && self.asks_store(s, runner, name);
+        if counted && self.flights.loads_left(rule) == 0 {
             return None;
         }
         let order = OrderId(ctx.rand.next() | 1);
@@ -81,6 +82,25 @@
         Some(order)
     }
 
+    /// Whether a load of `name` at this runner takes of the store's allowance.
+    pub fn asks_store(&self, s: &DutySlice, runner: &Name, name: &Name) -> bool {
+        !self.is_kept(s, runner, name) && (!is_adapter(&s.config, name) || s.config.store.adapters)
+    }
+
+    /// How many loads from the store a new decision could order now: those that decisions under way have yet to order
+    /// go first.
+    pub fn store_loads_left(&mut self, s: &DutySlice) -> u64 {
+        let waits = |row: &(&Name, &Job)| row.1.awaits_load() && self.asks_store(s, row.0, row.1.want());
+        let before = self.jobs.iter().filter(waits).count() as u64;
+        self.flights.loads_left(&s.config.store).saturating_sub(before)
+    }
+
+    /// What a runner loads from its own disk.
+    pub fn kept_at<'a>(&'a self, s: &DutySlice, runner: &Name) -> impl Iterator<Item = &'a Name> {
+        let kept = self.kept.get(runner).filter(|_| s.config.store.kept_ms > 0);
+        kept.into_iter().flatten()
+    }
+
     pub fn is_kept(&self, s: &DutySlice, runner: &Name, name: &Name) -> bool {
         s.config.store.kept_ms > 0 && self.kept.get(runner).is_some_and(|k| k.contains(name))
     }
--- a/src/placement/quick.rs
+++ b/src/placement/quick.rs
@@ -3,23 +3,23 @@
 use super::board::Board;
 use super::choose::Choice;
 use super::duty::Placement;
-use super::uses::Uses;
-use crate::fleet::config::Class;
-use crate::fleet::holdings::Want;
-use crate::fleet::runner::Report;
+use crate::fleet::config::{Class, Service};
 use crate::fleet::slice::DutySlice;
 use crate::kernel::component::Context;
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
 use std::cell::Cell;
-use std::collections::BTreeMap;
 
-const WANTED: Span = Span::ms(1500);
+/// A name that is held is loaded once more for what waits for it only if less than this is lost, in ms of waiting.
 const LOSS: u64 = 1000;
+/// What may be lost for one more copy of a hot model.
 const SPREAD_LOSS: u64 = 1700;
-const EASY: u64 = 10;
-const COPIES: usize = 4;
+/// For so long after the first want nothing is unloaded by a holder that has heard of no use yet.
 const BLIND: Span = Span::ms(400);
+/// A round takes up to this many decisions, or
+const DECISIONS: usize = 8;
+/// one for so many runners, so that it ends soon.
+const RUNNERS_PER_DECISION: usize = 8;
 /// Up to this many runners are weighed on every event, without a pause between two rounds.
 const RUNNERS_WEIGHED_AT_ONCE: usize = 32;
 /// The shortest time between two rounds of decisions over more runners: this long for each of them.
@@ -27,6 +27,11 @@
 /// The longest time between two rounds while something is wanted.
 const ROUND_AT_REST: Span = Span::ms(100);
 
+/// How often models are looked for that are short of runners.
+const SPREAD_EACH: Span = Span::ms(100);
+/// Copies of hot models leave so many loads of the store's allowance to what no runner holds.
+const STORE_LOADS_KEPT: u64 = 1;
+
 /// How often decisions were looked for, for the status page.
 #[derive(Default)]
 pub struct Work {
@@ -35,63 +40,39 @@
     /// Runners that were weighed for a wanted name.
     pub weighed: Cell<u64>,
     last_round: Time,
+    last_spread: Time,
     /// Something came in since the last round.
     pub stirred: bool,
 }
 
-/// The reports that show a name as held.
-pub type Holdings<'a> = BTreeMap<&'a Name, Vec<&'a Report>>;
-
-/// A name that requests wait for.
-pub struct Wanted {
-    /// Its service.
-    pub service: Name,
-    /// The most urgent class that waits.
-    pub class: Class,
-    /// Since when.
-    pub since: Time,
-    rows: BTreeMap<NodeId, (Time, u64)>,
+/// What a round has decided.
+struct Decision {
+    want: Name,
+    choice: Choice,
+    why: &'static str,
 }
 
-impl Wanted {
-    /// How many requests wait.
-    pub fn count(&self) -> u64 {
-        self.rows.values().map(|r| r.1).sum()
-    }
+/// What a round may still decide.
+struct Allowance {
+    decisions: usize,
+    /// Loads that the store of weights allows at this moment, less those that decisions under way have yet to order.
+    store_loads: u64,
 }
 
 impl Placement {
-    /// A router tells what its requests wait for.
-    pub fn wanted(&mut self, from: NodeId, want: &Want, now: Time) {
-        let row = self.wants.entry(want.name.clone()).or_insert_with(|| {
-            self.work.stirred = true;
-            Wanted { service: want.service.clone(), class: want.class, since: now, rows: BTreeMap::new() }
-        });
-        row.class = row.class.min(want.class);
-        row.rows.insert(from, (now, want.count));
-    }
-
-    fn gather(&mut self, now: Time) {
-        for w in self.wants.values_mut() {
-            w.rows.retain(|_, r| now.since(r.0) < WANTED);
-        }
-        self.wants.retain(|_, w| !w.rows.is_empty());
-    }
-
     /// Carries on the decisions under way and, if a round is due, looks for new ones.
     pub fn quick(&mut self, ctx: &mut Context) {
         let Some(s) = self.slice.clone() else { return };
         if !self.may_order(ctx.now) {
-            return self.gather(ctx.now);
+            return self.forget_old_wants(ctx.now);
         }
         self.run_jobs(&s, ctx);
         if !self.is_round_due(ctx.now) {
             return;
         }
-        self.gather(ctx.now);
-        if s.config.placement.auto && !self.wants.is_empty() {
-            self.work.rounds += 1;
-            self.meet_wants(&s, ctx);
+        self.forget_old_wants(ctx.now);
+        if s.config.placement.auto {
+            self.round(&s, ctx);
         }
     }
 
@@ -108,35 +89,63 @@
         true
     }
 
-    fn meet_wants(&mut self, s: &DutySlice, ctx: &mut Context) {
-        let mut names: Vec<(Class, Time, Name)> =
-            self.wants.iter().map(|(n, w)| (w.class, w.since, n.clone())).collect();
-        names.sort();
+    /// Decides what is loaded for the names that are wanted and for models short of runners, all from one picture.
+    /// What gives way is told to the routers once, before the first order goes out.
+    fn round(&mut self, s: &DutySlice, ctx: &mut Context) {
+        if self.wants.is_empty() && !self.is_spread_due(ctx.now) {
+            return;
+        }
+        self.work.rounds += 1;
         let offers = self.offers(ctx.now);
-        let mut left = names.into_iter().map(|row| row.2);
-        loop {
-            let board = self.board(s, &offers, ctx.now);
-            let found = left.find_map(|name| Some((self.meet_quick(&board, &name, s)?, name)));
-            let Some((choice, name)) = found else { return };
-            self.begin(&name, choice, "is wanted and no runner can take it", ctx);
-            self.run_jobs(s, ctx);
+        let mut allowance = Allowance {
+            decisions: DECISIONS.max(offers.len() / RUNNERS_PER_DECISION),
+            store_loads: self.store_loads_left(s),
+        };
+        let spreads = self.is_spread_due(ctx.now);
+        let mut board = self.board(s, &offers, ctx.now);
+        let mut decided = self.meet_wants(&mut board, s, &mut allowance);
+        if spreads {
+            decided.extend(self.spread(&mut board, s, &mut allowance));
+            self.work.last_spread = ctx.now;
+        }
+        let closes = decided.iter().any(|d| !d.choice.unloads.is_empty());
+        for d in decided {
+            self.begin(&d.want, d.choice, d.why, ctx);
+        }
+        if closes {
+            self.push_closing(ctx);
+        }
+        self.run_jobs(s, ctx);
+    }
+
+    fn meet_wants(&self, board: &mut Board, s: &DutySlice, allowance: &mut Allowance) -> Vec<Decision> {
+        let mut names: Vec<(Class, Time, &Name)> =
+            self.wants.iter().map(|(name, wanted)| (wanted.class, wanted.since, name)).collect();
+        names.sort();
+        let mut decided = vec![];
+        for (.., name) in names {
+            if allowance.decisions == 0 {
+                break;
+            }
+            let Some(choice) = self.meet_quick(board, name, allowance, s) else { continue };
+            decided.push(take(board, name, choice, "is wanted and no runner can take it", allowance));
         }
+        decided
     }
 
-    fn meet_quick(&self, board: &Board, name: &Name, s: &DutySlice) -> Option<Choice> {
+    /// Nothing is unloaded ahead of the store's allowance, as its place would stand empty until then: without any
+    /// left only what a runner has on its own disk is loaded.
+    fn meet_quick(&self, board: &Board, name: &Name, allowance: &Allowance, s: &DutySlice) -> Option<Choice> {
         if s.config.weight(name).is_none() || self.coming(name, s) || self.served(board, name, s) {
             return None;
         }
         let want = self.wants.get(name)?;
-        let choice = board.choose(&want.service, name)?;
+        let choice = board.choose(&want.service, name, allowance.store_loads > 0)?;
         let blind = self.used.is_empty() && board.now().since(want.since) < BLIND;
         if blind && !choice.unloads.is_empty() {
             return None;
         }
-        if board.is_held(name) && choice.loss > LOSS {
-            return None;
-        }
-        Some(choice)
+        (!board.is_held(name) || choice.loss <= LOSS).then_some(choice)
     }
 
     /// Whether a load of `name` is ordered, planned or decided.
@@ -160,78 +169,57 @@
         })
     }
 
-    /// How many runners should hold a model for what runs and waits for it.
-    pub fn copies(&self, name: &Name, uses: &Uses, s: &DutySlice, holdings: &Holdings) -> u64 {
-        let waits = self.waits(name);
-        let u = uses.get(name).copied();
-        if u.is_none() && waits == 0 {
-            return 1;
-        }
-        let Some(service) = s.config.services.iter().find(|x| x.models.contains(name)) else { return 1 };
-        let rows = || holdings.get(name).into_iter().flatten();
-        let (runs, tokens) = rows().fold((0, 0), |a, r| (a.0 + r.running, a.1 + r.tokens));
-        let free = rows().any(|r| r.running + r.waiting < service.slots);
-        let load = u.map_or(0, |u| u.runs).min(runs) + if free { 0 } else { waits };
-        let each = tokens.checked_div(runs).unwrap_or(0);
-        let by_tokens = if each > 0 && service.tokens > 0 { service.tokens / each } else { u64::MAX };
-        let most = service.slots.min(by_tokens);
-        let able = (most / 4).max((most * 3 / 4).min(EASY)).max(1);
-        let places = match service.places {
-            0 => 0,
-            places => self.used_adapters(name, uses, s).div_ceil(places),
-        };
-        let mates = s.runners.iter().filter(|r| r.service == service.name && !r.leaving).count() as u64;
-        load.div_ceil(able).max(places).min(mates * 2 / 3).max(1)
-    }
-
-    fn used_adapters(&self, base: &Name, uses: &Uses, s: &DutySlice) -> u64 {
-        let used = uses.iter().filter(|u| u.1.per_s > 0.0);
-        used.filter(|u| s.config.adapter(u.0).is_some_and(|a| a.model == *base)).count() as u64
+    fn is_spread_due(&self, now: Time) -> bool {
+        now.since(self.work.last_spread) >= SPREAD_EACH
     }
 
-    /// More copies of what is hot, where that costs little.
-    pub fn spread(&mut self, s: &DutySlice, ctx: &mut Context) {
-        if !s.config.placement.auto || !self.may_order(ctx.now) || self.jobs.len() >= COPIES {
-            return;
-        }
-        if self.flights.pacer.left(&s.config.store) < 2.0 {
-            return;
+    /// More copies of models that have more requests than their holders carry with ease, where that costs little.
+    fn spread(&self, board: &mut Board, s: &DutySlice, allowance: &mut Allowance) -> Vec<Decision> {
+        let usage = self.usage.clone();
+        let mut short: Vec<(u64, &Name, &Service)> = vec![];
+        for (name, used) in usage.names.iter().filter(|u| u.1.runs > 0 && s.config.model(u.0).is_some()) {
+            let Some(service) = s.config.services.iter().find(|x| x.models.contains(name)) else { continue };
+            let missing = board.short_by(name, used.runs + self.waits(name), self.under_way(name), service);
+            if missing > 0 && board.is_held(name) {
+                short.push((missing, name, service));
+            }
         }
-        let (usage, holdings) = (self.usage.clone(), self.holdings());
-        let held_by = |name: &Name| {
-            let rows = holdings.get(name).into_iter().flatten();
-            rows.filter(|r| !r.leaving).count() as u64
-        };
-        let hot = usage.names.iter().filter(|u| u.1.runs > 0 && s.config.model(u.0).is_some());
-        let held = hot.map(|(name, u)| (name, u, held_by(name), self.under_way(name)));
-        let short = held.filter(|(name, _, held, coming)| {
-            *held > 0 && held + coming < self.copies(name, &usage.names, s, &holdings)
-        });
-        let Some((name, ..)) = short.max_by_key(|(_, u, held, coming)| u.runs / (held + coming)) else {
-            return;
-        };
-        let Some(service) = s.config.services.iter().find(|x| x.models.contains(name)) else { return };
-        let offers = self.offers(ctx.now);
-        let Some(choice) = self.board(s, &offers, ctx.now).choose(&service.name, name) else { return };
-        if choice.loss > SPREAD_LOSS {
-            return;
+        short.sort_by_key(|row| std::cmp::Reverse(row.0));
+        let mut decided = vec![];
+        for (missing, name, service) in short {
+            for _ in 0..missing {
+                if allowance.decisions == 0 || allowance.store_loads <= STORE_LOADS_KEPT {
+                    return decided;
+                }
+                let Some(choice) = board.choose(&service.name, name, true) else { break };
+                if choice.loss > SPREAD_LOSS {
+                    break;
+                }
+                decided.push(take(board, name, choice, "is hot", allowance));
+            }
         }
-        self.begin(name, choice, "is hot", ctx);
-        self.run_jobs(s, ctx);
+        decided
     }
 
     fn under_way(&self, name: &Name) -> u64 {
-        self.jobs.values().filter(|j| j.wants(name)).count() as u64
+        let ordered = self.flights.rows.values().filter(|f| f.load && f.name == *name);
+        let decided = self.jobs.values().filter(|job| job.wants(name) && job.awaits_load());
+        (ordered.count() + decided.count()) as u64
     }
+}
 
-    /// Which reports show which names as held.
-    pub fn holdings(&self) -> Holdings<'_> {
-        let mut holdings = Holdings::new();
-        for (_, report) in self.reports.values() {
-            for name in &report.holds {
-                holdings.entry(name).or_default().push(report);
-            }
-        }
-        holdings
+/// Notes a decision on the board, so that the next ones count with it.
+fn take(
+    board: &mut Board,
+    name: &Name,
+    choice: Choice,
+    why: &'static str,
+    allowance: &mut Allowance,
+) -> Decision {
+    allowance.decisions -= 1;
+    if board.asks_store(&choice.runner, name) {
+        allowance.store_loads = allowance.store_loads.saturating_sub(1);
     }
+    board.take(&choice);
+    Decision { want: name.clone(), choice, why }
 }
--- a/src/placement/stages.rs
+++ b/src/placement/stages.rs
@@ -30,7 +30,6 @@
             self.stage(m, &s, ctx);
         }
         self.run_plans(&s, ctx);
-        self.spread(&s, ctx);
         self.propose(&s, ctx);
     }
 
--- a/src/placement/uses.rs
+++ b/src/placement/uses.rs
@@ -115,9 +115,4 @@
             self.usage = Arc::new(Usage::of(&self.tells, &self.used, now));
         }
     }
-
-    /// How many requests wait for a name.
-    pub fn waits(&self, name: &Name) -> u64 {
-        self.wants.get(name).map_or(0, |w| w.count())
-    }
 }
--- a/tests/lease_return.rs
+++ b/tests/lease_return.rs
@@ -99,10 +99,14 @@
 }
 
 #[test]
-fn given_a_view_that_waits_for_a_lease_when_an_older_lease_is_returned_late_then_the_newer_one_is_waited_for() {
+fn given_a_view_that_waits_for_a_lease_when_an_older_lease_is_returned_late_then_the_newer_one_is_waited_for()
+{
     let mut voter = waiting_voter(Time(700));
     assert!(!accepts(&hear(&mut voter, NOW + Span::ms(1), TAIL, returned(Time(500)))));
-    assert!(!accepts(&hear(&mut voter, NOW + Span::ms(2), HEAD, returned(Time(700)))), "it is not the head's");
+    assert!(
+        !accepts(&hear(&mut voter, NOW + Span::ms(2), HEAD, returned(Time(700)))),
+        "it is not the head's"
+    );
     let still = NOW + Span(LEASE_PROMISE.0 - 1);
     assert!(!accepts(&voter.feed(still, Event::Tick)));
     assert!(accepts(&voter.feed(NOW + LEASE_PROMISE, Event::Tick)));
--- a/tests/platform_config.rs
+++ b/tests/platform_config.rs
@@ -53,7 +53,8 @@
 
 #[test]
 fn given_a_rate_of_the_store_when_read_then_no_window_can_hold_more_loads_than_are_allowed() {
-    for (rate, window_s, tolerance) in [(3.6, 5.0, 1.1), (4.2, 5.0, 1.1), (46.0, 5.0, 1.1), (63.0, 2.0, 1.0)] {
+    for (rate, window_s, tolerance) in [(3.6, 5.0, 1.1), (4.2, 5.0, 1.1), (46.0, 5.0, 1.1), (63.0, 2.0, 1.0)]
+    {
         let burst = Origin { window_s, tolerance }.burst(rate);
         let allowed = rate * window_s * tolerance + 3.0;
         assert!(burst >= 3 && burst as f64 + rate * window_s <= allowed, "{rate}: {burst}");
