--- a/src/gate/nominate.rs
+++ b/src/gate/nominate.rs
@@ -1,23 +1,47 @@
 use super::core::Gate;
 use super::order::{Order, Plan, Refusal, Why};
 use crate::fleet::config::Sort;
-use crate::fleet::runner::Runner;
+use crate::fleet::runner::{Report, Runner};
 use crate::fleet::slice::ServiceSlice;
 use crate::fleet::state::Phase;
 use crate::kernel::ids::Name;
 use crate::kernel::rand::hash;
 use crate::kernel::time::Time;
-use std::sync::Arc;
 
+/// What another zone costs, in hundredths of a runner's slots.
 const FAR: u64 = 10;
+/// So many prompt tokens to be read weigh like a hundredth of a runner's slots.
 const READ: u64 = 40;
+/// What an unread prompt weighs where its length is not known.
+const COLD: u64 = 50;
+/// A router compares at least so many of the runners that could take a request.
+const LEAST_COMPARED: usize = 2;
+/// Up to so many routers may each take the best of all runners without crowding it.
+const ROUTERS_AT_EASE: usize = 8;
 
-pub struct Pick {
-    pub runner: Runner,
-    pub score: (u64, u64, u64),
+/// A runner that could take the request now.
+struct Candidate<'a> {
+    runner: &'a Runner,
+    /// Prompt tokens that it would have to read.
+    unread: u64,
+    /// The lower the better.
+    weight: u64,
+    /// Its place in the order of this request alone.
+    lot: u64,
+}
+
+/// What was found of the runners of a service.
+#[derive(Default)]
+struct Found<'a> {
+    /// Some runner is in use at all.
+    live: bool,
+    /// Some runner holds what is asked for.
+    held: bool,
+    candidates: Vec<Candidate<'a>>,
 }
 
 impl Gate {
+    /// Where a request goes, or why it can't go anywhere now.
     pub fn nominate(&mut self, now: Time, order: &Order, avoid: &[Name]) -> Plan {
         let Some(s) = self.slice.clone() else {
             return Plan::Wait("service-not-known-yet");
@@ -34,62 +58,71 @@
         if let Some(r) = unknown(&s, order) {
             return Plan::Refuse(r);
         }
-        let mut live = 0;
-        let mut held = 0;
-        let mut best: Option<Pick> = None;
-        let many_out = self.all_out(now, &s);
-        let none = crate::fleet::runner::Report::default();
-        for r in &s.runners {
-            if r.leaving || avoid.contains(&r.instance) {
-                continue;
-            }
+        let mut found = self.find(now, &s, order, avoid);
+        match self.compare(&mut found.candidates) {
+            Some(best) => Plan::Send(best.runner.clone()),
+            None if !found.live => Plan::Wait("no-runner"),
+            None if !found.held => Plan::Wait("no-holder"),
+            None => Plan::Wait("busy"),
+        }
+    }
+
+    fn find<'a>(&self, now: Time, s: &'a ServiceSlice, order: &Order, avoid: &[Name]) -> Found<'a> {
+        let mut found = Found::default();
+        let (model, adapter) = (Name(order.model.to_string()), Name(order.adapter.to_string()));
+        let bare = self.bare_plain && s.service.sort == Sort::Plain;
+        let many_out = self.all_out(now, s);
+        let unreported = Report::default();
+        for r in s.runners.iter().filter(|r| !r.leaving && !avoid.contains(&r.instance)) {
             let Some(h) = self.health.get(&r.instance) else { continue };
-            let bare = self.bare_plain && s.service.sort == Sort::Plain;
             let report = match h.fresh(now) {
                 Some(report) => report,
-                None if bare => &none,
+                None if bare => &unreported,
                 None => continue,
             };
             let other = report.instance != r.instance && !bare;
             if h.leaving || other || (h.out(now) && !many_out) || h.is_full(now) {
                 continue;
             }
-            live += 1;
-            let model = Name(order.model.to_string());
+            found.live = true;
             if s.service.sort == Sort::Assistant {
-                let adapter = Name(order.adapter.to_string());
                 let fit = report.has(&model) && (adapter.0.is_empty() || report.has(&adapter));
-                if !fit || makes_way(&s, &r.instance, &model) {
+                if !fit || makes_way(s, &r.instance, &model) {
                     continue;
                 }
             }
-            held += 1;
+            found.held = true;
             let load = if bare { h.burden(now) } else { h.load(now) };
             let slots = slots_of(h, report.slots, s.service.slots);
-            if load >= slots {
-                continue;
-            }
-            let cold = order.parts.is_empty()
-                && (order.prefix.is_empty() || !report.prefixes.iter().any(|p| *p == order.prefix.as_str()));
-            let unread = order.size.prompt.saturating_sub(self.kept.of(&r.instance, order)) as u64;
-            let weight = (load * 100 / slots) + if cold { 50 } else { 0 } + unread / READ;
-            let far = u64::from(r.domain != self.domain) * FAR;
-            let score = (weight + far, load, hash(&r.instance.0, order.id));
-            if best.as_ref().is_none_or(|b| score < b.score) {
-                best = Some(Pick { runner: r.clone(), score });
+            if load < slots {
+                found.candidates.push(self.candidate(r, report, order, load * 100 / slots));
             }
         }
-        if let Some(pick) = best {
-            return Plan::Send(pick.runner);
-        }
-        match (live, held) {
-            (0, _) => Plan::Wait("no-runner"),
-            (_, 0) => Plan::Wait("no-holder"),
-            _ => Plan::Wait("busy"),
-        }
+        found
+    }
+
+    fn candidate<'a>(&self, r: &'a Runner, report: &Report, order: &Order, load: u64) -> Candidate<'a> {
+        let cold = order.parts.is_empty()
+            && (order.prefix.is_empty() || !report.prefixes.iter().any(|p| *p == order.prefix.as_str()));
+        let unread = order.size.prompt.saturating_sub(self.kept.of(&r.instance, order)) as u64;
+        let far = u64::from(r.domain != self.domain) * FAR;
+        let weight = load + if cold { COLD } else { 0 } + unread / READ + far;
+        Candidate { runner: r, unread, weight, lot: hash(&r.instance.0, order.id) }
+    }
+
+    /// The best of some runners drawn by lot, and of the one that has least of the prompt to read. What is known of a
+    /// runner's load is old by as much as all other routers send meanwhile: were each to take the best of all, all
+    /// would take the same. So the more routers there are, the fewer runners each of them compares.
+    fn compare<'a, 'b>(&self, candidates: &'b mut [Candidate<'a>]) -> Option<&'b Candidate<'a>> {
+        let share = (candidates.len() * ROUTERS_AT_EASE).div_ceil(self.routers.max(1) as usize);
+        let compared = share.max(LEAST_COMPARED).min(candidates.len());
+        candidates.sort_unstable_by_key(|c| c.lot);
+        let warmest = candidates.iter().min_by_key(|c| (c.unread, c.lot));
+        let drawn = candidates[..compared].iter().chain(warmest);
+        drawn.min_by_key(|c| (c.weight, c.lot))
     }
 
-    fn all_out(&self, now: Time, s: &Arc<ServiceSlice>) -> bool {
+    fn all_out(&self, now: Time, s: &ServiceSlice) -> bool {
         let rows = s.runners.iter().filter_map(|r| self.health.get(&r.instance));
         let bare = self.bare_plain && s.service.sort == Sort::Plain;
         rows.filter(|h| bare || h.fresh(now).is_some()).all(|h| h.out(now))
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -12,6 +12,8 @@
 const SOON_S: f64 = 5.0;
 const AGAIN_MS: f64 = 2000.0;
 const UNLOAD_MS: f64 = 40.0;
+/// What it costs to load a model where the others have all of the runner's easy load under way.
+const BUSY_MS: f64 = 800.0;
 /// How long a name stays where it was just loaded.
 pub const SETTLED: Span = Span::ms(2000);
 
@@ -152,7 +154,8 @@
         let (unloads, loss) = if fits { (vec![], 0.0) } else { self.unloads(o, costs, want, need)? };
         let kept = !tuned && self.placement.is_kept(self.fleet, runner, want);
         let load = if kept { c.store.kept_ms } else { c.load_ms(want) };
-        let crowd = o.report.running * 5 + if tuned { costs.adapters * 10 } else { 0 };
+        let crowd = o.report.running * 5
+            + if tuned { costs.adapters * 10 } else { (self.copies().busy(place).min(1.0) * BUSY_MS) as u64 };
         let churn = if tuned { 0.0 } else { costs.churn };
         let ms = load + crowd + loss as u64 + churn as u64;
         Some(Choice { runner: runner.clone(), unloads, ms, loss: loss as u64 })
--- a/src/placement/copies.rs
+++ b/src/placement/copies.rs
@@ -23,10 +23,17 @@
     supply: f64,
 }
 
+/// How many of so many slots are an easy load.
+fn easy(slots: u64) -> u64 {
+    (slots / 4).max((slots * 3 / 4).min(EASY)).max(1)
+}
+
 /// The models held, and how many of their requests the holders carry.
 #[derive(Default)]
 pub struct Copies<'a> {
     rows: BTreeMap<&'a Name, Held>,
+    /// What each runner has under way of its easy load, if each model is spread evenly; by place.
+    busy: Vec<f64>,
     /// Adapters in use, by their model.
     adapters: BTreeMap<&'a Name, u64>,
 }
@@ -36,8 +43,7 @@
     pub fn of(offers: &'a [Offer], uses: &Uses, config: &'a FleetConfig) -> Copies<'a> {
         let mut copies = Copies::default();
         let models = |o: &'a Offer| o.report.holds.iter().filter(|n| config.model(n).is_some());
-        let staying = || offers.iter().filter(|o| !o.runner.leaving);
-        for offer in staying() {
+        for offer in offers.iter().filter(|o| !o.runner.leaving) {
             for name in models(offer) {
                 let held = copies.rows.entry(name).or_default();
                 held.holders += 1;
@@ -45,9 +51,11 @@
                 held.tokens += offer.report.tokens;
             }
         }
-        for offer in staying() {
+        copies.busy = vec![0.0; offers.len()];
+        for (place, offer) in offers.iter().enumerate().filter(|o| !o.1.runner.leaving) {
             let Some(service) = config.service(&offer.runner.service) else { continue };
             let expected: f64 = models(offer).map(|name| copies.share(name, uses)).sum();
+            copies.busy[place] = expected / easy(service.slots) as f64;
             for name in models(offer) {
                 let others = expected - copies.share(name, uses);
                 let carries = (copies.easy_load(name, service) as f64 - others).max(0.0);
@@ -75,8 +83,12 @@
         let held = self.rows.get(name).copied().unwrap_or_default();
         let each = held.tokens.checked_div(held.runs).unwrap_or(0);
         let by_tokens = if each > 0 && service.tokens > 0 { service.tokens / each } else { u64::MAX };
-        let most = service.slots.min(by_tokens);
-        (most / 4).max((most * 3 / 4).min(EASY)).max(1)
+        easy(service.slots.min(by_tokens))
+    }
+
+    /// The part of its easy load that the runner at a place has under way; it may be over 1.
+    pub fn busy(&self, place: usize) -> f64 {
+        self.busy.get(place).copied().unwrap_or(0.0)
     }
 
     /// How many runners that stay hold the model.
--- a/src/placement/quick.rs
+++ b/src/placement/quick.rs
@@ -3,7 +3,7 @@
 use super::board::Board;
 use super::choose::Choice;
 use super::duty::Placement;
-use crate::fleet::config::{Class, Service};
+use crate::fleet::config::Class;
 use crate::fleet::slice::DutySlice;
 use crate::kernel::component::Context;
 use crate::kernel::ids::*;
@@ -29,8 +29,8 @@
 
 /// How often models are looked for that are short of runners.
 const SPREAD_EACH: Span = Span::ms(100);
-/// Copies of hot models leave so many loads of the store's allowance to what no runner holds.
-const STORE_LOADS_KEPT: u64 = 1;
+/// Copies of hot models leave one part in so many of a round to what no runner holds.
+const KEPT_FOR_WANTS: usize = 4;
 
 /// How often decisions were looked for, for the status page.
 #[derive(Default)]
@@ -52,6 +52,13 @@
     why: &'static str,
 }
 
+/// A model that is short of runners.
+struct Shortage<'a> {
+    missing: u64,
+    name: Name,
+    service: &'a Name,
+}
+
 /// What a round may still decide.
 struct Allowance {
     decisions: usize,
@@ -103,9 +110,13 @@
         };
         let spreads = self.is_spread_due(ctx.now);
         let mut board = self.board(s, &offers, ctx.now);
-        let mut decided = self.meet_wants(&mut board, s, &mut allowance);
+        let mut decided = vec![];
+        if spreads {
+            let short = self.short(&board, s);
+            decided = self.spread(&mut board, short, &mut allowance);
+        }
+        decided.extend(self.meet_wants(&mut board, s, &mut allowance));
         if spreads {
-            decided.extend(self.spread(&mut board, s, &mut allowance));
             self.work.last_spread = ctx.now;
         }
         let closes = decided.iter().any(|d| !d.choice.unloads.is_empty());
@@ -173,29 +184,42 @@
         now.since(self.work.last_spread) >= SPREAD_EACH
     }
 
-    /// More copies of models that have more requests than their holders carry with ease, where that costs little.
-    fn spread(&self, board: &mut Board, s: &DutySlice, allowance: &mut Allowance) -> Vec<Decision> {
-        let usage = self.usage.clone();
-        let mut short: Vec<(u64, &Name, &Service)> = vec![];
-        for (name, used) in usage.names.iter().filter(|u| u.1.runs > 0 && s.config.model(u.0).is_some()) {
+    /// The models that have more requests than their holders carry with ease: how many runners each is short of, the
+    /// shortest first.
+    fn short<'a>(&'a self, board: &Board, s: &'a DutySlice) -> Vec<Shortage<'a>> {
+        let mut short = vec![];
+        for (name, used) in self.usage.names.iter().filter(|u| u.1.runs > 0 && s.config.model(u.0).is_some())
+        {
             let Some(service) = s.config.services.iter().find(|x| x.models.contains(name)) else { continue };
-            let missing = board.short_by(name, used.runs + self.waits(name), self.under_way(name), service);
+            let demand = used.runs + self.waits(name);
+            let missing = board.short_by(name, demand, self.under_way(name), service);
             if missing > 0 && board.is_held(name) {
-                short.push((missing, name, service));
+                short.push(Shortage { missing, name: name.clone(), service: &service.name });
             }
         }
-        short.sort_by_key(|row| std::cmp::Reverse(row.0));
+        short.sort_by_key(|row| std::cmp::Reverse(row.missing));
+        short
+    }
+
+    /// More copies of models that are short of runners, where that costs little. One of them serves many requests
+    /// where the load of a rare model serves one, so they come first; but part of the allowance is kept for those.
+    fn spread(&self, board: &mut Board, short: Vec<Shortage>, allowance: &mut Allowance) -> Vec<Decision> {
+        let keep = Allowance {
+            decisions: allowance.decisions / KEPT_FOR_WANTS,
+            store_loads: allowance.store_loads.div_ceil(KEPT_FOR_WANTS as u64),
+        };
         let mut decided = vec![];
-        for (missing, name, service) in short {
+        for Shortage { missing, name, service } in short {
             for _ in 0..missing {
-                if allowance.decisions == 0 || allowance.store_loads <= STORE_LOADS_KEPT {
+                if allowance.decisions <= keep.decisions {
                     return decided;
                 }
-                let Some(choice) = board.choose(&service.name, name, true) else { break };
+                let from_store = allowance.store_loads > keep.store_loads;
+                let Some(choice) = board.choose(service, &name, from_store) else { break };
                 if choice.loss > SPREAD_LOSS {
                     break;
                 }
-                decided.push(take(board, name, choice, "is hot", allowance));
+                decided.push(take(board, &name, choice, "is hot", allowance));
             }
         }
         decided
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -73,6 +73,7 @@
 lost-tail-reset|src/chain/replicate.rs|if synced > self.log.last\(\) \{|if false {|snapshot resets_and_joins
 stuck-grants|src/kernel/hold.rs|\|\| \(stuck && needs_no_disk\(&e\)\)||hold leave_at_once
 lease-returned|src/chain/acceptor.rs|self.return_lease\(\*no, ctx\);||full_and_wiped served_in_each_case
+closing-synced|src/kernel/hold.rs|if self.queue.is_empty\(\) \{|if true {|closing read_back_everywhere
 return-current|src/chain/lease.rs|self.acceptor.granted != Some\(\(from, sent\)\)|false|lease_return waited_for
 late-grant|src/chain/lease.rs| \|\| sent <= self.lease.returned||lease_return late_grant
 hopeless-votes|src/chain/view_change.rs|if !self.can_write\(ctx\) \|\| !self.has_writing_majority\(ctx\)|if false|full_and_wiped served_in_most_cases
