A restarted holder goes on at once; copies and rare loads take turns at the store

All controllers were killed at 19.1 s; the holder was back after 0.1 s under its old term and waited its 4 s all the same, as if it had a predecessor; and with the store's allowance coming one load at a time, rare names took each of them. Now the chain records that a holder has waited out its predecessor (DutyBegun); restarted under the same term it orders as soon as it has reports. It is the same machine under the same fence; what its former life has under way is voided by the counts that orders name, and a runner at work on it gets none. A follower's window counts as spent only where the bucket alone does not bound it.

--- a/src/fleet/fold.rs
+++ b/src/fleet/fold.rs
@@ -19,6 +19,7 @@
             Change::Runners { id, list } => self.take_runners(*id, list),
             Change::Leaving { id, instance } => self.mark_leaving(*id, instance),
             Change::Duty { holder } => self.give_duty(*holder),
+            Change::DutyBegun { term } => self.begin_duty(*term),
             Change::Move { id, plan } => self.take_move(*id, plan),
             Change::Plan { term, plan, asked } => self.fold_plan(*term, plan, *asked),
             Change::PlanAsk { id } => self.fold_ask(*id),
@@ -127,9 +128,16 @@
         self.end(id, OutcomeCode::Ok, format!("runner {instance} is leaving"), vec![]);
     }
 
+    fn begin_duty(&mut self, term: Term) {
+        if let Some(duty) = self.duty.as_mut().filter(|duty| duty.term == term && !duty.begun) {
+            duty.begun = true;
+            self.touch(Scope::Duty);
+        }
+    }
+
     fn give_duty(&mut self, holder: NodeId) {
         let term = self.duty.as_ref().map_or(Term(1), |d| d.term.next());
-        self.duty = Some(Duty { holder, term });
+        self.duty = Some(Duty { holder, term, begun: false });
         let names: Vec<Name> = self.config.services.iter().map(|s| s.name.clone()).collect();
         for name in names {
             self.touch(Scope::Service(name));
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 pub mod check;
 pub mod config;
 pub mod defaults;
+pub mod duty;
 pub mod fold;
 pub mod fold_plan;
 pub mod holdings;
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -1,4 +1,5 @@
 use super::config::FleetConfig;
+pub use super::duty::Duty;
 use super::ledger::{LedgerEntry, OrderLedger};
 pub use super::outcome::{Decision, Outcome, OutcomeCode};
 use super::plan::{PlacementPlan, PlanState};
@@ -44,6 +45,10 @@
     Duty {
         holder: NodeId,
     },
+    /// The holder of this term has waited out its predecessor and orders from now on.
+    DutyBegun {
+        term: Term,
+    },
     Move {
         id: ChangeId,
         plan: MovePlan,
@@ -147,12 +152,6 @@
     pub config: Box<FleetConfig>,
 }
 
-#[derive(Clone, PartialEq, Debug, Encode, Decode)]
-pub struct Duty {
-    pub holder: NodeId,
-    pub term: Term,
-}
-
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug, Encode, Decode)]
 pub enum Scope {
     Routes,
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -64,6 +64,8 @@
     pub checked: Time,
     pub asked: Time,
     pub named: Time,
+    /// When the chain was last told that this holder orders.
+    pub begun_told: Time,
     pub warned: bool,
     pub bare_plain: bool,
 }
@@ -107,6 +109,7 @@
             checked: Time(0),
             asked: Time(0),
             named: Time(0),
+            begun_told: Time(0),
             warned: false,
             bare_plain: false,
         }
@@ -122,7 +125,8 @@
             Some(term) if term != self.term => {
                 self.term = term;
                 let mut pacer = std::mem::take(&mut self.flights.pacer);
-                self.may_from = pacer.clock() + QUIET;
+                let begun = slice.duty.as_ref().is_some_and(|duty| duty.begun);
+                self.may_from = pacer.clock() + if begun { Span(0) } else { QUIET };
                 pacer.follow(&slice.config.store, ORDER_FRESH);
                 self.flights = Flights { pacer, ..Flights::default() };
                 self.phases.clear();
@@ -151,29 +155,6 @@
         self.settled.clear();
         self.push_anew();
     }
-
-    fn reported(&mut self, instance: &Name, r: &Report, ctx: &mut Context) {
-        if self.is_old(ctx.now, r) {
-            return;
-        }
-        if r.leaving {
-            ctx.publish(JournalEvent::RunnerMarked(instance.clone()));
-        }
-        let asked = self.looks.get(instance).and_then(|l| l.asked()).unwrap_or(ctx.now);
-        self.flights.sequences.reported(ctx.now, asked, r);
-        let vanished = self.flights.told(ctx.now, r);
-        let restarted = self.reports.get(instance).is_some_and(|old| old.1.orders > r.orders);
-        if vanished && !restarted {
-            self.load_failed(instance, "its load never appeared", ctx);
-        }
-        let old = self.reports.insert(instance.clone(), (ctx.now, r.clone()));
-        let new = |n: &&Name| old.as_ref().is_some_and(|o| !o.1.has(n));
-        for n in r.holds.iter().filter(new) {
-            self.settled.insert((instance.clone(), n.clone()), ctx.now);
-        }
-        self.settled.retain(|_, t| ctx.now.since(*t) < super::choose::SETTLED);
-        self.kept.entry(instance.clone()).or_default().extend(r.holds.iter().cloned());
-    }
 }
 
 impl Component for Placement {
--- a/src/placement/holder.rs
+++ b/src/placement/holder.rs
@@ -1,4 +1,5 @@
 use super::duty::Placement;
+use crate::fleet::slice::DutySlice;
 use crate::fleet::state::*;
 use crate::kernel::component::Context;
 use crate::kernel::ids::*;
@@ -9,6 +10,8 @@
 
 const ASK: Span = Span::ms(200);
 const ASK_SOON: Span = Span::ms(60);
+/// How often the chain is told that this holder orders, until that is recorded.
+const RECORD_AGAIN: Span = Span::ms(600);
 
 impl Placement {
     pub fn name_holder(&mut self, ctx: &mut Context) {
@@ -32,6 +35,18 @@
         }
     }
 
+    /// Has the chain record that this holder has waited out its predecessor. Restarted under the same term it goes on
+    /// at once: it is the same machine under the same fence, and what its former life has under way is voided by the
+    /// counts that orders name.
+    pub fn record_begun(&mut self, s: &DutySlice, ctx: &mut Context) {
+        let recorded = s.duty.as_ref().is_none_or(|duty| duty.term != self.term || duty.begun);
+        if recorded || ctx.now.since(self.begun_told) < RECORD_AGAIN {
+            return;
+        }
+        self.begun_told = ctx.now;
+        self.tell_head(Change::DutyBegun { term: self.term }, ctx);
+    }
+
     pub fn hand_over(&mut self, ctx: &mut Context) {
         self.warned = true;
         if self.term == Term(0) {
--- a/src/placement/look.rs
+++ b/src/placement/look.rs
@@ -1,3 +1,4 @@
+use super::choose::SETTLED;
 use super::duty::Placement;
 use crate::fleet::holdings::Want;
 use crate::fleet::runner::Report;
@@ -108,6 +109,30 @@
         r.orders < old.orders && now.since(*at) < STALE
     }
 
+    /// Takes in a runner's report.
+    pub fn reported(&mut self, instance: &Name, r: &Report, ctx: &mut Context) {
+        if self.is_old(ctx.now, r) {
+            return;
+        }
+        if r.leaving {
+            ctx.publish(JournalEvent::RunnerMarked(instance.clone()));
+        }
+        let asked = self.looks.get(instance).and_then(|l| l.asked()).unwrap_or(ctx.now);
+        self.flights.sequences.reported(ctx.now, asked, r);
+        let vanished = self.flights.told(ctx.now, r);
+        let restarted = self.reports.get(instance).is_some_and(|old| old.1.orders > r.orders);
+        if vanished && !restarted {
+            self.load_failed(instance, "its load never appeared", ctx);
+        }
+        let old = self.reports.insert(instance.clone(), (ctx.now, r.clone()));
+        let new = |n: &&Name| old.as_ref().is_some_and(|o| !o.1.has(n));
+        for n in r.holds.iter().filter(new) {
+            self.settled.insert((instance.clone(), n.clone()), ctx.now);
+        }
+        self.settled.retain(|_, t| ctx.now.since(*t) < SETTLED);
+        self.kept.entry(instance.clone()).or_default().extend(r.holds.iter().cloned());
+    }
+
     pub fn looked(&mut self, runner: &Name, report: Option<&Report>, ctx: &Context) {
         let ends = self.flights.rows.values().filter(|f| f.runner == *runner && f.answered);
         let soon = ends.map(|f| f.end.max(ctx.now + AGAIN)).min();
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -21,6 +21,7 @@
 pub mod push;
 pub mod quick;
 pub mod room;
+pub mod round;
 pub mod seeker;
 pub mod sequence;
 pub mod stages;
--- a/src/placement/pacer.rs
+++ b/src/placement/pacer.rs
@@ -44,7 +44,16 @@
         self.found(rule);
         self.level = 0.0;
         self.at = self.clock + last;
-        self.past = (0..rule.most).map(|_| self.at).collect();
+        if !Self::window_follows(rule) {
+            self.past = (0..rule.most).map(|_| self.at).collect();
+        }
+    }
+
+    /// Whether what is saved up and the steady rate never make more loads than a window may hold: then an empty level
+    /// is all that a successor needs.
+    fn window_follows(rule: &Store) -> bool {
+        let steady = (rule.window_ms * rule.loads_per_minute).div_ceil(60_000);
+        rule.burst + steady <= rule.most
     }
 
     fn full(rule: &Store, level: f64, from: Time, to: Time) -> f64 {
--- /dev/null
+++ b/src/placement/round.rs
@@ -0,0 +1,191 @@
+//! One round of decisions: what is loaded where, all from one picture.
+//!
+//! Two things compete for the loads that the store of weights allows: models short of runners, of which one copy serves
+//! many requests, and names that nobody holds, of which a load serves one. While both are there they take turns.
+
+use super::board::Board;
+use super::choose::Choice;
+use super::duty::Placement;
+use crate::fleet::config::Class;
+use crate::fleet::slice::DutySlice;
+use crate::kernel::component::Context;
+use crate::kernel::ids::Name;
+use crate::kernel::time::{Span, Time};
+
+/// A round takes up to this many decisions, or
+const DECISIONS: usize = 8;
+/// one for so many runners, so that it ends soon.
+const RUNNERS_PER_DECISION: usize = 8;
+/// How often models are looked for that are short of runners.
+const SPREAD_EACH: Span = Span::ms(100);
+/// What may be lost for one more copy of a hot model, in ms of waiting.
+const SPREAD_LOSS: u64 = 1700;
+/// Of so many loads from the store one is for what nobody holds, while models are short of runners.
+const TURNS: u64 = 4;
+
+/// For what a load is meant.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Purpose {
+    /// A name that requests wait for.
+    Wanted,
+    /// One more copy of a model that is short of runners.
+    Copy,
+}
+
+/// Who may take the next load that the store allows.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Turn {
+    /// Wanted names and copies, each as often as it should.
+    InTurn,
+    /// Whoever asks.
+    Anyone,
+}
+
+/// What a round has decided.
+struct Decision {
+    want: Name,
+    choice: Choice,
+    purpose: Purpose,
+}
+
+/// A model that is short of runners.
+struct Shortage {
+    missing: u64,
+    name: Name,
+    service: Name,
+}
+
+/// A round under way.
+struct Round<'a> {
+    board: Board<'a>,
+    /// How many decisions it may still take.
+    left: usize,
+    /// Loads that the store allows at this moment, less those that decisions under way have yet to order.
+    store_left: u64,
+    /// Loads from the store that were decided, in this round and before.
+    store_loads: u64,
+    decided: Vec<Decision>,
+}
+
+impl Placement {
+    /// Decides what is loaded for the names that are wanted and for models short of runners. What gives way is told to
+    /// the routers once, before the first order goes out.
+    pub(super) fn round(&mut self, s: &DutySlice, ctx: &mut Context) {
+        let spreads = ctx.now.since(self.work.last_spread) >= SPREAD_EACH;
+        if self.wants.is_empty() && !spreads {
+            return;
+        }
+        self.work.rounds += 1;
+        let offers = self.offers(ctx.now);
+        let store_left = self.store_loads_left(s);
+        let mut round = Round {
+            board: self.board(s, &offers, ctx.now),
+            left: DECISIONS.max(offers.len() / RUNNERS_PER_DECISION),
+            store_left,
+            store_loads: self.work.store_loads,
+            decided: vec![],
+        };
+        let short = if spreads { self.short(&round.board, s) } else { vec![] };
+        let found = if spreads { short.len() } else { self.work.short };
+        if found > 0 && !self.wants.is_empty() {
+            round.spread(&short, Turn::InTurn);
+            self.meet_wants(&mut round, Turn::InTurn, s);
+        }
+        if spreads || found == 0 {
+            round.spread(&short, Turn::Anyone);
+            self.meet_wants(&mut round, Turn::Anyone, s);
+        }
+        let (decided, store_loads) = (round.decided, round.store_loads);
+        (self.work.short, self.work.store_loads) = (found, store_loads);
+        if spreads {
+            self.work.last_spread = ctx.now;
+        }
+        self.begin_all(decided, ctx);
+        self.run_jobs(s, ctx);
+    }
+
+    fn begin_all(&mut self, decided: Vec<Decision>, ctx: &mut Context) {
+        let closes = decided.iter().any(|d| !d.choice.unloads.is_empty());
+        for d in decided {
+            let why = match d.purpose {
+                Purpose::Wanted => "is wanted and no runner can take it",
+                Purpose::Copy => "is hot",
+            };
+            self.begin(&d.want, d.choice, why, ctx);
+        }
+        if closes {
+            self.push_closing(ctx);
+        }
+    }
+
+    fn meet_wants(&self, round: &mut Round, turn: Turn, s: &DutySlice) {
+        let mut names: Vec<(Class, Time, &Name)> =
+            self.wants.iter().map(|(name, wanted)| (wanted.class, wanted.since, name)).collect();
+        names.sort();
+        for (.., name) in names {
+            if round.left == 0 {
+                return;
+            }
+            let from_store = round.may_ask_store(Purpose::Wanted, turn);
+            if round.decided.iter().any(|d| d.want == *name) {
+                continue;
+            }
+            if let Some(choice) = self.meet_quick(&round.board, name, from_store, s) {
+                round.take(name, choice, Purpose::Wanted);
+            }
+        }
+    }
+
+    /// The models that have more requests than their holders carry with ease, the shortest first.
+    fn short(&self, board: &Board, s: &DutySlice) -> Vec<Shortage> {
+        let mut short = vec![];
+        let used = self.usage.names.iter().filter(|u| u.1.runs > 0 && s.config.model(u.0).is_some());
+        for (name, used) in used {
+            let Some(service) = s.config.services.iter().find(|x| x.models.contains(name)) else { continue };
+            let demand = used.runs + self.waits(name);
+            let missing = board.short_by(name, demand, self.under_way(name), service);
+            if missing > 0 && board.is_held(name) {
+                short.push(Shortage { missing, name: name.clone(), service: service.name.clone() });
+            }
+        }
+        short.sort_by_key(|row| std::cmp::Reverse(row.missing));
+        short
+    }
+}
+
+impl Round<'_> {
+    /// Whether the store allows a load for this purpose now.
+    fn may_ask_store(&self, purpose: Purpose, turn: Turn) -> bool {
+        let wanted_next = self.store_loads.is_multiple_of(TURNS);
+        self.store_left > 0 && (turn == Turn::Anyone || wanted_next == (purpose == Purpose::Wanted))
+    }
+
+    /// More copies of models that are short of runners, where that costs little.
+    fn spread(&mut self, short: &[Shortage], turn: Turn) {
+        for Shortage { missing, name, service } in short {
+            let decided = self.decided.iter().filter(|d| d.want == *name).count() as u64;
+            for _ in decided..*missing {
+                if self.left == 0 {
+                    return;
+                }
+                let from_store = self.may_ask_store(Purpose::Copy, turn);
+                let Some(choice) = self.board.choose(service, name, from_store) else { break };
+                if choice.loss > SPREAD_LOSS {
+                    break;
+                }
+                self.take(name, choice, Purpose::Copy);
+            }
+        }
+    }
+
+    /// Notes a decision, so that the next ones count with it.
+    fn take(&mut self, name: &Name, choice: Choice, purpose: Purpose) {
+        self.left -= 1;
+        if self.board.asks_store(&choice.runner, name) {
+            self.store_left = self.store_left.saturating_sub(1);
+            self.store_loads += 1;
+        }
+        self.board.take(&choice);
+        self.decided.push(Decision { want: name.clone(), choice, purpose });
+    }
+}
--- a/src/placement/stages.rs
+++ b/src/placement/stages.rs
@@ -25,6 +25,7 @@
         }
         self.planned = ctx.now;
         let Some(s) = self.slice.clone() else { return };
+        self.record_begun(&s, ctx);
         self.phases.retain(|id, _| s.moves.iter().any(|m| m.id == *id));
         for m in s.moves.iter().filter(|m| m.live()) {
             self.stage(m, &s, ctx);
--- a/tests/room.rs
+++ b/tests/room.rs
@@ -75,3 +75,31 @@
         assert_eq!(over, 0, "orders over a runner's room");
     });
 }
+
+/// So long after its return a holder that was restarted may take to order again.
+const ORDERS_AGAIN: Span = Span::ms(2500);
+
+#[test]
+fn given_a_holder_that_restarts_when_it_still_holds_the_duty_then_it_orders_soon_and_room_and_store_hold() {
+    seeded(1..13, |seed| {
+        let mut w = terse(0, seed, 2);
+        calls(&mut w, "/rare", 8, 4, Span::ms(60_000), rare);
+        w.run_for(Span::ms(9000 + seed * 170));
+        for round in 0..4 {
+            let place = holder(&w).expect("one holds the duty");
+            w.kill_node(place);
+            w.run_for(Span::ms(100));
+            w.start_node(place);
+            let (back, before) = (w.now, loads(&w));
+            let again = w.until(Span::ms(9000), |w| loads(w) > before);
+            assert!(again.is_some(), "seed {seed}: no load after the holder's return");
+            let took = w.now.since(back);
+            assert!(
+                took <= ORDERS_AGAIN,
+                "seed {seed}: the first load came {took} after the holder's return"
+            );
+            w.run_for(Span::ms(4000 + round * 310));
+        }
+        sound(&w);
+    });
+}
