--- a/src/fleet/read.rs
+++ b/src/fleet/read.rs
@@ -74,8 +74,8 @@
         c.rollout.refused_percent = s.num("refused_percent", Some(5), 0, 100);
         for (n, t) in s.list("samples").iter().enumerate() {
             let mut q = Reader::new(&format!("rollout.samples[{n}]"), t);
-            let service = Name(q.text("service", None));
-            let model = Name(q.text("model", Some("")));
+            let service = Name(q.name("service"));
+            let model = Name(q.line("model", Some("")));
             c.rollout.samples.push(Sample { service, model });
             bad.extend(q.done());
         }
@@ -83,7 +83,7 @@
     }
     for (n, t) in r.list("models").iter().enumerate() {
         let mut s = Reader::new(&format!("models[{n}]"), t);
-        let name = Name(s.text("name", None));
+        let name = Name(s.name("name"));
         let weight_mb = s.num("weight_mb", None, 1, 10_000_000);
         let load_ms = s.num("load_ms", Some(3000), 1, 3_600_000);
         bad.extend(s.done());
@@ -91,8 +91,8 @@
     }
     for (n, t) in r.list("adapters").iter().enumerate() {
         let mut s = Reader::new(&format!("adapters[{n}]"), t);
-        let name = Name(s.text("name", None));
-        let model = Name(s.text("model", None));
+        let name = Name(s.name("name"));
+        let model = Name(s.name("model"));
         let weight_mb = s.num("weight_mb", None, 1, 1_000_000);
         let load_ms = s.num("load_ms", Some(500), 1, 3_600_000);
         bad.extend(s.done());
@@ -118,7 +118,7 @@
 fn service(n: usize, t: &Tree, bad: &mut Vec<Fault>) -> Service {
     let path = format!("services[{n}]");
     let mut r = Reader::new(&path, t);
-    let name = Name(r.text("name", None));
+    let name = Name(r.name("name"));
     let sort = match r.one_of("sort", "plain", &["assistant", "plain"]).as_str() {
         "assistant" => Sort::Assistant,
         _ => Sort::Plain,
@@ -126,7 +126,7 @@
     let inbox = r.num("inbox", Some(256), 0, 100_000);
     let slots = r.num("slots", Some(8), 1, 10_000);
     let links = r.num("links", Some(1024), 1, 1_000_000);
-    let health = r.text("health", Some(""));
+    let health = r.line("health", Some(""));
     let tokens = r.num("tokens", Some(0), 0, 1 << 40);
     let stride = r.num("stride", Some(1), 1, 1000);
     let room_mb = r.num("room_mb", Some(0), 0, 1 << 40);
@@ -136,8 +136,8 @@
     let mut routes = Vec::new();
     for (k, t) in r.list("routes").iter().enumerate() {
         let mut q = Reader::new(&format!("{path}.routes[{k}]"), t);
-        let prefix = q.text("prefix", None);
-        let host = q.text("host", Some(""));
+        let prefix = q.line("prefix", None);
+        let host = q.line("host", Some(""));
         let class = Class::from(q.one_of("class", "normal", &CLASSES).as_str());
         let resumable = q.flag("resumable", false);
         let due_ms = q.num("due_ms", Some(30_000), 10, 3_600_000);
@@ -150,7 +150,7 @@
         let mut split = Vec::new();
         for (j, t) in q.list("split").iter().enumerate() {
             let mut w = Reader::new(&format!("{path}.routes[{k}].split[{j}]"), t);
-            let service = Name(w.text("service", None));
+            let service = Name(w.name("service"));
             let weight = w.num("weight", None, 0, 1_000_000);
             bad.extend(w.done());
             split.push(Share { service, weight });
--- a/src/json/read.rs
+++ b/src/json/read.rs
@@ -1,6 +1,9 @@
 use super::Tree;
 use crate::kernel::fault::{Fault, Kind};
 
+/// The longest text that a field may hold, in bytes, unless its key says otherwise.
+pub const LONGEST_TEXT: usize = 512;
+
 pub struct Reader<'a> {
     pub path: String,
     rows: &'a [(String, Tree)],
@@ -51,6 +54,37 @@
         String::new()
     }
 
+    /// A text of at most `LONGEST_TEXT` bytes without control characters.
+    pub fn line(&mut self, key: &'a str, dflt: Option<&str>) -> String {
+        let line = self.text(key, dflt);
+        self.check_line(key, &line);
+        line
+    }
+
+    /// A line that is not empty: what other fields refer to.
+    pub fn name(&mut self, key: &'a str) -> String {
+        let given = matches!(self.rows.iter().find(|r| r.0 == key), Some((_, Tree::Text(_))));
+        let name = self.line(key, None);
+        if given && name.is_empty() {
+            self.fault(key, "is empty", "give it a name");
+        }
+        name
+    }
+
+    fn check_line(&mut self, key: &str, line: &str) {
+        if line.len() > LONGEST_TEXT {
+            let remedy = format!("shorten it to {LONGEST_TEXT} bytes");
+            self.fault(key, &format!("is {} bytes long", line.len()), &remedy);
+        }
+        if line.chars().any(char::is_control) {
+            self.fault(
+                key,
+                "holds a control character",
+                "remove line breaks, tabs and other control characters",
+            );
+        }
+    }
+
     pub fn num(&mut self, key: &'a str, dflt: Option<u64>, low: u64, high: u64) -> u64 {
         let remedy = format!("give a whole number from {low} to {high}");
         match (self.take(key), dflt) {
@@ -90,7 +124,13 @@
         let mut out = Vec::new();
         for row in self.list(key) {
             match row {
-                Tree::Text(t) => out.push(t.clone()),
+                Tree::Text(t) => {
+                    if t.is_empty() {
+                        self.fault(key, "holds an empty text", "remove it or give it a name");
+                    }
+                    self.check_line(key, t);
+                    out.push(t.clone());
+                }
                 _ => self.fault(key, "holds something that is not a text", "quote each entry"),
             }
         }
@@ -101,7 +141,7 @@
         let got = self.text(key, Some(dflt));
         if !may.contains(&got.as_str()) {
             let remedy = format!("use one of {}", may.join(", "));
-            self.fault(key, &format!("is \"{got}\""), &remedy);
+            self.fault(key, &format!("is \"{}\"", got.escape_debug()), &remedy);
         }
         got
     }
--- a/tests/input.rs
+++ b/tests/input.rs
@@ -48,6 +48,54 @@
     }
 }
 
+/// Texts that no field may hold, written as JSON, and what is said of them.
+const BAD_TEXTS: [(&str, &str); 3] =
+    [("\"\"", "is empty"), ("\"a\\nb\"", "control character"), ("LONG", "bytes long")];
+
+#[test]
+fn given_a_text_that_is_empty_over_long_or_holds_control_characters_when_read_then_its_field_is_named() {
+    let whole = r#"{"models":[{"name":"m","weight_mb":1}],"adapters":[{"name":"l","model":"m","weight_mb":1}],
+        "rollout":{"samples":[{"service":"s","model":"m"}]},
+        "services":[{"name":"s","sort":"assistant","health":"/h","models":["m"],"adapters":["l"],
+        "routes":[{"prefix":"/p","host":"h.example","split":[{"service":"s","weight":1}]}]}]}"#;
+    assert!(read_text(whole).is_ok(), "{:?}", read_text(whole));
+    let long = format!("\"{}\"", "x".repeat(600));
+    for (field, place) in [
+        (r#""name":"m""#, "models[0].name"),
+        (r#""name":"l""#, "adapters[0].name"),
+        (r#""model":"m","weight"#, "adapters[0].model"),
+        (r#""service":"s","model""#, "rollout.samples[0].service"),
+        (r#""name":"s""#, "services[0].name"),
+        (r#""health":"/h""#, "services[0].health"),
+        (r#""prefix":"/p""#, "services[0].routes[0].prefix"),
+        (r#""host":"h.example""#, "services[0].routes[0].host"),
+        (r#""service":"s","weight"#, "services[0].routes[0].split[0].service"),
+    ] {
+        assert!(whole.contains(field), "{field}");
+        let (key, rest) = field.split_once(':').expect("a key");
+        let rest = rest.split_once(',').map_or("", |rest| rest.1);
+        for (text, what) in BAD_TEXTS {
+            let may_be_empty = ["\"health\"", "\"host\""].contains(&key);
+            if text == "\"\"" && (may_be_empty || key == "\"prefix\"") {
+                continue;
+            }
+            let text = if text == "LONG" { &long } else { text };
+            let comma = if rest.is_empty() { "" } else { "," };
+            let faults =
+                read_text(&whole.replacen(field, &format!("{key}:{text}{comma}{rest}"), 1)).expect_err(place);
+            let said = faults.iter().find(|f| f.place == place && f.what.contains(what));
+            assert!(said.is_some_and(|f| !f.remedy.is_empty()), "{place} {what}: {faults:?}");
+        }
+    }
+}
+
+#[test]
+fn given_an_empty_name_and_a_negative_weight_when_read_then_both_are_named() {
+    let got = places(r#"{"models":[{"name":"","weight_mb":-1}]}"#);
+    assert!(got.contains(&"models[0].name".to_string()), "{got:?}");
+    assert!(got.contains(&"models[0].weight_mb".to_string()), "{got:?}");
+}
+
 #[test]
 fn given_broken_json_when_read_then_it_is_refused_without_a_crash() {
     let deep = "[".repeat(10_000);
