--- a/src/pass/legs.rs
+++ b/src/forwarding/attempt.rs
@@ -1,10 +1,10 @@
+use super::request::*;
 use super::resume::Joined;
-use super::ride::*;
 use crate::fleet::runner::Runner;
 use crate::gate::{Gate, Refusal};
 use crate::kernel::ids::*;
 use crate::kernel::time::Time;
-use crate::transfer::tape::{Item, Splitter};
+use crate::transfer::event_buffer::{Item, Splitter};
 
 /// What the first event of a run must be, so that the stream can go on with it.
 #[derive(Clone, PartialEq, Debug)]
@@ -18,8 +18,8 @@
 }
 
 /// One attempt at a runner, as the request's state machine sees it.
-pub struct Leg {
-    pub no: LegNo,
+pub struct RunnerAttempt {
+    pub no: AttemptNo,
     pub runner: Runner,
     pub cut: Splitter,
     pub head: bool,
@@ -29,46 +29,55 @@
     pub join: Join,
 }
 
-impl Leg {
-    pub fn new(no: LegNo, runner: Runner, since: Time) -> Leg {
+impl RunnerAttempt {
+    pub fn new(no: AttemptNo, runner: Runner, since: Time) -> RunnerAttempt {
         let cut = Splitter::default();
-        Leg { no, runner, cut, head: false, since, buffer: Vec::new(), ended: false, join: Join::Open }
+        RunnerAttempt {
+            no,
+            runner,
+            cut,
+            head: false,
+            since,
+            buffer: Vec::new(),
+            ended: false,
+            join: Join::Open,
+        }
     }
 }
 
-impl Ride {
-    pub fn leg(&mut self, no: LegNo) -> Option<&mut Leg> {
-        self.legs.iter_mut().find(|l| l.no == no)
+impl RequestFlow {
+    pub fn attempt(&mut self, no: AttemptNo) -> Option<&mut RunnerAttempt> {
+        self.attempts.iter_mut().find(|l| l.no == no)
     }
 
     pub fn head(
         &mut self,
         now: Time,
-        leg: LegNo,
+        attempt: AttemptNo,
         status: u16,
         stream: bool,
         gate: &mut Gate,
         out: &mut Vec<Out>,
     ) {
         let fit = stream && status == 200;
-        if self.is_standby(leg) {
-            return self.standby_head(now, leg, fit, gate, out);
+        if self.is_standby(attempt) {
+            return self.standby_head(now, attempt, fit, gate, out);
         }
         self.heard = now;
-        if self.is_dest(leg) {
+        if self.is_dest(attempt) {
             if !fit {
                 self.dest_failed(now, "the destination did not answer with a stream", gate, out);
-            } else if let Some(l) = self.leg(leg) {
+            } else if let Some(l) = self.attempt(attempt) {
                 l.head = true;
             }
             return;
         }
-        let Some(l) = self.leg(leg) else { return };
+        let Some(l) = self.attempt(attempt) else { return };
         l.head = true;
         let runner = l.runner.instance.clone();
         if self.began {
             if !fit {
-                self.close(now, leg, Some(false), gate, out);
+                self.close(now, attempt, Some(false), gate, out);
                 self.resume(now, runner, gate, out);
             }
             return;
@@ -77,17 +86,24 @@
         self.sent = true;
         self.stream = fit;
         gate.count(if status < 500 { "answered" } else { "answered_5xx" });
-        out.push(Out::Head { leg });
+        out.push(Out::Head { attempt });
     }
 
-    pub fn chunk(&mut self, now: Time, leg: LegNo, raw: &bytes::Bytes, gate: &mut Gate, out: &mut Vec<Out>) {
-        if self.is_standby(leg) {
-            return self.standby_chunk(now, leg, raw, gate, out);
+    pub fn chunk(
+        &mut self,
+        now: Time,
+        attempt: AttemptNo,
+        raw: &bytes::Bytes,
+        gate: &mut Gate,
+        out: &mut Vec<Out>,
+    ) {
+        if self.is_standby(attempt) {
+            return self.standby_chunk(now, attempt, raw, gate, out);
         }
-        let dest = self.is_dest(leg);
+        let dest = self.is_dest(attempt);
         if !dest {
             self.heard = now;
-            if leg != self.main {
+            if attempt != self.main {
                 return;
             }
             self.source_heard(now, gate, out);
@@ -96,29 +112,29 @@
                 return;
             }
         }
-        let Some(l) = self.leg(leg) else { return };
+        let Some(l) = self.attempt(attempt) else { return };
         let items = l.cut.add(raw);
         if l.cut.too_long() {
-            return self.step_into_lost(now, leg, gate, out);
+            return self.step_into_lost(now, attempt, gate, out);
         }
         for item in items {
-            if dest && self.is_dest(leg) {
+            if dest && self.is_dest(attempt) {
                 self.dest_item(now, item, gate, out);
-            } else if leg == self.main {
-                match self.joined(leg, &item) {
+            } else if attempt == self.main {
+                match self.joined(attempt, &item) {
                     Joined::Goes => self.main_item(now, item, gate, out),
                     Joined::Skipped => {}
-                    Joined::Differs(how) => self.main_differs(now, leg, &how, gate, out),
+                    Joined::Differs(how) => self.main_differs(now, attempt, &how, gate, out),
                 }
             }
-            if self.over || self.legs.iter().all(|l| l.no != leg) {
+            if self.over || self.attempts.iter().all(|l| l.no != attempt) {
                 return;
             }
         }
     }
 
-    pub fn step_into_lost(&mut self, now: Time, leg: LegNo, gate: &mut Gate, out: &mut Vec<Out>) {
-        let more = self.step(now, In::Lost { leg }, gate);
+    pub fn step_into_lost(&mut self, now: Time, attempt: AttemptNo, gate: &mut Gate, out: &mut Vec<Out>) {
+        let more = self.step(now, In::Lost { attempt }, gate);
         out.extend(more);
     }
 
@@ -132,34 +148,34 @@
         out.push(Out::Pass(item.raw));
     }
 
-    pub fn ended(&mut self, now: Time, leg: LegNo, gate: &mut Gate, out: &mut Vec<Out>) {
-        if self.is_dest(leg) {
-            if let Some(l) = self.leg(leg) {
+    pub fn ended(&mut self, now: Time, attempt: AttemptNo, gate: &mut Gate, out: &mut Vec<Out>) {
+        if self.is_dest(attempt) {
+            if let Some(l) = self.attempt(attempt) {
                 l.ended = true;
             }
             return self.dest_ended(now, gate, out);
         }
-        if self.is_standby(leg) {
+        if self.is_standby(attempt) {
             return self.standby_failed(now, "it ended without a word", None, gate, out);
         }
-        if leg != self.main {
+        if attempt != self.main {
             return;
         }
-        if self.leg(leg).is_some_and(|l| l.join != Join::Open) {
-            return self.step_into_lost(now, leg, gate, out);
+        if self.attempt(attempt).is_some_and(|l| l.join != Join::Open) {
+            return self.step_into_lost(now, attempt, gate, out);
         }
         self.source_ended(now, gate, out);
-        if let Some(l) = self.leg(leg) {
+        if let Some(l) = self.attempt(attempt) {
             let rest = l.cut.rest();
             if !rest.is_empty() {
                 out.push(Out::Pass(rest));
             }
         }
-        if let Some(l) = self.leg(leg) {
+        if let Some(l) = self.attempt(attempt) {
             let held = now.since(l.since);
             gate.ended(&self.order.model, held);
         }
-        self.close(now, leg, Some(true), gate, out);
+        self.close(now, attempt, Some(true), gate, out);
         self.close_all(now, gate, out);
         gate.count("finished");
         out.push(Out::Finish);
@@ -173,7 +189,7 @@
         format!("{why} passed={} last={last} attempts={opened}/{most} credit={credit:.1}", self.passed)
     }
 
-    pub fn runner_of(&mut self, leg: LegNo) -> Option<Name> {
-        self.leg(leg).map(|l| l.runner.instance.clone())
+    pub fn runner_of(&mut self, attempt: AttemptNo) -> Option<Name> {
+        self.attempt(attempt).map(|l| l.runner.instance.clone())
     }
 }
--- a/src/pass/failure.rs
+++ b/src/forwarding/failure.rs
@@ -1,31 +1,31 @@
 //! What follows when a runner cannot be reached, or is lost with a request under way.
 
-use super::ride::*;
+use super::request::*;
 use crate::fleet::config::RouteKind;
 use crate::gate::order::Why;
 use crate::gate::{Gate, Plan, Refusal};
 use crate::kernel::time::Time;
 
-impl Ride {
+impl RequestFlow {
     pub fn open_failed(
         &mut self,
         now: Time,
-        leg: LegNo,
+        attempt: AttemptNo,
         why: Option<Why>,
         gate: &mut Gate,
         out: &mut Vec<Out>,
     ) {
-        if self.is_dest(leg) {
+        if self.is_dest(attempt) {
             return self.dest_failed(now, "the destination could not be reached", gate, out);
         }
         self.opened = self.opened.saturating_sub(1);
-        if self.is_standby(leg) {
+        if self.is_standby(attempt) {
             let good = why.is_none().then_some(false);
             return self.standby_failed(now, "it could not be reached", good, gate, out);
         }
-        let Some(runner) = self.leg(leg).map(|l| l.runner.instance.clone()) else { return };
+        let Some(runner) = self.attempt(attempt).map(|l| l.runner.instance.clone()) else { return };
         let good = if why.is_none() { Some(false) } else { None };
-        self.close(now, leg, good, gate, out);
+        self.close(now, attempt, good, gate, out);
         if self.began || self.sent {
             return self.resume(now, runner, gate, out);
         }
@@ -56,17 +56,17 @@
         }
     }
 
-    pub fn lost(&mut self, now: Time, leg: LegNo, gate: &mut Gate, out: &mut Vec<Out>) {
-        if self.is_dest(leg) {
+    pub fn lost(&mut self, now: Time, attempt: AttemptNo, gate: &mut Gate, out: &mut Vec<Out>) {
+        if self.is_dest(attempt) {
             return self.dest_failed(now, "the destination failed", gate, out);
         }
-        if self.is_standby(leg) {
+        if self.is_standby(attempt) {
             return self.standby_failed(now, "it failed", Some(false), gate, out);
         }
-        let Some(runner) = self.leg(leg).map(|l| l.runner.instance.clone()) else { return };
+        let Some(runner) = self.attempt(attempt).map(|l| l.runner.instance.clone()) else { return };
         self.source_failed(now, gate, out);
         self.sent = true;
-        self.close(now, leg, Some(false), gate, out);
+        self.close(now, attempt, Some(false), gate, out);
         gate.count("lost");
         if self.standby_steps_in(&runner, out) {
             return;
--- a/src/pass/shift.rs
+++ b/src/forwarding/migration.rs
@@ -1,19 +1,19 @@
-use super::ride::*;
+use super::request::*;
 use crate::gate::order::Why;
 use crate::gate::{Gate, Refusal};
 use crate::kernel::ids::MoveId;
 use crate::kernel::time::{Span, Time};
 use crate::transfer::Handover;
+use crate::transfer::event_buffer::Item;
 use crate::transfer::handover::Out as Hand;
-use crate::transfer::tape::Item;
 
 const AGAIN: Span = Span::ms(1000);
 const ATTEMPTS: u64 = 5;
 const NEEDS: u64 = 2;
 
-impl Ride {
-    pub fn is_dest(&self, leg: LegNo) -> bool {
-        self.hand.as_ref().is_some_and(|h| h.0 == leg)
+impl RequestFlow {
+    pub fn is_dest(&self, attempt: AttemptNo) -> bool {
+        self.hand.as_ref().is_some_and(|h| h.0 == attempt)
     }
 
     pub fn main_item(&mut self, now: Time, item: Item, gate: &mut Gate, out: &mut Vec<Out>) {
@@ -57,8 +57,8 @@
             match step {
                 Hand::Pass(item) => self.pass_item(item, out),
                 Hand::CloseDest => {
-                    if let Some(leg) = self.hand.as_ref().map(|h| h.0) {
-                        self.close(now, leg, None, gate, out);
+                    if let Some(attempt) = self.hand.as_ref().map(|h| h.0) {
+                        self.close(now, attempt, None, gate, out);
                     }
                 }
                 Hand::Open { last, cut } => {
@@ -88,7 +88,7 @@
             }
         }
         let main = self.main;
-        if self.hand.is_none() && self.leg(main).is_some_and(|l| l.ended) {
+        if self.hand.is_none() && self.attempt(main).is_some_and(|l| l.ended) {
             self.ended(now, main, gate, out);
         }
     }
@@ -122,9 +122,9 @@
     }
 
     fn switch(&mut self, now: Time, gate: &mut Gate, out: &mut Vec<Out>) {
-        let Some((leg, hand)) = self.hand.take() else { return };
+        let Some((attempt, hand)) = self.hand.take() else { return };
         let old = self.main;
-        self.main = leg;
+        self.main = attempt;
         self.heard = now;
         self.close(now, old, None, gate, out);
         gate.move_row(hand.id).moved += 1;
@@ -175,7 +175,7 @@
         if slept {
             self.heard = now;
         }
-        if self.legs.is_empty() {
+        if self.attempts.is_empty() {
             return;
         }
         let main = self.main;
@@ -205,7 +205,7 @@
             self.open_standby(now, &runner, gate, out);
         } else if self.began && idle > QUIET || dark || silent {
             out.push(Out::Told("runner-quiet", format!("{runner} {idle}")));
-            let more = self.step(now, In::Lost { leg: main }, gate);
+            let more = self.step(now, In::Lost { attempt: main }, gate);
             return out.extend(more);
         }
         if let Some((_, hand)) = &mut self.hand {
--- /dev/null
+++ b/src/forwarding/mod.rs
@@ -0,0 +1,7 @@
+pub mod attempt;
+pub mod failure;
+pub mod migration;
+pub mod request;
+pub mod resume;
+pub mod standby;
+pub use request::{In, Out, RequestFlow};
--- a/src/pass/ride.rs
+++ b/src/forwarding/request.rs
@@ -1,4 +1,4 @@
-use super::legs::Leg;
+use super::attempt::RunnerAttempt;
 use crate::fleet::runner::Runner;
 use crate::gate::order::Why;
 use crate::gate::{Gate, Order, Plan, Refusal};
@@ -7,26 +7,26 @@
 use crate::seam::Load;
 use crate::transfer::Handover;
 use crate::transfer::continuation::Sequence;
-use crate::transfer::tape::Item;
+use crate::transfer::event_buffer::Item;
 use bytes::Bytes;
 
 pub const QUIET: Span = Span::ms(30_000);
 pub const DARK_QUIET: Span = Span::ms(1500);
 pub const SLEPT: Span = Span::ms(500);
 
-pub type LegNo = u64;
+pub type AttemptNo = u64;
 
 #[derive(Debug)]
 pub enum In {
     Go,
     Woken(Plan),
-    OpenFailed { leg: LegNo, why: Option<Why> },
-    Lost { leg: LegNo },
-    Shed { leg: LegNo, gone: bool },
-    Load { leg: LegNo, load: Load },
-    Head { leg: LegNo, status: u16, stream: bool },
-    Chunk { leg: LegNo, raw: Bytes },
-    End { leg: LegNo },
+    OpenFailed { attempt: AttemptNo, why: Option<Why> },
+    Lost { attempt: AttemptNo },
+    Shed { attempt: AttemptNo, gone: bool },
+    Load { attempt: AttemptNo, load: Load },
+    Head { attempt: AttemptNo, status: u16, stream: bool },
+    Chunk { attempt: AttemptNo, raw: Bytes },
+    End { attempt: AttemptNo },
     Gone,
     Tick,
 }
@@ -34,9 +34,9 @@
 #[derive(Debug)]
 pub enum Out {
     Wait { avoid: Vec<Name> },
-    Open { leg: LegNo, runner: Runner, last: Option<String> },
-    Close { leg: LegNo },
-    Head { leg: LegNo },
+    Open { attempt: AttemptNo, runner: Runner, last: Option<String> },
+    Close { attempt: AttemptNo },
+    Head { attempt: AttemptNo },
     Pass(Bytes),
     Finish,
     Break(&'static str),
@@ -45,11 +45,11 @@
     Told(&'static str, String),
 }
 
-pub struct Ride {
+pub struct RequestFlow {
     pub order: Order,
-    pub legs: Vec<Leg>,
-    pub main: LegNo,
-    pub next: LegNo,
+    pub attempts: Vec<RunnerAttempt>,
+    pub main: AttemptNo,
+    pub next: AttemptNo,
     pub avoid: Vec<Name>,
     pub began: bool,
     pub sent: bool,
@@ -60,7 +60,7 @@
     pub tail: Option<Item>,
     pub passed: u64,
     pub opened: u64,
-    pub hand: Option<(LegNo, Handover)>,
+    pub hand: Option<(AttemptNo, Handover)>,
     pub reserved: u64,
     pub hand_off: Option<(MoveId, Time, u64)>,
     pub over: bool,
@@ -68,17 +68,17 @@
     pub ticked: Time,
     pub stream: bool,
     /// Another run that may go on with the stream while its own runner is silent.
-    pub standby: Option<LegNo>,
+    pub standby: Option<AttemptNo>,
     /// No standby is looked for before.
     pub standby_next: Time,
 }
 
-impl Ride {
-    pub fn new(order: Order) -> Ride {
+impl RequestFlow {
+    pub fn new(order: Order) -> RequestFlow {
         let sequence = Sequence::after(order.last.clone());
-        Ride {
+        RequestFlow {
             order,
-            legs: Vec::new(),
+            attempts: Vec::new(),
             main: 0,
             next: 1,
             avoid: Vec::new(),
@@ -116,13 +116,13 @@
                 self.carry(now, plan, gate, &mut out);
             }
             In::Woken(plan) => self.carry(now, plan, gate, &mut out),
-            In::OpenFailed { leg, why } => self.open_failed(now, leg, why, gate, &mut out),
-            In::Lost { leg } => self.lost(now, leg, gate, &mut out),
-            In::Shed { leg, gone } => self.shed(now, leg, gone, gate, &mut out),
-            In::Load { leg, load } => self.told_load(now, leg, load, gate),
-            In::Head { leg, status, stream } => self.head(now, leg, status, stream, gate, &mut out),
-            In::Chunk { leg, raw } => self.chunk(now, leg, &raw, gate, &mut out),
-            In::End { leg } => self.ended(now, leg, gate, &mut out),
+            In::OpenFailed { attempt, why } => self.open_failed(now, attempt, why, gate, &mut out),
+            In::Lost { attempt } => self.lost(now, attempt, gate, &mut out),
+            In::Shed { attempt, gone } => self.shed(now, attempt, gone, gate, &mut out),
+            In::Load { attempt, load } => self.told_load(now, attempt, load, gate),
+            In::Head { attempt, status, stream } => self.head(now, attempt, status, stream, gate, &mut out),
+            In::Chunk { attempt, raw } => self.chunk(now, attempt, &raw, gate, &mut out),
+            In::End { attempt } => self.ended(now, attempt, gate, &mut out),
             In::Gone => {
                 gate.inbox.drop_id(self.order.id);
                 gate.count("caller_gone");
@@ -134,13 +134,13 @@
     }
 
     fn is_stray(&self, ev: &In) -> bool {
-        let leg = match ev {
-            In::OpenFailed { leg, .. } | In::Lost { leg } | In::Head { leg, .. } => leg,
-            In::Shed { leg, .. } | In::Load { leg, .. } => leg,
-            In::Chunk { leg, .. } | In::End { leg } => leg,
+        let attempt = match ev {
+            In::OpenFailed { attempt, .. } | In::Lost { attempt } | In::Head { attempt, .. } => attempt,
+            In::Shed { attempt, .. } | In::Load { attempt, .. } => attempt,
+            In::Chunk { attempt, .. } | In::End { attempt } => attempt,
             _ => return false,
         };
-        self.legs.iter().all(|l| l.no != *leg)
+        self.attempts.iter().all(|l| l.no != *attempt)
     }
 
     fn carry(&mut self, now: Time, plan: Plan, gate: &mut Gate, out: &mut Vec<Out>) {
@@ -175,19 +175,26 @@
         }
     }
 
-    pub fn open(&mut self, now: Time, runner: Runner, last: Option<String>, out: &mut Vec<Out>) -> LegNo {
+    pub fn open(&mut self, now: Time, runner: Runner, last: Option<String>, out: &mut Vec<Out>) -> AttemptNo {
         let no = self.next;
         self.next += 1;
         self.heard = now;
-        self.legs.push(Leg::new(no, runner.clone(), now));
-        out.push(Out::Open { leg: no, runner, last });
+        self.attempts.push(RunnerAttempt::new(no, runner.clone(), now));
+        out.push(Out::Open { attempt: no, runner, last });
         no
     }
 
-    pub fn close(&mut self, now: Time, leg: LegNo, good: Option<bool>, gate: &mut Gate, out: &mut Vec<Out>) {
-        let Some(at) = self.legs.iter().position(|l| l.no == leg) else { return };
-        let l = self.legs.remove(at);
-        out.push(Out::Close { leg });
+    pub fn close(
+        &mut self,
+        now: Time,
+        attempt: AttemptNo,
+        good: Option<bool>,
+        gate: &mut Gate,
+        out: &mut Vec<Out>,
+    ) {
+        let Some(at) = self.attempts.iter().position(|l| l.no == attempt) else { return };
+        let l = self.attempts.remove(at);
+        out.push(Out::Close { attempt });
         gate.release(now, &l.runner.instance, &self.order.model, good);
     }
 
@@ -196,9 +203,9 @@
         self.hand = None;
         self.standby = None;
         gate.tries.give_back(std::mem::take(&mut self.reserved));
-        let all: Vec<LegNo> = self.legs.iter().map(|l| l.no).collect();
-        for leg in all {
-            self.close(now, leg, None, gate, out);
+        let all: Vec<AttemptNo> = self.attempts.iter().map(|l| l.no).collect();
+        for attempt in all {
+            self.close(now, attempt, None, gate, out);
         }
     }
 }
--- a/src/pass/resume.rs
+++ b/src/forwarding/resume.rs
@@ -1,5 +1,5 @@
-use super::legs::Join;
-use super::ride::*;
+use super::attempt::Join;
+use super::request::*;
 use crate::fleet::config::RouteKind;
 use crate::fleet::runner::Runner;
 use crate::gate::order::Why;
@@ -8,7 +8,7 @@
 use crate::kernel::time::{Span, Time};
 use crate::seam::Load;
 use crate::transfer::continuation::RunContract;
-use crate::transfer::tape::Item;
+use crate::transfer::event_buffer::Item;
 
 /// So long a request that was begun may wait for another runner.
 const RESUME_WITHIN: Span = Span::ms(3000);
@@ -25,14 +25,14 @@
     Differs(String),
 }
 
-impl Ride {
+impl RequestFlow {
     pub fn open_main(&mut self, now: Time, runner: Runner, out: &mut Vec<Out>) {
         self.opened += 1;
         self.main = self.open_at_last(now, runner, out);
     }
 
     /// Opens a run that is to go on where the stream stands.
-    pub fn open_at_last(&mut self, now: Time, runner: Runner, out: &mut Vec<Out>) -> LegNo {
+    pub fn open_at_last(&mut self, now: Time, runner: Runner, out: &mut Vec<Out>) -> AttemptNo {
         let last = self.sequence.last().map(|last| last.to_string());
         let (from, join) = match (self.order.runs, &self.tail) {
             (_, None) => (last, Join::Open),
@@ -40,15 +40,15 @@
             (RunContract::SameIds, Some(_)) => (last, Join::Next),
         };
         let no = self.open(now, runner, from, out);
-        if let Some(leg) = self.leg(no) {
-            leg.join = join;
+        if let Some(attempt) = self.attempt(no) {
+            attempt.join = join;
         }
         no
     }
 
-    /// Whether an event of `leg` goes on with the stream; asked for each event, it matters for the first.
-    pub fn joined(&mut self, leg: LegNo, item: &Item) -> Joined {
-        let join = self.leg(leg).map_or(Join::Open, |l| l.join.clone());
+    /// Whether an event of `attempt` goes on with the stream; asked for each event, it matters for the first.
+    pub fn joined(&mut self, attempt: AttemptNo, item: &Item) -> Joined {
+        let join = self.attempt(attempt).map_or(Join::Open, |l| l.join.clone());
         let joined = match &join {
             Join::Open => return Joined::Goes,
             Join::Next if item.id.is_none() => return Joined::Skipped,
@@ -60,18 +60,25 @@
                 Joined::Differs(format!("id {} does not follow {last}", item.id.as_deref().unwrap_or("none")))
             }
         };
-        if let Some(l) = self.leg(leg) {
+        if let Some(l) = self.attempt(attempt) {
             l.join = Join::Open;
         }
         joined
     }
 
     /// The run that was to go on with the stream does not: another one is asked.
-    pub fn main_differs(&mut self, now: Time, leg: LegNo, how: &str, gate: &mut Gate, out: &mut Vec<Out>) {
+    pub fn main_differs(
+        &mut self,
+        now: Time,
+        attempt: AttemptNo,
+        how: &str,
+        gate: &mut Gate,
+        out: &mut Vec<Out>,
+    ) {
         gate.count("resume_differs");
-        let runner = self.runner_of(leg).unwrap_or_default();
+        let runner = self.runner_of(attempt).unwrap_or_default();
         out.push(Out::Told("resume-differs", format!("{runner}: {how}; passed={}", self.passed)));
-        self.close(now, leg, Some(false), gate, out);
+        self.close(now, attempt, Some(false), gate, out);
         self.resume(now, runner, gate, out);
     }
 
@@ -88,16 +95,16 @@
         (self.stream && o.gap.0 > 0).then(|| Span((o.gap.0 * 4).max(NEXT.0)))
     }
 
-    pub fn shed(&mut self, now: Time, leg: LegNo, gone: bool, gate: &mut Gate, out: &mut Vec<Out>) {
-        if self.is_dest(leg) {
+    pub fn shed(&mut self, now: Time, attempt: AttemptNo, gone: bool, gate: &mut Gate, out: &mut Vec<Out>) {
+        if self.is_dest(attempt) {
             return self.dest_failed(now, "the destination turned it away", gate, out);
         }
-        let Some(runner) = self.runner_of(leg) else { return };
-        if self.is_standby(leg) {
+        let Some(runner) = self.runner_of(attempt) else { return };
+        if self.is_standby(attempt) {
             gate.turned_away(now, &runner, &self.order, gone);
             return self.standby_failed(now, "it turned the request away", None, gate, out);
         }
-        self.close(now, leg, None, gate, out);
+        self.close(now, attempt, None, gate, out);
         gate.count(if gone { "not_there" } else { "shed" });
         gate.turned_away(now, &runner, &self.order, gone);
         if self.began || self.sent {
@@ -111,8 +118,8 @@
         self.again(now, plan, gate, out);
     }
 
-    pub fn told_load(&mut self, now: Time, leg: LegNo, load: Load, gate: &mut Gate) {
-        if let Some(runner) = self.runner_of(leg) {
+    pub fn told_load(&mut self, now: Time, attempt: AttemptNo, load: Load, gate: &mut Gate) {
+        if let Some(runner) = self.runner_of(attempt) {
             gate.told_load(now, &runner, load);
         }
     }
--- a/src/pass/standby.rs
+++ b/src/forwarding/standby.rs
@@ -6,8 +6,8 @@
 //! stream stands, changes nothing for the first.
 #![deny(missing_docs)]
 
+use super::request::*;
 use super::resume::Joined;
-use super::ride::*;
 use crate::gate::{Gate, Plan};
 use crate::kernel::ids::Name;
 use crate::kernel::time::{Span, Time};
@@ -16,10 +16,10 @@
 /// The pause between two looks for a runner to stand by.
 const STANDBY_PAUSE: Span = Span::ms(200);
 
-impl Ride {
-    /// Whether `leg` is the run that stands by.
-    pub fn is_standby(&self, leg: LegNo) -> bool {
-        self.standby == Some(leg)
+impl RequestFlow {
+    /// Whether `attempt` is the run that stands by.
+    pub fn is_standby(&self, attempt: AttemptNo) -> bool {
+        self.standby == Some(attempt)
     }
 
     /// Whether a silent run is left alone while another is asked, as a begun stream that may be resumed is.
@@ -51,26 +51,40 @@
     }
 
     /// The run that stands by began to answer.
-    pub fn standby_head(&mut self, now: Time, leg: LegNo, fit: bool, gate: &mut Gate, out: &mut Vec<Out>) {
+    pub fn standby_head(
+        &mut self,
+        now: Time,
+        attempt: AttemptNo,
+        fit: bool,
+        gate: &mut Gate,
+        out: &mut Vec<Out>,
+    ) {
         if !fit {
             return self.standby_failed(now, "it did not answer with a stream", None, gate, out);
         }
-        if let Some(l) = self.leg(leg) {
+        if let Some(l) = self.attempt(attempt) {
             l.head = true;
         }
     }
 
     /// Events of the run that stands by: the first one that goes on with the stream makes it the stream's own run.
-    pub fn standby_chunk(&mut self, now: Time, leg: LegNo, raw: &Bytes, gate: &mut Gate, out: &mut Vec<Out>) {
-        let Some(l) = self.leg(leg) else { return };
+    pub fn standby_chunk(
+        &mut self,
+        now: Time,
+        attempt: AttemptNo,
+        raw: &Bytes,
+        gate: &mut Gate,
+        out: &mut Vec<Out>,
+    ) {
+        let Some(l) = self.attempt(attempt) else { return };
         let items = l.cut.add(raw);
         if l.cut.too_long() {
             return self.standby_failed(now, "an event was too long", Some(false), gate, out);
         }
         for item in items {
-            match self.joined(leg, &item) {
+            match self.joined(attempt, &item) {
                 Joined::Goes => {
-                    self.standby_takes_over(now, leg, gate, out);
+                    self.standby_takes_over(now, attempt, gate, out);
                     self.pass_item(item, out);
                 }
                 Joined::Skipped => {}
@@ -82,15 +96,15 @@
         }
     }
 
-    fn standby_takes_over(&mut self, now: Time, leg: LegNo, gate: &mut Gate, out: &mut Vec<Out>) {
-        if self.main == leg {
+    fn standby_takes_over(&mut self, now: Time, attempt: AttemptNo, gate: &mut Gate, out: &mut Vec<Out>) {
+        if self.main == attempt {
             return;
         }
-        let silent = std::mem::replace(&mut self.main, leg);
+        let silent = std::mem::replace(&mut self.main, attempt);
         self.standby = None;
         self.heard = now;
         let from = self.runner_of(silent).unwrap_or_default();
-        let to = self.runner_of(leg).unwrap_or_default();
+        let to = self.runner_of(attempt).unwrap_or_default();
         gate.count("standby_took_over");
         out.push(Out::Told("standby-took-over", format!("{from}>{to}")));
         self.avoid.push(from);
@@ -99,9 +113,9 @@
 
     /// The stream's own run is lost: the one that stands by is the resumed one from now on, if there is one.
     pub fn standby_steps_in(&mut self, lost: &Name, out: &mut Vec<Out>) -> bool {
-        let Some(leg) = self.standby.take() else { return false };
+        let Some(attempt) = self.standby.take() else { return false };
         self.avoid.push(lost.clone());
-        self.main = leg;
+        self.main = attempt;
         out.push(Out::Told("standby-steps-in", format!("for lost {lost}")));
         true
     }
@@ -115,17 +129,17 @@
         gate: &mut Gate,
         out: &mut Vec<Out>,
     ) {
-        let Some(leg) = self.standby.take() else { return };
-        let runner = self.runner_of(leg).unwrap_or_default();
+        let Some(attempt) = self.standby.take() else { return };
+        let runner = self.runner_of(attempt).unwrap_or_default();
         out.push(Out::Told("standby-failed", format!("{runner}: {why}")));
         self.avoid.push(runner);
-        self.close(now, leg, good, gate, out);
+        self.close(now, attempt, good, gate, out);
     }
 
     /// The stream's own run gave a sign of life: none has to stand by.
     pub fn source_heard(&mut self, now: Time, gate: &mut Gate, out: &mut Vec<Out>) {
-        let Some(leg) = self.standby.take() else { return };
+        let Some(attempt) = self.standby.take() else { return };
         gate.count("standby_not_needed");
-        self.close(now, leg, None, gate, out);
+        self.close(now, attempt, None, gate, out);
     }
 }
--- a/src/http/attempt.rs
+++ b/src/http/attempt.rs
@@ -6,10 +6,10 @@
 use super::pool::Pool;
 use crate::fleet::config::RouteKind;
 use crate::fleet::runner::Runner;
+use crate::forwarding::In;
+use crate::forwarding::request::AttemptNo;
 use crate::gate::order::{Order, Why};
 use crate::kernel::time::Clock;
-use crate::pass::In;
-use crate::pass::ride::LegNo;
 use crate::seam::RunnerSide;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -60,7 +60,7 @@
 }
 
 /// The head of a runner's answer: the attempt, its status and headers.
-pub type AttemptHead = (LegNo, u16, HeaderMap);
+pub type AttemptHead = (AttemptNo, u16, HeaderMap);
 
 /// What an attempt tells the forwarding that made it.
 pub enum AttemptEvent {
@@ -88,7 +88,7 @@
 
 /// All that one attempt needs.
 pub struct Attempt {
-    pub no: LegNo,
+    pub no: AttemptNo,
     pub runner: Runner,
     pub last: Option<String>,
     pub order: Order,
@@ -118,39 +118,39 @@
 
 /// One try at one runner, told step by step to the forwarding that asked for it.
 pub async fn run(job: Attempt) {
-    let leg = job.no;
+    let attempt = job.no;
     let say = |ev: In| job.tx.send(AttemptEvent::Step(ev));
     let (exchange, sent) = match send(&job).await {
         Ok(done) => done,
-        Err(SendError::NotSent) => return drop(say(In::OpenFailed { leg, why: None }).await),
+        Err(SendError::NotSent) => return drop(say(In::OpenFailed { attempt, why: None }).await),
         Err(SendError::Barred) => {
             let why = (job.why)().or(Some(Why::Stale));
-            return drop(say(In::OpenFailed { leg, why }).await);
+            return drop(say(In::OpenFailed { attempt, why }).await);
         }
-        Err(SendError::Unsure) => return drop(say(In::Lost { leg }).await),
+        Err(SendError::Unsure) => return drop(say(In::Lost { attempt }).await),
     };
     let load = job.side.load(exchange.headers());
     let judged = exchange.judge(|status, headers| job.side.judge(&sent, status, headers));
     if let (Some(load), false) = (load, matches!(judged, Judged::Stray)) {
-        let _ = say(In::Load { leg, load }).await;
+        let _ = say(In::Load { attempt, load }).await;
     }
     match judged {
         Judged::Own(answer) => pass_on(&job, answer).await,
         Judged::NotRun(answer) => turned_away(&job, answer, false).await,
         Judged::NotMine(answer) => turned_away(&job, answer, true).await,
-        Judged::Stray => drop(say(In::Lost { leg }).await),
+        Judged::Stray => drop(say(In::Lost { attempt }).await),
     }
 }
 
 async fn turned_away(job: &Attempt, answer: Answer, gone: bool) {
     job.pool.drain(job.runner.addr, answer).await;
-    let _ = job.tx.send(AttemptEvent::Step(In::Shed { leg: job.no, gone })).await;
+    let _ = job.tx.send(AttemptEvent::Step(In::Shed { attempt: job.no, gone })).await;
 }
 
 /// Hands the runner's answer on. One to a request that may run again is read as a whole first, so that another
 /// runner can still give it.
 async fn pass_on(job: &Attempt, mut answer: Answer) {
-    let leg = job.no;
+    let attempt = job.no;
     let say = |ev: In| job.tx.send(AttemptEvent::Step(ev));
     let status = answer.status();
     let heads = end_to_end(answer.headers());
@@ -160,30 +160,30 @@
     if job.order.kind == RouteKind::Idempotent && !stream {
         match answer.collect(WHOLE_LIMIT).await {
             Ok(body) => whole = Some(body),
-            Err(BodyBroken) => return drop(say(In::Lost { leg }).await),
+            Err(BodyBroken) => return drop(say(In::Lost { attempt }).await),
         }
     }
-    if job.tx.send(AttemptEvent::Head((leg, status, heads))).await.is_err()
-        || say(In::Head { leg, status, stream }).await.is_err()
+    if job.tx.send(AttemptEvent::Head((attempt, status, heads))).await.is_err()
+        || say(In::Head { attempt, status, stream }).await.is_err()
     {
         return;
     }
     if let Some(raw) = whole {
         job.pool.keep(job.runner.addr, answer);
-        let _ = say(In::Chunk { leg, raw }).await;
-        return drop(say(In::End { leg }).await);
+        let _ = say(In::Chunk { attempt, raw }).await;
+        return drop(say(In::End { attempt }).await);
     }
     loop {
         match answer.next().await {
             Ok(Some(raw)) => {
-                if say(In::Chunk { leg, raw }).await.is_err() {
+                if say(In::Chunk { attempt, raw }).await.is_err() {
                     return;
                 }
             }
             Ok(None) => break,
-            Err(BodyBroken) => return drop(say(In::Lost { leg }).await),
+            Err(BodyBroken) => return drop(say(In::Lost { attempt }).await),
         }
     }
     job.pool.keep(job.runner.addr, answer);
-    let _ = say(In::End { leg }).await;
+    let _ = say(In::End { attempt }).await;
 }
--- a/src/http/forward.rs
+++ b/src/http/forward.rs
@@ -3,10 +3,10 @@
 use super::answer::{Broken, Flow, OutBody, own, refused};
 use super::attempt::{self, Attempt, AttemptEvent, ForwardedRequest};
 use super::pool::Pool;
+use crate::forwarding::request::AttemptNo;
+use crate::forwarding::{In, Out, RequestFlow};
 use crate::gate::{Gate, Order, Plan};
 use crate::kernel::time::Clock;
-use crate::pass::ride::LegNo;
-use crate::pass::{In, Out, Ride};
 use crate::seam::{CallerSide, RunnerSide, Sides};
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -29,9 +29,9 @@
     pub shape: Arc<ForwardedRequest>,
     pub side: Arc<dyn RunnerSide>,
     pub caller: Arc<dyn CallerSide>,
-    ride: Ride,
-    legs: BTreeMap<LegNo, JoinHandle<()>>,
-    heads: BTreeMap<LegNo, (u16, HeaderMap)>,
+    request: RequestFlow,
+    attempts: BTreeMap<AttemptNo, JoinHandle<()>>,
+    heads: BTreeMap<AttemptNo, (u16, HeaderMap)>,
     tx: mpsc::Sender<AttemptEvent>,
     woken: mpsc::UnboundedSender<Plan>,
     first: Option<oneshot::Sender<Response<OutBody>>>,
@@ -62,8 +62,8 @@
         shape: job.shape,
         side: job.sides.runner,
         caller: job.sides.caller,
-        ride: Ride::new(job.order),
-        legs: BTreeMap::new(),
+        request: RequestFlow::new(job.order),
+        attempts: BTreeMap::new(),
         heads: BTreeMap::new(),
         tx,
         woken,
@@ -73,13 +73,13 @@
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     c.step(In::Go).await;
-    while !c.ride.over {
+    while !c.request.over {
         let ev = tokio::select! {
             Some(plan) = wakes.recv() => In::Woken(plan),
             Some(ev) = rx.recv() => match ev {
                 AttemptEvent::Step(ev) => ev,
-                AttemptEvent::Head((leg, status, heads)) => {
-                    c.heads.insert(leg, (status, heads));
+                AttemptEvent::Head((attempt, status, heads)) => {
+                    c.heads.insert(attempt, (status, heads));
                     continue;
                 }
             },
@@ -91,7 +91,7 @@
     while let Ok(plan) = wakes.try_recv() {
         if let Plan::Send(r) = plan {
             let now = c.clock.now();
-            let model = c.ride.order.model.clone();
+            let model = c.request.order.model.clone();
             c.gate.lock().unwrap().release(now, &r.instance, &model, None);
         }
     }
@@ -111,7 +111,7 @@
 impl Forwarder {
     async fn step(&mut self, ev: In) {
         let now = self.clock.now();
-        let outs = self.ride.step(now, ev, &mut self.gate.lock().unwrap());
+        let outs = self.request.step(now, ev, &mut self.gate.lock().unwrap());
         for out in outs {
             self.act(out).await;
         }
@@ -122,7 +122,7 @@
             Out::Wait { avoid } => {
                 let woken = self.woken.clone();
                 let (gate, clock, model) =
-                    (self.gate.clone(), self.clock.clone(), self.ride.order.model.clone());
+                    (self.gate.clone(), self.clock.clone(), self.request.order.model.clone());
                 let wake = Box::new(move |plan: Plan| {
                     if let Err(back) = woken.send(plan)
                         && let Plan::Send(r) = back.0
@@ -133,15 +133,15 @@
                     }
                 });
                 let now = self.clock.now();
-                self.gate.lock().unwrap().wait(now, self.ride.order.clone(), avoid, wake);
+                self.gate.lock().unwrap().wait(now, self.request.order.clone(), avoid, wake);
             }
-            Out::Open { leg, runner, last } => self.open(leg, runner, last),
-            Out::Close { leg } => {
-                if let Some(h) = self.legs.remove(&leg) {
+            Out::Open { attempt, runner, last } => self.open(attempt, runner, last),
+            Out::Close { attempt } => {
+                if let Some(h) = self.attempts.remove(&attempt) {
                     h.abort();
                 }
             }
-            Out::Head { leg } => self.head(leg),
+            Out::Head { attempt } => self.head(attempt),
             Out::Pass(raw) => self.pass(Ok(raw)).await,
             Out::Finish => self.body = None,
             Out::Break(why) => {
@@ -153,15 +153,15 @@
                 self.answer(own(status, "outcome-unknown", text, 0, "unknown"));
             }
             Out::Told(what, text) => {
-                log::info!(event = what, service = self.ride.order.service.to_string(), note = text; "");
+                log::info!(event = what, service = self.request.order.service.to_string(), note = text; "");
             }
         }
     }
 
-    fn open(&mut self, no: LegNo, runner: crate::fleet::runner::Runner, last: Option<String>) {
+    fn open(&mut self, no: AttemptNo, runner: crate::fleet::runner::Runner, last: Option<String>) {
         let check = {
             let (gate, clock) = (self.gate.clone(), self.clock.clone());
-            let (order, name) = (self.ride.order.clone(), runner.instance.clone());
+            let (order, name) = (self.request.order.clone(), runner.instance.clone());
             move || gate.lock().unwrap().check(clock.now(), &order, &name).err()
         };
         let again = check.clone();
@@ -169,7 +169,7 @@
             no,
             runner,
             last,
-            order: self.ride.order.clone(),
+            order: self.request.order.clone(),
             side: self.side.clone(),
             clock: self.clock.clone(),
             shape: self.shape.clone(),
@@ -178,7 +178,7 @@
             why: Box::new(again),
             tx: self.tx.clone(),
         };
-        self.legs.insert(no, tokio::spawn(attempt::run(job)));
+        self.attempts.insert(no, tokio::spawn(attempt::run(job)));
     }
 
     fn answer(&mut self, response: Response<OutBody>) {
@@ -187,13 +187,13 @@
         }
     }
 
-    fn head(&mut self, leg: LegNo) {
-        let Some((status, heads)) = self.heads.remove(&leg) else { return };
+    fn head(&mut self, attempt: AttemptNo) {
+        let Some((status, heads)) = self.heads.remove(&attempt) else { return };
         let (tx, rows) = mpsc::channel(32);
         let mut response = Response::new(Flow { rows }.boxed_unsync());
         *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
         *response.headers_mut() = heads;
-        if self.ride.stream {
+        if self.request.stream {
             response.headers_mut().remove("content-length");
         }
         self.body = Some(tx);
@@ -202,14 +202,14 @@
 
     async fn pass(&mut self, row: Result<Bytes, Broken>) {
         let Some(body) = &self.body else { return };
-        let by = self.ride.order.whole_by.map_or(STALL, |by| by.since(self.clock.now()).as_std());
+        let by = self.request.order.whole_by.map_or(STALL, |by| by.since(self.clock.now()).as_std());
         let sent = tokio::time::timeout(STALL.min(by), body.send(row)).await;
         if !matches!(sent, Ok(Ok(()))) {
             let _ = body.try_send(Err("the caller stopped reading".into()));
             self.body = None;
             let now = self.clock.now();
-            let _ = self.ride.step(now, In::Gone, &mut self.gate.lock().unwrap());
-            for (_, h) in std::mem::take(&mut self.legs) {
+            let _ = self.request.step(now, In::Gone, &mut self.gate.lock().unwrap());
+            for (_, h) in std::mem::take(&mut self.attempts) {
                 h.abort();
             }
         }
@@ -218,7 +218,7 @@
 
 impl Drop for Forwarder {
     fn drop(&mut self) {
-        for h in self.legs.values() {
+        for h in self.attempts.values() {
             h.abort();
         }
     }
--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -21,7 +21,7 @@
 /// What may be lost for one more copy of a hot model, in ms of waiting.
 const SPREAD_LOSS: u64 = 1700;
 /// Of so many loads from the store one is for what nobody holds, while models are short of runners.
-const TURNS: u64 = 4;
+const TURNS: u64 = 2;
 
 /// For what a load is meant.
 #[derive(Clone, Copy, PartialEq, Eq)]
--- a/src/sim/begin.rs
+++ b/src/sim/begin.rs
@@ -11,10 +11,10 @@
         place: usize,
         life: u64,
         id: u64,
-        leg: u64,
+        attempt: u64,
         last: Option<String>,
     ) -> bool {
-        let Some(r) = self.rides.rows.get_mut(&id) else { return false };
+        let Some(r) = self.requests.rows.get_mut(&id) else { return false };
         let (call, script) = (r.call, r.script.clone());
         let model = Name(script.as_ref().map_or(String::new(), |s| s.model.clone()));
         let x = &mut self.runners[k];
@@ -29,8 +29,8 @@
         let row = Run {
             place,
             life,
-            ride: id,
-            leg,
+            request: id,
+            attempt,
             call,
             script,
             next,
@@ -41,7 +41,7 @@
         x.runs.insert(run, row);
         *x.stock.runs.entry(model.clone()).or_default() += 1;
         let runner = x.card.instance.clone();
-        if let Some(l) = self.rides.rows.get_mut(&id).and_then(|r| r.legs.get_mut(&leg)) {
+        if let Some(l) = self.requests.rows.get_mut(&id).and_then(|r| r.attempts.get_mut(&attempt)) {
             l.1 = Some((k, run));
         }
         self.note(Fact::RunBegan { call, runner, model, place: Some(place) });
--- a/src/sim/callers.rs
+++ b/src/sim/callers.rs
@@ -1,10 +1,10 @@
 use super::record::Fact;
 use super::world::{Event, World};
+use crate::forwarding::In;
 use crate::kernel::ids::*;
 use crate::kernel::rand::{Rand, mix};
 use crate::kernel::time::{Span, Time};
 use crate::msg::{self, Op, Role};
-use crate::pass::In;
 
 #[derive(Clone, Debug)]
 pub struct SimFlow {
@@ -102,14 +102,14 @@
         }
         let token = x.token;
         let Some(row) = x.runs.get_mut(&run) else { return };
-        let (place, rl, ride, leg) = (row.place, row.life, row.ride, row.leg);
-        let head = Box::new(In::Head { leg, status: 200, stream: row.script.is_some() });
+        let (place, rl, request, attempt) = (row.place, row.life, row.request, row.attempt);
+        let head = Box::new(In::Head { attempt, status: 200, stream: row.script.is_some() });
         let n = row.next;
         let first = n == 1 || !row.model.0.is_empty();
         let raw = match &row.script {
             Some(s) => s.event(n),
             None => {
-                let path = self.rides.rows.get(&ride).map_or(String::new(), |r| r.path.clone());
+                let path = self.requests.rows.get(&request).map_or(String::new(), |r| r.path.clone());
                 crate::standin::script::plain(&path)
             }
         };
@@ -123,16 +123,19 @@
             x.warm.insert(seed, n);
         }
         let wait = self.delay();
-        let unseen =
-            self.rides.rows.get(&ride).is_some_and(|r| r.ride.legs.iter().any(|l| l.no == leg && !l.head));
+        let unseen = self
+            .requests
+            .rows
+            .get(&request)
+            .is_some_and(|r| r.request.attempts.iter().any(|l| l.no == attempt && !l.head));
         if fresh && unseen {
-            self.later(wait, Event::Ride { place, life: rl, ride, ev: head });
+            self.later(wait, Event::RequestFlow { place, life: rl, request, ev: head });
         }
-        let ev = Box::new(In::Chunk { leg, raw: bytes::Bytes::from(raw) });
-        self.later(wait + Span(1), Event::Ride { place, life: rl, ride, ev });
+        let ev = Box::new(In::Chunk { attempt, raw: bytes::Bytes::from(raw) });
+        self.later(wait + Span(1), Event::RequestFlow { place, life: rl, request, ev });
         if last {
-            let ev = Box::new(In::End { leg });
-            self.later(wait + Span(2), Event::Ride { place, life: rl, ride, ev });
+            let ev = Box::new(In::End { attempt });
+            self.later(wait + Span(2), Event::RequestFlow { place, life: rl, request, ev });
             self.end_run(k, run, true);
         } else {
             self.later(token, Event::Run { runner: k, life, run });
@@ -166,10 +169,10 @@
         ChangeId::random(&mut self.rand)
     }
 
-    pub fn tick_rides(&mut self, place: usize, life: u64) {
-        let ids: Vec<u64> = self.rides.rows.iter().filter(|r| r.1.place == place).map(|r| *r.0).collect();
+    pub fn tick_requests(&mut self, place: usize, life: u64) {
+        let ids: Vec<u64> = self.requests.rows.iter().filter(|r| r.1.place == place).map(|r| *r.0).collect();
         for id in ids {
-            self.ride(place, life, id, In::Tick);
+            self.request(place, life, id, In::Tick);
         }
     }
 }
--- a/src/sim/front.rs
+++ b/src/sim/front.rs
@@ -1,22 +1,22 @@
 use super::record::Fact;
 use super::world::{Event, World};
+use crate::forwarding::{In, Out, RequestFlow};
 use crate::gate::order::Why;
 use crate::gate::{Gate, Order};
 use crate::kernel::time::{Span, Time};
-use crate::pass::{In, Out, Ride};
 use crate::standin::script::Script;
 use crate::standin::tally::End;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 
 #[derive(Default)]
-pub struct Rides {
-    pub rows: BTreeMap<u64, SimRide>,
+pub struct Requests {
+    pub rows: BTreeMap<u64, SimRequest>,
     pub next: u64,
 }
 
-pub struct SimRide {
-    pub ride: Ride,
+pub struct SimRequest {
+    pub request: RequestFlow,
     pub gate: Arc<Mutex<Gate>>,
     pub place: usize,
     pub life: u64,
@@ -24,7 +24,7 @@
     pub script: Option<Script>,
     pub path: String,
     pub text: String,
-    pub legs: BTreeMap<u64, (crate::fleet::runner::Runner, Option<(usize, u64)>)>,
+    pub attempts: BTreeMap<u64, (crate::fleet::runner::Runner, Option<(usize, u64)>)>,
     pub gap: (Time, Span),
 }
 
@@ -45,8 +45,8 @@
         let Some(row) = found else { return refused(self, "unknown-route", End::Refused) };
         let script = body.as_deref().and_then(Script::read);
         let Some(gate) = table.gate(&row.service) else { return refused(self, "not-fresh", End::Refused) };
-        self.rides.next += 1;
-        let id = self.rides.next;
+        self.requests.next += 1;
+        let id = self.requests.next;
         let order = Order {
             id,
             service: row.service.clone(),
@@ -64,8 +64,8 @@
             ..Order::default()
         };
         self.nodes[place].seen.add(&order, "", path, body.as_ref().map_or(0, |b| b.len()));
-        let ride = SimRide {
-            ride: Ride::new(order),
+        let request = SimRequest {
+            request: RequestFlow::new(order),
             gate,
             place,
             life,
@@ -73,43 +73,43 @@
             script,
             path: path.to_string(),
             text: String::new(),
-            legs: BTreeMap::new(),
+            attempts: BTreeMap::new(),
             gap: (self.now, Span(0)),
         };
-        self.rides.rows.insert(id, ride);
-        self.ride(place, life, id, In::Go);
+        self.requests.rows.insert(id, request);
+        self.request(place, life, id, In::Go);
     }
 
-    pub fn ride(&mut self, place: usize, life: u64, id: u64, ev: In) {
+    pub fn request(&mut self, place: usize, life: u64, id: u64, ev: In) {
         if !self.fits(place, life) {
             return;
         }
         let now = self.local(place);
-        let Some(r) = self.rides.rows.get_mut(&id) else { return };
+        let Some(r) = self.requests.rows.get_mut(&id) else { return };
         let gate = r.gate.clone();
-        let outs = r.ride.step(now, ev, &mut gate.lock().unwrap());
+        let outs = r.request.step(now, ev, &mut gate.lock().unwrap());
         for out in outs {
-            self.ride_out(place, life, id, out);
+            self.request_out(place, life, id, out);
         }
     }
 
-    fn ride_out(&mut self, place: usize, life: u64, id: u64, out: Out) {
+    fn request_out(&mut self, place: usize, life: u64, id: u64, out: Out) {
         let now = self.local(place);
         let world_now = self.now;
-        let Some(r) = self.rides.rows.get_mut(&id) else { return };
+        let Some(r) = self.requests.rows.get_mut(&id) else { return };
         match out {
             Out::Wait { avoid } => {
-                let (woken, order, gate) = (self.woken.clone(), r.ride.order.clone(), r.gate.clone());
+                let (woken, order, gate) = (self.woken.clone(), r.request.order.clone(), r.gate.clone());
                 let wake = Box::new(move |plan| woken.lock().unwrap().push_back((place, life, id, plan)));
                 gate.lock().unwrap().wait(now, order, avoid, wake);
             }
-            Out::Open { leg, runner, last } => {
-                r.legs.insert(leg, (runner, None));
+            Out::Open { attempt, runner, last } => {
+                r.attempts.insert(attempt, (runner, None));
                 let wait = self.delay() + self.plus(self.slow_open);
-                self.later(wait, Event::Send { place, life, ride: id, leg, last });
+                self.later(wait, Event::Send { place, life, request: id, attempt, last });
             }
-            Out::Close { leg } => {
-                if let Some((_, Some((k, run)))) = r.legs.remove(&leg) {
+            Out::Close { attempt } => {
+                if let Some((_, Some((k, run)))) = r.attempts.remove(&attempt) {
                     self.end_run(k, run, false);
                 }
             }
@@ -122,27 +122,27 @@
                 r.gap.0 = world_now;
                 r.text.push_str(&String::from_utf8_lossy(&raw));
             }
-            Out::Finish => self.end_ride(id, End::Whole, ""),
-            Out::Break(_) => self.end_ride(id, End::Broken, "broken"),
-            Out::Refuse(why) => self.end_ride(id, End::Refused, why.code()),
-            Out::Unknown(..) => self.end_ride(id, End::Unknown, "unknown"),
+            Out::Finish => self.end_request(id, End::Whole, ""),
+            Out::Break(_) => self.end_request(id, End::Broken, "broken"),
+            Out::Refuse(why) => self.end_request(id, End::Refused, why.code()),
+            Out::Unknown(..) => self.end_request(id, End::Unknown, "unknown"),
             Out::Told(what, text) => self.note(Fact::Told { what, text }),
         }
     }
 
-    fn end_ride(&mut self, id: u64, end: End, code: &str) {
-        let Some(r) = self.rides.rows.remove(&id) else { return };
+    fn end_request(&mut self, id: u64, end: End, code: &str) {
+        let Some(r) = self.requests.rows.remove(&id) else { return };
         let shown = matches!(end, End::Whole | End::Broken);
         let text = if shown { Some(r.text) } else { None };
         let (call, after) = (r.call, r.gap.1.as_ms());
         self.note(Fact::Ended { call, end, text, after, code: code.to_string() });
     }
 
-    pub fn drop_rides(&mut self, place: usize) {
-        let ids: Vec<u64> = self.rides.rows.iter().filter(|r| r.1.place == place).map(|r| *r.0).collect();
+    pub fn drop_requests(&mut self, place: usize) {
+        let ids: Vec<u64> = self.requests.rows.iter().filter(|r| r.1.place == place).map(|r| *r.0).collect();
         for id in ids {
-            let Some(r) = self.rides.rows.remove(&id) else { continue };
-            for (_, run) in r.legs.into_values() {
+            let Some(r) = self.requests.rows.remove(&id) else { continue };
+            for (_, run) in r.attempts.into_values() {
                 if let Some((k, run)) = run {
                     self.end_run(k, run, false);
                 }
@@ -158,31 +158,31 @@
         }
     }
 
-    pub fn send_leg(&mut self, place: usize, life: u64, id: u64, leg: u64, last: Option<String>) {
+    pub fn send_attempt(&mut self, place: usize, life: u64, id: u64, attempt: u64, last: Option<String>) {
         if !self.fits(place, life) {
             return;
         }
         let now = self.local(place);
-        let Some(r) = self.rides.rows.get(&id) else { return };
-        let Some((card, _)) = r.legs.get(&leg) else { return };
+        let Some(r) = self.requests.rows.get(&id) else { return };
+        let Some((card, _)) = r.attempts.get(&attempt) else { return };
         let name = card.instance.clone();
-        let barred = r.gate.lock().unwrap().check(now, &r.ride.order, &name).err();
+        let barred = r.gate.lock().unwrap().check(now, &r.request.order, &name).err();
         if let Some(why) = barred {
-            return self.ride(place, life, id, In::OpenFailed { leg, why: Some(why) });
+            return self.request(place, life, id, In::OpenFailed { attempt, why: Some(why) });
         }
         let call = r.call;
         self.note(Fact::Tried { call });
         let up = self.runner_at(&name).filter(|k| self.runners[*k].alive);
         let Some(k) = up else {
-            let ev = Box::new(In::OpenFailed { leg, why: None });
-            return self.later(Span::ms(1), Event::Ride { place, life, ride: id, ev });
+            let ev = Box::new(In::OpenFailed { attempt, why: None });
+            return self.later(Span::ms(1), Event::RequestFlow { place, life, request: id, ev });
         };
-        if !self.begin_run(k, place, life, id, leg, last) {
-            if let Some(r) = self.rides.rows.get(&id) {
-                r.gate.lock().unwrap().lacks(now, &name, &r.ride.order);
+        if !self.begin_run(k, place, life, id, attempt, last) {
+            if let Some(r) = self.requests.rows.get(&id) {
+                r.gate.lock().unwrap().lacks(now, &name, &r.request.order);
             }
-            let ev = Box::new(In::OpenFailed { leg, why: None::<Why> });
-            self.later(Span::ms(1), Event::Ride { place, life, ride: id, ev });
+            let ev = Box::new(In::OpenFailed { attempt, why: None::<Why> });
+            self.later(Span::ms(1), Event::RequestFlow { place, life, request: id, ev });
         }
     }
 }
--- a/src/sim/nodes.rs
+++ b/src/sim/nodes.rs
@@ -144,7 +144,7 @@
         n.held.clear();
         n.disk.lose_unsynced(torn);
         self.note(Fact::Down { place });
-        self.drop_rides(place);
+        self.drop_requests(place);
     }
 
     pub fn freeze(&mut self, place: usize, span: Span) {
@@ -177,7 +177,7 @@
         if self.nodes[place].role == Role::Router {
             let (table, routers) = (self.nodes[place].table.clone(), self.nodes[place].routers);
             table.tick(now, routers);
-            self.tick_rides(place, life);
+            self.tick_requests(place, life);
         }
         self.timed(place, |w| w.feed(place, msg::Event::Tick));
         self.later(TICK, Event::Tick { place, life });
--- a/src/sim/runners.rs
+++ b/src/sim/runners.rs
@@ -14,8 +14,8 @@
 pub struct Run {
     pub place: usize,
     pub life: u64,
-    pub ride: u64,
-    pub leg: u64,
+    pub request: u64,
+    pub attempt: u64,
     pub call: u64,
     pub script: Option<Script>,
     pub next: u64,
@@ -119,8 +119,11 @@
         for (id, run) in rows {
             self.end_run(k, id, false);
             let wait = self.delay();
-            let ev = Box::new(crate::pass::In::Lost { leg: run.leg });
-            self.later(wait, Event::Ride { place: run.place, life: run.life, ride: run.ride, ev });
+            let ev = Box::new(crate::forwarding::In::Lost { attempt: run.attempt });
+            self.later(
+                wait,
+                Event::RequestFlow { place: run.place, life: run.life, request: run.request, ev },
+            );
         }
     }
 
@@ -133,8 +136,11 @@
         for run in runs {
             self.note(Fact::RunEnded { call: run.call, whole: false });
             let wait = self.delay();
-            let ev = Box::new(crate::pass::In::Lost { leg: run.leg });
-            self.later(wait, Event::Ride { place: run.place, life: run.life, ride: run.ride, ev });
+            let ev = Box::new(crate::forwarding::In::Lost { attempt: run.attempt });
+            self.later(
+                wait,
+                Event::RequestFlow { place: run.place, life: run.life, request: run.request, ev },
+            );
         }
     }
 
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -1,15 +1,15 @@
-use super::front::Rides;
+use super::front::Requests;
 use super::nodes::SimNode;
 use super::record::{Fact, Record};
 use super::runners::SimRunner;
 use crate::fleet::holdings::Want;
+use crate::forwarding::In;
 use crate::gate::Plan;
 use crate::kernel::ids::*;
 use crate::kernel::rand::{Rand, Seeded};
 use crate::kernel::time::{Span, Time};
 use crate::launch::deployment::Deployment;
 use crate::msg::{Answer, Envelope};
-use crate::pass::In;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -26,8 +26,8 @@
     Reported { place: usize, life: u64, runner: Name, report: Option<Box<crate::fleet::runner::Report>> },
     Tell { place: usize, life: u64 },
     Driven { place: usize, life: u64, order: OrderId, status: u16 },
-    Ride { place: usize, life: u64, ride: u64, ev: Box<In> },
-    Send { place: usize, life: u64, ride: u64, leg: u64, last: Option<String> },
+    RequestFlow { place: usize, life: u64, request: u64, ev: Box<In> },
+    Send { place: usize, life: u64, request: u64, attempt: u64, last: Option<String> },
     Run { runner: usize, life: u64, run: u64 },
     Loaded { runner: usize, life: u64, name: Name },
     Flow { flow: usize },
@@ -42,7 +42,7 @@
     pub plan: Deployment,
     pub nodes: Vec<SimNode>,
     pub runners: Vec<SimRunner>,
-    pub rides: Rides,
+    pub requests: Requests,
     pub record: Record,
     pub cuts: BTreeSet<(usize, usize)>,
     pub loss: u64,
@@ -72,7 +72,7 @@
             plan,
             nodes: Vec::new(),
             runners: Vec::new(),
-            rides: Rides::default(),
+            requests: Requests::default(),
             record: Record::default(),
             cuts: BTreeSet::new(),
             loss: 0,
@@ -143,9 +143,9 @@
             }
         }
         loop {
-            let Some((place, life, ride, plan)) = self.woken.lock().unwrap().pop_front() else { return };
+            let Some((place, life, request, plan)) = self.woken.lock().unwrap().pop_front() else { return };
             let ev = Box::new(In::Woken(plan));
-            self.later(Span(1), Event::Ride { place, life, ride, ev });
+            self.later(Span(1), Event::RequestFlow { place, life, request, ev });
         }
     }
 
@@ -172,8 +172,10 @@
             Event::Reported { place, life, runner, report } => self.reported(place, life, runner, report),
             Event::Tell { place, life } => self.tell(place, life),
             Event::Driven { place, life, order, status } => self.driven(place, life, order, status),
-            Event::Ride { place, life, ride, ev } => self.ride(place, life, ride, *ev),
-            Event::Send { place, life, ride, leg, last } => self.send_leg(place, life, ride, leg, last),
+            Event::RequestFlow { place, life, request, ev } => self.request(place, life, request, *ev),
+            Event::Send { place, life, request, attempt, last } => {
+                self.send_attempt(place, life, request, attempt, last)
+            }
             Event::Run { runner, life, run } => self.run_step(runner, life, run),
             Event::Loaded { runner, life, name } => self.loaded(runner, life, &name),
             Event::Flow { flow } => self.flow(flow),
@@ -205,7 +207,7 @@
         | Event::Reported { place, .. }
         | Event::Tell { place, .. }
         | Event::Driven { place, .. }
-        | Event::Ride { place, .. }
+        | Event::RequestFlow { place, .. }
         | Event::Send { place, .. } => Some(*place),
         _ => None,
     }
--- a/src/transfer/continuation.rs
+++ b/src/transfer/continuation.rs
@@ -1,7 +1,7 @@
 //! How two runs of one request relate, and whether an event of one may follow the events of the other.
 #![deny(missing_docs)]
 
-use super::tape::Item;
+use super::event_buffer::Item;
 
 /// What runners promise of two runs of the same request.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
--- a/src/transfer/handover.rs
+++ b/src/transfer/handover.rs
@@ -1,5 +1,5 @@
 use super::continuation::RunContract;
-use super::tape::Item;
+use super::event_buffer::Item;
 use crate::fleet::config::Moving;
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
@@ -30,7 +30,7 @@
     pub gaps: Vec<u64>,
     plan: Moving,
     contract: RunContract,
-    tape: VecDeque<Item>,
+    buffered: VecDeque<Item>,
     heard: VecDeque<Item>,
     alike: u64,
     held: VecDeque<Item>,
@@ -56,7 +56,7 @@
             gaps: Vec::new(),
             plan,
             contract,
-            tape: VecDeque::new(),
+            buffered: VecDeque::new(),
             heard: VecDeque::new(),
             alike: 0,
             held: VecDeque::new(),
@@ -74,7 +74,7 @@
         }
         match self.step {
             Step::Warm => {
-                self.tape.push_back(item.clone());
+                self.buffered.push_back(item.clone());
                 let mut out = vec![Out::Pass(item)];
                 out.extend(self.judge(now));
                 out
@@ -103,7 +103,7 @@
     }
 
     fn judge_warm(&mut self, now: Time) -> Vec<Out> {
-        while let (Some(a), Some(b)) = (self.tape.get(self.alike as usize), self.heard.front()) {
+        while let (Some(a), Some(b)) = (self.buffered.get(self.alike as usize), self.heard.front()) {
             if !self.contract.same_place(a, b) {
                 return self.stop("the destination's event differs from the source's of the same place");
             }
@@ -113,13 +113,13 @@
         if self.alike == 0 {
             return vec![];
         }
-        let gap = self.tape.len() as u64 - self.alike;
+        let gap = self.buffered.len() as u64 - self.alike;
         self.gaps.push(gap);
         self.rounds_ms.push(now.since(self.since).as_ms());
         self.since = now;
         self.heard.clear();
-        let last = self.tape.back().and_then(|i| i.id.clone());
-        self.tape.clear();
+        let last = self.buffered.back().and_then(|i| i.id.clone());
+        self.buffered.clear();
         self.alike = 0;
         if gap <= self.plan.gap || self.round >= self.plan.rounds || !self.more {
             self.step = Step::Cut;
--- a/src/transfer/mod.rs
+++ b/src/transfer/mod.rs
@@ -1,4 +1,4 @@
 pub mod continuation;
+pub mod event_buffer;
 pub mod handover;
-pub mod tape;
 pub use handover::Handover;
--- a/tests/common/ride.rs
+++ b/tests/common/forwarding.rs
@@ -8,11 +8,11 @@
 use spindledock::fleet::runner::{Report, Runner};
 use spindledock::fleet::slice::service_slice;
 use spindledock::fleet::state::{MovePlan, Phase};
+use spindledock::forwarding::{In, Out, RequestFlow};
 use spindledock::gate::{Gate, Order};
 use spindledock::kernel::ids::*;
 use spindledock::kernel::time::{Span, Time};
 use spindledock::launch::deployment::small;
-use spindledock::pass::{In, Out, Ride};
 
 pub const NOW: Time = Time(100_000_000);
 
@@ -55,8 +55,8 @@
     g.routes_proven = now;
 }
 
-pub fn ride(resumable: bool) -> Ride {
-    Ride::new(Order {
+pub fn request(resumable: bool) -> RequestFlow {
+    RequestFlow::new(Order {
         id: 1,
         service: Name::from("assistant"),
         class: Class::Chat,
@@ -82,11 +82,11 @@
     outs.iter().map(part).collect()
 }
 
-pub fn streaming(r: &mut Ride, g: &mut Gate, upto: u64) -> String {
+pub fn streaming(r: &mut RequestFlow, g: &mut Gate, upto: u64) -> String {
     let outs = r.step(NOW, In::Go, g);
-    assert!(matches!(outs[..], [Out::Open { leg: 1, .. }]), "{outs:?}");
-    r.step(NOW, In::Head { leg: 1, status: 200, stream: true }, g);
-    (1..=upto).map(|n| text(&r.step(NOW, In::Chunk { leg: 1, raw: event(n) }, g))).collect()
+    assert!(matches!(outs[..], [Out::Open { attempt: 1, .. }]), "{outs:?}");
+    r.step(NOW, In::Head { attempt: 1, status: 200, stream: true }, g);
+    (1..=upto).map(|n| text(&r.step(NOW, In::Chunk { attempt: 1, raw: event(n) }, g))).collect()
 }
 
 pub fn moving(g: &mut Gate, from: &str, to: &str) {
@@ -105,18 +105,18 @@
     g.learn(Version(6), slice, NOW);
 }
 
-pub fn begin_move(upto: u64) -> (Gate, Ride, String) {
+pub fn begin_move(upto: u64) -> (Gate, RequestFlow, String) {
     let mut g = gate(&["a1", "a2"]);
-    let mut r = ride(true);
+    let mut r = request(true);
     let passed = streaming(&mut r, &mut g, upto);
-    let from = r.runner_of(1).expect("a leg").0;
+    let from = r.runner_of(1).expect("a attempt").0;
     moving(&mut g, &from, if from == "a1" { "a2" } else { "a1" });
     let outs = r.step(NOW, In::Tick, &mut g);
     let last = upto.to_string();
     assert!(
-        outs.iter().any(|o| matches!(o, Out::Open { leg: 2, last: Some(l), .. } if *l == last)),
+        outs.iter().any(|o| matches!(o, Out::Open { attempt: 2, last: Some(l), .. } if *l == last)),
         "{outs:?}"
     );
-    r.step(NOW, In::Head { leg: 2, status: 200, stream: true }, &mut g);
+    r.step(NOW, In::Head { attempt: 2, status: 200, stream: true }, &mut g);
     (g, r, passed)
 }
--- a/tests/input.rs
+++ b/tests/input.rs
@@ -7,7 +7,7 @@
 use spindledock::kernel::log_format;
 use spindledock::launch::deployment::{quebec, vanua};
 use spindledock::msg::{Record, Role};
-use spindledock::transfer::tape::Splitter;
+use spindledock::transfer::event_buffer::Splitter;
 use spindledock::wire;
 use std::path::PathBuf;
 
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -1,14 +1,14 @@
 //! A stream whose runner is silent: another run stands by, and the first is left alone until the other goes on.
 
-#[path = "common/ride.rs"]
+#[path = "common/forwarding.rs"]
 mod given;
 
 use bytes::Bytes;
-use given::{NOW, event, gate, report, ride, text};
+use given::{NOW, event, gate, report, request, text};
 use spindledock::fleet::config::RouteKind;
+use spindledock::forwarding::{In, Out, RequestFlow};
 use spindledock::gate::Gate;
 use spindledock::kernel::time::{Span, Time};
-use spindledock::pass::{In, Out, Ride};
 use spindledock::transfer::continuation::RunContract;
 
 const TICK: Span = Span::ms(50);
@@ -18,7 +18,7 @@
 
 struct Story {
     gate: Gate,
-    ride: Ride,
+    request: RequestFlow,
     now: Time,
     outs: Vec<Out>,
 }
@@ -34,23 +34,23 @@
 impl Story {
     /// A stream that passed `passed` events on, whose runner has been silent since.
     fn silent(runs: RunContract, passed: u64, tries: u64) -> Story {
-        let mut ride = ride(true);
-        ride.order.kind = RouteKind::Stream;
-        ride.order.aim = Span::ms(600);
-        ride.order.gap = Span::ms(300);
-        ride.order.tries = tries;
-        ride.order.runs = runs;
-        ride.order.end = NOW + Span::ms(20_000);
-        let mut story = Story { gate: gate(&["a1", "a2", "a3"]), ride, now: NOW, outs: Vec::new() };
+        let mut request = request(true);
+        request.order.kind = RouteKind::Stream;
+        request.order.aim = Span::ms(600);
+        request.order.gap = Span::ms(300);
+        request.order.tries = tries;
+        request.order.runs = runs;
+        request.order.end = NOW + Span::ms(20_000);
+        let mut story = Story { gate: gate(&["a1", "a2", "a3"]), request, now: NOW, outs: Vec::new() };
         story.feed(In::Go);
-        story.feed(In::Head { leg: 1, status: 200, stream: true });
-        (1..=passed).for_each(|n| story.feed(In::Chunk { leg: 1, raw: event(n) }));
+        story.feed(In::Head { attempt: 1, status: 200, stream: true });
+        (1..=passed).for_each(|n| story.feed(In::Chunk { attempt: 1, raw: event(n) }));
         story.wait(SILENCE);
         story
     }
 
     fn feed(&mut self, ev: In) {
-        let outs = self.ride.step(self.now, ev, &mut self.gate);
+        let outs = self.request.step(self.now, ev, &mut self.gate);
         self.outs.extend(outs);
     }
 
@@ -65,13 +65,13 @@
 
     fn opened(&self, no: u64) -> Option<Option<String>> {
         self.outs.iter().find_map(|o| match o {
-            Out::Open { leg, last, .. } if *leg == no => Some(last.clone()),
+            Out::Open { attempt, last, .. } if *attempt == no => Some(last.clone()),
             _ => None,
         })
     }
 
     fn closed(&self, no: u64) -> bool {
-        self.outs.iter().any(|o| matches!(o, Out::Close { leg } if *leg == no))
+        self.outs.iter().any(|o| matches!(o, Out::Close { attempt } if *attempt == no))
     }
 
     fn broken(&self) -> bool {
@@ -89,8 +89,8 @@
 
     /// The first run comes back to life and ends the stream.
     fn first_goes_on(&mut self, passed: u64) {
-        (passed + 1..=ALL).for_each(|n| self.feed(In::Chunk { leg: 1, raw: event(n) }));
-        self.feed(In::End { leg: 1 });
+        (passed + 1..=ALL).for_each(|n| self.feed(In::Chunk { attempt: 1, raw: event(n) }));
+        self.feed(In::End { attempt: 1 });
     }
 }
 
@@ -113,14 +113,14 @@
 
 #[test]
 fn given_a_second_run_of_no_use_when_the_first_speaks_again_then_the_answer_is_whole_and_its_own() {
-    let words = |raw: &'static str| In::Chunk { leg: 2, raw: Bytes::from(raw) };
+    let words = |raw: &'static str| In::Chunk { attempt: 2, raw: Bytes::from(raw) };
     let ends: [&dyn Fn() -> In; 6] = [
-        &|| In::Shed { leg: 2, gone: false },
+        &|| In::Shed { attempt: 2, gone: false },
         &|| words("id: 77\ndata: other\n\n"),
         &|| words("id: 1\ndata: other\n\n"),
-        &|| In::Head { leg: 2, status: 500, stream: false },
-        &|| In::Lost { leg: 2 },
-        &|| In::End { leg: 2 },
+        &|| In::Head { attempt: 2, status: 500, stream: false },
+        &|| In::Lost { attempt: 2 },
+        &|| In::End { attempt: 2 },
     ];
     for end in ends {
         for runs in CONTRACTS {
@@ -144,17 +144,17 @@
     for runs in CONTRACTS {
         for passed in 1..ALL {
             let mut story = Story::silent(runs, passed, 2);
-            story.feed(In::Head { leg: 2, status: 200, stream: true });
+            story.feed(In::Head { attempt: 2, status: 200, stream: true });
             if runs == RunContract::SameEvents {
-                story.feed(In::Chunk { leg: 2, raw: event(passed) });
+                story.feed(In::Chunk { attempt: 2, raw: event(passed) });
                 assert!(!story.closed(1), "a repeated event alone is no reason to leave the first run");
             }
             for n in passed + 1..=ALL {
-                story.feed(In::Chunk { leg: 2, raw: second(runs, n) });
+                story.feed(In::Chunk { attempt: 2, raw: second(runs, n) });
                 assert!(story.closed(1), "{runs:?} {passed}");
-                story.feed(In::Chunk { leg: 1, raw: event(n) });
+                story.feed(In::Chunk { attempt: 1, raw: event(n) });
             }
-            story.feed(In::End { leg: 2 });
+            story.feed(In::End { attempt: 2 });
             assert!(story.finished() && !story.broken(), "{runs:?} {passed}");
             assert_eq!(story.ids(), (1..=ALL).collect::<Vec<_>>(), "{runs:?} {passed}");
         }
@@ -170,12 +170,12 @@
             assert!(spoke.closed(2) && spoke.finished(), "{runs:?} {passed}: {:?}", spoke.outs);
             assert_eq!(spoke.ids(), (1..=ALL).collect::<Vec<_>>());
             let mut lost = Story::silent(runs, passed, 2);
-            lost.feed(In::Lost { leg: 1 });
+            lost.feed(In::Lost { attempt: 1 });
             assert!(!lost.broken() && lost.opened(3).is_none(), "{runs:?} {passed}: {:?}", lost.outs);
-            lost.feed(In::Head { leg: 2, status: 200, stream: true });
+            lost.feed(In::Head { attempt: 2, status: 200, stream: true });
             let again = u64::from(runs == RunContract::SameIds);
-            (passed + again..=ALL).for_each(|n| lost.feed(In::Chunk { leg: 2, raw: second(runs, n) }));
-            lost.feed(In::End { leg: 2 });
+            (passed + again..=ALL).for_each(|n| lost.feed(In::Chunk { attempt: 2, raw: second(runs, n) }));
+            lost.feed(In::End { attempt: 2 });
             assert!(lost.finished() && !lost.broken(), "{runs:?} {passed}: {:?}", lost.outs);
             assert_eq!(lost.ids(), (1..=ALL).collect::<Vec<_>>(), "{runs:?} {passed}");
         }
@@ -187,14 +187,14 @@
     for case in 0..3 {
         let tries = if case == 0 { 1 } else { 2 };
         let mut story = Story::silent(RunContract::SameIds, 0, 1);
-        story.ride.order.tries = tries;
-        story.feed(In::Chunk { leg: 1, raw: event(1) });
+        story.request.order.tries = tries;
+        story.feed(In::Chunk { attempt: 1, raw: event(1) });
         if case == 1 {
             while story.gate.tries.spend() {}
         }
         if case == 2 {
             let names = ["a1", "a2", "a3"];
-            story.ride.avoid = names.iter().map(|n| spindledock::kernel::ids::Name::from(*n)).collect();
+            story.request.avoid = names.iter().map(|n| spindledock::kernel::ids::Name::from(*n)).collect();
         }
         story.wait(Span::ms(4000));
         assert!(story.opened(2).is_none() && !story.closed(1) && !story.broken(), "{case}: {:?}", story.outs);
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -12,9 +12,9 @@
 
 rows() {
 cat <<'R'
-run-once|src/pass/resume.rs|if !self.may_run_again\(\) \|\||if|must_never none_runs_twice
-refusal-truth|src/pass/ride.rs|\} else if self.sent \{|} else if false {|must_never none_runs_twice
-stray-legs|src/pass/ride.rs|if self.over \|\| self.is_stray\(&ev\)|if self.over|ride closed_leg
+run-once|src/forwarding/resume.rs|if !self.may_run_again\(\) \|\||if|must_never none_runs_twice
+refusal-truth|src/forwarding/request.rs|\} else if self.sent \{|} else if false {|must_never none_runs_twice
+stray-legs|src/forwarding/request.rs|if self.over \|\| self.is_stray\(&ev\)|if self.over|forwarding closed_attempt
 last-check|src/gate/core.rs|if now >= order.due \{\s+return Err\(Why::Due\);|if true { return Ok(()); } if now >= order.due { return Err(Why::Due);|must_never after_the_thaw
 freshness|src/distribution/reader.rs|Span::ms\(2000\)|Span::ms(20000)|must_never that_router_refuses
 tail-term|src/chain/publish.rs|if ctx.now >= ctx.views.role.until|if false|must_never that_router_refuses
@@ -24,7 +24,7 @@
 holder-wait|src/placement/duty.rs|QUIET: Span = Span::ms\(4000\)|QUIET: Span = Span::ms(0)|must_never_too three_seconds_apart
 room|src/placement/room.rs|if free_mb\(c, o, f\) < mb|if false|must_never_too never_overrun
 in-flight|src/placement/flights.rs|self.rows.values\(\).filter\(new\).map\(\|f\| f.mb\).sum\(\)|0|placement in_flight
-store-rate|src/placement/flights.rs|self.pacer.left\(rule\) >= 1.0|true|must_never_too never_overrun
+store-rate|src/placement/flights.rs|at_once.min\(self.pacer.left\(rule\).max\(0.0\) as u64\)|at_once|must_never_too never_overrun
 sync-first|src/kernel/hold.rs|if self.queue.is_empty\(\) \{|if true {|news before_it_is_synced
 compare-swap|src/fleet/fold.rs|if base != self.config_at|if false|order_identity whole_configurations_on_one_base
 ready-kept|src/chain/recovery.rs|self.ready_in = Some\(view\)|drop(view)|must_never they_are_kept
@@ -33,11 +33,11 @@
 mending|src/chain/view_change.rs|if !self.in_chain\(\) \|\| !self.ready \|\| !self.hears_majority\(ctx.now\)|if true|chain changes_go_on
 return-time|src/placement/duty.rs|QUIET: Span = Span::ms\(4000\)|QUIET: Span = Span::ms(14000)|back each_herd
 wait-refused|src/gate/wait.rs|if now \+ wait < order.due \{|if true {|wait hear_it_early
-overlap|src/pass/resume.rs|Join::Repeat\(last\) if last == item|Join::Repeat(_)|ride mixed
-join-by-id|src/pass/resume.rs|self.sequence.is_next\(id\)\)|self.sequence.is_next(id) \|\| true)|platform_stream never_mixed
+overlap|src/forwarding/resume.rs|Join::Repeat\(last\) if last == item|Join::Repeat(_)|forwarding mixed
+join-by-id|src/forwarding/resume.rs|self.sequence.is_next\(id\)\)|self.sequence.is_next(id) \|\| true)|platform_stream never_mixed
 place-by-id|src/transfer/handover.rs|if !self.contract.same_place\(a, b\)|if false|transfer_ids stays_at_its_source
-silent-kept|src/pass/standby.rs|self.began && self.stream && self.order.resumable|false|standby goes_on_meanwhile
-standby-apart|src/pass/standby.rs|return self.standby_failed\(now, &how, Some\(false\), gate, out\)|return self.main_differs(now, leg, &how, gate, out)|standby whole_and_its_own
+silent-kept|src/forwarding/standby.rs|self.began && self.stream && self.order.resumable|false|standby goes_on_meanwhile
+standby-apart|src/forwarding/standby.rs|return self.standby_failed\(now, &how, Some\(false\), gate, out\)|return self.main_differs(now, leg, &how, gate, out)|standby whole_and_its_own
 order-sequence|src/sim/runner_orders.rs|Some\(o.expected\)|None|room held_up
 foreign-order|src/placement/flights.rs|busy && !self.rows|false && !self.rows|room predecessor
 overdue-room|src/placement/flights.rs|f.overdue \|= !f.answered|f.there \|= !f.answered|placement in_flight
@@ -86,18 +86,18 @@
 drop-resets|src/http/connection.rs|self.guard.give_up\(\);||platform_gone long_body_half_way
 interim|src/http/exchange.rs|if self.response.status\(\).is_informational\(\)|if false|platform_connection interim_status
 no-resend|src/http/attempt.rs|Err\(SendError::NotSent\) if used|Err(SendError::NotSent \| SendError::Unsure) if used|platform_gone after_a_request_came
-once-after-reset|src/pass/resume.rs|        self.order.resumable \|\| \(self|        true \|\| (self|platform_cuts_runner may_run_once
+once-after-reset|src/forwarding/resume.rs|        self.order.resumable \|\| \(self|        true \|\| (self|platform_cuts_runner may_run_once
 own-id|src/platform/runner.rs|if other \{\s+return Verdict::Stray;|if false { return Verdict::Stray;|platform_links surplus_answer
 deadline-left|src/http/attempt.rs|job.order.end.since\(job.clock.now\(\)\)|job.order.aim|platform_links told_what_is_left
 caller-gone|src/http/forward.rs|_ = gone\(&mut c.first, &c.body\) => In::Gone,||platform_gone caller_that_leaves
-whole-by|src/pass/shift.rs|self.order.whole_by.is_some_and|None::<Time>.is_some_and|platform_gone answer_that_has_begun
-late-answer|src/pass/shift.rs|if !self.began && now >= self.order.end|if false|platform_gone late_answer
+whole-by|src/forwarding/migration.rs|self.order.whole_by.is_some_and|None::<Time>.is_some_and|platform_gone answer_that_has_begun
+late-answer|src/forwarding/migration.rs|if !self.began && now >= self.order.end|if false|platform_gone late_answer
 head-size|src/http/serve.rs|if head_bytes\(&order\) > |if false && 0 > |platform_limits limit_on_heads
 head-time|src/http/client.rs|now.since\(since\) > Span::ms\(limits.head_ms\)|false|platform_limits comes_slowly
 rest-time|src/http/client.rs|now.since\(since\) > limit.max|false && now.since(since) > limit.max|platform_limits at_rest
 rest-longer|src/http/client.rs|limit.max\(Span::ms\(limits.idle_ms\)\)|Span::ms(limits.idle_ms)|platform_limits limit_shrinks
-dark-once|src/pass/shift.rs|self.may_run_again\(\) && gate.dark|gate.dark|ride that_is_dark
-move-runners|src/pass/shift.rs|if self.opened >= self.order.tries \{\s+return;|if false { return;|ride most_runners
+dark-once|src/forwarding/migration.rs|self.may_run_again\(\) && gate.dark|gate.dark|forwarding that_is_dark
+move-runners|src/forwarding/migration.rs|if self.opened >= self.order.tries \{\s+return;|if false { return;|forwarding most_runners
 order-digest|src/kernel/change_id.rs|hasher.update\(part\);|hasher.update(&part[..part.len().min(2)]);|order_identity digests_differ
 order-digest-lengths|src/kernel/change_id.rs|hasher.update\(\(part.len\(\) as u64\).to_le_bytes\(\)\);||order_identity digests_differ
 ledger-apart|src/fleet/ledger.rs|if !order.id.is_operators\(\) \{\s+return;\s+\}\s+self.taken|self.taken|order_identity thousands_of_internal
