--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -18,8 +18,11 @@
 const RUNNERS_PER_DECISION: usize = 8;
 /// How often models are looked for that are short of runners.
 const SPREAD_EACH: Span = Span::ms(100);
-/// What may be lost for one more copy of a hot model, in ms of waiting.
+/// What may be lost for a copy of a model that is short of one runner, in ms of waiting; the more it is short of, the
+/// more requests wait for each copy.
 const SPREAD_LOSS: u64 = 1700;
+/// A model that is short of more runners than this may cost no more than one that is short of so many.
+const SHORT_COUNTED: u64 = 4;
 /// Of so many loads from the store one is for what nobody holds, while models are short of runners.
 const TURNS: u64 = 2;
 
@@ -164,13 +167,13 @@
     fn spread(&mut self, short: &[Shortage], turn: Turn) {
         for Shortage { missing, name, service } in short {
             let decided = self.decided.iter().filter(|d| d.want == *name).count() as u64;
-            for _ in decided..*missing {
+            for had in decided..*missing {
                 if self.left == 0 {
                     return;
                 }
                 let from_store = self.may_ask_store(Purpose::Copy, turn);
                 let Some(choice) = self.board.choose(service, name, from_store) else { break };
-                if choice.loss > SPREAD_LOSS {
+                if choice.loss > SPREAD_LOSS * (missing - had).min(SHORT_COUNTED) {
                     break;
                 }
                 self.take(name, choice, Purpose::Copy);
