--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -26,13 +26,21 @@
         if let Some(v) = &g.view {
             hear(v, ctx);
         }
-        self.partner(from).view = g.view_at;
+        let partner = self.partner(from);
+        partner.view = g.view_at;
+        partner.heard = Some(ctx.now);
     }
 
+    /// What changed since the last letter to this partner. A partner that doesn't answer may not know where
+    /// this node is reached, so the letter to it names this node too.
     pub fn gossip(&mut self, to: NodeId, ctx: &Context) -> Gossip {
         self.partner(to);
         let Some(p) = self.partners.get_mut(&to) else { return Gossip::default() };
-        let (rows, sent) = self.table.since(p.sent, MOST, ctx.me, ctx.now);
+        let (mut rows, sent) = self.table.since(p.sent, MOST, ctx.me, ctx.now);
+        let answers = p.heard.is_some_and(|heard| ctx.now.since(heard) < DOUBT);
+        if !answers && rows.iter().all(|claim| claim.who.node != ctx.me.node) {
+            rows.extend(self.table.claim(ctx.me.node, ctx.me, ctx.now));
+        }
         let (marks, marked) = self.marks.since(p.marked, MOST, ctx.now);
         (p.sent, p.marked) = (sent, marked);
         let no = view_no(ctx);
@@ -47,6 +55,8 @@
         Gossip { digest: self.table.digest ^ self.marks.digest, rows, marks, view_at, view }
     }
 
+    /// Asks a partner for all it knows where its digest differs from this node's for a while. A partner that
+    /// this node has no row of can't be reached, so it isn't asked: another one is, at its next letter.
     pub fn compare(&mut self, from: NodeId, digest: u64, ctx: &mut Context) {
         let same = digest == self.table.digest ^ self.marks.digest;
         let Some(p) = self.partners.get_mut(&from) else { return };
@@ -59,7 +69,8 @@
         let view = ctx.views.view.as_ref().map(|v| v.all()).unwrap_or_default();
         let blind = view.iter().any(|n| *n != ctx.me.node && !self.table.rows.contains_key(n));
         let wait = Span::ms(if blind { 200 } else { 500 << self.tries.saturating_sub(4).min(4) });
-        if (blind || off >= OFF) && ctx.now.since(self.synced) >= wait {
+        let reached = self.table.rows.contains_key(&from);
+        if reached && (blind || off >= OFF) && ctx.now.since(self.synced) >= wait {
             self.synced = ctx.now;
             self.tries += 1;
             ctx.send(from, Msg::Sync);
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -21,6 +21,8 @@
     pub marked: u64,
     pub view: ViewNo,
     pub off: Option<Time>,
+    /// When its last letter came; none since this node made it a partner.
+    pub heard: Option<Time>,
 }
 
 #[derive(Default)]
--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,118 @@
+//! Membership alone, as a state machine: what it answers to one letter after another.
+
+use spindledock::kernel::component::Me;
+use spindledock::kernel::ids::*;
+use spindledock::kernel::node::Node;
+use spindledock::kernel::rand::Seeded;
+use spindledock::kernel::time::{Span, Time};
+use spindledock::membership::service::{DOUBT, Membership, PING};
+use spindledock::msg::*;
+use std::net::SocketAddr;
+
+const OWN: NodeId = NodeId(11);
+const STRANGER: NodeId = NodeId(12);
+const KNOWN: NodeId = NodeId(13);
+const BEGIN: Time = Time(1_000_000_000);
+/// A digest that no table of these tests has.
+const OTHER_DIGEST: u64 = 7;
+
+fn addr(node: NodeId) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, node.0 as u8], 7000))
+}
+
+fn member(node: NodeId) -> Member {
+    let domain = Name::from("zone");
+    Member { node, role: Role::Router, domain, addr: addr(node), admin: addr(node) }
+}
+
+fn router(now: Time) -> Node {
+    let me = Me {
+        node: OWN,
+        role: Role::Router,
+        domain: Name::from("zone"),
+        addr: addr(OWN),
+        admin: addr(OWN),
+        seeds: vec![],
+        seed: false,
+        core: 3,
+        bear: 1,
+        first: true,
+        proof: Span::ms(1000),
+        lease: Span::ms(3000),
+        started: now,
+    };
+    let mut node = Node::new(me, Box::new(Seeded(1)));
+    node.add(Box::new(Membership::default()));
+    node.feed(now, Event::Start);
+    node
+}
+
+fn letter(node: &mut Node, now: Time, from: NodeId, msg: Msg) -> Vec<Effect> {
+    node.feed(now, Event::Mail { from, fleet: FleetId(0), msg })
+}
+
+fn ping(who: &[NodeId], digest: u64) -> Msg {
+    let claim = |node: &NodeId| Claim { who: member(*node), live: true, age: Span(0) };
+    Msg::Ping(Box::new(Gossip { digest, rows: who.iter().map(claim).collect(), ..Gossip::default() }))
+}
+
+fn asked_for_all(effects: &[Effect]) -> Vec<NodeId> {
+    let asked = |effect: &Effect| match effect {
+        Effect::Send { to, msg: Msg::Sync } => Some(*to),
+        _ => None,
+    };
+    effects.iter().filter_map(asked).collect()
+}
+
+fn names_itself(effects: &[Effect], to: NodeId) -> Option<bool> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Send { to: whom, msg: Msg::Ping(g) | Msg::Pong(g) } if *whom == to => {
+            Some(g.rows.iter().any(|claim| claim.who.node == OWN))
+        }
+        _ => None,
+    })
+}
+
+#[test]
+fn given_a_partner_without_an_address_when_its_digest_differs_then_one_that_can_be_reached_is_asked() {
+    let mut node = router(BEGIN);
+    letter(&mut node, BEGIN, KNOWN, ping(&[KNOWN], OTHER_DIGEST));
+    letter(&mut node, BEGIN, STRANGER, ping(&[], OTHER_DIGEST));
+    let mut asked = vec![];
+    for round in 1..10 {
+        let now = BEGIN + Span(PING.0 * round);
+        asked.extend(asked_for_all(&letter(&mut node, now, STRANGER, ping(&[], OTHER_DIGEST))));
+        asked.extend(asked_for_all(&letter(&mut node, now + Span::ms(1), KNOWN, ping(&[], OTHER_DIGEST))));
+    }
+    assert!(!asked.contains(&STRANGER), "a letter to a node without an address reaches nobody: {asked:?}");
+    assert!(asked.contains(&KNOWN), "the one that can be reached is asked");
+}
+
+#[test]
+fn given_a_partner_that_does_not_answer_when_it_is_pinged_then_each_letter_says_who_sends_it() {
+    let mut node = router(BEGIN);
+    let first = letter(&mut node, BEGIN, KNOWN, ping(&[KNOWN], OTHER_DIGEST));
+    assert!(names_itself(&first, KNOWN).is_some(), "a ping is answered");
+    let mut said = vec![];
+    for round in 1..=20 {
+        let now = BEGIN + DOUBT + Span(PING.0 * round);
+        said.extend(names_itself(&node.feed(now, Event::Tick), KNOWN));
+    }
+    assert!(said.len() > 2, "it is pinged on: {said:?}");
+    assert!(said.iter().all(|named| *named), "and told each time who pings: {said:?}");
+}
+
+#[test]
+fn given_a_partner_that_answers_when_nothing_changes_then_letters_stay_short() {
+    let mut node = router(BEGIN);
+    letter(&mut node, BEGIN, KNOWN, ping(&[KNOWN], OTHER_DIGEST));
+    let mut said = vec![];
+    for round in 1..=20 {
+        let now = BEGIN + Span(PING.0 * round);
+        let digest = 0;
+        said.extend(names_itself(&node.feed(now, Event::Tick), KNOWN));
+        letter(&mut node, now + Span::ms(1), KNOWN, ping(&[], digest));
+    }
+    assert!(said.len() > 2, "it is pinged on: {said:?}");
+    assert!(said[2..].iter().all(|named| !named), "nothing is repeated: {said:?}");
+}
