--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -73,7 +73,7 @@
 lost-tail-reset|src/chain/replicate.rs|if synced > self.log.last\(\) \{|if false {|snapshot resets_and_joins
 stuck-grants|src/kernel/hold.rs|\|\| \(stuck && needs_no_disk\(&e\)\)||hold leave_at_once
 sync-reachable|src/membership/exchange.rs|let reached = self.table.rows.contains_key\(&from\);|let reached = true;|membership can_be_reached_is_asked
-name-itself|src/membership/exchange.rs|if !answers && rows|if false \&\& rows|membership says_who_sends_it
+name-itself|src/membership/exchange.rs|if !answers && rows|if false && rows|membership says_who_sends_it
 lease-returned|src/chain/acceptor.rs|self.return_lease\(\*no, ctx\);||full_and_wiped served_in_each_case
 closing-synced|src/kernel/hold.rs|if self.queue.is_empty\(\) \{|if true {|closing read_back_everywhere
 return-current|src/chain/lease.rs|self.acceptor.granted != Some\(\(from, sent\)\)|false|lease_return waited_for
