--- a/src/placement/copies.rs
+++ b/src/placement/copies.rs
@@ -96,16 +96,21 @@
         self.rows.get(name).map_or(0, |held| held.holders)
     }
 
+    /// How many runners it takes to hold all adapters of a model that are in use.
+    fn holders_for_adapters(&self, name: &Name, service: &Service) -> u64 {
+        match service.places {
+            0 => 0,
+            places => self.adapters.get(name).copied().unwrap_or(0).div_ceil(places),
+        }
+    }
+
     /// How many more runners should hold a model that so many requests run or wait for, besides those `coming`.
     pub fn short_by(&self, name: &Name, demand: u64, coming: u64, service: &Service) -> u64 {
         let held = self.rows.get(name).copied().unwrap_or_default();
         let easy = self.easy_load(name, service);
         let unmet = (demand as f64 - held.supply - (coming * easy) as f64).max(0.0);
         let by_load = (unmet / easy as f64).ceil() as u64;
-        let by_places = match service.places {
-            0 => 0,
-            places => self.adapters.get(name).copied().unwrap_or(0).div_ceil(places),
-        };
+        let by_places = self.holders_for_adapters(name, service);
         by_load.max(by_places.saturating_sub(held.holders + coming))
     }
 
@@ -113,10 +118,7 @@
     pub fn misses_one(&self, name: &Name, demand: u64, service: &Service) -> bool {
         let held = self.rows.get(name).copied().unwrap_or_default();
         let left = held.supply * held.holders.saturating_sub(1) as f64 / held.holders.max(1) as f64;
-        let by_places = match service.places {
-            0 => 0,
-            places => self.adapters.get(name).copied().unwrap_or(0).div_ceil(places),
-        };
+        let by_places = self.holders_for_adapters(name, service);
         held.holders <= by_places.max(1) || left < demand as f64
     }
 
--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -15,8 +15,6 @@
 const LEAVE: Span = Span::ms(3000);
 const FRESH_TELL: Span = Span::ms(1200);
 const IDLE_MOST: usize = 4;
-/// How long nothing is laid out anew after a plan came out empty.
-const FILL_AGAIN: Span = Span::ms(0);
 
 impl Placement {
     pub(super) fn credit(&self, service: &Name, ctx: &Context) -> u64 {
@@ -111,7 +109,7 @@
             && self.unseen.is_empty()
             && self.flights.rows.is_empty()
             && !s.plans.iter().any(|p| p.live());
-        if quiet && self.claims.is_empty() && ctx.now.since(self.nothing_to_fill) >= FILL_AGAIN {
+        if quiet && self.claims.is_empty() {
             self.offer_whole("room is free and nothing is waited for", IDLE_MOST, s, &demand, ctx);
         }
     }
@@ -153,7 +151,6 @@
         let p = self.picture(s, demand, &counted, ctx);
         let plan = whole(&p, id, why, most);
         if plan.stages.is_empty() {
-            self.nothing_to_fill = ctx.now;
             return;
         }
         let tried = rehearse(&p, &plan);
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -57,8 +57,6 @@
     pub claims: BTreeMap<Name, Time>,
     pub unseen: BTreeMap<PlanId, (Time, Vec<Step>)>,
     pub cleared: Time,
-    /// When a plan for all free room last came out empty.
-    pub nothing_to_fill: Time,
     pub refused_at: Time,
     pub asked_plan: Option<(ChangeId, Time)>,
     pub checked: Time,
@@ -103,7 +101,6 @@
             claims: BTreeMap::new(),
             unseen: BTreeMap::new(),
             cleared: Time(0),
-            nothing_to_fill: Time(0),
             refused_at: Time(0),
             asked_plan: None,
             checked: Time(0),
