--- a/src/placement/wants.rs
+++ b/src/placement/wants.rs
@@ -35,8 +35,8 @@
     /// what many ask for goes ahead of what one asks for, and no name is passed over for ever.
     pub fn pressure(&self, now: Time) -> u64 {
         let weight = match self.class {
-            Class::Counter => 8,
-            Class::Chat => 4,
+            Class::Counter => 64,
+            Class::Chat => 8,
             Class::Normal => 2,
             Class::Bulk => 1,
         };
