--- a/src/hollow/world.rs
+++ b/src/hollow/world.rs
@@ -8,7 +8,7 @@
 use crate::msg::{self, Role};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 const TICK: Span = Span::ms(20);
 const POLL: Span = Span::ms(300);
@@ -148,8 +148,7 @@
         if !self.steps.is_multiple_of(512) {
             return;
         }
-        let wall = self.began.elapsed().as_secs();
-        if wall > self.size.wall_s {
+        if self.began.elapsed() > Duration::from_secs(self.size.wall_s) {
             self.over = Some(format!("the run's own time of {} s is used up", self.size.wall_s));
         }
         let mb = super::heap::resident_mb();
