--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,5 +1,7 @@
 //! Each kind of message goes over the wire and comes back as it was.
 
+use spindledock::chain::acceptor::AcceptedView;
+use spindledock::chain::ledger_transfer::{LeaseLedger, LedgerRow};
 use spindledock::chain::view::View;
 use spindledock::distribution::history::Body;
 use spindledock::fleet::config::Class;
@@ -50,10 +52,19 @@
     TopicUpdate { scope, at: Version(3), age: Span::ms(40), body: Body::Same }
 }
 
+fn ledger() -> LeaseLedger {
+    let (router, number, address) = (NodeId(7), LeaseNumber::default(), Some(addr()));
+    let row = LedgerRow { router, left: Span::ms(5), versions: vec![Version(8)], address, number };
+    LeaseLedger { unknown: Span::ms(9), rows: vec![row] }
+}
+
 fn chain_messages() -> Vec<ChainMsg> {
+    let (next, ledger) = (view(), ledger());
     let (view, sent, ballot) = (ViewNo(4), Time(77), Ballot::default());
+    let accepted = AcceptedView { ballot, view: next.clone() };
     vec![
         ChainMsg::Pledge { fleet: FleetId(3), members: vec![NodeId(1)], sent },
+        ChainMsg::Pledged { fleet: FleetId(3), sent },
         ChainMsg::Append { view, first: true, upto: Version(9), entries: vec![entry()] },
         ChainMsg::Progress { view, synced: Version(9), committed: Version(8), chain_synced: Version(7) },
         ChainMsg::Heartbeat { view, room: true, impaired: false, leaving: true },
@@ -61,12 +72,21 @@
         ChainMsg::JoinHeard,
         ChainMsg::Follow { entries: vec![entry()], done: Version(9) },
         ChainMsg::Prepare { no: view, ballot, lost: Some(NodeId(5)), quiet: Span::ms(3) },
+        ChainMsg::Snapshot { at: Version(9), state: Box::default() },
+        ChainMsg::Promise { no: view, ballot, accepted: Some(accepted) },
+        ChainMsg::Accept { ballot, view: next.clone() },
+        ChainMsg::Accepted { no: view, ballot },
+        ChainMsg::Nack { no: view, ballot },
+        ChainMsg::ViewDecided { view: next },
         ChainMsg::LeaseRequest { view, sent },
         ChainMsg::LeaseGrant { view, sent },
         ChainMsg::LeaseReturned { view, sent },
         ChainMsg::LeaseApplications { view, rows: vec![application()] },
         ChainMsg::Released { view, upto: Version(6) },
+        ChainMsg::ReadIndexRequest { view, sent },
         ChainMsg::ReadIndexReply { view, sent, committed: Version(6) },
+        ChainMsg::LeaseLedgerRequest { view, nonce: 5 },
+        ChainMsg::LeaseLedger { view, nonce: 5, ledger },
     ]
 }
 
