Placement: wanted names are put in order once a round; what a runner keeps is asked in one place

Found on reading the change again: a round with both turns sorted the same names twice, summing all routers' rows each time; is_kept and kept_at each held the condition of the other; Copies::holders had no caller. Behaviour is the same.

--- a/src/placement/board.rs
+++ b/src/placement/board.rs
@@ -114,7 +114,7 @@
             let mut keepers: BTreeMap<&Name, Vec<usize>> = BTreeMap::new();
             for place in &self.open {
                 let kept = self.placement.kept_at(self.fleet, &self.offers[*place].runner.instance);
-                kept.for_each(|name| keepers.entry(name).or_default().push(*place));
+                kept.into_iter().flatten().for_each(|name| keepers.entry(name).or_default().push(*place));
             }
             keepers
         });
--- a/src/placement/copies.rs
+++ b/src/placement/copies.rs
@@ -79,7 +79,7 @@
     }
 
     /// How many requests of a model one runner carries without slowing much.
-    pub fn easy_load(&self, name: &Name, service: &Service) -> u64 {
+    fn easy_load(&self, name: &Name, service: &Service) -> u64 {
         let held = self.rows.get(name).copied().unwrap_or_default();
         let each = held.tokens.checked_div(held.runs).unwrap_or(0);
         let by_tokens = if each > 0 && service.tokens > 0 { service.tokens / each } else { u64::MAX };
@@ -91,11 +91,6 @@
         self.busy.get(place).copied().unwrap_or(0.0)
     }
 
-    /// How many runners that stay hold the model.
-    pub fn holders(&self, name: &Name) -> u64 {
-        self.rows.get(name).map_or(0, |held| held.holders)
-    }
-
     /// How many runners it takes to hold all adapters of a model that are in use.
     fn holders_for_adapters(&self, name: &Name, service: &Service) -> u64 {
         match service.places {
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -9,6 +9,7 @@
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
+use std::collections::BTreeSet;
 
 const TINY: Span = Span::ms(5);
 
@@ -96,13 +97,13 @@
     }
 
     /// What a runner loads from its own disk.
-    pub fn kept_at<'a>(&'a self, s: &DutySlice, runner: &Name) -> impl Iterator<Item = &'a Name> {
-        let kept = self.kept.get(runner).filter(|_| s.config.store.kept_ms > 0);
-        kept.into_iter().flatten()
+    pub fn kept_at(&self, s: &DutySlice, runner: &Name) -> Option<&BTreeSet<Name>> {
+        self.kept.get(runner).filter(|_| s.config.store.kept_ms > 0)
     }
 
+    /// Whether a runner loads `name` from its own disk.
     pub fn is_kept(&self, s: &DutySlice, runner: &Name, name: &Name) -> bool {
-        s.config.store.kept_ms > 0 && self.kept.get(runner).is_some_and(|k| k.contains(name))
+        self.kept_at(s, runner).is_some_and(|kept| kept.contains(name))
     }
 
     /// A report with what it leaves out taken from the configuration and from the routers.
--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -89,13 +89,14 @@
         };
         let short = if spreads { self.short(&round.board, s) } else { vec![] };
         let found = if spreads { short.len() } else { self.work.short };
+        let wanted = self.most_pressing(ctx.now);
         if found > 0 && !self.wants.is_empty() {
             round.spread(&short, Turn::InTurn);
-            self.meet_wants(&mut round, Turn::InTurn, s);
+            self.meet_wants(&wanted, &mut round, Turn::InTurn, s);
         }
         if spreads || found == 0 {
             round.spread(&short, Turn::Anyone);
-            self.meet_wants(&mut round, Turn::Anyone, s);
+            self.meet_wants(&wanted, &mut round, Turn::Anyone, s);
         }
         let (decided, store_loads) = (round.decided, round.store_loads);
         (self.work.short, self.work.store_loads) = (found, store_loads);
@@ -120,13 +121,14 @@
         }
     }
 
-    fn meet_wants(&self, round: &mut Round, turn: Turn, s: &DutySlice) {
-        for name in self.most_pressing(round.board.now()) {
+    /// Decides for the wanted names in this order, as far as the turn and the round allow.
+    fn meet_wants(&self, wanted: &[&Name], round: &mut Round, turn: Turn, s: &DutySlice) {
+        for name in wanted {
             if round.left == 0 {
                 return;
             }
             let from_store = round.may_ask_store(Purpose::Wanted, turn);
-            if round.decided.iter().any(|d| d.want == *name) {
+            if round.decided.iter().any(|d| d.want == **name) {
                 continue;
             }
             if let Some(choice) = self.meet_quick(&round.board, name, from_store, s) {
