--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -1,9 +1,13 @@
 //! The stand-ins and the cases of the review; `run.sh` of a case starts `stand CASE FOLDER`.
 
-mod cases;
 mod fleet;
 mod http;
+mod hung;
+mod parts;
 mod runner;
+mod truncated;
+mod unframed;
+mod withdrawn;
 
 use std::collections::BTreeMap;
 
@@ -13,15 +17,19 @@
     if what == "runner" {
         let mut opts = BTreeMap::new();
         for pair in rest.chunks(2) {
-            opts.insert(pair[0].trim_start_matches("--").to_string(), pair.get(1).cloned().unwrap_or_default());
+            opts.insert(
+                pair[0].trim_start_matches("--").to_string(),
+                pair.get(1).cloned().unwrap_or_default(),
+            );
         }
         return runner::main(opts);
     }
     let folder = rest.first().expect("the folder of the case");
     match what.as_str() {
-        "truncated" => cases::truncated(folder),
-        "withdrawn" => cases::withdrawn(folder),
-        "unframed" => cases::unframed(folder),
+        "truncated" => truncated::truncated(folder),
+        "withdrawn" => withdrawn::withdrawn(folder),
+        "hung" => hung::hung(folder),
+        "unframed" => unframed::unframed(folder),
         _ => panic!("an unknown case"),
     }
 }
--- a/review/stand/runner.rs
+++ b/review/stand/runner.rs
@@ -104,7 +104,8 @@
             String::new()
         };
         let n = body.len();
-        c.write(format!("HTTP/1.1 {status} X\r\n{id}{more}Content-Length: {n}\r\n\r\n{body}").as_bytes()).is_ok()
+        c.write(format!("HTTP/1.1 {status} X\r\n{id}{more}Content-Length: {n}\r\n\r\n{body}").as_bytes())
+            .is_ok()
     }
 
     fn answer(self: &Arc<Runner>, c: &mut Conn, m: &Message) -> bool {
@@ -174,7 +175,9 @@
                 Some(_) => places as u64 >= self.opt("places", 8),
             };
             if over {
-                self.note(&format!("OVER install model={model} adapter={adapter:?} holds={list} mb={used} places={places}"));
+                self.note(&format!(
+                    "OVER install model={model} adapter={adapter:?} holds={list} mb={used} places={places}"
+                ));
                 // An order that makes a runner load over its room makes it fall.
                 std::process::exit(3);
             }
@@ -203,8 +206,10 @@
         let model = m.head("x-model");
         if !model.is_empty() {
             let held = self.held.lock().unwrap();
-            let (name, adapter) = model.split_once('/').map_or((model, None), |(m, a)| (m, Some(a.to_string())));
-            let fit = held.models.get(name).is_some_and(|rows| adapter.as_ref().is_none_or(|a| rows.contains(a)));
+            let (name, adapter) =
+                model.split_once('/').map_or((model, None), |(m, a)| (m, Some(a.to_string())));
+            let fit =
+                held.models.get(name).is_some_and(|rows| adapter.as_ref().is_none_or(|a| rows.contains(a)));
             if !fit {
                 drop(held);
                 self.note(&format!("not-here id={id} model={model}"));
@@ -212,16 +217,64 @@
             }
         }
         let after = m.head("last-event-id").to_string();
+        if m.path().ends_with("/moved") {
+            let done = self.moved(c, m, id, &after);
+            self.note(&format!("end id={id} written={}", done.is_ok()));
+            return done.unwrap_or(false);
+        }
         self.note(&format!("run id={id} {} body={} last={after}", m.line, m.body.len()));
         self.active.fetch_add(1, Ordering::SeqCst);
         let seal = format!("{}.{:x}", self.id, self.seals.fetch_add(1, Ordering::SeqCst));
         let head = format!("X-Request-Id: {id}\r\nX-Server-Seal: {seal}\r\nX-Weight-Versions: 1\r\n");
-        let done = if model.is_empty() { self.plain(c, &head) } else { self.stream(c, &head, &after) };
+        let done = if model.is_empty() {
+            self.plain(c, &head)
+        } else {
+            self.stream(c, &head, &after, m.path().ends_with("/long"))
+        };
         self.active.fetch_sub(1, Ordering::SeqCst);
         self.note(&format!("end id={id} written={}", done.is_ok()));
         done.unwrap_or(false)
     }
 
+    /// The request of the case `hung`. The runner that gets it first gives some events and is then killed. The one that
+    /// gets it next is slow, and turns it away after `--late-ms`, as full. The third is crowded: its first event comes
+    /// after `--crowded-ms`.
+    fn moved(&self, c: &mut Conn, m: &Message, id: &str, after: &str) -> std::io::Result<bool> {
+        let log = std::fs::read_to_string(&self.opts["log"]).unwrap_or_default();
+        let before = log.lines().filter(|l| l.contains(&format!("arrive id={id} "))).count();
+        self.note(&format!("arrive id={id} last={after}"));
+        self.active.fetch_add(1, Ordering::SeqCst);
+        let head =
+            format!("X-Request-Id: {id}\r\nX-Server-Seal: {}.{before}\r\nX-Weight-Versions: 1\r\n", self.id);
+        let done = match before {
+            0 => self.events(c, &head, after, 50, 400),
+            1 => {
+                thread::sleep(Duration::from_millis(self.opt("late-ms", 3500)));
+                self.note(&format!("turned-away id={id}"));
+                Ok(self.say(c, m, 503, "X-Not-Executed: 1\r\n", ""))
+            }
+            _ => {
+                self.note(&format!("run id={id} last={after}"));
+                self.events(c, &head, after, self.opt("crowded-ms", 2500), 20)
+            }
+        };
+        self.active.fetch_sub(1, Ordering::SeqCst);
+        done
+    }
+
+    fn events(&self, c: &mut Conn, head: &str, after: &str, first: u64, gap: u64) -> std::io::Result<bool> {
+        c.write(format!("HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").as_bytes())?;
+        thread::sleep(Duration::from_millis(first));
+        let from = after.parse::<u64>().unwrap_or(0) / 5;
+        for n in from + 1..=15 {
+            let text = format!("id: {}\ndata: piece {n} of 15 by {}\n\n", n * 5, self.id);
+            c.write(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
+            thread::sleep(Duration::from_millis(gap));
+        }
+        c.write(b"0\r\n\r\n")?;
+        Ok(true)
+    }
+
     /// An answer in chunks, of `--bytes` bytes, written as fast as it is taken.
     fn plain(&self, c: &mut Conn, head: &str) -> std::io::Result<bool> {
         thread::sleep(Duration::from_millis(self.opt("work-ms", 20)));
@@ -242,12 +295,18 @@
 
     /// A stream of `--events` events whose ids rise by `--stride`. With `--framing close` it has no length and ends
     /// with its connection.
-    fn stream(&self, c: &mut Conn, head: &str, after: &str) -> std::io::Result<bool> {
+    fn stream(&self, c: &mut Conn, head: &str, after: &str, long: bool) -> std::io::Result<bool> {
         let close = self.opts.get("framing").is_some_and(|t| t == "close");
         let framing = if close { "Connection: close" } else { "Transfer-Encoding: chunked" };
         thread::sleep(Duration::from_millis(self.opt("first-ms", 50)));
-        c.write(format!("HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n{framing}\r\n\r\n").as_bytes())?;
-        let (events, stride) = (self.opt("events", 40), self.opt("stride", 5));
+        c.write(
+            format!("HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n{framing}\r\n\r\n")
+                .as_bytes(),
+        )?;
+        let (mut events, stride) = (self.opt("events", 40), self.opt("stride", 5));
+        if long {
+            events = self.opt("long-events", 160);
+        }
         let from = after.parse::<u64>().unwrap_or(0) / stride;
         for n in from + 1..=events {
             thread::sleep(Duration::from_millis(self.opt("gap-ms", 50)));
