--- a/review/stand/fleet.rs
+++ b/review/stand/fleet.rs
@@ -12,6 +12,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+pub const TERM: i32 = 15;
 pub const KILL: i32 = 9;
 const CONT: i32 = 18;
 
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -5,6 +5,7 @@
 mod hung;
 mod parts;
 mod runner;
+mod stopped;
 mod truncated;
 mod unframed;
 mod withdrawn;
@@ -29,6 +30,7 @@
         "truncated" => truncated::truncated(folder),
         "withdrawn" => withdrawn::withdrawn(folder),
         "hung" => hung::hung(folder),
+        "stopped" => stopped::stopped(folder),
         "unframed" => unframed::unframed(folder),
         _ => panic!("an unknown case"),
     }
--- a/review/stand/runner.rs
+++ b/review/stand/runner.rs
@@ -227,7 +227,7 @@
         let seal = format!("{}.{:x}", self.id, self.seals.fetch_add(1, Ordering::SeqCst));
         let head = format!("X-Request-Id: {id}\r\nX-Server-Seal: {seal}\r\nX-Weight-Versions: 1\r\n");
         let done = if model.is_empty() {
-            self.plain(c, &head)
+            self.plain(c, &head, m.path())
         } else {
             self.stream(c, &head, &after, m.path().ends_with("/long"))
         };
@@ -276,9 +276,14 @@
     }
 
     /// An answer in chunks, of `--bytes` bytes, written as fast as it is taken.
-    fn plain(&self, c: &mut Conn, head: &str) -> std::io::Result<bool> {
+    fn plain(&self, c: &mut Conn, head: &str, path: &str) -> std::io::Result<bool> {
         thread::sleep(Duration::from_millis(self.opt("work-ms", 20)));
-        let (total, part) = (self.opt("bytes", 800) as usize, 4096);
+        let named = path
+            .rsplit('/')
+            .next()
+            .and_then(|t| t.parse().ok())
+            .filter(|_| self.opts.get("bytes").is_some_and(|t| t == "path"));
+        let (total, part) = (named.unwrap_or(self.opt("bytes", 800) as usize), 4096);
         c.write(format!("HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n").as_bytes())?;
         let mut sent = 0;
         while sent < total {
