--- a/review/stand/stopped.rs
+++ b/review/stand/stopped.rs
@@ -1,4 +1,4 @@
-//! Case 5.
+//! No case: see REPORT.md.
 
 use crate::fleet::{Fleet, FRONT, TERM};
 use crate::http::Conn;
--- a/review/stand/unframed.rs
+++ b/review/stand/unframed.rs
@@ -1,4 +1,4 @@
-//! Case 4.
+//! Case 5.
 
 use crate::fleet::{Fleet, FRONT, KILL};
 use crate::http::Conn;
