Forwarding: a request waits for a runner only while no run carries it on

Cause: a resumed run that was turned away, could not be reached or answered wrongly asked for another runner although a standby run was open; only a lost run asked for the standby first. The request then waited for a fourth runner while the standby carried the stream to its end, and only a client that left took the waiter out. The next thread to wake that waiter found nobody and called tokio::spawn; the thread "node" has no runtime, so it panicked with the gate locked, and each later lock panicked too.

Change: resume(), through which every end of the stream's own run goes, lets the standby step in first. The request knows whether it waits: a plan that comes late gives its slot back and opens no run, and a request that is over, in whatever way, leaves no waiter. A waiter's wake gives an untaken plan back to the gate, under whose lock it runs; no runtime is needed. A dropped forwarding ends its request. A main run keeps its standby until it gives an event that goes on, not until it gives any byte.

--- a/src/forwarding/attempt.rs
+++ b/src/forwarding/attempt.rs
@@ -106,7 +106,6 @@
             if attempt != self.main {
                 return;
             }
-            self.source_heard(now, gate, out);
             if !(self.order.resumable && self.stream) {
                 out.push(Out::Pass(raw.clone()));
                 return;
@@ -122,7 +121,10 @@
                 self.dest_item(now, item, gate, out);
             } else if attempt == self.main {
                 match self.joined(attempt, &item) {
-                    Joined::Goes => self.main_item(now, item, gate, out),
+                    Joined::Goes => {
+                        self.source_heard(now, gate, out);
+                        self.main_item(now, item, gate, out);
+                    }
                     Joined::Skipped => {}
                     Joined::Differs(how) => self.main_differs(now, attempt, &how, gate, out),
                 }
--- a/src/forwarding/failure.rs
+++ b/src/forwarding/failure.rs
@@ -48,11 +48,11 @@
         }
     }
 
-    pub fn again(&mut self, now: Time, plan: Plan, _gate: &mut Gate, out: &mut Vec<Out>) {
+    pub fn again(&mut self, now: Time, plan: Plan, gate: &mut Gate, out: &mut Vec<Out>) {
         match plan {
             Plan::Send(runner) => self.open_main(now, runner, out),
-            Plan::Wait(_) => out.push(Out::Wait { avoid: self.avoid.clone() }),
-            Plan::Refuse(r) => self.refuse(now, r, _gate, out),
+            Plan::Wait(_) => self.wait(out),
+            Plan::Refuse(r) => self.refuse(now, r, gate, out),
         }
     }
 
@@ -68,9 +68,6 @@
         self.sent = true;
         self.close(now, attempt, Some(false), gate, out);
         gate.count("lost");
-        if self.standby_steps_in(&runner, out) {
-            return;
-        }
         if self.stream || !self.began || self.order.kind == RouteKind::Idempotent {
             return self.resume(now, runner, gate, out);
         }
--- a/src/forwarding/request.rs
+++ b/src/forwarding/request.rs
@@ -64,6 +64,8 @@
     pub reserved: u64,
     pub hand_off: Option<(MoveId, Time, u64)>,
     pub over: bool,
+    /// Whether it waits for a runner, by its last word to the forwarding.
+    waiting: bool,
     pub heard: Time,
     pub ticked: Time,
     pub stream: bool,
@@ -94,6 +96,7 @@
             reserved: 0,
             hand_off: None,
             over: false,
+            waiting: false,
             heard: Time(0),
             ticked: Time(0),
             stream: false,
@@ -104,6 +107,12 @@
 
     pub fn step(&mut self, now: Time, ev: In, gate: &mut Gate) -> Vec<Out> {
         let mut out = Vec::new();
+        if let In::Woken(plan) = &ev
+            && !std::mem::take(&mut self.waiting)
+        {
+            self.decline(now, plan, gate);
+            return out;
+        }
         if self.over || self.is_stray(&ev) {
             return out;
         }
@@ -124,7 +133,6 @@
             In::Chunk { attempt, raw } => self.chunk(now, attempt, &raw, gate, &mut out),
             In::End { attempt } => self.ended(now, attempt, gate, &mut out),
             In::Gone => {
-                gate.inbox.drop_id(self.order.id);
                 gate.count("caller_gone");
                 self.close_all(now, gate, &mut out);
             }
@@ -152,11 +160,25 @@
                 }
                 self.open_main(now, runner, out);
             }
-            Plan::Wait(_) => out.push(Out::Wait { avoid: self.avoid.clone() }),
+            Plan::Wait(_) => self.wait(out),
             Plan::Refuse(r) => self.refuse(now, r, gate, out),
         }
     }
 
+    /// From now on the request waits for a runner.
+    pub fn wait(&mut self, out: &mut Vec<Out>) {
+        self.waiting = true;
+        out.push(Out::Wait { avoid: self.avoid.clone() });
+    }
+
+    /// A plan that came when the request no longer waited: its slot is free again.
+    fn decline(&self, now: Time, plan: &Plan, gate: &mut Gate) {
+        if let Plan::Send(runner) = plan {
+            gate.count("plan_untaken");
+            gate.release(now, &runner.instance, &self.order.model, None);
+        }
+    }
+
     pub fn refuse(&mut self, now: Time, r: Refusal, gate: &mut Gate, out: &mut Vec<Out>) {
         self.close_all(now, gate, out);
         if self.began {
@@ -200,6 +222,8 @@
 
     pub fn close_all(&mut self, now: Time, gate: &mut Gate, out: &mut Vec<Out>) {
         self.over = true;
+        self.waiting = false;
+        gate.inbox.drop_id(self.order.id);
         self.hand = None;
         self.standby = None;
         gate.tries.give_back(std::mem::take(&mut self.reserved));
--- a/src/forwarding/resume.rs
+++ b/src/forwarding/resume.rs
@@ -129,7 +129,12 @@
         self.order.resumable || (self.order.kind == RouteKind::Idempotent && !self.began)
     }
 
+    /// The stream's own run is over before its end, in whatever way: another one goes on. A run that stands by is
+    /// that one; while there is none, another runner is asked or waited for.
     pub fn resume(&mut self, now: Time, from: Name, gate: &mut Gate, out: &mut Vec<Out>) {
+        if self.standby_steps_in(&from, out) {
+            return;
+        }
         self.avoid.push(from);
         if !self.may_run_again() || self.opened >= self.order.tries || !gate.tries.spend() {
             return self.refuse(now, Refusal::new(Why::NoBudget, 1), gate, out);
--- a/src/forwarding/standby.rs
+++ b/src/forwarding/standby.rs
@@ -136,7 +136,7 @@
         self.close(now, attempt, good, gate, out);
     }
 
-    /// The stream's own run gave a sign of life: none has to stand by.
+    /// The stream's own run gave the next event: none has to stand by.
     pub fn source_heard(&mut self, now: Time, gate: &mut Gate, out: &mut Vec<Out>) {
         let Some(attempt) = self.standby.take() else { return };
         gate.count("standby_not_needed");
--- a/src/gate/core.rs
+++ b/src/gate/core.rs
@@ -1,11 +1,10 @@
 use super::budget::Tries;
 use super::health::Health;
 use super::held::{Asker, Used};
-use super::inbox::{Inbox, Waiter, Wake};
+use super::inbox::Inbox;
 use super::kept::Kept;
 use super::order::{Order, Plan, Refusal, Why};
 use super::pace::Pace;
-use super::wait::retry_s;
 use crate::distribution::reader::FRESH;
 use crate::fleet::routes::RouteTable;
 use crate::fleet::runner::Runner;
@@ -164,15 +163,8 @@
     }
 
     pub fn release(&mut self, now: Time, runner: &Name, model: &str, good: Option<bool>) {
-        let key = (runner.clone(), Name(model.to_string()));
-        if let Some(n) = self.active.get_mut(&key) {
-            *n = n.saturating_sub(1);
-            if *n == 0 {
-                self.active.remove(&key);
-            }
-        }
+        self.give_back(runner, model);
         let h = self.health.entry(runner.clone()).or_default();
-        h.mine = h.mine.saturating_sub(1);
         match good {
             Some(true) => h.good(),
             Some(false) => h.bad(now),
@@ -180,58 +172,4 @@
         }
         self.wake(now);
     }
-
-    pub fn wait(&mut self, now: Time, order: Order, avoid: Vec<Name>, wake: Wake) {
-        let most = self.slice.as_ref().map_or(256, |s| s.service.inbox) as usize;
-        if self.inbox.len() >= most {
-            let ahead = self.inbox.ahead(&order);
-            let wait = self.expect_slot(now, &order, ahead).unwrap_or(Span::ms(2000));
-            let Some(key) = self.inbox.last_lower(order.class) else {
-                self.count("refused_inbox_full");
-                return wake(Plan::Refuse(Refusal::new(Why::InboxFull, retry_s(wait))));
-            };
-            if let Some(w) = self.inbox.take(&key) {
-                self.count("refused_crowded");
-                (w.wake)(Plan::Refuse(Refusal::new(Why::Crowded, retry_s(wait))));
-            }
-        }
-        self.inbox.add(Waiter { order, avoid, wake, since: now });
-    }
-
-    pub fn wake(&mut self, now: Time) {
-        let mut busy: BTreeMap<(String, String), (u64, &'static str)> = BTreeMap::new();
-        for key in self.inbox.keys() {
-            let Some(w) = self.inbox.get(&key) else { continue };
-            let (order, avoid, since) = (w.order.clone(), w.avoid.clone(), w.since);
-            let kind = (order.model.to_string(), order.adapter.to_string());
-            let plan = match busy.get_mut(&kind) {
-                Some((ahead, why)) if now < order.due => {
-                    *ahead += 1;
-                    let (ahead, why) = (*ahead - 1, *why);
-                    self.settle(now, &order, Plan::Wait(why), ahead)
-                }
-                _ => {
-                    let plan = self.plan(now, &order, &avoid);
-                    if let Plan::Wait(why @ ("busy" | "no-holder" | "behind-others")) = plan {
-                        busy.insert(kind, (1, why));
-                    }
-                    self.settle(now, &order, plan, 0)
-                }
-            };
-            let plan = match plan {
-                Plan::Wait("not-fresh") if now.since(since) > STALE_WAIT => {
-                    Plan::Refuse(Refusal::new(Why::Stale, 1))
-                }
-                Plan::Wait("no-runner") if now.since(since) > BARE_WAIT => {
-                    Plan::Refuse(Refusal::new(Why::NoRunner, 2))
-                }
-                Plan::Wait(_) if self.stopping => Plan::Refuse(Refusal::new(Why::Stopping, 1)),
-                Plan::Wait(_) => continue,
-                plan => plan,
-            };
-            if let Some(w) = self.inbox.take(&key) {
-                (w.wake)(plan);
-            }
-        }
-    }
 }
--- a/src/gate/inbox.rs
+++ b/src/gate/inbox.rs
@@ -2,7 +2,9 @@
 use crate::fleet::config::Class;
 use std::collections::BTreeMap;
 
-pub type Wake = Box<dyn FnOnce(Plan) + Send>;
+/// Hands a plan to the request that waits; gives it back if that request is over. It runs under the gate's lock, on
+/// any thread, so it must neither block nor need a runtime.
+pub type Wake = Box<dyn FnOnce(Plan) -> Result<(), Plan> + Send>;
 
 pub struct Waiter {
     pub order: Order,
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -14,6 +14,7 @@
 pub mod table;
 pub mod tell;
 pub mod wait;
+mod waiters;
 pub use self::core::Gate;
 pub use order::{Order, Plan, Refusal};
 pub use table::Table;
--- a/src/http/forward.rs
+++ b/src/http/forward.rs
@@ -88,12 +88,9 @@
         };
         c.step(ev).await;
     }
+    wakes.close();
     while let Ok(plan) = wakes.try_recv() {
-        if let Plan::Send(r) = plan {
-            let now = c.clock.now();
-            let model = c.request.order.model.clone();
-            c.gate.lock().unwrap().release(now, &r.instance, &model, None);
-        }
+        c.step(In::Woken(plan)).await;
     }
 }
 
@@ -121,17 +118,7 @@
         match out {
             Out::Wait { avoid } => {
                 let woken = self.woken.clone();
-                let (gate, clock, model) =
-                    (self.gate.clone(), self.clock.clone(), self.request.order.model.clone());
-                let wake = Box::new(move |plan: Plan| {
-                    if let Err(back) = woken.send(plan)
-                        && let Plan::Send(r) = back.0
-                    {
-                        tokio::spawn(async move {
-                            gate.lock().unwrap().release(clock.now(), &r.instance, &model, None);
-                        });
-                    }
-                });
+                let wake = Box::new(move |plan: Plan| woken.send(plan).map_err(|back| back.0));
                 let now = self.clock.now();
                 self.gate.lock().unwrap().wait(now, self.request.order.clone(), avoid, wake);
             }
@@ -217,7 +204,13 @@
 }
 
 impl Drop for Forwarder {
+    /// A forwarding that ends before its request does leaves no waiter, slot or run behind.
     fn drop(&mut self) {
+        if !self.request.over
+            && let Ok(mut gate) = self.gate.lock()
+        {
+            self.request.step(self.clock.now(), In::Gone, &mut gate);
+        }
         for h in self.attempts.values() {
             h.abort();
         }
--- a/src/sim/front.rs
+++ b/src/sim/front.rs
@@ -1,8 +1,8 @@
 use super::record::Fact;
-use super::world::{Event, World};
+use super::world::{Event, Woken, World};
 use crate::forwarding::{In, Out, RequestFlow};
 use crate::gate::order::Why;
-use crate::gate::{Gate, Order};
+use crate::gate::{Gate, Order, Plan};
 use crate::kernel::time::{Span, Time};
 use crate::standin::script::Script;
 use crate::standin::tally::End;
@@ -93,6 +93,20 @@
         }
     }
 
+    /// Tells a request its plan; the slot of a plan for one that is over is free again.
+    pub fn deliver_plan(&mut self, woken: Woken) {
+        let (place, life) = (woken.place, woken.life);
+        if self.requests.rows.contains_key(&woken.request) {
+            return self.request(place, life, woken.request, In::Woken(woken.plan));
+        }
+        if let Plan::Send(runner) = woken.plan
+            && self.fits(place, life)
+        {
+            let now = self.local(place);
+            woken.gate.lock().unwrap().release(now, &runner.instance, &woken.model, None);
+        }
+    }
+
     fn request_out(&mut self, place: usize, life: u64, id: u64, out: Out) {
         let now = self.local(place);
         let world_now = self.now;
@@ -100,7 +114,12 @@
         match out {
             Out::Wait { avoid } => {
                 let (woken, order, gate) = (self.woken.clone(), r.request.order.clone(), r.gate.clone());
-                let wake = Box::new(move |plan| woken.lock().unwrap().push_back((place, life, id, plan)));
+                let (model, waits_at) = (order.model.to_string(), gate.clone());
+                let wake = Box::new(move |plan| {
+                    let woken_one = Woken { place, life, request: id, gate: waits_at, model, plan };
+                    woken.lock().unwrap().push_back(woken_one);
+                    Ok(())
+                });
                 gate.lock().unwrap().wait(now, order, avoid, wake);
             }
             Out::Open { attempt, runner, last } => {
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -4,7 +4,7 @@
 use super::runners::SimRunner;
 use crate::fleet::holdings::Want;
 use crate::forwarding::In;
-use crate::gate::Plan;
+use crate::gate::{Gate, Plan};
 use crate::kernel::ids::*;
 use crate::kernel::rand::{Rand, Seeded};
 use crate::kernel::time::{Span, Time};
@@ -14,7 +14,16 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-pub type Woken = (usize, u64, u64, Plan);
+/// A plan for a request that waits, on its way to it.
+pub struct Woken {
+    pub place: usize,
+    pub life: u64,
+    pub request: u64,
+    pub gate: Arc<Mutex<Gate>>,
+    pub model: String,
+    pub plan: Plan,
+}
+
 pub type Sought = (usize, u64, Want);
 pub type Deed = Box<dyn FnOnce(&mut World)>;
 
@@ -143,9 +152,8 @@
             }
         }
         loop {
-            let Some((place, life, request, plan)) = self.woken.lock().unwrap().pop_front() else { return };
-            let ev = Box::new(In::Woken(plan));
-            self.later(Span(1), Event::RequestFlow { place, life, request, ev });
+            let Some(woken) = self.woken.lock().unwrap().pop_front() else { return };
+            self.deliver_plan(woken);
         }
     }
 
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -2,98 +2,16 @@
 
 #[path = "common/forwarding.rs"]
 mod given;
+#[path = "common/silent.rs"]
+mod silent;
 
 use bytes::Bytes;
-use given::{NOW, event, gate, report, request, text};
-use spindledock::fleet::config::RouteKind;
-use spindledock::forwarding::{In, Out, RequestFlow};
-use spindledock::gate::Gate;
-use spindledock::kernel::time::{Span, Time};
+use given::{event, text};
+use silent::{ALL, Story, second};
+use spindledock::forwarding::In;
+use spindledock::kernel::time::Span;
 use spindledock::transfer::continuation::RunContract;
 
-const TICK: Span = Span::ms(50);
-/// Longer than four pauses of the route, shorter than eight.
-const SILENCE: Span = Span::ms(1400);
-const ALL: u64 = 5;
-
-struct Story {
-    gate: Gate,
-    request: RequestFlow,
-    now: Time,
-    outs: Vec<Out>,
-}
-
-/// An event of the second run: of its own words where runs differ.
-fn second(runs: RunContract, n: u64) -> Bytes {
-    match runs {
-        RunContract::SameEvents => event(n),
-        RunContract::SameIds => Bytes::from(format!("id: {n}\ndata: v{n}\n\n")),
-    }
-}
-
-impl Story {
-    /// A stream that passed `passed` events on, whose runner has been silent since.
-    fn silent(runs: RunContract, passed: u64, tries: u64) -> Story {
-        let mut request = request(true);
-        request.order.kind = RouteKind::Stream;
-        request.order.aim = Span::ms(600);
-        request.order.gap = Span::ms(300);
-        request.order.tries = tries;
-        request.order.runs = runs;
-        request.order.end = NOW + Span::ms(20_000);
-        let mut story = Story { gate: gate(&["a1", "a2", "a3"]), request, now: NOW, outs: Vec::new() };
-        story.feed(In::Go);
-        story.feed(In::Head { attempt: 1, status: 200, stream: true });
-        (1..=passed).for_each(|n| story.feed(In::Chunk { attempt: 1, raw: event(n) }));
-        story.wait(SILENCE);
-        story
-    }
-
-    fn feed(&mut self, ev: In) {
-        let outs = self.request.step(self.now, ev, &mut self.gate);
-        self.outs.extend(outs);
-    }
-
-    fn wait(&mut self, span: Span) {
-        let until = self.now + span;
-        while self.now < until {
-            self.now = self.now + TICK;
-            ["a1", "a2", "a3"].iter().for_each(|name| report(&mut self.gate, self.now, name, 0));
-            self.feed(In::Tick);
-        }
-    }
-
-    fn opened(&self, no: u64) -> Option<Option<String>> {
-        self.outs.iter().find_map(|o| match o {
-            Out::Open { attempt, last, .. } if *attempt == no => Some(last.clone()),
-            _ => None,
-        })
-    }
-
-    fn closed(&self, no: u64) -> bool {
-        self.outs.iter().any(|o| matches!(o, Out::Close { attempt } if *attempt == no))
-    }
-
-    fn broken(&self) -> bool {
-        self.outs.iter().any(|o| matches!(o, Out::Break(_) | Out::Refuse(_) | Out::Unknown(..)))
-    }
-
-    fn finished(&self) -> bool {
-        self.outs.iter().any(|o| matches!(o, Out::Finish))
-    }
-
-    fn ids(&self) -> Vec<u64> {
-        let all = text(&self.outs);
-        all.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
-    }
-
-    /// The first run comes back to life and ends the stream.
-    fn first_goes_on(&mut self, passed: u64) {
-        (passed + 1..=ALL).for_each(|n| self.feed(In::Chunk { attempt: 1, raw: event(n) }));
-        self.feed(In::End { attempt: 1 });
-    }
-}
-
 const CONTRACTS: [RunContract; 2] = [RunContract::SameEvents, RunContract::SameIds];
 
 #[test]
--- a/tests/wait.rs
+++ b/tests/wait.rs
@@ -89,7 +89,7 @@
     for id in 1..=3 {
         let plan = g.enter(NOW, &order(id, "low", NOW, 3500));
         assert!(matches!(plan, Plan::Wait(_)), "{id}: {plan:?}");
-        g.wait(NOW, order(id, "low", NOW, 3500), vec![], Box::new(|_| {}));
+        g.wait(NOW, order(id, "low", NOW, 3500), vec![], Box::new(|_| Ok(())));
     }
     assert_eq!(refused(g.enter(NOW, &order(4, "low", NOW, 3500))), Some((Why::TooLong, 4)));
     let later = NOW + Span::ms(3000);
