Forwarding: a stream whose end only its connection says ends behind a whole event

Cause: the end of a run finished the request whatever the run stood at; the rest of a resumable stream was passed on, and a stream that may not be resumed was not looked at. The kernel closes a killed process's socket in order, so such an end looks like an honest one.

Change: the end of an answer says how it was said, by its framing or by its connection. A stream ended by its connection must stand behind a whole event and have had one; else its runner counts as lost: it is resumed at its last whole event, or broken off where that is not allowed. A framed end is the runner's own word and passed on as it is. An end between two events can't be told from an honest one.

--- a/src/forwarding/attempt.rs
+++ b/src/forwarding/attempt.rs
@@ -4,6 +4,7 @@
 use crate::gate::{Gate, Refusal};
 use crate::kernel::ids::*;
 use crate::kernel::time::Time;
+use crate::transfer::event_boundary::EventBoundary;
 use crate::transfer::event_buffer::{Item, Splitter};
 
 /// What the first event of a run must be, so that the stream can go on with it.
@@ -25,7 +26,10 @@
     pub head: bool,
     pub since: Time,
     pub buffer: Vec<Item>,
-    pub ended: bool,
+    /// Where the run stands in its stream.
+    pub boundary: EventBoundary,
+    /// Its end, kept while its last events are still to be passed on.
+    pub ended: Option<AnswerEnd>,
     pub join: Join,
 }
 
@@ -39,7 +43,8 @@
             head: false,
             since,
             buffer: Vec::new(),
-            ended: false,
+            boundary: EventBoundary::default(),
+            ended: None,
             join: Join::Open,
         }
     }
@@ -97,6 +102,9 @@
         gate: &mut Gate,
         out: &mut Vec<Out>,
     ) {
+        if let Some(l) = self.attempt(attempt) {
+            l.boundary.add(raw);
+        }
         if self.is_standby(attempt) {
             return self.standby_chunk(now, attempt, raw, gate, out);
         }
@@ -150,10 +158,27 @@
         out.push(Out::Pass(item.raw));
     }
 
-    pub fn ended(&mut self, now: Time, attempt: AttemptNo, gate: &mut Gate, out: &mut Vec<Out>) {
+    /// Whether `end` may be the honest one of this run: a stream whose end only its connection says ends behind a whole
+    /// event, and a run that was to go on with a stream has given an event that does.
+    fn may_end(&mut self, attempt: AttemptNo, end: AnswerEnd) -> bool {
+        let stream = self.stream;
+        self.attempt(attempt).is_some_and(|l| {
+            let said = !stream || end == AnswerEnd::Framed || l.boundary.may_end();
+            said && l.join == Join::Open
+        })
+    }
+
+    pub fn ended(
+        &mut self,
+        now: Time,
+        attempt: AttemptNo,
+        end: AnswerEnd,
+        gate: &mut Gate,
+        out: &mut Vec<Out>,
+    ) {
         if self.is_dest(attempt) {
             if let Some(l) = self.attempt(attempt) {
-                l.ended = true;
+                l.ended = Some(end);
             }
             return self.dest_ended(now, gate, out);
         }
@@ -163,7 +188,8 @@
         if attempt != self.main {
             return;
         }
-        if self.attempt(attempt).is_some_and(|l| l.join != Join::Open) {
+        if !self.may_end(attempt, end) {
+            gate.count("ended_early");
             return self.step_into_lost(now, attempt, gate, out);
         }
         self.source_ended(now, gate, out);
--- a/src/forwarding/migration.rs
+++ b/src/forwarding/migration.rs
@@ -88,8 +88,10 @@
             }
         }
         let main = self.main;
-        if self.hand.is_none() && self.attempt(main).is_some_and(|l| l.ended) {
-            self.ended(now, main, gate, out);
+        if self.hand.is_none()
+            && let Some(end) = self.attempt(main).and_then(|l| l.ended)
+        {
+            self.ended(now, main, end, gate, out);
         }
     }
 
--- a/src/forwarding/mod.rs
+++ b/src/forwarding/mod.rs
@@ -4,4 +4,4 @@
 pub mod request;
 pub mod resume;
 pub mod standby;
-pub use request::{In, Out, RequestFlow};
+pub use request::{AnswerEnd, In, Out, RequestFlow};
--- a/src/forwarding/request.rs
+++ b/src/forwarding/request.rs
@@ -16,6 +16,15 @@
 
 pub type AttemptNo = u64;
 
+/// How the end of a runner's answer was said.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum AnswerEnd {
+    /// By the answer's own framing: a length, or chunks.
+    Framed,
+    /// By the end of its connection, which a killed runner's answer has too.
+    Closed,
+}
+
 #[derive(Debug)]
 pub enum In {
     Go,
@@ -26,7 +35,7 @@
     Load { attempt: AttemptNo, load: Load },
     Head { attempt: AttemptNo, status: u16, stream: bool },
     Chunk { attempt: AttemptNo, raw: Bytes },
-    End { attempt: AttemptNo },
+    End { attempt: AttemptNo, end: AnswerEnd },
     Gone,
     Tick,
 }
@@ -131,7 +140,7 @@
             In::Load { attempt, load } => self.told_load(now, attempt, load, gate),
             In::Head { attempt, status, stream } => self.head(now, attempt, status, stream, gate, &mut out),
             In::Chunk { attempt, raw } => self.chunk(now, attempt, &raw, gate, &mut out),
-            In::End { attempt } => self.ended(now, attempt, gate, &mut out),
+            In::End { attempt, end } => self.ended(now, attempt, end, gate, &mut out),
             In::Gone => {
                 gate.count("caller_gone");
                 self.close_all(now, gate, &mut out);
@@ -145,7 +154,7 @@
         let attempt = match ev {
             In::OpenFailed { attempt, .. } | In::Lost { attempt } | In::Head { attempt, .. } => attempt,
             In::Shed { attempt, .. } | In::Load { attempt, .. } => attempt,
-            In::Chunk { attempt, .. } | In::End { attempt } => attempt,
+            In::Chunk { attempt, .. } | In::End { attempt, .. } => attempt,
             _ => return false,
         };
         self.attempts.iter().all(|l| l.no != *attempt)
--- a/src/http/attempt.rs
+++ b/src/http/attempt.rs
@@ -156,6 +156,7 @@
     let heads = end_to_end(answer.headers());
     let kind = heads.get("content-type").and_then(|v| v.to_str().ok()).unwrap_or("");
     let stream = kind.starts_with("text/event-stream");
+    let end = answer.end();
     let mut whole = None;
     if job.order.kind == RouteKind::Idempotent && !stream {
         match answer.collect(WHOLE_LIMIT).await {
@@ -171,7 +172,7 @@
     if let Some(raw) = whole {
         job.pool.keep(job.runner.addr, answer);
         let _ = say(In::Chunk { attempt, raw }).await;
-        return drop(say(In::End { attempt }).await);
+        return drop(say(In::End { attempt, end }).await);
     }
     loop {
         match answer.next().await {
@@ -185,5 +186,5 @@
         }
     }
     job.pool.keep(job.runner.addr, answer);
-    let _ = say(In::End { attempt }).await;
+    let _ = say(In::End { attempt, end }).await;
 }
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -1,12 +1,13 @@
 //! A request under way on a connection, and its answer once that was judged to belong to it.
 
 use super::connection::{Link, Resting};
+use crate::forwarding::AnswerEnd;
 use crate::seam::Verdict;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body, Incoming};
-use hyper::header::HeaderMap;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 
 /// The body of an answer ended before its framing said so, or is too long.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -51,7 +52,8 @@
             return Judged::Stray;
         }
         let verdict = judge(self.status(), self.headers());
-        let answer = Answer { link: self.link, response: self.response, whole: false };
+        let end = end_of(&self.response);
+        let answer = Answer { link: self.link, response: self.response, end, whole: false };
         match verdict {
             Verdict::Own => Judged::Own(answer),
             Verdict::NotRun => Judged::NotRun(answer),
@@ -61,10 +63,21 @@
     }
 }
 
+/// How the end of an answer is said that has not been read yet. One that can have no body is known to the library.
+fn end_of(response: &Response<Incoming>) -> AnswerEnd {
+    let headers = response.headers();
+    let framed = headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH);
+    match framed || response.body().is_end_stream() {
+        true => AnswerEnd::Framed,
+        false => AnswerEnd::Closed,
+    }
+}
+
 /// An answer that belongs to the request of its connection.
 pub struct Answer {
     link: Link,
     response: Response<Incoming>,
+    end: AnswerEnd,
     whole: bool,
 }
 
@@ -79,6 +92,11 @@
         self.response.headers()
     }
 
+    /// How the end of the body is said.
+    pub fn end(&self) -> AnswerEnd {
+        self.end
+    }
+
     /// The next bytes of the body; none after its framed end.
     pub async fn next(&mut self) -> Result<Option<Bytes>, BodyBroken> {
         loop {
--- a/src/sim/callers.rs
+++ b/src/sim/callers.rs
@@ -1,6 +1,6 @@
 use super::record::Fact;
 use super::world::{Event, World};
-use crate::forwarding::In;
+use crate::forwarding::{AnswerEnd, In};
 use crate::kernel::ids::*;
 use crate::kernel::rand::{Rand, mix};
 use crate::kernel::time::{Span, Time};
@@ -134,7 +134,7 @@
         let ev = Box::new(In::Chunk { attempt, raw: bytes::Bytes::from(raw) });
         self.later(wait + Span(1), Event::RequestFlow { place, life: rl, request, ev });
         if last {
-            let ev = Box::new(In::End { attempt });
+            let ev = Box::new(In::End { attempt, end: AnswerEnd::Framed });
             self.later(wait + Span(2), Event::RequestFlow { place, life: rl, request, ev });
             self.end_run(k, run, true);
         } else {
--- a/tests/common/silent.rs
+++ b/tests/common/silent.rs
@@ -5,7 +5,7 @@
 use super::given::{NOW, event, gate, report, request, text};
 use bytes::Bytes;
 use spindledock::fleet::config::RouteKind;
-use spindledock::forwarding::{In, Out, RequestFlow};
+use spindledock::forwarding::{AnswerEnd, In, Out, RequestFlow};
 use spindledock::gate::Gate;
 use spindledock::kernel::time::{Span, Time};
 use spindledock::transfer::continuation::RunContract;
@@ -89,6 +89,6 @@
     /// The first run comes back to life and ends the stream.
     pub fn first_goes_on(&mut self, passed: u64) {
         (passed + 1..=ALL).for_each(|n| self.feed(In::Chunk { attempt: 1, raw: event(n) }));
-        self.feed(In::End { attempt: 1 });
+        self.feed(In::End { attempt: 1, end: AnswerEnd::Framed });
     }
 }
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use given::{NOW, begin_move, event, gate, moving, report, request, streaming, text};
-use spindledock::forwarding::{In, Out, RequestFlow};
+use spindledock::forwarding::{AnswerEnd, In, Out, RequestFlow};
 use spindledock::kernel::time::Span;
 
 #[test]
@@ -22,7 +22,7 @@
     streaming(&mut r, &mut full, 3);
     let outs = r.step(NOW, In::Lost { attempt: 1 }, &mut full);
     assert!(outs.iter().any(|o| matches!(o, Out::Wait { .. })), "{outs:?}");
-    let outs = r.step(NOW, In::End { attempt: 1 }, &mut full);
+    let outs = r.step(NOW, In::End { attempt: 1, end: AnswerEnd::Framed }, &mut full);
     assert!(outs.is_empty(), "{outs:?}");
 }
 
@@ -100,7 +100,7 @@
     passed += &text(&outs);
     assert!(outs.iter().any(|o| matches!(o, Out::Close { attempt: 1 })), "{outs:?}");
     passed += &text(&r.step(NOW, In::Chunk { attempt: 3, raw: event(6) }, &mut g));
-    let outs = r.step(NOW, In::End { attempt: 3 }, &mut g);
+    let outs = r.step(NOW, In::End { attempt: 3, end: AnswerEnd::Framed }, &mut g);
     assert!(outs.iter().any(|o| matches!(o, Out::Finish)), "{outs:?}");
     let want: String = (1..=6).map(|n| String::from_utf8_lossy(&event(n)).into_owned()).collect();
     assert_eq!(passed, want);
@@ -127,7 +127,7 @@
             _ => vec![],
         };
         passed += &text(&outs);
-        let outs = r.step(NOW, In::End { attempt: 1 }, &mut g);
+        let outs = r.step(NOW, In::End { attempt: 1, end: AnswerEnd::Framed }, &mut g);
         passed += &text(&outs);
         let want: String = (1..=5).map(|n| String::from_utf8_lossy(&event(n)).into_owned()).collect();
         assert_eq!(passed, want, "case {case}");
@@ -145,7 +145,7 @@
     report(&mut g, NOW, "a1", 8);
     assert!(matches!(request(true).step(NOW, In::Go, &mut g)[..], [Out::Wait { .. }]));
     rows[0].step(NOW, In::Head { attempt: 1, status: 200, stream: true }, &mut g);
-    rows[0].step(NOW, In::End { attempt: 1 }, &mut g);
+    rows[0].step(NOW, In::End { attempt: 1, end: AnswerEnd::Framed }, &mut g);
     assert!(matches!(request(true).step(NOW, In::Go, &mut g)[..], [Out::Open { .. }]));
 }
 
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use given::{event, text};
 use silent::{ALL, Story, second};
-use spindledock::forwarding::In;
+use spindledock::forwarding::{AnswerEnd, In};
 use spindledock::kernel::time::Span;
 use spindledock::transfer::continuation::RunContract;
 
@@ -38,7 +38,7 @@
         &|| words("id: 1\ndata: other\n\n"),
         &|| In::Head { attempt: 2, status: 500, stream: false },
         &|| In::Lost { attempt: 2 },
-        &|| In::End { attempt: 2 },
+        &|| In::End { attempt: 2, end: AnswerEnd::Framed },
     ];
     for end in ends {
         for runs in CONTRACTS {
@@ -72,7 +72,7 @@
                 assert!(story.closed(1), "{runs:?} {passed}");
                 story.feed(In::Chunk { attempt: 1, raw: event(n) });
             }
-            story.feed(In::End { attempt: 2 });
+            story.feed(In::End { attempt: 2, end: AnswerEnd::Framed });
             assert!(story.finished() && !story.broken(), "{runs:?} {passed}");
             assert_eq!(story.ids(), (1..=ALL).collect::<Vec<_>>(), "{runs:?} {passed}");
         }
@@ -93,7 +93,7 @@
             lost.feed(In::Head { attempt: 2, status: 200, stream: true });
             let again = u64::from(runs == RunContract::SameIds);
             (passed + again..=ALL).for_each(|n| lost.feed(In::Chunk { attempt: 2, raw: second(runs, n) }));
-            lost.feed(In::End { attempt: 2 });
+            lost.feed(In::End { attempt: 2, end: AnswerEnd::Framed });
             assert!(lost.finished() && !lost.broken(), "{runs:?} {passed}: {:?}", lost.outs);
             assert_eq!(lost.ids(), (1..=ALL).collect::<Vec<_>>(), "{runs:?} {passed}");
         }
--- a/tests/transfer_ids.rs
+++ b/tests/transfer_ids.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use given::{NOW, event, gate, moving, request, streaming, text};
-use spindledock::forwarding::{In, Out, RequestFlow};
+use spindledock::forwarding::{AnswerEnd, In, Out, RequestFlow};
 use spindledock::gate::Gate;
 use spindledock::transfer::continuation::{RunContract, Sequence};
 
@@ -49,7 +49,7 @@
     passed += &text(&outs);
     assert!(outs.iter().any(|o| matches!(o, Out::Close { attempt: 1 })), "{outs:?}");
     passed += &text(&r.step(NOW, In::Chunk { attempt: 3, raw: other(6) }, &mut g));
-    let outs = r.step(NOW, In::End { attempt: 3 }, &mut g);
+    let outs = r.step(NOW, In::End { attempt: 3, end: AnswerEnd::Framed }, &mut g);
     assert!(outs.iter().any(|o| matches!(o, Out::Finish)), "{outs:?}");
     assert_eq!(ids(&passed), (1..=6).collect::<Vec<_>>());
 }
@@ -64,7 +64,7 @@
         for n in 5..=6 {
             passed += &text(&r.step(NOW, In::Chunk { attempt: 1, raw: event(n) }, &mut g));
         }
-        let outs = r.step(NOW, In::End { attempt: 1 }, &mut g);
+        let outs = r.step(NOW, In::End { attempt: 1, end: AnswerEnd::Framed }, &mut g);
         assert!(outs.iter().any(|o| matches!(o, Out::Finish)), "{outs:?}");
         let want: String = (1..=6).map(|n| String::from_utf8_lossy(&event(n)).into_owned()).collect();
         assert_eq!(passed, want, "{wrong}");
--- a/tests/waiter.rs
+++ b/tests/waiter.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use given::{NOW, gate, report, request, streaming, text};
 use silent::{ALL, SILENCE, Story, second};
-use spindledock::forwarding::{In, Out, RequestFlow};
+use spindledock::forwarding::{AnswerEnd, In, Out, RequestFlow};
 use spindledock::gate::order::Why;
 use spindledock::gate::{Gate, Plan};
 use spindledock::kernel::time::Span;
@@ -60,7 +60,7 @@
                 let again = u64::from(runs == RunContract::SameIds);
                 (passed + again..=ALL)
                     .for_each(|n| story.feed(In::Chunk { attempt: 3, raw: second(runs, n) }));
-                story.feed(In::End { attempt: 3 });
+                story.feed(In::End { attempt: 3, end: AnswerEnd::Framed });
                 assert!(story.finished() && !story.broken(), "{what}: {:?}", story.outs);
                 assert_eq!(story.ids(), (1..=ALL).collect::<Vec<_>>(), "{what}");
                 assert_eq!((story.gate.inbox.len(), taken(&story.gate)), (0, 0), "{what}: something stays");
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -45,6 +45,7 @@
 end-said|src/http/body.rs|Some\(Err\("the answer was broken off before its end".into\(\)\)\)|None|platform_end never_looks_complete
 close-resets|src/http/client_stream.rs|self.resets = reset_on_close\(&self.tcp, true\).is_ok\(\);||platform_end router_ends_half_way
 panic-ends|src/daemon/panics.rs|unsafe \{ libc::_exit\(PANIC_EXIT\) \}||panics ends_with_a_logged_event
+closed-end|src/forwarding/attempt.rs|end == AnswerEnd::Framed \|\| l.boundary.may_end\(\)|true|platform_stream_end may_not_be_resumed
 order-sequence|src/sim/runner_orders.rs|Some\(o.expected\)|None|room held_up
 foreign-order|src/placement/flights.rs|busy && !self.rows|false && !self.rows|room predecessor
 overdue-room|src/placement/flights.rs|f.overdue \|= !f.answered|f.there \|= !f.answered|placement in_flight
