Forwarding: a stream is not taken up behind an event that bears no id

What callers would see: a resumable stream whose events bear no ids was resumed from its start when its runner was lost, so every event came twice; behind an event without an id, that event came twice or was left out.

Change: such a stream is neither resumed, nor moved, nor given a standby run, nor left when it is silent. A later event with an id makes it resumable again; comments don't count.

Evidence: platform_stream_end without_ids failed before (a second run, the event twice).

--- a/src/forwarding/attempt.rs
+++ b/src/forwarding/attempt.rs
@@ -153,6 +153,9 @@
             self.prev = self.sequence.last().map(|last| last.to_string());
             self.sequence.push(id);
             self.tail = Some(item.clone());
+            self.unplaced = false;
+        } else {
+            self.unplaced |= item.has_data();
         }
         self.passed += 1;
         out.push(Out::Pass(item.raw));
--- a/src/forwarding/request.rs
+++ b/src/forwarding/request.rs
@@ -68,6 +68,8 @@
     pub prev: Option<String>,
     pub tail: Option<Item>,
     pub passed: u64,
+    /// Whether an event without an id was passed on behind the last one with an id.
+    pub unplaced: bool,
     pub opened: u64,
     pub hand: Option<(AttemptNo, Handover)>,
     pub reserved: u64,
@@ -100,6 +102,7 @@
             prev: None,
             tail: None,
             passed: 0,
+            unplaced: false,
             opened: 0,
             hand: None,
             reserved: 0,
--- a/src/forwarding/resume.rs
+++ b/src/forwarding/resume.rs
@@ -85,7 +85,8 @@
     /// How long a runner of an order that may run again is waited for: to its first event, then to the next.
     pub fn silence(&self) -> Option<Span> {
         let o = &self.order;
-        let again = (o.resumable && o.kind == RouteKind::Stream) || o.kind == RouteKind::Idempotent;
+        let again =
+            (o.resumable && !self.unplaced && o.kind == RouteKind::Stream) || o.kind == RouteKind::Idempotent;
         if !again || o.aim.0 == 0 || self.opened >= o.tries {
             return None;
         }
@@ -124,9 +125,10 @@
         }
     }
 
-    /// Whether another runner may be asked although this one may have run the request.
+    /// Whether another runner may be asked although this one may have run the request. A stream can't be taken up
+    /// behind an event that bears no id: nothing tells the next runner, or us, where it stands.
     pub fn may_run_again(&self) -> bool {
-        self.order.resumable || (self.order.kind == RouteKind::Idempotent && !self.began)
+        (self.order.resumable && !self.unplaced) || (self.order.kind == RouteKind::Idempotent && !self.began)
     }
 
     /// The stream's own run is over before its end, in whatever way: another one goes on. A run that stands by is
--- a/src/forwarding/standby.rs
+++ b/src/forwarding/standby.rs
@@ -24,7 +24,7 @@
 
     /// Whether a silent run is left alone while another is asked, as a begun stream that may be resumed is.
     pub fn has_standby_rights(&self) -> bool {
-        self.began && self.stream && self.order.resumable
+        self.began && self.stream && self.order.resumable && !self.unplaced
     }
 
     /// Asks another runner to go on with the stream, if there is one now and the budget allows it.
--- a/src/transfer/event_buffer.rs
+++ b/src/transfer/event_buffer.rs
@@ -7,6 +7,11 @@
 }
 
 impl Item {
+    /// Whether it brings the client something, as a comment does not.
+    pub fn has_data(&self) -> bool {
+        self.raw.split(|b| *b == b'\n').any(|line| line.starts_with(b"data"))
+    }
+
     /// How another event of the same place differs, without any of the caller's content: for the log.
     pub fn difference(&self, other: &Item) -> String {
         let name = |item: &Item| item.id.clone().unwrap_or_else(|| "none".into());
--- a/tests/platform_stream_end.rs
+++ b/tests/platform_stream_end.rs
@@ -196,3 +196,22 @@
         assert!(events(0, "\n").starts_with(&text) && text.len() < events(0, "\n").len(), "{what}: {text}");
     }
 }
+
+// Guards against: a stream whose events bear no ids is taken up from its start, and carries its events twice.
+#[tokio::test]
+async fn given_events_without_ids_when_their_runner_is_lost_then_the_stream_is_broken_off_and_nothing_comes_twice()
+ {
+    for (before, named) in [(String::new(), "none"), (event(1, "\n"), "the first")] {
+        let text = format!("{before}data: word\n\n");
+        let script = Arc::new(move |_, h: &Heard| {
+            let mut raw = framed(&text, Framing::Chunks);
+            raw.truncate(text.len() * 6);
+            vec![head(h, Framing::Chunks, 0), Step::Say(raw), Step::Close]
+        });
+        let road = Road::open(3, 3, 5, script).await;
+        let got = road.ask("q1", "/flow/x").await;
+        assert!(body(&got).is_none(), "{named}: {got}");
+        assert_eq!(came(&got).matches("data: word\n").count(), 1, "{named}: {got}");
+        assert_eq!(road.heard().len(), 1, "{named}");
+    }
+}
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -36,7 +36,7 @@
 overlap|src/forwarding/resume.rs|Join::Repeat\(last\) if last == item|Join::Repeat(_)|forwarding mixed
 join-by-id|src/forwarding/resume.rs|self.sequence.is_next\(id\)\)|self.sequence.is_next(id) \|\| true)|platform_stream never_mixed
 place-by-id|src/transfer/handover.rs|if !self.contract.same_place\(a, b\)|if false|transfer_ids stays_at_its_source
-silent-kept|src/forwarding/standby.rs|self.began && self.stream && self.order.resumable|false|standby goes_on_meanwhile
+silent-kept|src/forwarding/standby.rs|self.began && self.stream && self.order.resumable && !self.unplaced|false|standby goes_on_meanwhile
 standby-apart|src/forwarding/standby.rs|return self.standby_failed\(now, &how, Some\(false\), gate, out\)|return self.main_differs(now, attempt, &how, gate, out)|standby whole_and_its_own
 standby-steps-in|src/forwarding/resume.rs|if self.standby_steps_in\(&from, out\)|if false|waiter carries_the_stream_on
 waiter-over|src/forwarding/request.rs|gate.inbox.drop_id\(self.order.id\);||waiter neither_a_waiter_nor_a_slot
@@ -46,6 +46,7 @@
 close-resets|src/http/client_stream.rs|self.resets = reset_on_close\(&self.tcp, true\).is_ok\(\);||platform_end router_ends_half_way
 panic-ends|src/daemon/panics.rs|unsafe \{ libc::_exit\(PANIC_EXIT\) \}||panics ends_with_a_logged_event
 closed-end|src/forwarding/attempt.rs|end == AnswerEnd::Framed \|\| l.boundary.may_end\(\)|true|platform_stream_end may_not_be_resumed
+unplaced|src/forwarding/resume.rs|\(self.order.resumable && !self.unplaced\)|(self.order.resumable)|platform_stream_end without_ids
 order-sequence|src/sim/runner_orders.rs|Some\(o.expected\)|None|room held_up
 foreign-order|src/placement/flights.rs|busy && !self.rows|false && !self.rows|room predecessor
 overdue-room|src/placement/flights.rs|f.overdue \|= !f.answered|f.there \|= !f.answered|placement in_flight
@@ -97,7 +98,7 @@
 drop-resets|src/http/connection.rs|self.guard.give_up\(\);||platform_gone long_body_half_way
 interim|src/http/exchange.rs|if self.response.status\(\).is_informational\(\)|if false|platform_connection interim_status
 no-resend|src/http/attempt.rs|Err\(SendError::NotSent\) if used|Err(SendError::NotSent \| SendError::Unsure) if used|platform_gone after_a_request_came
-once-after-reset|src/forwarding/resume.rs|        self.order.resumable \|\| \(self|        true \|\| (self|platform_cuts_runner may_run_once
+once-after-reset|src/forwarding/resume.rs|        \(self.order.resumable && !self.unplaced\) \|\| \(self|        true \|\| (self|platform_cuts_runner may_run_once
 own-id|src/platform/runner.rs|if other \{\s+return Verdict::Stray;|if false { return Verdict::Stray;|platform_links surplus_answer
 deadline-left|src/http/attempt.rs|job.order.end.since\(job.clock.now\(\)\)|job.order.aim|platform_links told_what_is_left
 caller-gone|src/http/forward.rs|_ = gone\(&mut c.first, &c.body\) => In::Gone,||platform_gone caller_that_leaves
