Placement: room counts what runners hold of withdrawn and changed names, and unloads it

Cause: weights were looked up in the newest configuration alone, so a name it doesn't know counted as free room; for the same reason withdrawn names were never unloaded, and withdrawn adapters took no place. A name that comes back with less weight freed room that its earlier copies still took.

Use of room counts the greatest weight, what an unload frees counts the least; a name that is not known at all fills its runner.

--- a/src/fleet/config.rs
+++ b/src/fleet/config.rs
@@ -1,3 +1,4 @@
+use super::former::Former;
 use super::named::{Named, NamedList};
 use crate::kernel::ids::Name;
 use bitcode::{Decode, Encode};
@@ -15,6 +16,8 @@
     pub models: NamedList<Model>,
     pub adapters: NamedList<Adapter>,
     pub services: Vec<Service>,
+    /// What runners may still hold of earlier configurations.
+    pub former: NamedList<Former>,
 }
 
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
--- a/src/fleet/fold.rs
+++ b/src/fleet/fold.rs
@@ -1,6 +1,7 @@
 //! Applies committed changes to the fleet's state. Each member does so in the same order, so whatever is decided
 //! here is known to all of them and for good.
 
+use super::former::remembered;
 use super::ledger::{RefusedOrder, TakenOrder};
 use super::state::*;
 use crate::kernel::ids::*;
@@ -59,7 +60,8 @@
         self.end(id, OutcomeCode::Ok, format!("configuration {} is in force", self.at), stages.to_vec());
     }
 
-    fn take_config(&mut self, new: super::FleetConfig) {
+    fn take_config(&mut self, mut new: super::FleetConfig) {
+        new.former = remembered(&self.config, &new);
         let old = std::mem::replace(&mut self.config, new);
         self.config_at = self.at;
         let all: Vec<Name> =
--- /dev/null
+++ b/src/fleet/former.rs
@@ -0,0 +1,87 @@
+//! What runners may still hold of earlier configurations: names that a change withdrew or gave another weight.
+//!
+//! A runner holds what it was ordered to load until it is ordered to unload it, whatever the configuration says
+//! meanwhile. Its room is told from these weights too, so they are part of the fleet's state and outlive the holder of
+//! the placement duty and every restart.
+#![deny(missing_docs)]
+
+use super::config::FleetConfig;
+use super::named::{Named, NamedList};
+use crate::kernel::ids::Name;
+use bitcode::{Decode, Encode};
+
+/// So many names are remembered; the oldest give way. A name that is not known at all fills its runner.
+pub const FORMER_MAX: usize = 4096;
+
+/// A model or adapter as earlier configurations had it.
+#[derive(Clone, PartialEq, Debug, Encode, Decode)]
+pub struct Former {
+    /// Its name.
+    pub name: Name,
+    /// The least weight it had.
+    pub least_mb: u64,
+    /// The greatest weight it had.
+    pub most_mb: u64,
+    /// The model it belonged to, if it was an adapter.
+    pub base: Option<Name>,
+}
+
+impl Named for Former {
+    fn name(&self) -> &Name {
+        &self.name
+    }
+}
+
+impl Former {
+    fn of(name: &Name, mb: u64, base: Option<&Name>) -> Former {
+        Former { name: name.clone(), least_mb: mb, most_mb: mb, base: base.cloned() }
+    }
+}
+
+/// What is remembered once `new` takes the place of `old`.
+pub fn remembered(old: &FleetConfig, new: &FleetConfig) -> NamedList<Former> {
+    if old.models == new.models && old.adapters == new.adapters {
+        return old.former.clone();
+    }
+    let models = old.models.iter().map(|m| Former::of(&m.name, m.weight_mb, None));
+    let adapters = old.adapters.iter().map(|a| Former::of(&a.name, a.weight_mb, Some(&a.model)));
+    let changed = models.chain(adapters).filter(|f| new.weight(&f.name) != Some(f.most_mb));
+    let mut rows: Vec<Former> = old.former.to_vec();
+    for mut former in changed {
+        if let Some(known) = old.former.named(&former.name) {
+            former.least_mb = former.least_mb.min(known.least_mb);
+            former.most_mb = former.most_mb.max(known.most_mb);
+            rows.retain(|f| f.name != former.name);
+        }
+        rows.push(former);
+    }
+    let surplus = rows.len().saturating_sub(FORMER_MAX);
+    rows.drain(..surplus);
+    rows.into()
+}
+
+impl FleetConfig {
+    /// The most that a runner's copy of `name` may take, of whatever configuration it is; none if that is not known.
+    pub fn most_mb(&self, name: &Name) -> Option<u64> {
+        let former = self.former.named(name).map(|f| f.most_mb);
+        self.weight(name).max(former)
+    }
+
+    /// The least that an unload of a runner's copy of `name` frees.
+    pub fn least_mb(&self, name: &Name) -> Option<u64> {
+        let former = self.former.named(name).map(|f| f.least_mb);
+        match (self.weight(name), former) {
+            (Some(now), Some(former)) => Some(now.min(former)),
+            (now, former) => now.or(former),
+        }
+    }
+
+    /// The model that an adapter belongs to, also of one that was withdrawn.
+    pub fn base_of(&self, name: &Name) -> Option<&Name> {
+        match self.adapter(name) {
+            Some(adapter) => Some(&adapter.model),
+            None if self.model(name).is_some() => None,
+            None => self.former.named(name).and_then(|f| f.base.as_ref()),
+        }
+    }
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 pub mod duty;
 pub mod fold;
 pub mod fold_plan;
+pub mod former;
 pub mod holdings;
 pub mod ledger;
 pub mod named;
--- a/src/kernel/log_format.rs
+++ b/src/kernel/log_format.rs
@@ -10,7 +10,7 @@
 use crate::wire;
 
 /// The version of the format that this release writes.
-pub const FORMAT: u32 = 2;
+pub const FORMAT: u32 = 3;
 /// The length of a file's header.
 pub const HEADER_LEN: usize = 24;
 /// The name of the only file of format 1, which had no header.
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -57,7 +57,7 @@
         if self.stays(runner, name) {
             return None;
         }
-        let runs = match self.config().adapter(name) {
+        let runs = match self.config().base_of(name) {
             Some(_) => 0,
             None => o.report.runs_of(name).max(self.usage.runs(runner, name)),
         };
@@ -129,8 +129,8 @@
 
     fn weight(&self, o: &Offer, name: &Name) -> u64 {
         let c = self.config();
-        let mine = |n: &&Name| *n == name || c.adapter(n).is_some_and(|a| a.model == *name);
-        o.report.holds.iter().filter(mine).filter_map(|n| c.weight(n)).sum()
+        let mine = |n: &&Name| *n == name || c.base_of(n) == Some(name);
+        o.report.holds.iter().filter(mine).filter_map(|n| c.least_mb(n)).sum()
     }
 
     fn weigh(&self, place: usize, want: &Name) -> Option<Choice> {
--- a/src/placement/distrust.rs
+++ b/src/placement/distrust.rs
@@ -66,14 +66,15 @@
     /// The report with its use of memory taken from the configured weights, if its runner is doubted.
     pub fn corrected(&self, config: &FleetConfig, mut report: Report) -> Report {
         if self.is_doubted(&report.instance) {
-            report.used_mb = report.used_mb.max(weight_of_all(config, &report));
+            report.used_mb = report.used_mb.max(most_used(config, &report));
         }
         report
     }
 }
 
-/// The configured weight of all that a report shows as held or loading.
-pub fn weight_of_all(config: &FleetConfig, report: &Report) -> u64 {
+/// The most that all takes which a report shows as held or loading; the whole room if a weight is not known.
+pub fn most_used(config: &FleetConfig, report: &Report) -> u64 {
     let names = report.holds.iter().chain(&report.loading);
-    names.filter_map(|name| config.weight(name)).sum()
+    let known: Option<u64> = names.map(|name| config.most_mb(name)).sum();
+    known.unwrap_or(report.room_mb)
 }
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -44,6 +44,8 @@
     pub phases: BTreeMap<MoveId, (Phase, Time, u64)>,
     pub sent: BTreeMap<MoveId, Time>,
     pub planned: Time,
+    /// When runners were last searched for withdrawn names.
+    pub retired: Time,
     pub wanted: BTreeMap<Name, Time>,
     pub wants: BTreeMap<Name, Wanted>,
     pub used: BTreeMap<Name, Time>,
@@ -88,6 +90,7 @@
             phases: BTreeMap::new(),
             sent: BTreeMap::new(),
             planned: Time(0),
+            retired: Time(0),
             wanted: BTreeMap::new(),
             wants: BTreeMap::new(),
             used: BTreeMap::new(),
--- a/src/placement/flights.rs
+++ b/src/placement/flights.rs
@@ -188,7 +188,7 @@
 }
 
 pub fn is_adapter(c: &FleetConfig, name: &Name) -> bool {
-    c.adapter(name).is_some()
+    c.base_of(name).is_some()
 }
 
 /// A runner with what is known of it.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -20,6 +20,7 @@
 pub mod planner;
 pub mod push;
 pub mod quick;
+pub mod retire;
 pub mod room;
 pub mod round;
 pub mod seeker;
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -1,4 +1,4 @@
-use super::distrust::weight_of_all;
+use super::distrust::most_used;
 use super::duty::{ORDER_FRESH, Placement};
 use super::flights::{Flight, Offer, is_adapter};
 use super::job::Job;
@@ -113,7 +113,7 @@
         let Some(service) = service.and_then(|n| s.config.service(n)) else { return r };
         if r.room_mb == 0 {
             r.room_mb = service.room_mb;
-            r.used_mb = r.used_mb.max(weight_of_all(&s.config, &r));
+            r.used_mb = r.used_mb.max(most_used(&s.config, &r));
         }
         if r.adapter_room == 0 {
             r.adapter_room = service.places;
--- a/src/placement/planner.rs
+++ b/src/placement/planner.rs
@@ -52,7 +52,7 @@
         if free >= need && slot {
             break;
         }
-        free += p.config.weight(&name).unwrap_or(0);
+        free += p.config.least_mb(&name).unwrap_or(0);
         slot |= is_adapter(p.config, &name);
         steps.push(Step::Unload { runner: runner.clone(), name });
     }
@@ -120,7 +120,7 @@
     if p.config.placement.way == Ways::Greedy && !busy {
         for name in idle_names(p.config, o, &|_| false) {
             if p.config.model(&name).is_some() {
-                d.free += p.config.weight(&name).unwrap_or(0);
+                d.free += p.config.least_mb(&name).unwrap_or(0);
                 d.held.retain(|n| *n != name);
                 d.unload.push(name);
             }
--- a/src/placement/room.rs
+++ b/src/placement/room.rs
@@ -9,12 +9,12 @@
 }
 
 fn goes(c: &FleetConfig, r: &Report, f: &Flights, name: &Name) -> bool {
-    f.given_up(r, name) || c.adapter(name).is_some_and(|a| f.given_up(r, &a.model))
+    f.given_up(r, name) || c.base_of(name).is_some_and(|model| f.given_up(r, model))
 }
 
 fn freed_mb(c: &FleetConfig, r: &Report, f: &Flights) -> u64 {
     let gone = r.holds.iter().filter(|n| goes(c, r, f, n));
-    gone.filter_map(|n| c.weight(n)).sum()
+    gone.filter_map(|n| c.least_mb(n)).sum()
 }
 
 pub fn adapters_free(c: &FleetConfig, o: &Offer, f: &Flights) -> u64 {
@@ -38,14 +38,9 @@
 
 pub fn idle_names(c: &FleetConfig, o: &Offer, wanted: &dyn Fn(&Name) -> bool) -> Vec<Name> {
     let r = &o.report;
-    let used = |n: &Name| {
-        if let Some(a) = c.adapter(n) {
-            return r.runs_of(&a.model) > 0;
-        }
-        r.runs_of(n) > 0
-    };
+    let used = |n: &Name| r.runs_of(c.base_of(n).unwrap_or(n)) > 0;
     let mut rows: Vec<Name> =
-        r.holds.iter().filter(|n| !used(n) && !wanted(n) && c.weight(n).is_some()).cloned().collect();
-    rows.sort_by_key(|n| (c.weight(n).unwrap_or(0), n.clone()));
+        r.holds.iter().filter(|n| !used(n) && !wanted(n) && c.least_mb(n).is_some()).cloned().collect();
+    rows.sort_by_key(|n| (c.least_mb(n).unwrap_or(0), n.clone()));
     rows
 }
--- a/src/placement/stages.rs
+++ b/src/placement/stages.rs
@@ -31,6 +31,7 @@
             self.stage(m, &s, ctx);
         }
         self.run_plans(&s, ctx);
+        self.retire_withdrawn(&s, ctx);
         self.propose(&s, ctx);
     }
 
--- a/src/placement/trial.rs
+++ b/src/placement/trial.rs
@@ -21,7 +21,7 @@
     for (n, stage) in plan.stages.iter().enumerate() {
         for s in &stage.steps {
             let mut put = |runner: &Name, name: &Name, on: bool| {
-                let mb = p.config.weight(name).unwrap_or(0);
+                let mb = if on { p.config.weight(name) } else { p.config.least_mb(name) }.unwrap_or(0);
                 let Some(row) = p.offers.iter().find(|o| o.runner.instance == *runner) else {
                     faults.push(format!("stage {n}: {runner} does not report; bring it back or drop it"));
                     return;
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -47,6 +47,8 @@
 panic-ends|src/daemon/panics.rs|unsafe \{ libc::_exit\(PANIC_EXIT\) \}||panics ends_with_a_logged_event
 closed-end|src/forwarding/attempt.rs|end == AnswerEnd::Framed \|\| l.boundary.may_end\(\)|true|platform_stream_end may_not_be_resumed
 unplaced|src/forwarding/resume.rs|\(self.order.resumable && !self.unplaced\)|(self.order.resumable)|platform_stream_end without_ids
+withdrawn-room|src/placement/distrust.rs|let known: Option<u64> = names.map\(\|name\| config.most_mb\(name\)\).sum\(\);\s+known.unwrap_or\(report.room_mb\)|names.filter_map(\|name\| config.weight(name)).sum()|withdrawn over_its_room
+withdrawn-unload|src/placement/stages.rs|self.retire_withdrawn\(&s, ctx\);||withdrawn over_its_room
 order-sequence|src/sim/runner_orders.rs|Some\(o.expected\)|None|room held_up
 foreign-order|src/placement/flights.rs|busy && !self.rows|false && !self.rows|room predecessor
 overdue-room|src/placement/flights.rs|f.overdue \|= !f.answered|f.there \|= !f.answered|placement in_flight
