Stop: a router ends once its clients have every byte of their answers

Cause: a connection counted as done when the library had taken the last piece of its answer; 100 ms later the process ended. Besides, closing a socket that has unread bytes (a client that goes on sending after SIGTERM) resets what its client has not taken in.

Change: a connection is flushed before it rests, and counts as serving until its client has acknowledged every byte. While the process stops, a connection that closes first reads and drops what still comes until that is so. Routers use 0.95 of GraceS for it instead of 0.85. What is left is logged as undelivered_answers, and broken off.

--- a/src/daemon/stop.rs
+++ b/src/daemon/stop.rs
@@ -13,8 +13,6 @@
 
 /// Orders that were let in just before the stop get this long to show as open.
 const LAST_ORDERS: Duration = Duration::from_millis(400);
-/// What the last answers need to reach the socket.
-const FLUSH_TIME: Duration = Duration::from_millis(100);
 /// How often it looks whether all has ended.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -43,6 +41,7 @@
     pub async fn run(&self) {
         log::info!(event = "warned", drain_ms = self.drain.as_ms(); "");
         self.front.leaving.store(true, Ordering::SeqCst);
+        self.front.clients.stop();
         self.hand.feed(Event::Warned);
         let due = self.clock.now() + self.drain;
         tokio::time::sleep(self.lame).await;
@@ -52,14 +51,14 @@
         while self.busy() && self.clock.now() < due {
             tokio::time::sleep(LOOK).await;
         }
-        tokio::time::sleep(FLUSH_TIME).await;
         if self.role == Role::Controller {
             self.leave(due).await;
         }
-        let left = self.front.open.load(Ordering::SeqCst);
-        log::info!(event = "stopped", broken_streams = left; "");
+        let (left, undelivered) = (self.front.open.load(Ordering::SeqCst), self.front.clients.serving());
+        log::info!(event = "stopped", broken_streams = left, undelivered_answers = undelivered; "");
     }
 
+    /// Whether a request is under way, or an answer that its client has not wholly acknowledged.
     fn busy(&self) -> bool {
         self.front.open.load(Ordering::SeqCst) > 0 || self.front.clients.serving() > 0
     }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -2,8 +2,10 @@
 //! long a connection may rest between requests. A connection over its limit reads as ended, so that a request
 //! already under way on it is never cut.
 
+use super::guard::unacknowledged;
 use crate::fleet::config::Limits;
 use crate::kernel::time::{Clock, Span, Time};
+use std::os::fd::RawFd;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::task::{Context, Waker};
@@ -22,6 +24,8 @@
     Head { since: Time },
     /// A request is under way.
     Serving,
+    /// The answer is whole here; part of it is not yet written to the socket.
+    Flushing,
     /// Over a limit: nothing more is read.
     Ended,
 }
@@ -36,6 +40,7 @@
     state: Mutex<State>,
     all: Arc<ClientConnections>,
     head_limit: u64,
+    socket: Mutex<Option<RawFd>>,
     ended_by_close: AtomicBool,
     broken: AtomicBool,
 }
@@ -45,13 +50,20 @@
     clock: Arc<dyn Clock>,
     limits: Mutex<Limits>,
     open: Mutex<Vec<Weak<ClientConnection>>>,
+    /// The process is about to end: a connection closes once its client has all of its answer.
+    stopping: AtomicBool,
 }
 
 impl ClientConnections {
     /// No connections yet, and the limits that hold until a configuration is known.
     pub fn new(clock: Arc<dyn Clock>) -> Arc<ClientConnections> {
         let (limits, open) = (Mutex::new(Limits::default()), Mutex::default());
-        Arc::new(ClientConnections { clock, limits, open })
+        Arc::new(ClientConnections { clock, limits, open, stopping: AtomicBool::new(false) })
+    }
+
+    /// From now on connections close only once their clients have all of their answers.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
     }
 
     /// The limits in force.
@@ -59,19 +71,19 @@
         self.limits.lock().unwrap().clone()
     }
 
-    /// How many connections have a request under way.
+    /// How many connections have a request under way, or an answer that its client has not wholly acknowledged.
     pub fn serving(&self) -> usize {
-        self.count(|phase| phase == Phase::Serving)
+        self.count(|c| matches!(c.phase(), Phase::Serving | Phase::Flushing) || c.unacknowledged() > 0)
     }
 
     /// How many connections have sent part of a head that is not yet whole.
     pub fn begun(&self) -> usize {
-        self.count(|phase| matches!(phase, Phase::Head { .. }))
+        self.count(|c| matches!(c.phase(), Phase::Head { .. }))
     }
 
-    fn count(&self, is: impl Fn(Phase) -> bool) -> usize {
+    fn count(&self, is: impl Fn(&ClientConnection) -> bool) -> usize {
         let open = self.open.lock().unwrap();
-        open.iter().filter_map(Weak::upgrade).filter(|c| is(c.state.lock().unwrap().phase)).count()
+        open.iter().filter_map(Weak::upgrade).filter(|c| is(c)).count()
     }
 
     /// Takes in a new connection.
@@ -82,7 +94,9 @@
         let head_limit = limits.head_bytes;
         let (ended_by_close, broken) = (AtomicBool::new(false), AtomicBool::new(false));
         let all = self.clone();
-        let connection = Arc::new(ClientConnection { state, all, head_limit, ended_by_close, broken });
+        let socket = Mutex::default();
+        let connection =
+            Arc::new(ClientConnection { state, all, head_limit, socket, ended_by_close, broken });
         self.open.lock().unwrap().push(Arc::downgrade(&connection));
         connection
     }
@@ -141,16 +155,44 @@
         self.broken.load(Ordering::SeqCst)
     }
 
-    /// The answer is done with: the connection begins to rest.
-    pub fn rest(&self) {
+    /// The whole answer was taken over for writing.
+    pub fn taken(&self) {
+        let mut state = self.state.lock().unwrap();
+        if state.phase != Phase::Ended {
+            state.phase = Phase::Flushing;
+        }
+    }
+
+    /// All that was to be written reached the socket: after an answer, the connection begins to rest.
+    pub(super) fn flushed(&self) {
         let limit = Span::ms(self.all.limits.lock().unwrap().idle_ms);
         let since = self.all.clock.now();
         let mut state = self.state.lock().unwrap();
-        if state.phase != Phase::Ended {
+        if state.phase == Phase::Flushing {
             state.phase = Phase::Resting { since, limit };
         }
     }
 
+    /// The connection's socket, as long as it is open.
+    pub(super) fn set_socket(&self, socket: Option<RawFd>) {
+        *self.socket.lock().unwrap() = socket;
+    }
+
+    fn phase(&self) -> Phase {
+        self.state.lock().unwrap().phase
+    }
+
+    /// Whether a close has to wait: what a closed socket has unread would reset what its client has not yet.
+    pub(super) fn lingers(&self) -> bool {
+        self.all.stopping.load(Ordering::SeqCst) && !self.is_broken_off() && self.unacknowledged() > 0
+    }
+
+    /// The bytes that were written to the socket and that the client has not acknowledged.
+    fn unacknowledged(&self) -> u64 {
+        let socket = self.socket.lock().unwrap();
+        socket.and_then(unacknowledged).map_or(0, |bytes| bytes.max(0) as u64)
+    }
+
     pub(super) fn heard(&self) {
         let mut state = self.state.lock().unwrap();
         if let Phase::Resting { .. } = state.phase {
@@ -164,7 +206,7 @@
             // The longer of the limits that held while it rested: a client may know the older one.
             Phase::Resting { since, limit } => now.since(since) > limit.max(Span::ms(limits.idle_ms)),
             Phase::Head { since } => now.since(since) > Span::ms(limits.head_ms),
-            Phase::Serving | Phase::Ended => false,
+            Phase::Serving | Phase::Flushing | Phase::Ended => false,
         };
         if over {
             state.phase = Phase::Ended;
--- a/src/http/client_stream.rs
+++ b/src/http/client_stream.rs
@@ -4,12 +4,16 @@
 
 use super::client::ClientConnection;
 use super::linger::reset_on_close;
+use std::future::Future;
 use std::io;
+use std::os::fd::AsRawFd;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
 
 /// The socket of a client's connection.
 pub struct ClientStream {
@@ -17,12 +21,18 @@
     connection: Arc<ClientConnection>,
     /// Whether a close that was not announced is a reset.
     resets: bool,
+    /// When it is looked again whether the client has all of its answer.
+    look: Option<Pin<Box<Sleep>>>,
 }
 
+/// How often it is looked whether a client has all of its answer before its connection closes.
+const LOOK: Duration = Duration::from_millis(20);
+
 impl ClientStream {
     /// Reads and writes `tcp` within the limits of `connection`.
     pub fn new(tcp: TcpStream, connection: Arc<ClientConnection>) -> ClientStream {
-        ClientStream { tcp, connection, resets: false }
+        connection.set_socket(Some(tcp.as_raw_fd()));
+        ClientStream { tcp, connection, resets: false, look: None }
     }
 
     /// A client that takes the end of the connection for the end of its answer sees a reset, unless the answer was
@@ -33,6 +43,25 @@
         }
     }
 
+    /// Reads and drops what the client still sends until it has all of its answer or has closed.
+    fn poll_linger(&mut self, cx: &mut Context) -> Poll<()> {
+        let mut dropped = [0; 1024];
+        while self.connection.lingers() {
+            let mut buf = ReadBuf::new(&mut dropped);
+            match Pin::new(&mut self.tcp).poll_read(cx, &mut buf) {
+                Poll::Ready(Ok(())) if !buf.filled().is_empty() => continue,
+                Poll::Ready(_) => return Poll::Ready(()),
+                Poll::Pending => {}
+            }
+            let look = self.look.get_or_insert_with(|| Box::pin(sleep(LOOK)));
+            if look.as_mut().poll(cx).is_pending() {
+                return Poll::Pending;
+            }
+            self.look = None;
+        }
+        Poll::Ready(())
+    }
+
     fn expect_end(&mut self) {
         if self.resets && !self.connection.is_broken_off() {
             self.resets = reset_on_close(&self.tcp, false).is_err();
@@ -40,6 +69,12 @@
     }
 }
 
+impl Drop for ClientStream {
+    fn drop(&mut self) {
+        self.connection.set_socket(None);
+    }
+}
+
 impl AsyncRead for ClientStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let me = self.get_mut();
@@ -63,13 +98,21 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().tcp).poll_flush(cx)
+        let me = self.get_mut();
+        let done = Pin::new(&mut me.tcp).poll_flush(cx);
+        if let Poll::Ready(Ok(())) = &done {
+            me.connection.flushed();
+        }
+        done
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
         let me = self.get_mut();
         me.expect_end();
-        Pin::new(&mut me.tcp).poll_shutdown(cx)
+        if let Poll::Ready(Err(fault)) = Pin::new(&mut me.tcp).poll_shutdown(cx) {
+            return Poll::Ready(Err(fault));
+        }
+        me.poll_linger(cx).map(Ok)
     }
 
     fn poll_write_vectored(
--- a/src/http/guard.rs
+++ b/src/http/guard.rs
@@ -84,7 +84,7 @@
 }
 
 /// The bytes that were written to a socket and that its peer has not acknowledged.
-fn unacknowledged(fd: RawFd) -> Option<libc::c_int> {
+pub(super) fn unacknowledged(fd: RawFd) -> Option<libc::c_int> {
     let mut bytes: libc::c_int = 0;
     let done = unsafe { libc::ioctl(fd, libc::TIOCOUTQ, &raw mut bytes) };
     (done == 0).then_some(bytes)
--- a/src/http/served_body.rs
+++ b/src/http/served_body.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
-/// The body of an answer; when it is done with, its connection begins to rest.
+/// The body of an answer; when it was taken over whole, its connection has only to be flushed.
 pub struct ServedBody {
     body: OutBody,
     connection: Arc<ClientConnection>,
@@ -23,7 +23,7 @@
 
 impl Drop for ServedBody {
     fn drop(&mut self) {
-        self.connection.rest();
+        self.connection.taken();
     }
 }
 
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -15,6 +15,10 @@
 use yaml_rust2::{Yaml, YamlLoader};
 
 const LAME_MS: u64 = 2300;
+/// The part of the grace that answers under way have to be handed over whole.
+const ROUTER_DRAIN: f64 = 0.95;
+/// The part of the grace that a controller has to leave the chain.
+const CONTROLLER_DRAIN: f64 = 0.85;
 /// What is left of the time for an acknowledgement for the commit, and for a caller to come back for it.
 const ACKNOWLEDGEMENT_RESERVE_MS: u64 = 1500;
 
@@ -146,7 +150,7 @@
         bear,
         first,
         data,
-        drain_ms: (grace * 0.85) as u64,
+        drain_ms: (grace * if role == Role::Router { ROUTER_DRAIN } else { CONTROLLER_DRAIN }) as u64,
         proof_ms,
         lease_ms: proof_ms + acknowledgement_wait(acknowledged_within),
         lame_ms: if role == Role::Router { LAME_MS } else { 0 },
