Forwarding: what a run is for is decided once for each of its events

Change: forwarding/role.rs. An event of an attempt goes to one of three handlers by its role (main, standby, destination); each event of a stream looks again, as a switch changes the role. The end of an answer has a module of its own. Behaviour is meant to be the same.

Evidence: forwarding, standby, waiter, transfer_ids, platform_stream, platform_stream_end, platform_resume, must_never and must_never_too pass; the guard standby-apart follows its line.

--- a/src/forwarding/attempt.rs
+++ b/src/forwarding/attempt.rs
@@ -1,3 +1,4 @@
+use super::answer_end::AnswerEnd;
 use super::request::*;
 use super::resume::Joined;
 use crate::fleet::runner::Runner;
@@ -55,6 +56,13 @@
         self.attempts.iter_mut().find(|l| l.no == no)
     }
 
+    /// The head of a run's answer has come.
+    pub fn head_came(&mut self, attempt: AttemptNo) {
+        if let Some(run) = self.attempt(attempt) {
+            run.head = true;
+        }
+    }
+
     pub fn head(
         &mut self,
         now: Time,
@@ -65,18 +73,7 @@
         out: &mut Vec<Out>,
     ) {
         let fit = stream && status == 200;
-        if self.is_standby(attempt) {
-            return self.standby_head(now, attempt, fit, gate, out);
-        }
         self.heard = now;
-        if self.is_dest(attempt) {
-            if !fit {
-                self.dest_failed(now, "the destination did not answer with a stream", gate, out);
-            } else if let Some(l) = self.attempt(attempt) {
-                l.head = true;
-            }
-            return;
-        }
         let Some(l) = self.attempt(attempt) else { return };
         l.head = true;
         let runner = l.runner.instance.clone();
@@ -94,58 +91,23 @@
         out.push(Out::Head { attempt });
     }
 
-    pub fn chunk(
+    /// An event of the request's own run: the first one must go on where the stream stands.
+    pub fn joined_item(
         &mut self,
         now: Time,
         attempt: AttemptNo,
-        raw: &bytes::Bytes,
+        item: Item,
         gate: &mut Gate,
         out: &mut Vec<Out>,
     ) {
-        if let Some(l) = self.attempt(attempt) {
-            l.boundary.add(raw);
-        }
-        if self.is_standby(attempt) {
-            return self.standby_chunk(now, attempt, raw, gate, out);
-        }
-        let dest = self.is_dest(attempt);
-        if !dest {
-            self.heard = now;
-            if attempt != self.main {
-                return;
-            }
-            if !(self.order.resumable && self.stream) {
-                out.push(Out::Pass(raw.clone()));
-                return;
+        match self.joined(attempt, &item) {
+            Joined::Goes => {
+                self.source_heard(now, gate, out);
+                self.main_item(now, item, gate, out);
             }
+            Joined::Skipped => {}
+            Joined::Differs(how) => self.main_differs(now, attempt, &how, gate, out),
         }
-        let Some(l) = self.attempt(attempt) else { return };
-        let items = l.cut.add(raw);
-        if l.cut.too_long() {
-            return self.step_into_lost(now, attempt, gate, out);
-        }
-        for item in items {
-            if dest && self.is_dest(attempt) {
-                self.dest_item(now, item, gate, out);
-            } else if attempt == self.main {
-                match self.joined(attempt, &item) {
-                    Joined::Goes => {
-                        self.source_heard(now, gate, out);
-                        self.main_item(now, item, gate, out);
-                    }
-                    Joined::Skipped => {}
-                    Joined::Differs(how) => self.main_differs(now, attempt, &how, gate, out),
-                }
-            }
-            if self.over || self.attempts.iter().all(|l| l.no != attempt) {
-                return;
-            }
-        }
-    }
-
-    pub fn step_into_lost(&mut self, now: Time, attempt: AttemptNo, gate: &mut Gate, out: &mut Vec<Out>) {
-        let more = self.step(now, In::Lost { attempt }, gate);
-        out.extend(more);
     }
 
     pub fn pass_item(&mut self, item: Item, out: &mut Vec<Out>) {
@@ -179,21 +141,9 @@
         gate: &mut Gate,
         out: &mut Vec<Out>,
     ) {
-        if self.is_dest(attempt) {
-            if let Some(l) = self.attempt(attempt) {
-                l.ended = Some(end);
-            }
-            return self.dest_ended(now, gate, out);
-        }
-        if self.is_standby(attempt) {
-            return self.standby_failed(now, "it ended without a word", None, gate, out);
-        }
-        if attempt != self.main {
-            return;
-        }
         if !self.may_end(attempt, end) {
             gate.count("ended_early");
-            return self.step_into_lost(now, attempt, gate, out);
+            return self.lost(now, attempt, gate, out);
         }
         self.source_ended(now, gate, out);
         if let Some(l) = self.attempt(attempt) {
--- a/src/forwarding/failure.rs
+++ b/src/forwarding/failure.rs
@@ -15,14 +15,7 @@
         gate: &mut Gate,
         out: &mut Vec<Out>,
     ) {
-        if self.is_dest(attempt) {
-            return self.dest_failed(now, "the destination could not be reached", gate, out);
-        }
         self.opened = self.opened.saturating_sub(1);
-        if self.is_standby(attempt) {
-            let good = why.is_none().then_some(false);
-            return self.standby_failed(now, "it could not be reached", good, gate, out);
-        }
         let Some(runner) = self.attempt(attempt).map(|l| l.runner.instance.clone()) else { return };
         let good = if why.is_none() { Some(false) } else { None };
         self.close(now, attempt, good, gate, out);
@@ -57,12 +50,6 @@
     }
 
     pub fn lost(&mut self, now: Time, attempt: AttemptNo, gate: &mut Gate, out: &mut Vec<Out>) {
-        if self.is_dest(attempt) {
-            return self.dest_failed(now, "the destination failed", gate, out);
-        }
-        if self.is_standby(attempt) {
-            return self.standby_failed(now, "it failed", Some(false), gate, out);
-        }
         let Some(runner) = self.attempt(attempt).map(|l| l.runner.instance.clone()) else { return };
         self.source_failed(now, gate, out);
         self.sent = true;
--- a/src/forwarding/migration.rs
+++ b/src/forwarding/migration.rs
@@ -12,8 +12,27 @@
 const NEEDS: u64 = 2;
 
 impl RequestFlow {
-    pub fn is_dest(&self, attempt: AttemptNo) -> bool {
-        self.hand.as_ref().is_some_and(|h| h.0 == attempt)
+    /// An event of the run that a stream is being moved to, other than a piece of its answer.
+    pub fn dest_event(&mut self, now: Time, ev: In, gate: &mut Gate, out: &mut Vec<Out>) {
+        match ev {
+            In::OpenFailed { .. } => self.dest_failed(now, "the destination could not be reached", gate, out),
+            In::Lost { .. } => self.dest_failed(now, "the destination failed", gate, out),
+            In::Shed { .. } => self.dest_failed(now, "the destination turned it away", gate, out),
+            In::Head { attempt, status, stream } => {
+                self.heard = now;
+                if stream && status == 200 {
+                    return self.head_came(attempt);
+                }
+                self.dest_failed(now, "the destination did not answer with a stream", gate, out);
+            }
+            In::End { attempt, end } => {
+                if let Some(run) = self.attempt(attempt) {
+                    run.ended = Some(end);
+                }
+                self.dest_ended(now, gate, out);
+            }
+            _ => {}
+        }
     }
 
     pub fn main_item(&mut self, now: Time, item: Item, gate: &mut Gate, out: &mut Vec<Out>) {
--- a/src/forwarding/mod.rs
+++ b/src/forwarding/mod.rs
@@ -1,7 +1,10 @@
+pub mod answer_end;
 pub mod attempt;
 pub mod failure;
 pub mod migration;
 pub mod request;
 pub mod resume;
+pub mod role;
 pub mod standby;
-pub use request::{AnswerEnd, In, Out, RequestFlow};
+pub use answer_end::AnswerEnd;
+pub use request::{In, Out, RequestFlow};
--- a/src/forwarding/request.rs
+++ b/src/forwarding/request.rs
@@ -1,3 +1,4 @@
+use super::answer_end::AnswerEnd;
 use super::attempt::RunnerAttempt;
 use crate::fleet::runner::Runner;
 use crate::gate::order::Why;
@@ -16,15 +17,6 @@
 
 pub type AttemptNo = u64;
 
-/// How the end of a runner's answer was said.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum AnswerEnd {
-    /// By the answer's own framing: a length, or chunks.
-    Framed,
-    /// By the end of its connection, which a killed runner's answer has too.
-    Closed,
-}
-
 #[derive(Debug)]
 pub enum In {
     Go,
@@ -40,6 +32,20 @@
     Tick,
 }
 
+impl In {
+    /// The attempt that the event is about.
+    pub fn attempt(&self) -> Option<AttemptNo> {
+        match self {
+            In::OpenFailed { attempt, .. } | In::Lost { attempt } | In::Head { attempt, .. } => {
+                Some(*attempt)
+            }
+            In::Shed { attempt, .. } | In::Load { attempt, .. } => Some(*attempt),
+            In::Chunk { attempt, .. } | In::End { attempt, .. } => Some(*attempt),
+            In::Go | In::Woken(_) | In::Gone | In::Tick => None,
+        }
+    }
+}
+
 #[derive(Debug)]
 pub enum Out {
     Wait { avoid: Vec<Name> },
@@ -137,30 +143,19 @@
                 self.carry(now, plan, gate, &mut out);
             }
             In::Woken(plan) => self.carry(now, plan, gate, &mut out),
-            In::OpenFailed { attempt, why } => self.open_failed(now, attempt, why, gate, &mut out),
-            In::Lost { attempt } => self.lost(now, attempt, gate, &mut out),
-            In::Shed { attempt, gone } => self.shed(now, attempt, gone, gate, &mut out),
             In::Load { attempt, load } => self.told_load(now, attempt, load, gate),
-            In::Head { attempt, status, stream } => self.head(now, attempt, status, stream, gate, &mut out),
-            In::Chunk { attempt, raw } => self.chunk(now, attempt, &raw, gate, &mut out),
-            In::End { attempt, end } => self.ended(now, attempt, end, gate, &mut out),
             In::Gone => {
                 gate.count("caller_gone");
                 self.close_all(now, gate, &mut out);
             }
             In::Tick => self.tick(now, gate, &mut out),
+            of_attempt => self.attempt_event(now, of_attempt, gate, &mut out),
         }
         out
     }
 
     fn is_stray(&self, ev: &In) -> bool {
-        let attempt = match ev {
-            In::OpenFailed { attempt, .. } | In::Lost { attempt } | In::Head { attempt, .. } => attempt,
-            In::Shed { attempt, .. } | In::Load { attempt, .. } => attempt,
-            In::Chunk { attempt, .. } | In::End { attempt, .. } => attempt,
-            _ => return false,
-        };
-        self.attempts.iter().all(|l| l.no != *attempt)
+        ev.attempt().is_some_and(|attempt| self.attempts.iter().all(|l| l.no != attempt))
     }
 
     fn carry(&mut self, now: Time, plan: Plan, gate: &mut Gate, out: &mut Vec<Out>) {
@@ -177,6 +172,11 @@
         }
     }
 
+    /// Whether it waits for a runner.
+    pub fn is_waiting(&self) -> bool {
+        self.waiting
+    }
+
     /// From now on the request waits for a runner.
     pub fn wait(&mut self, out: &mut Vec<Out>) {
         self.waiting = true;
--- a/src/forwarding/resume.rs
+++ b/src/forwarding/resume.rs
@@ -97,14 +97,7 @@
     }
 
     pub fn shed(&mut self, now: Time, attempt: AttemptNo, gone: bool, gate: &mut Gate, out: &mut Vec<Out>) {
-        if self.is_dest(attempt) {
-            return self.dest_failed(now, "the destination turned it away", gate, out);
-        }
         let Some(runner) = self.runner_of(attempt) else { return };
-        if self.is_standby(attempt) {
-            gate.turned_away(now, &runner, &self.order, gone);
-            return self.standby_failed(now, "it turned the request away", None, gate, out);
-        }
         self.close(now, attempt, None, gate, out);
         gate.count(if gone { "not_there" } else { "shed" });
         gate.turned_away(now, &runner, &self.order, gone);
--- a/src/forwarding/standby.rs
+++ b/src/forwarding/standby.rs
@@ -11,15 +11,33 @@
 use crate::gate::{Gate, Plan};
 use crate::kernel::ids::Name;
 use crate::kernel::time::{Span, Time};
-use bytes::Bytes;
+use crate::transfer::event_buffer::Item;
 
 /// The pause between two looks for a runner to stand by.
 const STANDBY_PAUSE: Span = Span::ms(200);
 
 impl RequestFlow {
-    /// Whether `attempt` is the run that stands by.
-    pub fn is_standby(&self, attempt: AttemptNo) -> bool {
-        self.standby == Some(attempt)
+    /// An event of the run that stands by, other than a piece of its answer.
+    pub fn standby_event(&mut self, now: Time, ev: In, gate: &mut Gate, out: &mut Vec<Out>) {
+        match ev {
+            In::OpenFailed { why, .. } => {
+                self.opened = self.opened.saturating_sub(1);
+                let good = why.is_none().then_some(false);
+                self.standby_failed(now, "it could not be reached", good, gate, out);
+            }
+            In::Lost { .. } => self.standby_failed(now, "it failed", Some(false), gate, out),
+            In::Shed { attempt, gone } => {
+                let runner = self.runner_of(attempt).unwrap_or_default();
+                gate.turned_away(now, &runner, &self.order, gone);
+                self.standby_failed(now, "it turned the request away", None, gate, out);
+            }
+            In::Head { status: 200, stream: true, attempt } => self.head_came(attempt),
+            In::Head { .. } => {
+                self.standby_failed(now, "it did not answer with a stream", None, gate, out);
+            }
+            In::End { .. } => self.standby_failed(now, "it ended without a word", None, gate, out),
+            _ => {}
+        }
     }
 
     /// Whether a silent run is left alone while another is asked, as a begun stream that may be resumed is.
@@ -50,56 +68,29 @@
         self.heard = heard;
     }
 
-    /// The run that stands by began to answer.
-    pub fn standby_head(
-        &mut self,
-        now: Time,
-        attempt: AttemptNo,
-        fit: bool,
-        gate: &mut Gate,
-        out: &mut Vec<Out>,
-    ) {
-        if !fit {
-            return self.standby_failed(now, "it did not answer with a stream", None, gate, out);
-        }
-        if let Some(l) = self.attempt(attempt) {
-            l.head = true;
-        }
-    }
-
-    /// Events of the run that stands by: the first one that goes on with the stream makes it the stream's own run.
-    pub fn standby_chunk(
+    /// An event of the run that stands by: the first one that goes on with the stream makes it the stream's own run.
+    pub fn standby_item(
         &mut self,
         now: Time,
         attempt: AttemptNo,
-        raw: &Bytes,
+        item: Item,
         gate: &mut Gate,
         out: &mut Vec<Out>,
     ) {
-        let Some(l) = self.attempt(attempt) else { return };
-        let items = l.cut.add(raw);
-        if l.cut.too_long() {
-            return self.standby_failed(now, "an event was too long", Some(false), gate, out);
-        }
-        for item in items {
-            match self.joined(attempt, &item) {
-                Joined::Goes => {
-                    self.standby_takes_over(now, attempt, gate, out);
-                    self.pass_item(item, out);
-                }
-                Joined::Skipped => {}
-                Joined::Differs(how) => {
-                    gate.count("resume_differs");
-                    return self.standby_failed(now, &how, Some(false), gate, out);
-                }
+        match self.joined(attempt, &item) {
+            Joined::Goes => {
+                self.standby_takes_over(now, attempt, gate, out);
+                self.pass_item(item, out);
+            }
+            Joined::Skipped => {}
+            Joined::Differs(how) => {
+                gate.count("resume_differs");
+                self.standby_failed(now, &how, Some(false), gate, out);
             }
         }
     }
 
     fn standby_takes_over(&mut self, now: Time, attempt: AttemptNo, gate: &mut Gate, out: &mut Vec<Out>) {
-        if self.main == attempt {
-            return;
-        }
         let silent = std::mem::replace(&mut self.main, attempt);
         self.standby = None;
         self.heard = now;
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -37,7 +37,7 @@
 join-by-id|src/forwarding/resume.rs|self.sequence.is_next\(id\)\)|self.sequence.is_next(id) \|\| true)|platform_stream never_mixed
 place-by-id|src/transfer/handover.rs|if !self.contract.same_place\(a, b\)|if false|transfer_ids stays_at_its_source
 silent-kept|src/forwarding/standby.rs|self.began && self.stream && self.order.resumable && !self.unplaced|false|standby goes_on_meanwhile
-standby-apart|src/forwarding/standby.rs|return self.standby_failed\(now, &how, Some\(false\), gate, out\)|return self.main_differs(now, attempt, &how, gate, out)|standby whole_and_its_own
+standby-apart|src/forwarding/standby.rs|self.standby_failed\(now, &how, Some\(false\), gate, out\)|self.main_differs(now, attempt, &how, gate, out)|standby whole_and_its_own
 standby-steps-in|src/forwarding/resume.rs|if self.standby_steps_in\(&from, out\)|if false|waiter carries_the_stream_on
 waiter-over|src/forwarding/request.rs|gate.inbox.drop_id\(self.order.id\);||waiter neither_a_waiter_nor_a_slot
 plan-late|src/forwarding/request.rs|self.decline\(now, plan, gate\);||waiter goes_back
