Simulator: nothing of a request stays at its gate once it is over; no-body answers have a story

Change: whenever a request ends, the simulator compares what its gate counts (waiters, slots, reserved tries) with what the requests under way have (sim/check_leaks.rs); more is an objection of every story. A router shows its reserved tries in /metrics beside the waiters and the slots. Answers to HEAD and 204s are whole, keep their heads and leave the connection usable (tests/platform_end.rs).

Evidence: with the release of a closed attempt's slot switched off, must_never fails (guard slot-released, seen to fail). Switching off the withdrawal of a waiter, or the return of reserved tries at the end, is not seen by soak, must_never, must_never_too, standby, transfer_ids and sequences: simulated callers don't leave while they wait. The first has its own story (waiter).

--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -66,6 +66,7 @@
         row("first_sends", g.tries.first as f64);
         row("extra_tries", g.tries.extra as f64);
         row("retry_credit", credit);
+        row("reserved_tries", g.tries.reserved() as f64);
         row("freshness_age_ms", now.since(g.proven).as_ms() as f64);
         row("expected_wait_ms", g.waits.as_ms() as f64);
         row("version", g.at.0 as f64);
--- a/src/gate/budget.rs
+++ b/src/gate/budget.rs
@@ -45,6 +45,11 @@
         self.held -= n as f64;
     }
 
+    /// The tries that are kept for moves under way.
+    pub fn reserved(&self) -> u64 {
+        self.held.round().max(0.0) as u64
+    }
+
     pub fn spend_held(&mut self) {
         self.held -= 1.0;
         self.extra += 1;
--- a/src/sim/check.rs
+++ b/src/sim/check.rs
@@ -21,6 +21,7 @@
     bad.extend(tries(w));
     bad.extend(holders(w));
     bad.extend(room_and_store(w));
+    bad.extend(w.requests.leaks.iter().cloned());
     bad.extend(super::check_views::views(w));
     bad
 }
--- a/src/sim/front.rs
+++ b/src/sim/front.rs
@@ -13,6 +13,10 @@
 pub struct Requests {
     pub rows: BTreeMap<u64, SimRequest>,
     pub next: u64,
+    /// The nodes and gates at which requests have ended since [`World::check_leaks`] looked last.
+    pub ended_at: Vec<(usize, Arc<Mutex<Gate>>)>,
+    /// What ended requests left behind.
+    pub leaks: Vec<String>,
 }
 
 pub struct SimRequest {
@@ -151,6 +155,7 @@
 
     fn end_request(&mut self, id: u64, end: End, code: &str) {
         let Some(r) = self.requests.rows.remove(&id) else { return };
+        self.requests.ended_at.push((r.place, r.gate.clone()));
         let shown = matches!(end, End::Whole | End::Broken);
         let text = if shown { Some(r.text) } else { None };
         let (call, after) = (r.call, r.gap.1.as_ms());
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -129,6 +129,7 @@
             self.now = self.now.max(key.0);
             self.step(ev);
             self.wake();
+            self.check_leaks();
         }
         self.now = end;
     }
--- a/tests/platform_end.rs
+++ b/tests/platform_end.rs
@@ -127,3 +127,36 @@
     let end = outside.block_on(async { tokio::time::timeout(LONG, link.read_to_end(&mut all)).await });
     assert!(end.expect("an end").is_err(), "half an answer ends as a whole one: {} bytes", all.len());
 }
+
+// Guards against: an answer that can have no body is taken for one that was broken off, or lacks its head's words.
+#[tokio::test]
+async fn given_answers_that_have_no_body_when_they_are_passed_on_then_they_are_whole_and_the_connection_serves_on()
+ {
+    let script = Arc::new(|_, h: &Heard| {
+        let id = h.head("x-request-id");
+        let more = match h.line.starts_with("HEAD") {
+            true => "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n",
+            false => "HTTP/1.1 204 No Content\r\n",
+        };
+        vec![say(format!(
+            "{more}x-request-id: {id}\r\nx-server-seal: 3\r\ncontent-type: text/event-stream\r\n\r\n"
+        ))]
+    });
+    for path in ["/once/x", "/idem/x", "/rare/x", "/flow/x"] {
+        let road = Road::open(1, 2, 5, script.clone()).await;
+        let mut link = road.link().await;
+        for (n, method) in ["HEAD", "GET", "HEAD", "GET"].into_iter().enumerate() {
+            let ask = order(&format!("q{n}"), path, "").replacen("GET", method, 1);
+            link.write_all(ask.as_bytes()).await.expect("sent");
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                let read = tokio::time::timeout(LONG, link.read_buf(&mut head)).await.expect("in time");
+                assert!(read.expect("read") > 0, "{path} {method}: the connection ended");
+            }
+            let text = String::from_utf8_lossy(&head).into_owned();
+            assert_eq!(status(&text), if method == "HEAD" { 200 } else { 204 }, "{path}: {text}");
+            assert!(text.contains(&format!("x-request-id: q{n}\r\n")), "{path} {method}: {text}");
+        }
+        assert_eq!(road.heard().len(), 4, "{path}: each was sent once");
+    }
+}
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -41,6 +41,7 @@
 standby-steps-in|src/forwarding/resume.rs|if self.standby_steps_in\(&from, out\)|if false|waiter carries_the_stream_on
 waiter-over|src/forwarding/request.rs|gate.inbox.drop_id\(self.order.id\);||waiter neither_a_waiter_nor_a_slot
 plan-late|src/forwarding/request.rs|self.decline\(now, plan, gate\);||waiter goes_back
+slot-released|src/forwarding/request.rs|gate.release\(now, &l.runner.instance, &self.order.model, good\);||must_never none_runs_twice
 plan-untaken|src/gate/waiters.rs|self.give_back\(&runner.instance, &waiter.order.model\);||waiter runtime_wakes_it
 end-said|src/http/body.rs|Some\(Err\("the answer was broken off before its end".into\(\)\)\)|None|platform_end never_looks_complete
 close-resets|src/http/client_stream.rs|self.resets = reset_on_close\(&self.tcp, true\).is_ok\(\);||platform_end router_ends_half_way
