Soak: randomized runs on real processes, drawn from a seed and judged from outside

The simulator has no sockets, and the trial of spindledock-fleet did one thing at a time.

A schedule of overlapping episodes: stops in order with further signals, SIGHUP series, kills, freezes, wiped controllers, runners that die within an event, end streams within one, turn away late or are silent, half of them without a length; changes, races and invalid ones, withdrawn and returned models; replaced runners. Clients use one connection until it ends; some read slowly over a narrow socket. Checked: LOST, ORDER, CONFIG, GONE, leaks at rest, and what the simulator checks of its own runs. Found in the tool itself: an interrupt while the fleet was being started left processes behind, as signals were caught too late (process_soak, interrupted, failed before).

--- a/src/bin/spindledock-fleet.rs
+++ b/src/bin/spindledock-fleet.rs
@@ -2,7 +2,9 @@
 use spindledock::launch::deployment::by_name;
 use spindledock::launch::procs::Fleet;
 use spindledock::launch::trial::Trial;
+use spindledock::soak::{self, SoakOptions};
 use std::time::Duration;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 #[global_allocator]
 static HEAP: hollow::heap::Counting = hollow::heap::Counting;
@@ -14,8 +16,6 @@
   --base PORT    first port of the block of 300 it uses (default 21000)
   --seconds N    how long stand-in callers send (default 10)
   --scale X      how much of the deployment's traffic they send (default 1.0)
-  --trial SEED   instead: faults on real processes (kill, wipe, SIGSTOP, dark runners, marks,
-                 changes), judged by the checkers; --strikes N of them (default 8)
   --bench N      instead: N paired calls to a plain runner, direct and through a router
   --kill NAME    kill that process halfway (c1, r2, a3 ...)
   --stay         leave the fleet up until interrupted, send nothing";
@@ -30,8 +30,6 @@
     let seconds: u64 = args.opt_value_from_str("--seconds").map_err(told)?.unwrap_or(10);
     let scale: f64 = args.opt_value_from_str("--scale").map_err(told)?.unwrap_or(1.0);
     let kill: Option<String> = args.opt_value_from_str("--kill").map_err(told)?;
-    let trial: Option<u64> = args.opt_value_from_str("--trial").map_err(told)?;
-    let strikes: u64 = args.opt_value_from_str("--strikes").map_err(told)?.unwrap_or(8);
     let bench: Option<u64> = args.opt_value_from_str("--bench").map_err(told)?;
     let stay = args.contains("--stay");
     let rest = args.finish();
@@ -68,13 +66,6 @@
         }
         return Ok(());
     }
-    if let Some(seed) = trial {
-        let v = spindledock::launch::hurt::run(&mut t, seed, strikes, scale).await?;
-        v.done.iter().for_each(|d| println!("did: {d}"));
-        println!("{}\nanswers in 4 s: {} before, {} after", v.tally, v.before, v.after);
-        v.bad.iter().for_each(|b| println!("objection {b}"));
-        return if v.bad.is_empty() { Ok(()) } else { Err(format!("{} objection(s)", v.bad.len())) };
-    }
     let flows = t.flows(hot, scale);
     let (work, sum) = t.start_load(flows, Duration::from_secs(seconds));
     if let Some(name) = kill {
@@ -111,12 +102,79 @@
     over.map_or(Ok(()), Err)
 }
 
+/// The exit code of a call that can't be carried out as it is.
+const WRONG_USAGE: u8 = 2;
+
+fn wrong_usage(why: &str) -> std::process::ExitCode {
+    eprintln!("spindledock-fleet: {why}");
+    WRONG_USAGE.into()
+}
+
+/// Plays a soak for each seed; ends early, and leaves no process behind, when it is interrupted.
+fn soak_all(options: &SoakOptions, args: pico_args::Arguments) -> std::process::ExitCode {
+    let rest = args.finish();
+    if !rest.is_empty() {
+        return wrong_usage(&format!("{rest:?} is not known; see --help"));
+    }
+    let runtime = tokio::runtime::Runtime::new().expect("threads");
+    let failed = runtime.block_on(async {
+        // Caught from here on: a signal may come while the fleet is being started.
+        let interrupts = Interrupts::catch();
+        tokio::select! {
+            failed = soak::run::soak_seeds(options) => failed,
+            () = interrupts.first() => Err("interrupted; all processes were ended".to_string()),
+        }
+    });
+    match failed {
+        Ok(0) => 0.into(),
+        Ok(failed) => {
+            eprintln!("spindledock-fleet: {failed} seed(s) failed");
+            1.into()
+        }
+        Err(why) => {
+            eprintln!("spindledock-fleet: {why}");
+            1.into()
+        }
+    }
+}
+
+/// The signals that end a soak early.
+struct Interrupts {
+    interrupt: Signal,
+    terminate: Signal,
+    hang_up: Signal,
+}
+
+impl Interrupts {
+    fn catch() -> Interrupts {
+        let catch = |kind| signal(kind).expect("signals can be caught");
+        Interrupts {
+            interrupt: catch(SignalKind::interrupt()),
+            terminate: catch(SignalKind::terminate()),
+            hang_up: catch(SignalKind::hangup()),
+        }
+    }
+
+    async fn first(mut self) {
+        tokio::select! {
+            _ = self.interrupt.recv() => {}
+            _ = self.terminate.recv() => {}
+            _ = self.hang_up.recv() => {}
+        }
+    }
+}
+
 fn main() -> std::process::ExitCode {
     let mut args = pico_args::Arguments::from_env();
     if args.contains(["-h", "--help"]) {
-        println!("{HELP}\n{}", hollow::flags::HELP);
+        println!("{HELP}\n{}\n{}", soak::options::HELP, hollow::flags::HELP);
         return 0.into();
     }
+    match SoakOptions::read(&mut args) {
+        Ok(Some(options)) => return soak_all(&options, args),
+        Ok(None) => {}
+        Err(why) => return wrong_usage(&why),
+    }
     if let Ok(Some(nodes)) = args.opt_value_from_str::<_, String>("--hollow") {
         return match hollow_run(&nodes, args) {
             Ok(()) => 0.into(),
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -75,7 +75,11 @@
 impl Ready {
     /// Connects to `addr`.
     pub async fn connect(addr: SocketAddr) -> Option<Ready> {
-        let tcp = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await.ok()?.ok()?;
+        Ready::over(tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await.ok()?.ok()?).await
+    }
+
+    /// A connection over a socket that is connected already.
+    pub async fn over(tcp: TcpStream) -> Option<Ready> {
         let _ = tcp.set_nodelay(true);
         crate::daemon::links::watch(&tcp, SILENCE_TIMEOUT);
         let guard = Arc::new(Guard::default());
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -70,7 +70,13 @@
 
     /// Keeps the connection of an answer for later, if the answer was read to its end.
     pub fn keep(&self, addr: SocketAddr, answer: Answer) {
-        let Some(resting) = answer.finish() else { return };
+        if let Some(resting) = answer.finish() {
+            self.rest(addr, resting);
+        }
+    }
+
+    /// Keeps a connection at rest for later.
+    pub fn rest(&self, addr: SocketAddr, resting: Resting) {
         let mut rows = self.rows.lock().unwrap();
         let old = rows.prune(Instant::now());
         let here = rows.resting.entry(addr).or_default();
--- a/src/launch/judge.rs
+++ b/src/launch/judge.rs
@@ -16,6 +16,7 @@
     let call = || cells.get("call").and_then(|c| c.parse::<u64>().ok());
     let runner = Name(runner.to_string());
     let fact = match what {
+        "arrive" => Fact::Tried { call: call()? },
         "run-begin" => Fact::RunBegan { call: call()?, runner, model: get("model"), place: None },
         "run-end" => Fact::RunEnded { call: call()?, whole: cells.get("whole") == Some(&"true") },
         "order" => Fact::Ordered {
--- a/src/launch/mod.rs
+++ b/src/launch/mod.rs
@@ -1,6 +1,6 @@
 pub mod bench;
 pub mod deployment;
-pub mod hurt;
 pub mod judge;
+pub mod ports;
 pub mod procs;
 pub mod trial;
--- a/src/launch/procs.rs
+++ b/src/launch/procs.rs
@@ -1,6 +1,10 @@
+//! The processes of a fleet on this machine.
+
 use super::deployment::Deployment;
+use super::ports::{PORTS_EACH, Ports, at};
+pub use super::ports::{free_base, free_base_for};
 use crate::json::tree::{Tree, map};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -9,18 +13,32 @@
     pub plan: Deployment,
     pub dir: PathBuf,
     pub base: u16,
+    /// The runners that are listed.
+    pub roster: Vec<String>,
+    /// How the processes are set.
+    pub options: ProcessOptions,
     bins: PathBuf,
+    ports: Ports,
     rows: BTreeMap<String, Child>,
 }
 
-pub fn free_base() -> u16 {
-    let from = 20_000 + (std::process::id() % 60) as u16 * 300;
-    let free = |base: &u16| (0..300).step_by(7).all(|n| std::net::TcpListener::bind(at(base + n)).is_ok());
-    (0..30).map(|n| 20_000 + (from - 20_000 + n * 300) % 12_000).find(free).unwrap_or(from)
+/// How the processes of a fleet are set.
+#[derive(Clone, Debug)]
+pub struct ProcessOptions {
+    /// How long a router that is told to stop may go on with its streams.
+    pub drain_ms: u64,
+    /// The pause of runners in the midst of each event, in microseconds.
+    pub split_us: u64,
+    /// The runners whose streams end with their connection.
+    pub unframed: BTreeSet<String>,
+    /// How many requests an assistant runner works on at once.
+    pub slots: u64,
 }
 
-pub fn at(port: u16) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], port))
+impl Default for ProcessOptions {
+    fn default() -> ProcessOptions {
+        ProcessOptions { drain_ms: 3000, split_us: 0, unframed: BTreeSet::new(), slots: 8 }
+    }
 }
 
 impl Fleet {
@@ -33,7 +51,12 @@
         std::fs::create_dir_all(dir)
             .map_err(|e| format!("{}: {e}; name a folder to write to", dir.display()))?;
         std::fs::write(dir.join("fleet.json"), plan.config()).map_err(|e| e.to_string())?;
-        Ok(Fleet { plan, dir: dir.to_path_buf(), base, bins, rows: BTreeMap::new() })
+        let runners = |kind: &str, count: usize| (1..=count).map(move |n| format!("{kind}{n}")).collect();
+        let mut roster: Vec<String> = runners("a", plan.assistants);
+        roster.extend::<Vec<String>>(runners("p", plan.plains));
+        let ports = Ports::of(&plan);
+        let options = ProcessOptions::default();
+        Ok(Fleet { plan, dir: dir.to_path_buf(), base, roster, options, bins, ports, rows: BTreeMap::new() })
     }
 
     pub fn links(&self, name: &str) -> SocketAddr {
@@ -52,11 +75,11 @@
         let n: u16 = name[1..].parse().unwrap_or(0);
         let block = match &name[..1] {
             "c" => 0,
-            "r" => 60,
-            "a" => 150,
-            _ => 210,
+            "r" => self.ports.routers,
+            "a" => self.ports.assistants,
+            _ => self.ports.plains,
         };
-        self.base + block + n * 4
+        self.base + block + n * PORTS_EACH
     }
 
     pub fn controllers(&self) -> Vec<String> {
@@ -68,8 +91,7 @@
     }
 
     pub fn runners(&self) -> Vec<String> {
-        let a = (1..=self.plan.assistants).map(|n| format!("a{n}"));
-        a.chain((1..=self.plan.plains).map(|n| format!("p{n}"))).collect()
+        self.roster.clone()
     }
 
     pub fn data(&self, name: &str) -> PathBuf {
@@ -102,7 +124,7 @@
                     "spindledock-controller"
                 } else {
                     add("--http", http.to_string());
-                    add("--drain-ms", "3000".into());
+                    add("--drain-ms", self.options.drain_ms.to_string());
                     "spindledock-router"
                 }
             }
@@ -114,6 +136,11 @@
                 add("--room-mb", self.plan.room_mb.to_string());
                 add("--plain-us", self.plan.plain_us.to_string());
                 add("--record", self.dir.join(format!("{name}.record")).display().to_string());
+                add("--split-us", self.options.split_us.to_string());
+                add("--slots", self.options.slots.to_string());
+                if self.options.unframed.contains(name) {
+                    args.push("--unframed".into());
+                }
                 args.insert(0, "runner".into());
                 "spindledock-standin"
             }
@@ -149,6 +176,16 @@
         self.rows.get_mut(name).is_some_and(|c| matches!(c.try_wait(), Ok(None)))
     }
 
+    /// How a process that was started has ended; none while it runs or when it was waited for.
+    pub fn exit_of(&mut self, name: &str) -> Option<std::process::ExitStatus> {
+        self.rows.get_mut(name).and_then(|child| child.try_wait().ok().flatten())
+    }
+
+    /// The processes that were started and not waited for.
+    pub fn started(&self) -> Vec<String> {
+        self.rows.keys().cloned().collect()
+    }
+
     pub fn wait_end(&mut self, name: &str) {
         if let Some(mut child) = self.rows.remove(name) {
             let _ = child.wait();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod rollout;
 pub mod seam;
 pub mod sim;
+pub mod soak;
 pub mod standin;
 pub mod tell;
 pub mod transfer;
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -1,12 +1,12 @@
 use super::script::{Script, plain};
 use super::tally::{End, Tally};
 use crate::http::answer::OUTCOME;
-use crate::http::connection::SendError;
+use crate::http::connection::{Ready, Resting, SendError};
 use crate::http::exchange::{Answer, Judged};
 use crate::http::pool::{Pool, open};
 use crate::json::Tree;
 use crate::kernel::ids::Name;
-use crate::kernel::time::{BootClock, Clock};
+use crate::kernel::time::{BootClock, Clock, Time};
 use crate::seam::Verdict;
 use crate::sim::record::Fact;
 use bytes::Bytes;
@@ -49,53 +49,105 @@
     }
 }
 
+/// Sends a request over a connection of the pool and reads its answer.
 pub async fn call(pool: &Pool, router: SocketAddr, what: &Call) -> Tally {
-    let id = NEXT.fetch_add(1, Ordering::Relaxed);
-    let service = Name(what.service.clone());
-    let (path, body, last) = (what.path.clone(), what.body.clone(), what.last.unwrap_or(0));
-    let resumable = what.resumable;
-    let called = (BootClock.now(), Fact::Called { call: id, service, path, body, last, resumable });
-    let mut t = go(pool, router, what, id).await;
-    let end = t.ends.keys().next_back().copied().unwrap_or(End::Failed);
-    t.facts.push(called);
-    let ended = Fact::Ended { call: id, end, text: t.text.take(), after: t.gap_ms, code: String::new() };
-    t.facts.push((BootClock.now(), ended));
-    t
+    let Ok(ready) = pool.connect(router).await else {
+        let mut unsent = Tally::default();
+        unsent.add(End::Failed);
+        return Called::now(what).ended(unsent, "");
+    };
+    let (tally, resting) = call_over(Called::now(what), ready, router, what, Duration::ZERO).await;
+    if let Some(resting) = resting {
+        pool.rest(router, resting);
+    }
+    tally
+}
+
+/// Sends a request over this connection and reads its answer, with a pause after each piece. The connection comes
+/// back if it may be used again.
+pub async fn call_over(
+    called: Called,
+    ready: Ready,
+    router: SocketAddr,
+    what: &Call,
+    pause: Duration,
+) -> (Tally, Option<Resting>) {
+    let mut tally = Tally::default();
+    let request = request(what, router, called.id);
+    let began = Instant::now();
+    let (code, resting) = match send(ready, request).await {
+        Ok(answer) => {
+            tally.first_ms.push(began.elapsed().as_millis() as u64);
+            read(answer, what, pause, &mut tally).await
+        }
+        Err(SendError::NotSent | SendError::Barred) => {
+            tally.add(End::Failed);
+            (String::new(), None)
+        }
+        Err(SendError::Unsure) => {
+            tally.add(End::Broken);
+            (String::new(), None)
+        }
+    };
+    (called.ended(tally, &code), resting)
+}
+
+/// A request that was sent.
+#[derive(Clone)]
+pub struct Called {
+    id: u64,
+    at: Time,
+    fact: Fact,
+}
+
+impl Called {
+    /// A request with an id of its own that is sent now.
+    pub fn now(what: &Call) -> Called {
+        let id = NEXT.fetch_add(1, Ordering::Relaxed);
+        let fact = Fact::Called {
+            call: id,
+            service: Name(what.service.clone()),
+            path: what.path.clone(),
+            body: what.body.clone(),
+            last: what.last.unwrap_or(0),
+            resumable: what.resumable,
+        };
+        Called { id, at: BootClock.now(), fact }
+    }
+
+    /// The tally with the facts of the request and of its end.
+    pub fn ended(self, mut tally: Tally, code: &str) -> Tally {
+        let end = tally.ends.keys().next_back().copied().unwrap_or(End::Failed);
+        let (text, after) = (tally.text.take(), tally.gap_ms);
+        let ended = Fact::Ended { call: self.id, end, text, after, code: code.to_string() };
+        tally.facts.push((self.at, self.fact));
+        tally.facts.push((BootClock.now(), ended));
+        tally
+    }
 }
 
-async fn send(pool: &Pool, router: SocketAddr, order: Request<Full<Bytes>>) -> Result<Answer, SendError> {
-    let exchange = pool.connect(router).await?.send(order, open()).await?;
-    match exchange.judge(|_, _| Verdict::Own) {
+async fn send(ready: Ready, request: Request<Full<Bytes>>) -> Result<Answer, SendError> {
+    match ready.send(request, open()).await?.judge(|_, _| Verdict::Own) {
         Judged::Own(answer) => Ok(answer),
         _ => Err(SendError::Unsure),
     }
 }
 
-async fn go(pool: &Pool, router: SocketAddr, call: &Call, id: u64) -> Tally {
-    let mut t = Tally::default();
-    let mut order = Request::builder()
+fn request(call: &Call, router: SocketAddr, id: u64) -> Request<Full<Bytes>> {
+    let mut request = Request::builder()
         .method(if call.body.is_some() { "POST" } else { "GET" })
         .uri(call.path.as_str())
         .header("host", router.to_string())
         .header("x-call-id", id.to_string());
     if let Some(last) = call.last {
-        order = order.header("last-event-id", last.to_string());
+        request = request.header("last-event-id", last.to_string());
     }
     let body = Full::new(Bytes::from(call.body.clone().unwrap_or_default()));
-    let order = order.body(body).expect("a valid order");
-    let began = Instant::now();
-    let mut answer = match send(pool, router, order).await {
-        Ok(answer) => answer,
-        Err(SendError::NotSent | SendError::Barred) => {
-            t.add(End::Failed);
-            return t;
-        }
-        Err(SendError::Unsure) => {
-            t.add(End::Broken);
-            return t;
-        }
-    };
-    t.first_ms.push(began.elapsed().as_millis() as u64);
+    request.body(body).expect("a valid request")
+}
+
+/// Reads an answer to its end; the code of one that the router made itself, and the connection if it rests.
+async fn read(mut answer: Answer, call: &Call, pause: Duration, t: &mut Tally) -> (String, Option<Resting>) {
     let status = answer.status();
     let outcome = answer.headers().get(OUTCOME).and_then(|v| v.to_str().ok()).map(|s| s.to_string());
     let stream = answer.headers().get("content-type").is_some_and(|v| v == "text/event-stream");
@@ -106,7 +158,7 @@
             t.add(End::Broken);
             t.judge_part(call, &raw, stream);
             t.text = Some(String::from_utf8_lossy(&raw).into_owned());
-            return t;
+            return (String::new(), None);
         };
         let Some(data) = part else { break };
         if !raw.is_empty() {
@@ -114,14 +166,18 @@
         }
         beat = Instant::now();
         raw.extend_from_slice(&data);
+        if pause > Duration::ZERO {
+            tokio::time::sleep(pause).await;
+        }
     }
-    pool.keep(router, answer);
+    let resting = answer.finish();
     let text = String::from_utf8_lossy(&raw).into_owned();
     if let Some(outcome) = outcome {
         let code = Tree::parse(&text).ok().and_then(|t| t.text("code").map(|s| s.to_string()));
-        *t.codes.entry(code.unwrap_or("?".into())).or_default() += 1;
+        let code = code.unwrap_or("?".into());
+        *t.codes.entry(code.clone()).or_default() += 1;
         t.add(if outcome == "refused" { End::Refused } else { End::Unknown });
-        return t;
+        return (code, resting);
     }
     t.text = Some(text.clone());
     let want = expected(call, stream);
@@ -131,7 +187,7 @@
         t.wrongs.push(format!("{} status={status} got={} want={}", call.path, text.len(), want.len()));
         t.add(End::Wrong);
     }
-    t
+    (String::new(), resting)
 }
 
 fn expected(call: &Call, stream: bool) -> String {
--- a/src/standin/control.rs
+++ b/src/standin/control.rs
@@ -17,6 +17,25 @@
     Lie,
     Differ,
     Evict,
+    /// Ends each stream within an event.
+    Truncate,
+    /// Turns each request away, but only after a while.
+    LateRefusal,
+}
+
+impl Fault {
+    fn named(name: &str) -> Fault {
+        match name {
+            "dark" => Fault::Dark,
+            "rubbish" => Fault::Rubbish,
+            "lie" => Fault::Lie,
+            "differ" => Fault::Differ,
+            "evict" => Fault::Evict,
+            "truncate" => Fault::Truncate,
+            "late-refusal" => Fault::LateRefusal,
+            _ => Fault::None,
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -25,19 +44,16 @@
     pub token_us: u64,
     pub plain_us: u64,
     pub prompt_tokens: u64,
+    /// The pause in the midst of each event; 0: an event leaves in one piece.
+    pub split_us: u64,
+    /// Streams have neither a length nor chunks: they end with their connection.
+    pub unframed: bool,
 }
 
 pub fn set(runner: &Arc<Runner>, body: &[u8]) -> Response<OutBody> {
     let mut knobs = runner.knobs.lock().unwrap();
     let what = String::from_utf8_lossy(body).trim().to_string();
-    knobs.fault = match what.as_str() {
-        "dark" => Fault::Dark,
-        "rubbish" => Fault::Rubbish,
-        "lie" => Fault::Lie,
-        "differ" => Fault::Differ,
-        "evict" => Fault::Evict,
-        _ => Fault::None,
-    };
+    knobs.fault = Fault::named(&what);
     if what == "leaving" {
         runner.stock.lock().unwrap().leaving = true;
     }
@@ -53,8 +69,11 @@
   --sort assistant|plain
   --room-mb N --adapters N --slots N  what it has room for
   --token-us N --plain-us N           how fast it answers
+  --split-us N          the pause in the midst of each event (0: none)
+  --unframed            its streams end with their connection, without a length or chunks
   --record FILE         its own record, one line an event
-POST /fault with dark, rubbish, lie, differ, evict, leaving or none breaks it on purpose.";
+POST /fault with dark, rubbish, lie, differ, evict, truncate, late-refusal, leaving or none
+breaks it on purpose.";
 
 pub async fn run(mut args: Arguments) -> Result<(), String> {
     let told = |e: pico_args::Error| format!("{e}; see --help");
@@ -67,6 +86,7 @@
     };
     let (room, adapters, slots) = (num("--room-mb", 80_000)?, num("--adapters", 8)?, num("--slots", 8)?);
     let (token_us, plain_us) = (num("--token-us", 20_000)?, num("--plain-us", 5000)?);
+    let (split_us, unframed) = (num("--split-us", 0)?, args.contains("--unframed"));
     let record: Option<String> = args.opt_value_from_str("--record").map_err(told)?;
     let rest = args.finish();
     if !rest.is_empty() {
@@ -83,7 +103,14 @@
         record.as_ref().map(open).transpose().map_err(|e| format!("--record: {e}; name a writable file"))?;
     let runner = Arc::new(Runner {
         stock: Mutex::new(Stock::new(Name(instance), catalog, room, adapters, slots)),
-        knobs: Mutex::new(Knobs { fault: Fault::None, token_us, plain_us, prompt_tokens: 200 }),
+        knobs: Mutex::new(Knobs {
+            fault: Fault::None,
+            token_us,
+            plain_us,
+            prompt_tokens: 200,
+            split_us,
+            unframed,
+        }),
         gate: Arc::new(Semaphore::new(slots as usize)),
         warm: Mutex::default(),
         assistant: sort == "assistant",
--- a/src/standin/runner.rs
+++ b/src/standin/runner.rs
@@ -2,7 +2,7 @@
 use super::script::{Script, plain};
 use super::stock::Stock;
 use crate::http::answer::{OutBody, whole};
-use crate::http::body::streamed;
+use crate::http::body::{BodyWriter, streamed};
 use crate::json::Tree;
 use crate::json::tree::map;
 use crate::kernel::ids::Name;
@@ -14,7 +14,10 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// How long a runner that turns requests away late takes for its word.
+const LATE_REFUSAL: Duration = Duration::from_millis(700);
 
 pub struct Runner {
     pub stock: Mutex<Stock>,
@@ -53,6 +56,38 @@
     }
 }
 
+/// Sends the events of a stream, each in two pieces where the runner splits them.
+async fn stream(mut run: Run, _slot: OwnedSemaphorePermit, script: Script, after: u64, writer: BodyWriter) {
+    for n in after + 1..=script.tokens + 1 {
+        let knobs = run.runner.knobs.lock().unwrap().clone();
+        tokio::time::sleep(Duration::from_micros(knobs.token_us)).await;
+        if run.runner.knobs.lock().unwrap().fault == Fault::Dark {
+            std::future::pending::<()>().await;
+        }
+        let mut event = script.event(n);
+        if knobs.fault == Fault::Differ {
+            event = event.replace("data: ", "data: x");
+        }
+        let rest = event.split_off(if knobs.split_us > 0 { event.len() / 2 } else { 0 });
+        let truncated = knobs.fault == Fault::Truncate;
+        if !event.is_empty() {
+            if writer.send(Bytes::from(event)).await.is_err() {
+                return;
+            }
+            tokio::time::sleep(Duration::from_micros(knobs.split_us)).await;
+        }
+        if truncated && knobs.unframed {
+            return writer.finish();
+        }
+        if truncated || writer.send(Bytes::from(rest)).await.is_err() {
+            return;
+        }
+        run.runner.warm.lock().unwrap().insert(script.seed, n);
+    }
+    run.whole = true;
+    writer.finish();
+}
+
 impl Runner {
     pub fn note(&self, line: &str) {
         use std::io::Write;
@@ -76,6 +111,9 @@
             let body = order.into_body().collect().await.map(|b| b.to_bytes()).unwrap_or_default();
             return super::control::set(&self, &body);
         }
+        if let Some(call) = order.headers().get("x-call-id").and_then(|v| v.to_str().ok()) {
+            self.note(&format!("arrive call={call}"));
+        }
         if fault == Fault::Dark {
             std::future::pending::<()>().await;
         }
@@ -97,6 +135,10 @@
             let body = order.into_body().collect().await.map(|b| b.to_bytes()).unwrap_or_default();
             return self.ordered(&path, &body);
         }
+        if fault == Fault::LateRefusal {
+            tokio::time::sleep(LATE_REFUSAL).await;
+            return text(421, "turned away late");
+        }
         self.run(order).await
     }
 
@@ -164,28 +206,17 @@
                 .body(whole(s.whole()))
                 .expect("valid");
         }
+        let unframed = knobs.unframed;
         let (writer, body) = streamed();
-        tokio::spawn(async move {
-            let (mut run, _permit) = (run, permit);
-            for n in after + 1..=s.tokens + 1 {
-                tokio::time::sleep(Duration::from_micros(knobs.token_us)).await;
-                if run.runner.knobs.lock().unwrap().fault == Fault::Dark {
-                    std::future::pending::<()>().await;
-                }
-                let mut event = s.event(n);
-                if run.runner.knobs.lock().unwrap().fault == Fault::Differ {
-                    event = event.replace("data: ", "data: x");
-                }
-                if writer.send(Bytes::from(event)).await.is_err() {
-                    return;
-                }
-                run.runner.warm.lock().unwrap().insert(s.seed, n);
-            }
-            run.whole = true;
-            writer.finish();
-        });
+        let Ok(slot) = permit else { return text(503, "this runner ends") };
+        tokio::spawn(stream(run, slot, s, after, writer));
         let b = Response::builder().header("content-type", "text/event-stream");
-        b.body(body.boxed_unsync()).expect("a valid answer")
+        let mut answer = b.body(body.boxed_unsync()).expect("a valid answer");
+        if unframed {
+            // An answer of this version has no chunks: it ends with its connection.
+            *answer.version_mut() = hyper::Version::HTTP_10;
+        }
+        answer
     }
 
     async fn prefill(&self, s: &Script, after: u64, knobs: &Knobs) {
--- a/src/standin/script.rs
+++ b/src/standin/script.rs
@@ -43,8 +43,14 @@
     }
 }
 
+/// The lines of a plain answer whose path names no other number.
+const PLAIN_LINES: u64 = 64;
+
+/// The body of a plain answer; a path that ends in `lines-N` asks for `N` lines of 17 bytes.
 pub fn plain(path: &str) -> String {
     let seed = hash(path, 3);
-    let words: Vec<String> = (0..64).map(|n| format!("{:016x}", mix(seed ^ mix(n)))).collect();
+    let asked = path.rsplit('/').next().and_then(|last| last.strip_prefix("lines-"));
+    let lines = asked.and_then(|n| n.parse().ok()).unwrap_or(PLAIN_LINES);
+    let words: Vec<String> = (0..lines).map(|n| format!("{:016x}", mix(seed ^ mix(n)))).collect();
     words.join("\n")
 }
