--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -115,3 +115,59 @@
         }
     }
 }
+
+/// The length of each answer on a connection that goes on being used.
+const SHORT: usize = 50;
+
+/// Reads one answer: its status, and the bytes of its body if all of them came.
+async fn answer(link: &mut TcpStream) -> Option<(u16, usize)> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(link.read_u8().await.ok()?);
+    }
+    let text = String::from_utf8_lossy(&head).to_ascii_lowercase();
+    let length = text.lines().find_map(|line| line.strip_prefix("content-length: ")?.trim().parse().ok())?;
+    let mut body = vec![0; length];
+    link.read_exact(&mut body).await.ok()?;
+    Some((status(&text), body.len()))
+}
+
+// Guards against: a request on a connection that goes on being used is passed on by a stopping router, and its answer lost.
+#[test]
+fn given_a_client_that_goes_on_sending_when_its_router_stops_then_each_request_that_ran_has_its_answer() {
+    let (outside, router) = (Runtime::new().expect("threads"), Runtime::new().expect("threads"));
+    let road = router.block_on(Road::open(1, 3, 5, Arc::new(move |_, h| long_answer(h, SHORT))));
+    let addr = road.addr;
+    let over = Arc::new(AtomicBool::new(false));
+    let ends = over.clone();
+    let client = outside.spawn(async move {
+        let (mut answered, mut asked) = (0, 0);
+        while !ends.load(Ordering::SeqCst) {
+            let Ok(mut link) = TcpStream::connect(addr).await else { break };
+            loop {
+                let ask = order(&format!("q{asked}"), "/idem/x", "");
+                asked += 1;
+                if link.write_all(ask.as_bytes()).await.is_err() {
+                    break;
+                }
+                match tokio::time::timeout(LONG, answer(&mut link)).await.expect("in time") {
+                    Some((200, SHORT)) => answered += 1,
+                    Some((503, _)) => {}
+                    Some(other) => panic!("{other:?}"),
+                    None => break,
+                }
+            }
+        }
+        answered
+    });
+    router.block_on(async {
+        tokio::time::timeout(LONG, road.runners.until(20)).await.expect("heard");
+        stop(&road).run().await;
+        over.store(true, Ordering::SeqCst);
+    });
+    let heard = road.heard().len();
+    router.shutdown_background();
+    let answered = outside.block_on(client).expect("a client");
+    assert!(heard >= 20, "{heard}");
+    assert_eq!(answered, heard, "requests that ran and have no answer");
+}
