Tests: sockets on a loopback address of the process's own

The test opens a connection for each cut; two runs left 35,790 closed ones where the machine has 28,232 ports, and a listener found none free.

Change: runners and fronts of these tests listen at an address made of the process's id. What others closed a moment ago at theirs takes no port here.

Evidence: platform_* (12 suites) and stop pass. Two suites at once were not tried before the change.

--- a/src/standin/raw.rs
+++ b/src/standin/raw.rs
@@ -1,12 +1,19 @@
 //! Runners on real sockets that answer with the very bytes that a script gives.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 
+/// A loopback address that other processes don't listen at: connections that were closed a moment ago, theirs or ours,
+/// leave its ports free.
+pub fn own_loopback() -> Ipv4Addr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, high.saturating_add(1), middle, low.max(1))
+}
+
 /// One order as its bytes came.
 #[derive(Clone, Debug)]
 pub struct Heard {
@@ -74,7 +81,7 @@
         let all = Arc::new(All { heard, odd, head, script, told, ends, links });
         let mut addrs = Vec::new();
         for runner in 0..n {
-            let socket = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let socket = TcpListener::bind((own_loopback(), 0)).await.expect("a free port");
             addrs.push(socket.local_addr().expect("an address"));
             tokio::spawn(listen(socket, runner, all.clone()));
         }
--- a/tests/platform_given/road.rs
+++ b/tests/platform_given/road.rs
@@ -13,7 +13,7 @@
 use spindledock::platform::caller::Caller;
 use spindledock::platform::runner::RunnerWords;
 use spindledock::seam::Sides;
-use spindledock::standin::raw::{Heard, RawRunners, Script, Step};
+use spindledock::standin::raw::{Heard, RawRunners, Script, Step, own_loopback};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -74,7 +74,7 @@
             clients: ClientConnections::new(clock.clone()),
             sides: Sides { caller, runner: words, list: None, operator: None },
         });
-        let socket = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let socket = TcpListener::bind((own_loopback(), 0)).await.expect("a free port");
         let addr = socket.local_addr().expect("an address");
         let work = front.clone();
         let clients = front.clients.clone();
