--- a/src/soak/clients.rs
+++ b/src/soak/clients.rs
@@ -23,7 +23,9 @@
 /// The pause of a slow client after each piece that it reads.
 const SLOW_PAUSE: Duration = Duration::from_millis(60);
 /// The lines of an answer that a slow client asks for.
-const LONG_LINES: u64 = 20_000;
+const LONG_LINES: u64 = 70_000;
+/// How many lines more there may be, so that answers end anywhere in the buffers on their way.
+const LONG_LINES_SPREAD: u64 = 16_384;
 /// How often a client tries a router that takes no connection before it goes on to another.
 const CONNECT_TRIES: u32 = 3;
 
@@ -41,7 +43,8 @@
 }
 
 /// The clients of one router.
-pub const KINDS: [Kind; 5] = [Kind::Resumable, Kind::Resumable, Kind::Single, Kind::Plain, Kind::Slow];
+pub const KINDS: [Kind; 7] =
+    [Kind::Resumable, Kind::Resumable, Kind::Single, Kind::Plain, Kind::Slow, Kind::Slow, Kind::Slow];
 
 /// One request as its client saw it.
 #[derive(Clone, Debug)]
@@ -116,7 +119,7 @@
         match self.kind {
             Kind::Plain => tile(service, salt),
             Kind::Slow => {
-                let lines = LONG_LINES + salt % 4096;
+                let lines = LONG_LINES + salt % LONG_LINES_SPREAD;
                 Call { path: format!("/{service}/{salt}/lines-{lines}"), ..tile(service, salt) }
             }
             Kind::Resumable => assistant(&format!("/chat/{salt}"), &self.model(), 40, salt),
