Daemons: signals are caught before a process says that it has started

What operators saw: a router that was told to read its settings again (SIGHUP) just after its start was gone, without a word; a SIGTERM then ended it without handing anything over.

Cause: the handler of SIGHUP was set in a task spawned after event=started, the others behind it. A signal that comes before its handler ends the process.

Change: daemon/signals.rs catches all three before a socket is bound.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -11,6 +11,7 @@
 pub mod roster;
 pub mod run;
 pub mod serve;
+pub mod signals;
 pub mod status;
 pub mod stop;
 pub mod ticks;
--- a/src/daemon/reload.rs
+++ b/src/daemon/reload.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::Signal;
 
 const LOOK: Duration = Duration::from_secs(3);
 
@@ -37,13 +37,12 @@
 }
 
 /// Reads the settings again on SIGHUP or when the file changed; faulty ones leave the old in force.
-pub async fn watch(origin: Origin, now: NodeConfig, hand: Hand) {
-    let mut hup = signal(SignalKind::hangup()).expect("signals can be caught");
+pub async fn watch(origin: Origin, now: NodeConfig, hand: Hand, mut hang_up: Signal) {
     let mut seen = origin.changed_at();
     let mut seeds = now.seeds;
     loop {
         tokio::select! {
-            _ = hup.recv() => {}
+            _ = hang_up.recv() => {}
             _ = tokio::time::sleep(LOOK) => {
                 if origin.changed_at() == seen {
                     continue;
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -4,6 +4,7 @@
 use super::links::Links;
 use super::reload::Origin;
 use super::serve::{Work, bind, serve_clients};
+use super::signals::Signals;
 use super::writer::Writer;
 use super::{logs, poll};
 use crate::chain::leaving::Departure;
@@ -22,7 +23,6 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
 
 /// Every how many ticks of a router the limits on clients are applied.
 const SWEEP_TICKS: u32 = 4;
@@ -85,6 +85,7 @@
 }
 
 async fn run(c: NodeConfig, origin: Origin) -> Result<(), Report<Fault>> {
+    let mut signals = Signals::catch();
     let start = || Fault::new(Kind::Config, "start", "this node did not start", "mend the cause below");
     let links_socket = bind(c.addr, "address").await.change_context_lazy(start)?;
     let admin_socket = bind(c.admin, "admin").await.change_context_lazy(start)?;
@@ -151,12 +152,10 @@
         router_tasks(&table, &clock, &hand, &front, &routers);
     }
     log::info!(event = "started", address = c.addr.to_string(), admin = c.admin.to_string(), domain = c.domain.to_string(), services = services.names().join(","); "");
-    tokio::spawn(super::reload::watch(origin, c.clone(), hand.clone()));
-    let mut term = signal(SignalKind::terminate()).expect("signals can be caught");
-    let mut int = signal(SignalKind::interrupt()).expect("signals can be caught");
+    tokio::spawn(super::reload::watch(origin, c.clone(), hand.clone(), signals.hang_up));
     tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+        _ = signals.terminate.recv() => {}
+        _ = signals.interrupt.recv() => {}
     }
     stopping.store(true, Ordering::SeqCst);
     let (drain, lame) = (Span::ms(c.drain_ms), Duration::from_millis(c.lame_ms));
