--- a/src/fleet/config.rs
+++ b/src/fleet/config.rs
@@ -1,5 +1,6 @@
 use super::former::Former;
 use super::named::{Named, NamedList};
+use super::tenants::Tenant;
 use crate::kernel::ids::Name;
 use bitcode::{Decode, Encode};
 
@@ -16,6 +17,8 @@
     pub models: NamedList<Model>,
     pub adapters: NamedList<Adapter>,
     pub services: Vec<Service>,
+    /// Who may send requests; without any, everybody may.
+    pub tenants: NamedList<Tenant>,
     /// What runners may still hold of earlier configurations.
     pub former: NamedList<Former>,
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -17,5 +17,6 @@
 pub mod show;
 pub mod slice;
 pub mod state;
+pub mod tenants;
 pub use config::FleetConfig;
 pub use state::FleetState;
