--- a/src/distribution/delta.rs
+++ b/src/distribution/delta.rs
@@ -1,8 +1,9 @@
 use crate::fleet::config::{Adapter, Model, Route, Service};
 use crate::fleet::plan::PlacementPlan;
 use crate::fleet::runner::Runner;
-use crate::fleet::slice::{DutySlice, RouteRow, ServiceSlice, Slice};
+use crate::fleet::slice::{DutySlice, RouteRow, RoutesSlice, ServiceSlice, Slice};
 use crate::fleet::state::MovePlan;
+use crate::fleet::tenants::Tenant;
 use crate::kernel::ids::Name;
 use crate::kernel::rand::{hash, mix};
 use bitcode::{Decode, Encode};
@@ -18,11 +19,17 @@
 
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub enum Delta {
-    Routes(Pieces<RouteRow>),
+    Routes(RoutesDelta),
     Service(Box<ServiceDelta>),
     Duty(Box<DutyDelta>),
 }
 
+#[derive(Clone, PartialEq, Debug, Encode, Decode)]
+pub struct RoutesDelta {
+    rows: Pieces<RouteRow>,
+    tenants: Pieces<Tenant>,
+}
+
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub struct ServiceDelta {
     bare: ServiceSlice,
@@ -79,6 +86,14 @@
     hash(&r.prefix, mix(hash(&r.host, 1)))
 }
 
+fn routes(old: &RoutesSlice, new: &RoutesSlice) -> RoutesDelta {
+    let key = |r: &RouteRow| by_path(&r.route) ^ by_name(&r.service);
+    RoutesDelta {
+        rows: diff(&old.rows, &new.rows, key),
+        tenants: diff(&old.tenants, &new.tenants, |t| by_name(&t.name)),
+    }
+}
+
 fn service(old: &ServiceSlice, new: &ServiceSlice) -> ServiceDelta {
     let mut bare = new.clone();
     bare.service.models.clear();
@@ -120,10 +135,7 @@
 impl Delta {
     pub fn of(old: &Slice, new: &Slice) -> Option<Delta> {
         match (old, new) {
-            (Slice::Routes(a), Slice::Routes(b)) => {
-                let key = |r: &RouteRow| by_path(&r.route) ^ by_name(&r.service);
-                Some(Delta::Routes(diff(a, b, key)))
-            }
+            (Slice::Routes(a), Slice::Routes(b)) => Some(Delta::Routes(routes(a, b))),
             (Slice::Service(a), Slice::Service(b)) => Some(Delta::Service(Box::new(service(a, b)))),
             (Slice::Duty(a), Slice::Duty(b)) => Some(Delta::Duty(Box::new(duty(a, b)))),
             _ => None,
@@ -132,7 +144,10 @@
 
     pub fn apply(&self, old: &Slice) -> Option<Slice> {
         match (self, old) {
-            (Delta::Routes(p), Slice::Routes(rows)) => Some(Slice::Routes(join(rows, p)?)),
+            (Delta::Routes(d), Slice::Routes(old)) => Some(Slice::Routes(RoutesSlice {
+                rows: join(&old.rows, &d.rows)?,
+                tenants: join(&old.tenants, &d.tenants)?,
+            })),
             (Delta::Service(d), Slice::Service(old)) => {
                 let mut s = d.bare.clone();
                 s.service.models = join(&old.service.models, &d.names)?;
--- a/src/distribution/relay_node.rs
+++ b/src/distribution/relay_node.rs
@@ -167,8 +167,8 @@
     fn learn(&mut self, rows: Vec<Learnt>, ctx: &mut Context) {
         let mut pushes: BTreeMap<NodeId, Vec<TopicUpdate>> = BTreeMap::new();
         for l in rows {
-            if let Some(Slice::Routes(rows)) = &l.slice {
-                for r in rows {
+            if let Some(Slice::Routes(routes)) = &l.slice {
+                for r in &routes.rows {
                     for scope in r.scopes() {
                         self.reader.topics.entry(scope).or_default();
                     }
--- a/src/distribution/serving_lease.rs
+++ b/src/distribution/serving_lease.rs
@@ -83,9 +83,9 @@
 
     fn scopes(&mut self, reader: &Reader) -> Option<Vec<Scope>> {
         let routes = &reader.topics.get(&Scope::Routes)?.history;
-        let Slice::Routes(rows) = &**routes.slice.as_ref()? else { return None };
+        let Slice::Routes(content) = &**routes.slice.as_ref()? else { return None };
         if self.cached.0 != routes.at || self.cached.1.is_empty() {
-            self.cached = (routes.at, serving_scopes(rows));
+            self.cached = (routes.at, serving_scopes(&content.rows));
         }
         Some(self.cached.1.clone())
     }
--- a/src/fleet/config.rs
+++ b/src/fleet/config.rs
@@ -151,6 +151,8 @@
     pub aim_ms: u64,
     pub gap_ms: u64,
     pub sticky: bool,
+    /// Whether requests need no key.
+    pub open: bool,
     pub split: Vec<Share>,
 }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 pub mod show;
 pub mod slice;
 pub mod state;
+pub mod tenant_format;
 pub mod tenants;
 pub use config::FleetConfig;
 pub use state::FleetState;
--- a/src/fleet/read.rs
+++ b/src/fleet/read.rs
@@ -1,4 +1,5 @@
 use super::config::*;
+use super::tenant_format;
 use crate::json::{Reader, Tree};
 use crate::kernel::fault::{Fault, Kind};
 use crate::kernel::ids::Name;
@@ -101,8 +102,12 @@
     for (n, t) in r.list("services").iter().enumerate() {
         c.services.push(service(n, t, &mut bad));
     }
+    for (n, t) in r.list("tenants").iter().enumerate() {
+        c.tenants.push(tenant_format::read(n, t, &mut bad));
+    }
     bad.extend(r.done());
     bad.extend(super::check::check(&c));
+    bad.extend(tenant_format::check(&c.tenants));
     if bad.is_empty() { Ok(c) } else { Err(bad) }
 }
 
@@ -147,6 +152,7 @@
         let aim_ms = q.num("aim_ms", Some(0), 0, 3_600_000);
         let gap_ms = q.num("gap_ms", Some(0), 0, 3_600_000);
         let sticky = q.flag("sticky", false);
+        let open = q.flag("open", false);
         let mut split = Vec::new();
         for (j, t) in q.list("split").iter().enumerate() {
             let mut w = Reader::new(&format!("{path}.routes[{k}].split[{j}]"), t);
@@ -171,6 +177,7 @@
             aim_ms,
             gap_ms,
             sticky,
+            open,
             split,
         });
     }
--- a/src/fleet/routes.rs
+++ b/src/fleet/routes.rs
@@ -1,12 +1,16 @@
-use super::slice::RouteRow;
+use super::slice::{RouteRow, RoutesSlice};
 use super::state::Scope;
+use super::tenants::Tenants;
 use crate::kernel::ids::Name;
 use crate::kernel::rand::mix;
 use std::collections::HashMap;
 
+/// The routes by host and prefix, and the tenants of the same configuration.
 #[derive(Default, Debug)]
 pub struct RouteTable {
     pub rows: Vec<RouteRow>,
+    /// Who may send requests on them.
+    pub tenants: Tenants,
     index: HashMap<String, HashMap<String, usize>>,
 }
 
@@ -16,7 +20,13 @@
         for (n, r) in rows.iter().enumerate() {
             index.entry(r.route.host.clone()).or_default().entry(r.route.prefix.clone()).or_insert(n);
         }
-        RouteTable { rows, index }
+        RouteTable { rows, index, tenants: Tenants::default() }
+    }
+}
+
+impl From<RoutesSlice> for RouteTable {
+    fn from(routes: RoutesSlice) -> RouteTable {
+        RouteTable { tenants: routes.tenants.into(), ..RouteTable::from(routes.rows) }
     }
 }
 
--- a/src/fleet/show.rs
+++ b/src/fleet/show.rs
@@ -87,6 +87,7 @@
             ("models", models.collect::<Vec<_>>().into()),
             ("adapters", adapters.collect::<Vec<_>>().into()),
             ("services", self.services.iter().map(service).collect::<Vec<_>>().into()),
+            ("tenants", self.tenants.iter().map(|t| t.tree()).collect::<Vec<_>>().into()),
         ])
     }
 }
@@ -109,6 +110,7 @@
             ("aim_ms", r.aim_ms.into()),
             ("gap_ms", r.gap_ms.into()),
             ("sticky", r.sticky.into()),
+            ("open", r.open.into()),
             ("split", r.split.iter().map(share).collect::<Vec<_>>().into()),
         ])
     });
--- a/src/fleet/slice.rs
+++ b/src/fleet/slice.rs
@@ -1,20 +1,29 @@
 use super::config::*;
+use super::named::NamedList;
 use super::plan::{PlacementPlan, PlanState, Step};
 use super::runner::Runner;
 use super::state::*;
+use super::tenants::Tenant;
 use crate::kernel::ids::*;
 use crate::kernel::rand::hash;
 use bitcode::{Decode, Encode};
 
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub enum Slice {
-    Routes(Vec<RouteRow>),
+    Routes(RoutesSlice),
     Trial(Option<Candidate>),
     Duty(Box<DutySlice>),
     Service(Box<ServiceSlice>),
     Gone,
 }
 
+/// What a request is admitted by: the routes and the tenants of one configuration.
+#[derive(Clone, PartialEq, Debug, Default, Encode, Decode)]
+pub struct RoutesSlice {
+    pub rows: Vec<RouteRow>,
+    pub tenants: Vec<Tenant>,
+}
+
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub struct DutySlice {
     pub config: FleetConfig,
@@ -50,10 +59,14 @@
 impl FleetState {
     pub fn slice(&self, scope: &Scope) -> Slice {
         match scope {
-            Scope::Routes => Slice::Routes(route_rows(&self.config)),
+            Scope::Routes => Slice::Routes(RoutesSlice::of(&self.config)),
             Scope::Trial => Slice::Trial(self.trial.clone()),
             Scope::Duty => Slice::Duty(Box::new(DutySlice {
-                config: FleetConfig { source: String::new(), ..self.config.clone() },
+                config: FleetConfig {
+                    source: String::new(),
+                    tenants: NamedList::default(),
+                    ..self.config.clone()
+                },
                 duty: self.duty.clone(),
                 runners: self.runners.clone(),
                 moves: self.moves.iter().filter(|m| m.live() || self.planned(m.id)).cloned().collect(),
@@ -122,15 +135,23 @@
 impl Slice {
     pub fn print(&self) -> (Version, u64) {
         match self {
-            Slice::Routes(rows) => (Version(0), routes_print(rows)),
+            Slice::Routes(routes) => (Version(0), routes.print()),
             Slice::Service(s) => (s.config_at, s.print()),
             _ => (Version(0), 0),
         }
     }
 }
 
-pub fn routes_print(rows: &[RouteRow]) -> u64 {
-    hash(&format!("{rows:?}"), 1)
+impl RoutesSlice {
+    /// What routers admit requests by under this configuration.
+    pub fn of(config: &FleetConfig) -> RoutesSlice {
+        RoutesSlice { rows: route_rows(config), tenants: config.tenants.to_vec() }
+    }
+
+    /// A number that is equal for equal content.
+    pub fn print(&self) -> u64 {
+        hash(&format!("{self:?}"), 1)
+    }
 }
 
 impl ServiceSlice {
--- a/src/fleet/tenants.rs
+++ b/src/fleet/tenants.rs
@@ -6,6 +6,8 @@
 use super::named::Named;
 use crate::kernel::ids::{DocumentDigest, Name};
 use bitcode::{Decode, Encode};
+use std::collections::HashMap;
+use std::sync::Arc;
 
 /// What separates the digest of a key from those of documents.
 const KEY_DOMAIN: &[u8] = b"tenant key";
@@ -19,6 +21,16 @@
     pub fn of(key: &[u8]) -> KeyDigest {
         KeyDigest(DocumentDigest::of(&[KEY_DOMAIN, key]))
     }
+
+    /// The digest as operators may read and write it.
+    pub fn to_hex(&self) -> String {
+        self.0.to_hex()
+    }
+
+    /// Reads what `to_hex` writes.
+    pub fn from_hex(text: &str) -> Option<KeyDigest> {
+        DocumentDigest::from_hex(text).map(KeyDigest)
+    }
 }
 
 /// How many requests a tenant may make, counted over all nodes.
@@ -48,3 +60,67 @@
         &self.name
     }
 }
+
+/// The tenants of one configuration, found by their keys.
+#[derive(Default, Debug)]
+pub struct Tenants {
+    by_key: HashMap<KeyDigest, Arc<Tenant>>,
+    count: usize,
+}
+
+impl Tenants {
+    /// Whether the configuration has no tenants, so that no request needs a key.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    /// The tenant that holds the key. Only digests are compared, so the time it takes tells nothing of a key.
+    pub fn owner(&self, key: &KeyDigest) -> Option<&Arc<Tenant>> {
+        self.by_key.get(key)
+    }
+}
+
+impl From<Vec<Tenant>> for Tenants {
+    fn from(rows: Vec<Tenant>) -> Tenants {
+        let count = rows.len();
+        let mut by_key = HashMap::new();
+        for tenant in rows.into_iter().map(Arc::new) {
+            for key in &tenant.keys {
+                by_key.insert(*key, tenant.clone());
+            }
+        }
+        Tenants { by_key, count }
+    }
+}
+
+/// What a request was admitted by: the digest of its key, and the tenant that held the key then.
+#[derive(Clone, Debug)]
+pub struct Credential {
+    /// The digest of the key.
+    pub key: KeyDigest,
+    /// Its owner.
+    pub tenant: Arc<Tenant>,
+}
+
+impl Credential {
+    /// Whether the key still belongs to the same tenant.
+    pub fn is_valid(&self, tenants: &Tenants) -> bool {
+        tenants.owner(&self.key).is_some_and(|owner| owner.name == self.tenant.name)
+    }
+}
+
+/// How urgent the requests of a tenant are, before the class of their route; 0 is first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Default)]
+pub struct TenantRank(pub u8);
+
+impl TenantRank {
+    /// The rank of a tenant without one of its own, and of requests that need no key.
+    pub const DEFAULT: TenantRank = TenantRank(1);
+}
+
+impl Tenant {
+    /// How urgent its requests are.
+    pub fn rank(&self) -> TenantRank {
+        self.priority.map_or(TenantRank::DEFAULT, |rank| TenantRank(rank.min(u64::from(u8::MAX)) as u8))
+    }
+}
--- a/src/gate/core.rs
+++ b/src/gate/core.rs
@@ -97,9 +97,7 @@
         if !self.is_fresh(now) {
             return Err(Why::Stale);
         }
-        if !self.routed(order) {
-            return Err(Why::NoRoute);
-        }
+        self.admits(order)?;
         let listed = self.slice.as_ref().and_then(|s| s.runners.iter().find(|r| r.instance == *runner));
         let h = self.health.get(runner);
         if listed.is_none_or(|r| r.leaving) || h.is_some_and(|h| h.leaving) {
@@ -131,7 +129,7 @@
         }
         self.pace.came(now, &order.model, order.class);
         self.used(now, order);
-        let first = self.inbox.keys().first().is_some_and(|k| k.0 <= order.class);
+        let first = self.inbox.keys().first().is_some_and(|k| k.0 <= order.urgency());
         let plan = if first && self.inbox.len() > 32 {
             match self.nominate(now, order, &[]) {
                 Plan::Send(_) => Plan::Wait("behind-others"),
--- a/src/gate/inbox.rs
+++ b/src/gate/inbox.rs
@@ -1,5 +1,4 @@
-use super::order::{Order, Plan};
-use crate::fleet::config::Class;
+use super::order::{Order, Plan, Urgency};
 use std::collections::BTreeMap;
 
 /// Hands a plan to the request that waits; gives it back if that request is over. It runs under the gate's lock, on
@@ -15,7 +14,7 @@
 
 #[derive(Default)]
 pub struct Inbox {
-    rows: BTreeMap<(Class, u64), Waiter>,
+    rows: BTreeMap<(Urgency, u64), Waiter>,
     next: u64,
 }
 
@@ -30,24 +29,24 @@
 
     pub fn add(&mut self, waiter: Waiter) {
         self.next += 1;
-        self.rows.insert((waiter.order.class, self.next), waiter);
+        self.rows.insert((waiter.order.urgency(), self.next), waiter);
     }
 
-    pub fn keys(&self) -> Vec<(Class, u64)> {
+    pub fn keys(&self) -> Vec<(Urgency, u64)> {
         self.rows.keys().copied().collect()
     }
 
-    pub fn get(&self, key: &(Class, u64)) -> Option<&Waiter> {
+    pub fn get(&self, key: &(Urgency, u64)) -> Option<&Waiter> {
         self.rows.get(key)
     }
 
-    pub fn take(&mut self, key: &(Class, u64)) -> Option<Waiter> {
+    pub fn take(&mut self, key: &(Urgency, u64)) -> Option<Waiter> {
         self.rows.remove(key)
     }
 
     pub fn ahead(&self, order: &Order) -> u64 {
         let alike = |w: &&Waiter| w.order.model == order.model && w.order.adapter == order.adapter;
-        let before = |w: &&Waiter| w.order.class <= order.class && w.order.id != order.id;
+        let before = |w: &&Waiter| w.order.urgency() <= order.urgency() && w.order.id != order.id;
         self.rows.values().filter(alike).filter(before).count() as u64
     }
 
@@ -59,7 +58,7 @@
         self.rows.retain(|_, w| w.order.id != id);
     }
 
-    pub fn last_lower(&self, than: Class) -> Option<(Class, u64)> {
+    pub fn last_lower(&self, than: Urgency) -> Option<(Urgency, u64)> {
         let key = self.rows.keys().next_back().copied()?;
         (key.0 > than).then_some(key)
     }
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -1,3 +1,4 @@
+pub mod admission;
 pub mod budget;
 pub mod core;
 pub mod health;
--- a/src/gate/nominate.rs
+++ b/src/gate/nominate.rs
@@ -49,8 +49,8 @@
         if !self.is_fresh(now) {
             return Plan::Wait("not-fresh");
         }
-        if !self.routed(order) {
-            return Plan::Refuse(Refusal::new(Why::NoRoute, 0));
+        if let Err(why) = self.admits(order) {
+            return Plan::Refuse(Refusal::new(why, 0));
         }
         if self.gone {
             return Plan::Refuse(Refusal::new(Why::Gone, 0));
--- a/src/gate/order.rs
+++ b/src/gate/order.rs
@@ -1,5 +1,6 @@
 use crate::fleet::config::{Class, RouteKind};
 use crate::fleet::runner::Runner;
+use crate::fleet::tenants::{Credential, TenantRank};
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
 use crate::transfer::continuation::RunContract;
@@ -10,6 +11,10 @@
     pub id: u64,
     pub service: Name,
     pub class: Class,
+    /// How urgent its tenant is; it goes before the class.
+    pub rank: TenantRank,
+    /// The key that it was admitted by, where one is needed.
+    pub credential: Option<Credential>,
     pub model: CompactString,
     pub adapter: CompactString,
     pub prefix: CompactString,
@@ -39,6 +44,8 @@
             id: 0,
             service: Name::default(),
             class: Class::Normal,
+            rank: TenantRank::default(),
+            credential: None,
             model: "".into(),
             adapter: "".into(),
             prefix: "".into(),
@@ -62,6 +69,20 @@
     }
 }
 
+/// In which order requests are served: by the rank of the tenant, then by the class of the route.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct Urgency {
+    pub rank: TenantRank,
+    pub class: Class,
+}
+
+impl Order {
+    /// Where it stands among requests that wait.
+    pub fn urgency(&self) -> Urgency {
+        Urgency { rank: self.rank, class: self.class }
+    }
+}
+
 pub type Parts = std::sync::Arc<[(u64, u32)]>;
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
@@ -90,6 +111,7 @@
     Crowded,
     TooLong,
     NoRoute,
+    UnknownKey,
     Full,
 }
 
@@ -116,6 +138,7 @@
         match self.why {
             Why::InboxFull | Why::Crowded => 429,
             Why::NoModel | Why::Gone | Why::NoRoute => 404,
+            Why::UnknownKey => 401,
             _ => 503,
         }
     }
@@ -133,6 +156,7 @@
             Why::Crowded => "crowded",
             Why::TooLong => "wait-too-long",
             Why::NoRoute => "route-changed",
+            Why::UnknownKey => "unknown-key",
             Why::Full => "runners-full",
         }
     }
@@ -154,6 +178,7 @@
             Why::NoRoute => {
                 "its route was changed while it waited; see the current configuration and ask again"
             }
+            Why::UnknownKey => "it carries no key of a tenant; send a key that the configuration names",
             Why::Full => "the runners tried turned it away; ask again after Retry-After",
             Why::Gone => "the service was withdrawn; see the current configuration",
             Why::Crowded => "orders of a higher class fill the inbox; ask again later",
--- a/src/gate/table.rs
+++ b/src/gate/table.rs
@@ -151,8 +151,8 @@
                 if at >= row.0 {
                     row.1 = row.1.max(proven);
                     row.0 = at;
-                    if let Some(Slice::Routes(rows)) = slice {
-                        row.2 = Arc::new(rows.into());
+                    if let Some(Slice::Routes(routes)) = slice {
+                        row.2 = Arc::new(routes.into());
                     }
                 }
                 let (proven, rows) = (row.1, (row.0, row.2.clone()));
--- a/src/gate/tell.rs
+++ b/src/gate/tell.rs
@@ -59,14 +59,6 @@
         }
     }
 
-    pub fn routed(&self, order: &Order) -> bool {
-        if order.routes_at == self.routes.0 || order.path.is_empty() {
-            return true;
-        }
-        let row = self.routes.1.find(&order.host, &order.path);
-        row.is_some_and(|r| r.leads_to(&self.name) && r.route.resumable == order.resumable)
-    }
-
     pub fn told_load(&mut self, now: Time, runner: &Name, load: Load) {
         if let Some(h) = self.health.get_mut(runner) {
             h.told_load(now, load);
--- a/src/gate/waiters.rs
+++ b/src/gate/waiters.rs
@@ -37,7 +37,7 @@
         if self.inbox.len() >= most {
             let ahead = self.inbox.ahead(&waiter.order);
             let wait = self.expect_slot(now, &waiter.order, ahead).unwrap_or(Span::ms(2000));
-            let Some(key) = self.inbox.last_lower(waiter.order.class) else {
+            let Some(key) = self.inbox.last_lower(waiter.order.urgency()) else {
                 self.count("refused_inbox_full");
                 return self.deliver(waiter, Plan::Refuse(Refusal::new(Why::InboxFull, retry_s(wait))));
             };
--- a/src/http/own.rs
+++ b/src/http/own.rs
@@ -1,5 +1,6 @@
 use crate::fleet::config::Route;
 use crate::fleet::runner::{Report, Runner};
+use crate::fleet::tenants::KeyDigest;
 use crate::gate::order::Order;
 use crate::json::Tree;
 use crate::json::tree::map;
@@ -11,10 +12,20 @@
 use hyper::Request;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 
+/// The header that holds a tenant's key.
+const KEY_HEADER: &str = "x-spindledock-key";
+/// The header that tells a runner whose request it is.
+const TENANT: &str = "x-spindledock-tenant";
+
 pub struct OwnCaller;
 pub struct OwnRunner;
 
 impl CallerSide for OwnCaller {
+    fn take_key(&self, heads: &mut HeaderMap) -> Option<KeyDigest> {
+        let key = heads.remove(KEY_HEADER)?;
+        Some(KeyDigest::of(key.as_bytes()))
+    }
+
     fn keys(&self, heads: &HeaderMap, body: &[u8], assistant: bool) -> Result<Keys, &'static str> {
         let last = heads.get("last-event-id").and_then(|v| v.to_str().ok()).map(|s| s.to_string());
         let mut out = Keys { last, ..Keys::default() };
@@ -60,10 +71,15 @@
 }
 
 impl RunnerSide for OwnRunner {
-    fn dress(&self, heads: &mut HeaderMap, runner: &Runner, _order: &Order, last: Option<&str>, _left: Span) {
+    fn dress(&self, heads: &mut HeaderMap, runner: &Runner, order: &Order, last: Option<&str>, _left: Span) {
         if let Ok(target) = HeaderValue::from_str(&runner.instance.0) {
             heads.insert(HeaderName::from_static("x-target-instance"), target);
         }
+        heads.remove(TENANT);
+        let tenant = order.credential.as_ref().map(|c| HeaderValue::from_str(&c.tenant.name.0));
+        if let Some(Ok(name)) = tenant {
+            heads.insert(HeaderName::from_static(TENANT), name);
+        }
         if let Some(id) = last.and_then(|id| HeaderValue::from_str(id).ok()) {
             heads.insert(HeaderName::from_static("last-event-id"), id);
         }
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -1,3 +1,4 @@
+use super::admission::admit;
 use super::answer::{OutBody, own, refused, too_slow};
 use super::attempt::{ForwardedRequest, end_to_end};
 use super::client::ClientConnections;
@@ -80,10 +81,10 @@
         }
         let now = self.clock.now();
         let host = order.headers().get("host").and_then(|h| h.to_str().ok()).unwrap_or("").to_string();
-        let Some((routes_at, found)) = self.table.find(now, &host, order.uri().path()) else {
+        let Some((routes_at, routes)) = self.table.fresh_routes(now) else {
             return refused(&*self.sides.caller, &Refusal::new(Why::Stale, 1));
         };
-        let Some(row) = found else {
+        let Some(row) = routes.find(&host, order.uri().path()) else {
             return own(
                 404,
                 "unknown-route",
@@ -92,7 +93,12 @@
                 "refused",
             );
         };
-        let (parts, body) = order.into_parts();
+        let (mut parts, body) = order.into_parts();
+        let key = self.sides.caller.take_key(&mut parts.headers);
+        let admission = match admit(&routes, row, key) {
+            Ok(admission) => admission,
+            Err(denied) => return denied.answer(&*self.sides.caller),
+        };
         let limited = Limited::new(body, (row.route.body_kb as usize) << 10).collect();
         let body = match tokio::time::timeout(Span::ms(row.route.due_ms).as_std(), limited).await {
             Ok(Ok(body)) => body.to_bytes(),
@@ -107,10 +113,15 @@
         };
         let mut heads = end_to_end(&parts.headers);
         heads.remove("x-target-instance");
-        let order = match self.order(&row, now, &heads, &body) {
-            Ok(order) => {
-                Order { host: host.as_str().into(), path: parts.uri.path().into(), routes_at, ..order }
-            }
+        let order = match self.order(row, now, &heads, &body) {
+            Ok(order) => Order {
+                host: host.as_str().into(),
+                path: parts.uri.path().into(),
+                routes_at,
+                rank: admission.rank,
+                credential: admission.credential,
+                ..order
+            },
             Err(answer) => return *answer,
         };
         let Some(gate) = self.table.gate(&order.service) else {
--- a/src/kernel/change_id.rs
+++ b/src/kernel/change_id.rs
@@ -24,6 +24,23 @@
         DocumentDigest(hasher.finalize().into())
     }
 
+    /// Two hexadecimal digits a byte.
+    pub fn to_hex(&self) -> String {
+        self.0.iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+
+    /// Reads what `to_hex` writes.
+    pub fn from_hex(text: &str) -> Option<DocumentDigest> {
+        if text.len() != DIGEST_BYTES * 2 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return None;
+        }
+        let mut bytes = [0; DIGEST_BYTES];
+        for (place, byte) in bytes.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[place * 2..place * 2 + 2], 16).ok()?;
+        }
+        Some(DocumentDigest(bytes))
+    }
+
     fn name(&self) -> u128 {
         let mut bytes = [0; NAME_BYTES];
         bytes.copy_from_slice(&self.0[..NAME_BYTES]);
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -1,4 +1,5 @@
 use crate::fleet::config::{Route, RouteKind};
+use crate::fleet::tenants::KeyDigest;
 use crate::gate::order::Size;
 use crate::kernel::time::Span;
 use crate::seam::{CallerSide, Keys, adapter_name};
@@ -6,6 +7,9 @@
 
 const SILENCE_MS: u64 = 2000;
 
+/// The header that holds a tenant's key and nothing else.
+const KEY_HEADER: &str = "api-key";
+
 pub struct Caller;
 
 fn text<'a>(heads: &'a HeaderMap, key: &str) -> Option<&'a str> {
@@ -21,6 +25,11 @@
 }
 
 impl CallerSide for Caller {
+    fn take_key(&self, heads: &mut HeaderMap) -> Option<KeyDigest> {
+        let key = heads.remove(KEY_HEADER)?;
+        Some(KeyDigest::of(key.as_bytes()))
+    }
+
     fn keys(&self, heads: &HeaderMap, _body: &[u8], _assistant: bool) -> Result<Keys, &'static str> {
         let mut out = Keys { last: text(heads, "last-event-id").map(|t| t.to_string()), ..Keys::default() };
         if let Some(ms) = text(heads, "x-deadline-ms") {
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -1,13 +1,14 @@
+use super::merge::{REQUIRED_LISTS, merge, parse};
 use super::operator::Figures;
+use super::tenants;
 use crate::fleet::FleetConfig;
 use crate::fleet::config::*;
 use crate::json::Tree;
 use crate::kernel::fault::{Fault, Kind};
 use crate::kernel::ids::Name;
 use crate::seam::adapter_name;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
-const LISTS: [&str; 2] = ["RouteMap", "Backends"];
 const RANKS: [Class; 4] = [Class::Counter, Class::Chat, Class::Normal, Class::Bulk];
 const ADAPTER_MS: u64 = 10;
 /// What a load from the runner's own disk takes of one from the store, in a hundred; the platform says only "sooner".
@@ -21,61 +22,6 @@
     Fault::new(Kind::Config, place, what, remedy)
 }
 
-fn parse(text: &str) -> Result<Tree, Vec<Fault>> {
-    let tree = Tree::parse(text).map_err(|why| vec![bad("configuration", why, "send one JSON object")])?;
-    match tree {
-        Tree::Map(_) => Ok(tree),
-        _ => Err(vec![bad("configuration", "is no object", "send one JSON object")]),
-    }
-}
-
-fn put(rows: &mut Vec<(String, Tree)>, key: &str, value: Tree) {
-    match rows.iter_mut().find(|r| r.0 == key) {
-        Some(row) => row.1 = value,
-        None => rows.push((key.to_string(), value)),
-    }
-}
-
-/// The document that a change of named items makes of the current one.
-fn merge(now: Tree, patch: &Tree) -> Result<Tree, Vec<Fault>> {
-    let (Tree::Map(mut rows), Tree::Map(more)) = (now, patch) else {
-        return Err(vec![bad("configuration", "is no object", "send one JSON object")]);
-    };
-    for (key, value) in more {
-        if key != "Upsert" && key != "Withdraw" {
-            put(&mut rows, key, value.clone());
-        }
-    }
-    for key in LISTS {
-        let gone: BTreeSet<String> =
-            patch.get("Withdraw").map_or(vec![], |t| t.texts(key)).into_iter().collect();
-        let new = patch.get("Upsert").map_or(&[][..], |t| t.list(key));
-        if gone.is_empty() && new.is_empty() {
-            continue;
-        }
-        let mut by: BTreeMap<&str, &Tree> = new.iter().filter_map(|t| Some((t.text("Name")?, t))).collect();
-        let old = rows.iter().find(|r| r.0 == key).map_or(vec![], |r| match &r.1 {
-            Tree::List(l) => l.clone(),
-            _ => vec![],
-        });
-        let mut list = Vec::with_capacity(old.len() + new.len());
-        for t in old {
-            let name = t.text("Name").unwrap_or("").to_string();
-            if let Some(t) = by.remove(name.as_str()) {
-                list.push(t.clone());
-            } else if !gone.contains(&name) {
-                list.push(t);
-            }
-        }
-        list.extend(new.iter().filter(|t| t.text("Name").is_some_and(|n| by.contains_key(n))).cloned());
-        put(&mut rows, key, Tree::List(list));
-    }
-    if let Some(Tree::Map(limits)) = patch.get("Upsert").and_then(|t| t.get("Limits")) {
-        put(&mut rows, "Limits", Tree::Map(limits.clone()));
-    }
-    Ok(Tree::Map(rows))
-}
-
 /// The revision that a document names.
 pub fn revision(text: &str) -> Option<u64> {
     Tree::parse(text).ok()?.whole(REVISION)
@@ -117,7 +63,7 @@
             idle_ms: l.num("IdleTimeoutMs").unwrap_or(d.idle_ms),
         };
     }
-    for key in LISTS {
+    for key in REQUIRED_LISTS {
         if !matches!(tree.get(key), Some(Tree::List(_))) {
             faults.push(bad(key, "is no list", "send the whole configuration"));
         }
@@ -137,6 +83,7 @@
             s.routes.push(route);
         }
     }
+    c.tenants = tenants::read(tree, faults).into();
     c
 }
 
@@ -243,6 +190,7 @@
         aim_ms: ms(t, "TargetLatencyMs"),
         gap_ms: ms(t, "TargetGapMs"),
         sticky: t.flag("SessionAffinity").unwrap_or(false),
+        open: t.flag("NoAuth").unwrap_or(false),
         split,
     };
     (faults.len() == before).then_some((of, route))
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,7 +1,9 @@
 pub mod caller;
 pub mod config;
 pub mod list;
+pub mod merge;
 pub mod operator;
 pub mod precondition;
 pub mod runner;
 pub mod settings;
+pub mod tenants;
--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -13,6 +13,11 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 
 const ID: &str = "x-request-id";
+const TENANT: &str = "x-tenant";
+/// The least urgent class that a runner knows.
+const LAST_CLASS: u8 = 9;
+/// How many classes of routes a rank of tenants takes.
+const CLASSES_PER_RANK: u8 = 4;
 
 pub struct RunnerWords {
     pub node: String,
@@ -35,6 +40,12 @@
         .expect("a valid call")
 }
 
+/// The class of a request at its runner: by the rank of its tenant, then by the class of its route.
+fn priority_class(order: &Order) -> u8 {
+    let first = order.rank.0.saturating_mul(CLASSES_PER_RANK);
+    first.saturating_add(order.class as u8).min(LAST_CLASS)
+}
+
 /// The models and adapters that `Models` of a report or list entry tells of.
 pub fn holds(t: &Tree) -> Vec<Name> {
     let mut out = Vec::new();
@@ -53,8 +64,12 @@
         if let Some(id) = last {
             put(heads, "last-event-id", id);
         }
+        heads.remove(TENANT);
+        if let Some(credential) = &order.credential {
+            put(heads, TENANT, &credential.tenant.name.0);
+        }
         if !order.model.is_empty() {
-            put(heads, "x-priority-class", &(order.class as u8).to_string());
+            put(heads, "x-priority-class", &priority_class(order).to_string());
         }
     }
 
--- a/src/seam.rs
+++ b/src/seam.rs
@@ -1,6 +1,7 @@
 use crate::fleet::FleetConfig;
 use crate::fleet::config::Route;
 use crate::fleet::runner::{Report, Runner};
+use crate::fleet::tenants::KeyDigest;
 use crate::gate::order::{Order, Parts, Size};
 use crate::http::own::{OwnCaller, OwnRunner};
 use crate::kernel::fault::Fault;
@@ -32,6 +33,8 @@
 
 /// How callers speak. `Err` holds a text that names the remedy.
 pub trait CallerSide: Send + Sync {
+    /// The key that a request carries, if any; it is taken out of the headers, so that no runner gets it.
+    fn take_key(&self, heads: &mut HeaderMap) -> Option<KeyDigest>;
     fn keys(&self, heads: &HeaderMap, body: &[u8], assistant: bool) -> Result<Keys, &'static str>;
     /// The text of `Retry-After` for a wait.
     fn retry(&self, wait: Span) -> String;
--- a/src/sim/check_config.rs
+++ b/src/sim/check_config.rs
@@ -2,7 +2,7 @@
 use super::record::Fact;
 use super::replay::{Replay, replay};
 use super::world::World;
-use crate::fleet::slice::{routes_print, service_slice};
+use crate::fleet::slice::service_slice;
 use crate::fleet::state::OutcomeCode;
 use crate::kernel::ids::*;
 use crate::kernel::rand::hash;
@@ -94,7 +94,7 @@
             continue;
         };
         let want = match named {
-            None => Some(routes_print(&c.routes)),
+            None => Some(c.routes.print()),
             Some(n) => c.config.service(&Name::from(n)).map(|s| service_slice(&c.config, s).print()),
         };
         if want != Some(*print) {
--- a/src/sim/replay.rs
+++ b/src/sim/replay.rs
@@ -2,7 +2,7 @@
 use super::record::{Asked, Fact};
 use crate::fleet::FleetConfig;
 use crate::fleet::read::read;
-use crate::fleet::slice::{RouteRow, route_match, route_rows};
+use crate::fleet::slice::{RoutesSlice, route_match};
 use crate::json::Tree;
 use crate::kernel::ids::*;
 use crate::kernel::rand::hash;
@@ -15,7 +15,7 @@
     pub asked: Time,
     pub acked: Time,
     pub config: FleetConfig,
-    pub routes: Vec<RouteRow>,
+    pub routes: RoutesSlice,
     pub print: u64,
 }
 
@@ -128,7 +128,7 @@
         config = new;
         last = at;
         let acked = a.acknowledged().map_or(a.asked, |end| end.0);
-        let (routes, print) = (route_rows(&config), hash(&config.tree().to_string(), 4));
+        let (routes, print) = (RoutesSlice::of(&config), hash(&config.tree().to_string(), 4));
         out.taken.push(Taken { id, at, asked: a.asked, acked, config: config.clone(), routes, print });
     }
     out
@@ -150,7 +150,7 @@
 
 impl Taken {
     pub fn offers(&self, service: &Name, path: &str, model: &Name, adapter: &str) -> bool {
-        let Some(row) = route_match(&self.routes, "", path) else { return false };
+        let Some(row) = route_match(&self.routes.rows, "", path) else { return false };
         let Some(s) = self.config.service(&row.service) else { return false };
         let named = model.0.is_empty() || s.models.contains(model);
         let tuned = adapter.is_empty() || s.adapters.iter().any(|a| a.0 == adapter);
--- a/tests/common/adopt.rs
+++ b/tests/common/adopt.rs
@@ -2,7 +2,7 @@
 
 use spindledock::fleet::FleetConfig;
 use spindledock::fleet::read::read_text;
-use spindledock::fleet::slice::{route_rows, routes_print};
+use spindledock::fleet::slice::RoutesSlice;
 use spindledock::kernel::fault::{Fault, Kind};
 use spindledock::kernel::ids::*;
 use spindledock::kernel::rand::Rand;
@@ -171,7 +171,7 @@
     fn taken(&self) -> (Vec<(u64, u64, FleetConfig)>, Vec<String>) {
         let mut rows: Vec<&Sent> = self.sent.values().filter(|s| !s.refused()).collect();
         rows.sort_by_key(|s| (s.base, s.text.clone()));
-        let mut out = vec![(0, routes_print(&[]), FleetConfig::default())];
+        let mut out = vec![(0, RoutesSlice::default().print(), FleetConfig::default())];
         let mut bad = Vec::new();
         let mut at = 0;
         loop {
@@ -184,7 +184,7 @@
             let old = &out.last().expect("a first").2;
             let new = Lines.read(old, &s.text, s.part).expect("it was taken, so it reads");
             at = new.revision;
-            out.push((at, routes_print(&route_rows(&new)), new));
+            out.push((at, RoutesSlice::of(&new).print(), new));
         }
     }
 
@@ -220,7 +220,7 @@
     pub fn all_have(&mut self, source: &str) {
         let all: Vec<usize> = (0..self.w.nodes.len()).filter(|n| self.w.nodes[*n].alive).collect();
         let config = Lines.read(&FleetConfig::default(), source.trim_end(), false).expect("good");
-        let print = routes_print(&route_rows(&config));
+        let routes_wanted = RoutesSlice::of(&config);
         let (core, want) = (self.w.controllers(), source.to_string());
         let same = self.w.until(Span::ms(20_000), |w| {
             all.iter().all(|n| {
@@ -228,7 +228,7 @@
                 let node = w.nodes[*n].node.as_ref();
                 let kept = node.is_some_and(|x| x.views.state.config.source == want);
                 let routes = w.nodes[*n].table.fresh_routes(now);
-                if core.contains(n) { kept } else { routes.is_some_and(|r| routes_print(&r.1.rows) == print) }
+                if core.contains(n) { kept } else { routes.is_some_and(|r| r.1.rows == routes_wanted.rows) }
             })
         });
         assert!(same.is_some(), "all have {source}; the head has {}", self.source(self.head()));
--- a/tests/delta.rs
+++ b/tests/delta.rs
@@ -2,7 +2,7 @@
 use spindledock::distribution::history::{Body, ChangeHistory, Step};
 use spindledock::distribution::reader::Topic;
 use spindledock::fleet::config::{Class, Route, RouteKind};
-use spindledock::fleet::slice::{RouteRow, Slice};
+use spindledock::fleet::slice::{RouteRow, RoutesSlice, Slice};
 use spindledock::fleet::state::Scope;
 use spindledock::kernel::ids::*;
 use spindledock::kernel::rand::{Rand, Seeded};
@@ -23,13 +23,18 @@
         aim_ms: 0,
         gap_ms: 0,
         sticky: false,
+        open: false,
         split: vec![],
     };
     RouteRow { service: Name::from("s"), route }
 }
 
+fn slice_of(rows: Vec<RouteRow>) -> Slice {
+    Slice::Routes(RoutesSlice { rows, tenants: vec![] })
+}
+
 fn routes(rows: impl Iterator<Item = u64>) -> Arc<Slice> {
-    Arc::new(Slice::Routes(rows.map(|n| row(n, 1000)).collect()))
+    Arc::new(slice_of(rows.map(|n| row(n, 1000)).collect()))
 }
 
 fn item(at: u64, age: Span, body: Body) -> TopicUpdate {
@@ -47,7 +52,7 @@
     let mut rand = Seeded(7);
     let (mut home, mut reader) = (ChangeHistory::default(), ChangeHistory::default());
     let mut rows: Vec<RouteRow> = (0..1000).map(|n| row(n, 1000)).collect();
-    home.raise(Version(1), Arc::new(Slice::Routes(rows.clone())));
+    home.raise(Version(1), Arc::new(slice_of(rows.clone())));
     reader.raise(Version(1), home.slice.clone().expect("held"));
     let whole = bitcode::encode(&home.body(Version(0))).len();
     for at in 2..40u64 {
@@ -59,7 +64,7 @@
                 _ => rows[n].route.due_ms = rand.below(9000),
             }
         }
-        home.raise(Version(at), Arc::new(Slice::Routes(rows.clone())));
+        home.raise(Version(at), Arc::new(slice_of(rows.clone())));
         let Body::Steps(steps) = home.body(reader.at) else { panic!("steps are smaller") };
         assert!(bitcode::encode(&Body::Steps(steps.clone())).len() * 5 < whole, "a fifth at most");
         assert!(reader.follow(&steps));
@@ -74,7 +79,7 @@
     home.raise(Version(3), routes(0..50));
     home.raise(Version(5), routes(0..60));
     let mut r = reader();
-    let other = Arc::new(Slice::Routes((100..150).map(|n| row(n, 1000)).collect()));
+    let other = Arc::new(slice_of((100..150).map(|n| row(n, 1000)).collect()));
     let nonce = r.ask(Time(2_000_000));
     assert_eq!(r.told(nonce, &[item(3, Span(0), Body::Whole(other))]).len(), 1);
     let nonce = r.ask(Time(2_100_000));
--- a/tests/platform_given/road.rs
+++ b/tests/platform_given/road.rs
@@ -3,7 +3,7 @@
 use crate::platform_given::whole;
 use spindledock::daemon::serve::{Work, serve_clients};
 use spindledock::fleet::runner::Runner;
-use spindledock::fleet::slice::{Slice, route_rows, service_slice};
+use spindledock::fleet::slice::{RoutesSlice, Slice, service_slice};
 use spindledock::fleet::state::Scope;
 use spindledock::gate::Table;
 use spindledock::http::client::ClientConnections;
@@ -106,7 +106,7 @@
                 leaving: false,
             })
             .collect();
-        table.learn(now, &Scope::Routes, Version(1), Some(Slice::Routes(route_rows(&c))), now);
+        table.learn(now, &Scope::Routes, Version(1), Some(Slice::Routes(RoutesSlice::of(&c))), now);
         table.learn(
             now,
             &Scope::Service(Name::from("s")),
