Keys: names of any header text, whose key on open routes, no source in what is shown

A tenant's name with blanks or letters beyond ASCII was refused; it is allowed where a header can hold it. On a route that needs no key, a known key still tells the runner whose it is.

--- a/src/chain/show.rs
+++ b/src/chain/show.rs
@@ -28,7 +28,7 @@
     }
     let tree = match path.split('/').collect::<Vec<_>>()[..] {
         ["config"] => {
-            map(&[("version", state.config_at.to_string().into()), ("configuration", state.config.tree())])
+            map(&[("version", state.config_at.to_string().into()), ("configuration", state.config.shown())])
         }
         ["source"] if state.config.source.is_empty() => {
             return Answer::new(404, "no-configuration", "no configuration was taken yet; send one", 0);
--- a/src/fleet/show.rs
+++ b/src/fleet/show.rs
@@ -7,6 +7,11 @@
 }
 
 impl FleetConfig {
+    /// The configuration as it is told to everybody who may look: without its source, which holds the tenants' keys.
+    pub fn shown(&self) -> Tree {
+        FleetConfig { source: String::new(), ..self.clone() }.tree()
+    }
+
     pub fn tree(&self) -> Tree {
         let models = self.models.iter().map(|m| {
             map(&[
--- a/src/fleet/tenants.rs
+++ b/src/fleet/tenants.rs
@@ -78,6 +78,12 @@
     pub fn owner(&self, key: &KeyDigest) -> Option<&Arc<Tenant>> {
         self.by_key.get(key)
     }
+
+    /// What a request with this key is admitted by, if some tenant holds the key.
+    pub fn credential(&self, key: KeyDigest) -> Option<Credential> {
+        let tenant = self.owner(&key)?.clone();
+        Some(Credential { key, tenant })
+    }
 }
 
 impl From<Vec<Tenant>> for Tenants {
@@ -110,17 +116,19 @@
 }
 
 /// How urgent the requests of a tenant are, before the class of their route; 0 is first.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Default)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub struct TenantRank(pub u8);
 
 impl TenantRank {
-    /// The rank of a tenant without one of its own, and of requests that need no key.
-    pub const DEFAULT: TenantRank = TenantRank(1);
+    /// The rank of all requests where there are no tenants.
+    pub const FIRST: TenantRank = TenantRank(0);
+    /// The rank of a tenant without one of its own, and of requests without a tenant.
+    pub const UNRANKED: TenantRank = TenantRank(1);
 }
 
 impl Tenant {
     /// How urgent its requests are.
     pub fn rank(&self) -> TenantRank {
-        self.priority.map_or(TenantRank::DEFAULT, |rank| TenantRank(rank.min(u64::from(u8::MAX)) as u8))
+        self.priority.map_or(TenantRank::UNRANKED, |rank| TenantRank(rank.min(u64::from(u8::MAX)) as u8))
     }
 }
--- a/src/gate/order.rs
+++ b/src/gate/order.rs
@@ -13,7 +13,7 @@
     pub class: Class,
     /// How urgent its tenant is; it goes before the class.
     pub rank: TenantRank,
-    /// The key that it was admitted by, where one is needed.
+    /// The key that it was admitted by, and whose it was.
     pub credential: Option<Credential>,
     pub model: CompactString,
     pub adapter: CompactString,
@@ -44,7 +44,7 @@
             id: 0,
             service: Name::default(),
             class: Class::Normal,
-            rank: TenantRank::default(),
+            rank: TenantRank::FIRST,
             credential: None,
             model: "".into(),
             adapter: "".into(),
--- a/src/http/admission.rs
+++ b/src/http/admission.rs
@@ -12,7 +12,7 @@
 
 /// A request that may be forwarded.
 pub struct Admission {
-    /// Its key and tenant, where the route asks for one.
+    /// Its key and tenant, if the key is known.
     pub credential: Option<Credential>,
     /// How urgent it is among those of other tenants.
     pub rank: TenantRank,
@@ -29,15 +29,15 @@
     }
 }
 
-/// Decides by the routes and tenants of one configuration.
+/// Decides by the routes and tenants of one configuration. A route that needs no key still tells whose a known key is.
 pub fn admit(table: &RouteTable, row: &RouteRow, key: Option<KeyDigest>) -> Result<Admission, UnknownKey> {
     if table.tenants.is_empty() {
-        return Ok(Admission { credential: None, rank: TenantRank::default() });
+        return Ok(Admission { credential: None, rank: TenantRank::FIRST });
     }
-    if row.route.open {
-        return Ok(Admission { credential: None, rank: TenantRank::DEFAULT });
+    let credential = key.and_then(|key| table.tenants.credential(key));
+    if credential.is_none() && !row.route.open {
+        return Err(UnknownKey);
     }
-    let key = key.ok_or(UnknownKey)?;
-    let tenant = table.tenants.owner(&key).ok_or(UnknownKey)?.clone();
-    Ok(Admission { rank: tenant.rank(), credential: Some(Credential { key, tenant }) })
+    let rank = credential.as_ref().map_or(TenantRank::UNRANKED, |credential| credential.tenant.rank());
+    Ok(Admission { credential, rank })
 }
--- a/src/http/own.rs
+++ b/src/http/own.rs
@@ -6,7 +6,7 @@
 use crate::json::tree::map;
 use crate::kernel::time::Span;
 use crate::msg::RunnerOrder;
-use crate::seam::{Call, CallerSide, Keys, Load, RunnerSide, Verdict};
+use crate::seam::{Call, CallerSide, Keys, Load, RunnerSide, Verdict, tenant_value};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -76,8 +76,7 @@
             heads.insert(HeaderName::from_static("x-target-instance"), target);
         }
         heads.remove(TENANT);
-        let tenant = order.credential.as_ref().map(|c| HeaderValue::from_str(&c.tenant.name.0));
-        if let Some(Ok(name)) = tenant {
+        if let Some(name) = tenant_value(order) {
             heads.insert(HeaderName::from_static(TENANT), name);
         }
         if let Some(id) = last.and_then(|id| HeaderValue::from_str(id).ok()) {
--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -5,7 +5,7 @@
 use crate::kernel::ids::Name;
 use crate::kernel::time::Span;
 use crate::msg::RunnerOrder;
-use crate::seam::{Call, Load, RunnerSide, Verdict, adapter_name};
+use crate::seam::{Call, Load, RunnerSide, Verdict, adapter_name, tenant_value};
 use crate::transfer::continuation::RunContract;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -65,8 +65,8 @@
             put(heads, "last-event-id", id);
         }
         heads.remove(TENANT);
-        if let Some(credential) = &order.credential {
-            put(heads, TENANT, &credential.tenant.name.0);
+        if let Some(name) = tenant_value(order) {
+            heads.insert(HeaderName::from_static(TENANT), name);
         }
         if !order.model.is_empty() {
             put(heads, "x-priority-class", &priority_class(order).to_string());
--- a/src/platform/tenants.rs
+++ b/src/platform/tenants.rs
@@ -6,6 +6,7 @@
 use crate::json::Tree;
 use crate::kernel::fault::{Fault, Kind};
 use crate::kernel::ids::Name;
+use hyper::header::HeaderValue;
 use std::collections::BTreeSet;
 
 /// The most requests a second, and the greatest burst, that a quota may allow.
@@ -42,7 +43,11 @@
 fn read_one(at: &str, item: &Tree, faults: &mut Vec<Fault>) -> Option<Tenant> {
     let name = item.text("Name").filter(|name| is_header_value(name));
     let Some(name) = name else {
-        faults.push(fault(at, "has no Name of visible characters", "name it"));
+        faults.push(fault(
+            at,
+            "has no Name that can stand in a header",
+            "name it, without control characters",
+        ));
         return None;
     };
     let before = faults.len();
@@ -61,7 +66,7 @@
 }
 
 fn is_header_value(text: &str) -> bool {
-    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic())
+    !text.is_empty() && text.trim() == text && HeaderValue::from_bytes(text.as_bytes()).is_ok()
 }
 
 fn read_keys(at: &str, item: &Tree, faults: &mut Vec<Fault>) -> Vec<KeyDigest> {
--- a/src/seam.rs
+++ b/src/seam.rs
@@ -13,7 +13,7 @@
 use compact_str::CompactString;
 use http_body_util::Full;
 use hyper::Request;
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderValue};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -112,6 +112,12 @@
     fn read(&self, now: &FleetConfig, text: &str, part: bool) -> Result<FleetConfig, Vec<Fault>>;
 }
 
+/// The name of the request's tenant as runners are told it.
+pub fn tenant_value(order: &Order) -> Option<HeaderValue> {
+    let name = &order.credential.as_ref()?.tenant.name;
+    HeaderValue::from_bytes(name.0.as_bytes()).ok()
+}
+
 pub fn adapter_name(model: &str, adapter: &str) -> Name {
     Name(format!("{model}/{adapter}"))
 }
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -57,7 +57,7 @@
 overdue-room|src/placement/flights.rs|f.overdue \|= !f.answered|f.there \|= !f.answered|placement in_flight
 plan-accept|src/placement/demand.rs|s.config.placement.auto \{ PlanState::Running|true { PlanState::Running|plan version_is_accepted
 plan-allowance|src/placement/drive.rs|if ms > most.ms \|\| tries > most.tries|if false|plan at_its_allowance
-route-again|src/gate/tell.rs|if order.routes_at == self.routes.0|if true|turn their_route_is_dropped
+route-again|src/gate/admission.rs|if order.routes_at >= self.routes.0|if true|turn their_route_is_dropped
 mark-gossip|src/gate/sweep.rs|h.leaving = true;\s+g.wake\(now\);|g.wake(now);|leaving tells_only_it
 refused-in-force|src/fleet/fold.rs|return self.end\(id, OutcomeCode::RehearsalFailed|self.config = *t.config; self.config_at = self.at; self.touch(Scope::Routes); return self.end(id, OutcomeCode::RehearsalFailed|rehearse live_orders
 restart-credit|src/gate/budget.rs|credit: 0.0|credit: 10.0|tries restarts
