JSON: an empty list in a partial change empties a list of plain texts

A PATCH with "keys": [] left a tenant all its keys: a list counted as one of named items if all items of the change were, which an empty one's are. Now those in force must be named too. Seen to fail first: given_a_partial_change_with_an_empty_list_of_keys_when_merged_then_the_tenant_has_none_left: left [1, 1], right [0, 1].

--- a/src/json/tree.rs
+++ b/src/json/tree.rs
@@ -102,7 +102,9 @@
                     }
                 }
             }
-            (Tree::List(rows), Tree::List(more)) if more.iter().all(|m| m.name_key().is_some()) => {
+            (Tree::List(rows), Tree::List(more))
+                if rows.iter().chain(&more).all(|item| item.name_key().is_some()) =>
+            {
                 for new in more {
                     let host = |r: &Tree| r.text("host").unwrap_or("").to_string();
                     let at =
