Keys: stories, a checker in the simulator, guards; a key passed on meanwhile gets 503

The gate of a service learns routes after the router's table has, and refused by the older tenants what the newer ones had admitted; seen to fail first (given_a_request_admitted_by_newer_tenants_than_its_gate_knows...: left (Ok, Err(UnknownKey)), right (Ok, Ok)). A request that waits while its key is passed on got 401, which clients take for final although every configuration knows the key; it gets 503. The simulator's callers have keys; sim/check_tenants.rs judges whose requests ran. Refused keys are counted (refused_unknown_key).

--- a/src/fleet/tenants.rs
+++ b/src/fleet/tenants.rs
@@ -108,13 +108,6 @@
     pub tenant: Arc<Tenant>,
 }
 
-impl Credential {
-    /// Whether the key still belongs to the same tenant.
-    pub fn is_valid(&self, tenants: &Tenants) -> bool {
-        tenants.owner(&self.key).is_some_and(|owner| owner.name == self.tenant.name)
-    }
-}
-
 /// How urgent the requests of a tenant are, before the class of their route; 0 is first.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub struct TenantRank(pub u8);
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -1,9 +1,36 @@
-//! Whether a request may still run by what is in force now, however long ago it was admitted.
+//! Who may send a request, when it arrives and again right before each send.
 #![deny(missing_docs)]
 
 use super::core::Gate;
 use super::order::{Order, Why};
+use crate::fleet::routes::RouteTable;
 use crate::fleet::slice::RouteRow;
+use crate::fleet::tenants::{Credential, KeyDigest, TenantRank};
+
+/// A request that may be forwarded.
+pub struct Admission {
+    /// Its key and tenant, if the key is known.
+    pub credential: Option<Credential>,
+    /// How urgent it is among those of other tenants.
+    pub rank: TenantRank,
+}
+
+/// The request needs a key and carries none, or one that belongs to no tenant.
+#[derive(Debug)]
+pub struct UnknownKey;
+
+/// Decides by the routes and tenants of one configuration. A route that needs no key still tells whose a known key is.
+pub fn admit(table: &RouteTable, row: &RouteRow, key: Option<KeyDigest>) -> Result<Admission, UnknownKey> {
+    if table.tenants.is_empty() {
+        return Ok(Admission { credential: None, rank: TenantRank::FIRST });
+    }
+    let credential = key.and_then(|key| table.tenants.credential(key));
+    if credential.is_none() && !row.route.open {
+        return Err(UnknownKey);
+    }
+    let rank = credential.as_ref().map_or(TenantRank::UNRANKED, |credential| credential.tenant.rank());
+    Ok(Admission { credential, rank })
+}
 
 impl Gate {
     /// Whether the newest routes and tenants still allow a request that was admitted by earlier ones. A request may
@@ -19,9 +46,11 @@
         if row.route.open || table.tenants.is_empty() {
             return Ok(());
         }
-        match &order.credential {
-            Some(credential) if credential.is_valid(&table.tenants) => Ok(()),
-            _ => Err(Why::UnknownKey),
+        let Some(credential) = &order.credential else { return Err(Why::UnknownKey) };
+        match table.tenants.owner(&credential.key) {
+            Some(owner) if owner.name == credential.tenant.name => Ok(()),
+            Some(_) => Err(Why::KeyPassedOn),
+            None => Err(Why::UnknownKey),
         }
     }
 }
--- a/src/gate/order.rs
+++ b/src/gate/order.rs
@@ -112,6 +112,7 @@
     TooLong,
     NoRoute,
     UnknownKey,
+    KeyPassedOn,
     Full,
 }
 
@@ -157,6 +158,7 @@
             Why::TooLong => "wait-too-long",
             Why::NoRoute => "route-changed",
             Why::UnknownKey => "unknown-key",
+            Why::KeyPassedOn => "key-passed-on",
             Why::Full => "runners-full",
         }
     }
@@ -178,6 +180,7 @@
             Why::NoRoute => {
                 "its route was changed while it waited; see the current configuration and ask again"
             }
+            Why::KeyPassedOn => "its key was given to another tenant while it waited; ask again",
             Why::UnknownKey => "it carries no key of a tenant; send a key that the configuration names",
             Why::Full => "the runners tried turned it away; ask again after Retry-After",
             Why::Gone => "the service was withdrawn; see the current configuration",
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,7 +1,6 @@
 //! HTTP/1.1 on both sides: connections from clients and operators, connections to runners, and the way between.
 
 pub mod admin;
-pub mod admission;
 pub mod answer;
 pub mod attempt;
 pub mod body;
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -1,4 +1,3 @@
-use super::admission::admit;
 use super::answer::{OutBody, own, refused, too_slow};
 use super::attempt::{ForwardedRequest, end_to_end};
 use super::client::ClientConnections;
@@ -6,6 +5,7 @@
 use super::pool::Pool;
 use crate::fleet::config::Sort;
 use crate::fleet::slice::RouteRow;
+use crate::gate::admission::admit;
 use crate::gate::order::Why;
 use crate::gate::{Order, Refusal, Table};
 use crate::kernel::time::{Clock, Span, Time};
@@ -97,7 +97,7 @@
         let key = self.sides.caller.take_key(&mut parts.headers);
         let admission = match admit(&routes, row, key) {
             Ok(admission) => admission,
-            Err(denied) => return denied.answer(&*self.sides.caller),
+            Err(_) => return self.unknown_key(row),
         };
         let limited = Limited::new(body, (row.route.body_kb as usize) << 10).collect();
         let body = match tokio::time::timeout(Span::ms(row.route.due_ms).as_std(), limited).await {
@@ -150,6 +150,14 @@
         }
     }
 
+    /// What a client without a known key is told; nothing of its key is in it.
+    fn unknown_key(&self, row: &RouteRow) -> Response<OutBody> {
+        if let Some(gate) = self.table.gate(&row.service) {
+            gate.lock().unwrap().count("refused_unknown_key");
+        }
+        refused(&*self.sides.caller, &Refusal::new(Why::UnknownKey, 0))
+    }
+
     fn order(
         &self,
         row: &RouteRow,
--- a/src/launch/judge.rs
+++ b/src/launch/judge.rs
@@ -17,7 +17,9 @@
     let runner = Name(runner.to_string());
     let fact = match what {
         "arrive" => Fact::Tried { call: call()? },
-        "run-begin" => Fact::RunBegan { call: call()?, runner, model: get("model"), place: None },
+        "run-begin" => {
+            Fact::RunBegan { call: call()?, runner, model: get("model"), tenant: None, place: None }
+        }
         "run-end" => Fact::RunEnded { call: call()?, whole: cells.get("whole") == Some(&"true") },
         "order" => Fact::Ordered {
             runner,
--- a/src/sim/begin.rs
+++ b/src/sim/begin.rs
@@ -16,6 +16,7 @@
     ) -> bool {
         let Some(r) = self.requests.rows.get_mut(&id) else { return false };
         let (call, script) = (r.call, r.script.clone());
+        let tenant = r.request.order.credential.as_ref().map(|c| c.tenant.name.clone());
         let model = Name(script.as_ref().map_or(String::new(), |s| s.model.clone()));
         let x = &mut self.runners[k];
         let adapter = Name(script.as_ref().map_or(String::new(), |s| s.adapter.clone()));
@@ -44,7 +45,7 @@
         if let Some(l) = self.requests.rows.get_mut(&id).and_then(|r| r.attempts.get_mut(&attempt)) {
             l.1 = Some((k, run));
         }
-        self.note(Fact::RunBegan { call, runner, model, place: Some(place) });
+        self.note(Fact::RunBegan { call, runner, model, tenant, place: Some(place) });
         let x = &mut self.runners[k];
         if x.runs.values().filter(|r| r.began).count() as u64 >= x.stock.slots {
             x.queue.push(run);
--- a/src/sim/callers.rs
+++ b/src/sim/callers.rs
@@ -64,18 +64,32 @@
         });
         let (service, resumable) = (f.service.clone(), f.resumable);
         let path = format!("{}/{call}", f.prefix);
-        let told = (path.clone(), body.clone());
-        self.note(Fact::Called { call, service, path: told.0, body: told.1, last: 0, resumable });
+        let key = self.caller_key(call);
+        let (told_path, told_body, told_key) = (path.clone(), body.clone(), key.clone());
+        self.note(Fact::Called {
+            call,
+            service,
+            path: told_path,
+            body: told_body,
+            last: 0,
+            resumable,
+            key: told_key,
+        });
         let n = &mut self.nodes[place];
         if n.alive && n.frozen_until > self.now {
-            let deed = Box::new(move |w: &mut World| w.front(place, call, &path, body));
+            let deed = Box::new(move |w: &mut World| w.front(place, call, &path, body, key));
             n.held.push_back(Event::Do(deed));
         } else {
-            self.front(place, call, &path, body);
+            self.front(place, call, &path, body, key);
         }
         call
     }
 
+    fn caller_key(&self, call: u64) -> Option<String> {
+        let count = self.caller_keys.len() as u64;
+        (count > 0).then(|| self.caller_keys[(call % count) as usize].clone())
+    }
+
     pub fn end_run(&mut self, k: usize, run: u64, whole: bool) {
         let x = &mut self.runners[k];
         let Some(row) = x.runs.remove(&run) else { return };
--- a/src/sim/check_config.rs
+++ b/src/sim/check_config.rs
@@ -1,4 +1,5 @@
 use super::check::Bad;
+use super::check_tenants::tenants;
 use super::record::Fact;
 use super::replay::{Replay, replay};
 use super::world::World;
@@ -10,7 +11,8 @@
 use crate::standin::script::Script;
 use std::collections::BTreeMap;
 
-const LATE: Span = Span::ms(2050);
+/// How long after an acknowledgement an older version may still serve.
+pub const LATE: Span = Span::ms(2050);
 
 pub fn configs(w: &World) -> Bad {
     let r = replay(&w.record.rows);
@@ -20,6 +22,7 @@
     bad.extend(shown(w, &r));
     bad.extend(learnt(w, &r));
     bad.extend(kept(w, &r));
+    bad.extend(tenants(w, &r));
     bad
 }
 
--- a/src/sim/front.rs
+++ b/src/sim/front.rs
@@ -1,8 +1,10 @@
 use super::record::Fact;
 use super::world::{Event, Woken, World};
+use crate::fleet::tenants::KeyDigest;
 use crate::forwarding::{In, Out, RequestFlow};
+use crate::gate::admission::admit;
 use crate::gate::order::Why;
-use crate::gate::{Gate, Order, Plan};
+use crate::gate::{Gate, Order, Plan, Refusal};
 use crate::kernel::time::{Span, Time};
 use crate::standin::script::Script;
 use crate::standin::tally::End;
@@ -33,7 +35,7 @@
 }
 
 impl World {
-    pub fn front(&mut self, place: usize, call: u64, path: &str, body: Option<String>) {
+    pub fn front(&mut self, place: usize, call: u64, path: &str, body: Option<String>, key: Option<String>) {
         let now = self.local(place);
         let n = &self.nodes[place];
         let (life, table) = (n.life, n.table.clone());
@@ -43,10 +45,14 @@
         if !n.alive {
             return refused(self, "no-router", End::Failed);
         }
-        let Some((routes_at, found)) = table.find(now, "", path) else {
+        let Some((routes_at, routes)) = table.fresh_routes(now) else {
             return refused(self, "not-fresh", End::Refused);
         };
-        let Some(row) = found else { return refused(self, "unknown-route", End::Refused) };
+        let Some(row) = routes.find("", path) else { return refused(self, "unknown-route", End::Refused) };
+        let key = key.map(|key| KeyDigest::of(key.as_bytes()));
+        let Ok(admission) = admit(&routes, row, key) else {
+            return refused(self, Refusal::new(Why::UnknownKey, 0).code(), End::Refused);
+        };
         let script = body.as_deref().and_then(Script::read);
         let Some(gate) = table.gate(&row.service) else { return refused(self, "not-fresh", End::Refused) };
         self.requests.next += 1;
@@ -55,6 +61,8 @@
             id,
             service: row.service.clone(),
             class: row.route.class,
+            rank: admission.rank,
+            credential: admission.credential,
             model: script.as_ref().map_or("", |s| s.model.as_str()).into(),
             adapter: script.as_ref().map_or("", |s| s.adapter.as_str()).into(),
             prefix: script.as_ref().map_or("", |s| s.prefix.as_str()).into(),
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -5,6 +5,7 @@
 pub mod check_config;
 pub mod check_leaks;
 pub mod check_news;
+pub mod check_tenants;
 pub mod check_tries;
 pub mod check_views;
 pub mod cost;
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -64,6 +64,8 @@
     pub woken: Arc<Mutex<VecDeque<Woken>>>,
     pub sought: Arc<Mutex<VecDeque<Sought>>>,
     pub flows: Vec<super::callers::SimFlow>,
+    /// The keys that callers use in turn; without any they send none.
+    pub caller_keys: Vec<String>,
     pub calls: u64,
     pub turn: Option<u64>,
     pub marks: Option<Vec<(Time, &'static str)>>,
@@ -93,6 +95,7 @@
             woken: Arc::default(),
             sought: Arc::default(),
             flows: Vec::new(),
+            caller_keys: Vec::new(),
             calls: 0,
             turn: None,
             marks: None,
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -111,6 +111,7 @@
             body: what.body.clone(),
             last: what.last.unwrap_or(0),
             resumable: what.resumable,
+            key: None,
         };
         Called { id, at: BootClock.now(), fact }
     }
--- a/tests/delta.rs
+++ b/tests/delta.rs
@@ -4,6 +4,7 @@
 use spindledock::fleet::config::{Class, Route, RouteKind};
 use spindledock::fleet::slice::{RouteRow, RoutesSlice, Slice};
 use spindledock::fleet::state::Scope;
+use spindledock::fleet::tenants::{KeyDigest, Tenant};
 use spindledock::kernel::ids::*;
 use spindledock::kernel::rand::{Rand, Seeded};
 use spindledock::kernel::time::{Span, Time};
@@ -29,6 +30,10 @@
     RouteRow { service: Name::from("s"), route }
 }
 
+fn tenant(n: u64, keys: Vec<KeyDigest>) -> Tenant {
+    Tenant { name: Name(format!("t{n}")), keys, priority: None, quota: None }
+}
+
 fn slice_of(rows: Vec<RouteRow>) -> Slice {
     Slice::Routes(RoutesSlice { rows, tenants: vec![] })
 }
@@ -73,6 +78,39 @@
     assert!(matches!(home.body(Version(2)), Body::Whole(_)), "too far behind");
 }
 
+#[test]
+fn given_a_thousand_tenants_when_keys_are_added_taken_away_and_passed_on_then_the_change_is_small_and_exact()
+{
+    let mut rand = Seeded(9);
+    let (mut home, mut reader) = (ChangeHistory::default(), ChangeHistory::default());
+    let key = |n: u64| KeyDigest::of(&n.to_le_bytes());
+    let mut tenants: Vec<Tenant> = (0..1000).map(|n| tenant(n, vec![key(n)])).collect();
+    let slice = |tenants: &[Tenant]| {
+        Arc::new(Slice::Routes(RoutesSlice { rows: vec![row(1, 1000)], tenants: tenants.to_vec() }))
+    };
+    home.raise(Version(1), slice(&tenants));
+    reader.raise(Version(1), home.slice.clone().expect("held"));
+    let whole = bitcode::encode(&home.body(Version(0))).len();
+    for at in 2..40u64 {
+        let (from, to) =
+            (rand.below(tenants.len() as u64) as usize, rand.below(tenants.len() as u64) as usize);
+        match rand.below(4) {
+            0 => tenants[from].keys.push(key(1000 + at)),
+            1 => tenants[from].keys.clear(),
+            2 => {
+                let passed = std::mem::take(&mut tenants[from].keys);
+                tenants[to].keys.extend(passed);
+            }
+            _ => drop(tenants.remove(from)),
+        }
+        home.raise(Version(at), slice(&tenants));
+        let Body::Steps(steps) = home.body(reader.at) else { panic!("steps are smaller") };
+        assert!(bitcode::encode(&Body::Steps(steps.clone())).len() * 50 < whole, "a fiftieth at most");
+        assert!(reader.follow(&steps));
+        assert_eq!(reader.slice, home.slice, "at {at}");
+    }
+}
+
 #[test]
 fn given_a_copy_that_differs_when_a_change_is_applied_then_it_is_refused_and_the_whole_is_asked_for() {
     let mut home = ChangeHistory::default();
--- a/tests/platform_given/road.rs
+++ b/tests/platform_given/road.rs
@@ -26,6 +26,13 @@
 /// Time goes on only as the story says.
 pub struct Hours(AtomicU64);
 
+impl Hours {
+    /// Time goes on by `ms`, and nothing is proven anew.
+    pub fn skip(&self, ms: u64) {
+        self.0.fetch_add(Span::ms(ms).0, Ordering::SeqCst);
+    }
+}
+
 impl Clock for Hours {
     fn now(&self) -> Time {
         Time(self.0.load(Ordering::SeqCst))
@@ -38,6 +45,7 @@
     pub addr: SocketAddr,
     pub clock: Arc<Hours>,
     pub config: String,
+    pub version: Version,
 }
 
 pub fn config(tries: u64) -> String {
@@ -80,7 +88,7 @@
         let clients = front.clients.clone();
         let work = Arc::new(move |order| Box::pin(work.clone().answer(order)) as Work);
         tokio::spawn(serve_clients(socket, work, clients));
-        Road { runners, front, addr, clock, config: config(tries) }
+        Road { runners, front, addr, clock, config: config(tries), version: Version(1) }
     }
 
     /// A road whose router knows its routes and runners and has `n` further tries saved.
@@ -92,6 +100,13 @@
         road
     }
 
+    /// The router learns a newer configuration.
+    pub fn take(&mut self, config: String) {
+        self.config = config;
+        self.version = Version(self.version.0 + 1);
+        self.learn();
+    }
+
     pub fn learn(&self) {
         let c = whole(&self.config).expect("good");
         let (now, table) = (self.clock.now(), &self.front.table);
@@ -106,11 +121,11 @@
                 leaving: false,
             })
             .collect();
-        table.learn(now, &Scope::Routes, Version(1), Some(Slice::Routes(RoutesSlice::of(&c))), now);
+        table.learn(now, &Scope::Routes, self.version, Some(Slice::Routes(RoutesSlice::of(&c))), now);
         table.learn(
             now,
             &Scope::Service(Name::from("s")),
-            Version(1),
+            self.version,
             Some(Slice::Service(Box::new(s))),
             now,
         );
--- a/tests/platform_tenants.rs
+++ b/tests/platform_tenants.rs
@@ -1,9 +1,11 @@
 mod platform_given;
 
 use platform_given::{part, sound, whole};
+use spindledock::chain::show;
 use spindledock::fleet::FleetConfig;
 use spindledock::fleet::tenants::{KeyDigest, QuotaLimit, Tenants};
 use spindledock::json::Tree;
+use spindledock::kernel::component::Views;
 
 const KEY: &str = "qf75rjvz48wuakn2ftim";
 const OTHER_KEY: &str = "aj3nr26tta828m82thhk";
@@ -106,10 +108,22 @@
 }
 
 #[test]
-fn given_a_configuration_with_keys_when_it_is_shown_then_no_key_is_in_it() {
-    let config = two();
-    let shown = config.shown().to_string();
-    assert!(config.source.contains(KEY) && !shown.contains(KEY) && !shown.contains(OTHER_KEY), "{shown}");
-    assert!(shown.contains("huka") && shown.contains(&KeyDigest::of(KEY.as_bytes()).to_hex()));
-    assert!(!format!("{:?}", config.tenants).contains(KEY));
+fn given_a_configuration_with_keys_when_anything_of_the_fleet_is_asked_then_no_key_is_in_it() {
+    let mut views = Views::default();
+    views.state.config = two();
+    assert!(views.state.config.source.contains(KEY));
+    let questions = ["config", "status", "plan", "history", "runners", "nodes"].map(String::from);
+    let tables = spindledock::query::tables::NAMES.map(|name| format!("query/SELECT * FROM {name}"));
+    for question in questions.iter().chain(&tables) {
+        let answer = show::answer(question, &views);
+        assert_eq!(answer.status, 200, "{question}: {}", answer.body);
+        assert!(
+            !answer.body.contains(KEY) && !answer.body.contains(OTHER_KEY),
+            "{question}: {}",
+            answer.body
+        );
+    }
+    let config = show::answer("config", &views).body;
+    assert!(config.contains("huka") && config.contains(&KeyDigest::of(KEY.as_bytes()).to_hex()), "{config}");
+    assert!(!format!("{:?}", views.state.config.tenants).contains(KEY));
 }
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -58,6 +58,12 @@
 plan-accept|src/placement/demand.rs|s.config.placement.auto \{ PlanState::Running|true { PlanState::Running|plan version_is_accepted
 plan-allowance|src/placement/drive.rs|if ms > most.ms \|\| tries > most.tries|if false|plan at_its_allowance
 route-again|src/gate/admission.rs|if order.routes_at >= self.routes.0|if true|turn their_route_is_dropped
+key-known|src/gate/admission.rs|if credential.is_none\(\) && !row.route.open|if false|platform_keys has_no_known_key
+key-last-check|src/gate/admission.rs|None => Err\(Why::UnknownKey\),|None => Ok(()),|tenants none_begins_after_the_change
+key-passed-on|src/gate/admission.rs|Some\(_\) => Err\(Why::KeyPassedOn\)|Some(_) => Ok(())|tenants none_begins_after_the_change
+key-not-forwarded|src/platform/caller.rs|heads.remove\(KEY_HEADER\)\?|heads.get(KEY_HEADER).cloned()?|platform_keys hears_its_tenant
+tenant-claim|src/platform/runner.rs|heads.remove\(TENANT\);||platform_keys neither_key_nor_tenant
+key-unshown|src/chain/show.rs|state.config.shown\(\)|state.config.tree()|platform_tenants anything_of_the_fleet
 mark-gossip|src/gate/sweep.rs|h.leaving = true;\s+g.wake\(now\);|g.wake(now);|leaving tells_only_it
 refused-in-force|src/fleet/fold.rs|return self.end\(id, OutcomeCode::RehearsalFailed|self.config = *t.config; self.config_at = self.at; self.touch(Scope::Routes); return self.end(id, OutcomeCode::RehearsalFailed|rehearse live_orders
 restart-credit|src/gate/budget.rs|credit: 0.0|credit: 10.0|tries restarts
