--- a/src/daemon/assemble.rs
+++ b/src/daemon/assemble.rs
@@ -12,6 +12,8 @@
 use crate::placement::Placement;
 use crate::relay::Relay;
 use crate::rollout::Rollout;
+use crate::runner_list::reader::ListReader;
+use crate::runner_list::timing::ListTiming;
 use crate::seam::Sides;
 use std::net::SocketAddr;
 
@@ -27,6 +29,8 @@
     pub proof: Span,
     pub lease: Span,
     pub policy: Policy,
+    /// Set where there is a list of runners to be read.
+    pub list: Option<ListTiming>,
     pub sides: Sides,
 }
 
@@ -89,5 +93,8 @@
     let mut duty = Placement::new(now, place.policy);
     duty.bare_plain = bare_plain;
     node.add(Box::new(duty));
+    if let Some(timing) = place.list {
+        node.add(Box::new(ListReader::new(now, timing)));
+    }
     (node, first)
 }
--- a/src/daemon/roster.rs
+++ b/src/daemon/roster.rs
@@ -1,27 +1,33 @@
 use super::driver::Hand;
 use crate::fleet::runner::Runner;
 use crate::http::pool::{Pool, open};
+use crate::kernel::time::Clock;
 use crate::msg::Event;
+use crate::runner_list::messages::RunnerListing;
 use crate::seam::{RunnerList, Sides};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
+use tokio::sync::Notify;
 
 const DUE: Duration = Duration::from_millis(1500);
 const PAGES: usize = 64;
 
-/// Asks for the list of runners while this node holds the duty to.
+/// Asks for the list of runners: again and again while this node holds the duty to, else when it is told to.
 pub struct Roster {
     side: Arc<dyn RunnerList>,
     pool: Arc<Pool>,
     hand: Hand,
+    clock: Arc<dyn Clock>,
     on: AtomicBool,
+    wanted: Notify,
 }
 
 impl Roster {
-    pub fn new(sides: &Sides, pool: Arc<Pool>, hand: Hand) -> Option<Arc<Roster>> {
+    pub fn new(sides: &Sides, pool: Arc<Pool>, hand: Hand, clock: Arc<dyn Clock>) -> Option<Arc<Roster>> {
         let side = sides.list.clone()?;
-        let r = Arc::new(Roster { side, pool, hand, on: AtomicBool::new(false) });
+        let r =
+            Arc::new(Roster { side, pool, hand, clock, on: AtomicBool::new(false), wanted: Notify::new() });
         tokio::spawn(r.clone().run());
         Some(r)
     }
@@ -30,16 +36,26 @@
         self.on.store(on, Ordering::SeqCst);
     }
 
+    /// Reads the list once, soon.
+    pub fn read_now(&self) {
+        self.wanted.notify_one();
+    }
+
     async fn run(self: Arc<Roster>) {
         let mut tick = tokio::time::interval(self.side.pause());
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
-            tick.tick().await;
-            if !self.on.load(Ordering::SeqCst) {
-                continue;
+            tokio::select! {
+                _ = tick.tick() => {
+                    if !self.on.load(Ordering::SeqCst) {
+                        continue;
+                    }
+                }
+                _ = self.wanted.notified() => {}
             }
-            if let Some(list) = self.whole().await {
-                self.hand.feed(Event::Listed(list));
+            let asked = self.clock.now();
+            if let Some(runners) = self.whole().await {
+                self.hand.feed(Event::Listed(RunnerListing { runners, asked }));
             }
         }
     }
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -80,6 +80,7 @@
         proof: Span::ms(c.proof_ms),
         lease: Span::ms(c.lease_ms),
         policy: super::assemble::Policy::Move,
+        list: c.sides.list.as_ref().map(|list| list.timing()),
         sides: c.sides.clone(),
     }
 }
@@ -111,7 +112,7 @@
     let routers = Arc::new(AtomicU64::new(1));
     let runners: Runners = Arc::default();
     let fit = Arc::new(AtomicBool::new(false));
-    let list = super::roster::Roster::new(&c.sides, pool.clone(), hand.clone());
+    let list = super::roster::Roster::new(&c.sides, pool.clone(), hand.clone(), clock.clone());
     let departure: Arc<Mutex<Departure>> = Arc::default();
     let flags = (&runners, &fit, &departure);
     let act = act(&table, &clock, &pool, &hand, &routers, flags, (&c.sides, list));
@@ -187,6 +188,7 @@
         Effect::Routers(n) => routers.store(n, Ordering::SeqCst),
         Effect::Watch(list) => *runners.lock().unwrap() = list,
         Effect::Holds(on) => drop(list.as_ref().map(|l| l.switch(on))),
+        Effect::ReadList => drop(list.as_ref().map(|l| l.read_now())),
         Effect::Held(rows) => table.held(clock.now(), &rows),
         Effect::Look(name) => {
             let found = runners.lock().unwrap().iter().find(|r| r.instance == name).cloned();
--- a/src/forwarding/migration.rs
+++ b/src/forwarding/migration.rs
@@ -124,7 +124,8 @@
         out: &mut Vec<Out>,
     ) -> bool {
         let listed = gate.slice.as_ref().and_then(|s| s.runners.iter().find(|r| r.instance == *to).cloned());
-        let Some(runner) = listed.filter(|r| !r.leaving) else { return false };
+        let marked = gate.health.get(to).is_some_and(|h| h.leaving);
+        let Some(runner) = listed.filter(|r| !r.leaving && !marked) else { return false };
         if kept && self.reserved > 0 {
             self.reserved -= 1;
             gate.tries.spend_held();
--- a/src/gate/table.rs
+++ b/src/gate/table.rs
@@ -117,6 +117,14 @@
         }
     }
 
+    /// Marked runners count as leaving before waiting orders are planned by a new slice.
+    fn apply_marks(&self, g: &mut Gate, slice: &ServiceSlice) {
+        let marks = self.marks.lock().unwrap();
+        for runner in slice.runners.iter().filter(|runner| marks.contains(&runner.instance)) {
+            g.health.entry(runner.instance.clone()).or_default().leaving = true;
+        }
+    }
+
     fn known(&self, g: &mut Gate, now: Time) {
         let held = self.held.lock().unwrap();
         let bare: Vec<Name> = g.health.iter().filter(|h| h.1.report.is_none()).map(|h| h.0.clone()).collect();
@@ -190,14 +198,10 @@
                 match slice {
                     Some(Slice::Service(s)) => {
                         self.learn_limits(&s);
+                        self.apply_marks(&mut g, &s);
                         g.learn(at, *s, now);
                         self.known(&mut g, now);
                         g.wake(now);
-                        for name in self.marks.lock().unwrap().iter() {
-                            if let Some(h) = g.health.get_mut(name) {
-                                h.leaving = true;
-                            }
-                        }
                     }
                     Some(Slice::Gone) => {
                         g.gone = true;
--- a/src/hollow/size.rs
+++ b/src/hollow/size.rs
@@ -83,6 +83,7 @@
             proof: FRESH,
             lease: SERVING_LEASE,
             policy: Policy::Move,
+            list: None,
             sides: Default::default(),
         }
     }
--- a/src/kernel/event.rs
+++ b/src/kernel/event.rs
@@ -12,6 +12,7 @@
 use crate::kernel::time::Time;
 use crate::membership::messages::Row;
 use crate::msg::{Answer, Msg, Op};
+use crate::runner_list::messages::RunnerListing;
 use crate::tell::RouterTell;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -50,7 +51,7 @@
     Report { instance: Name, report: Option<Report> },
     Ordered { order: OrderId, status: u16 },
     RouterState(Arc<RouterTell>),
-    Listed(Vec<Runner>),
+    Listed(RunnerListing),
     Wanted(Want),
     Warned,
     Journal(JournalEvent),
@@ -92,6 +93,8 @@
     Routers(u64),
     Watch(Vec<Runner>),
     Holds(bool),
+    /// The list of runners is to be read once, now.
+    ReadList,
     Look(Name),
     Held(Vec<HeldRow>),
     Mark(Name),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod query;
 pub mod relay;
 pub mod rollout;
+pub mod runner_list;
 pub mod seam;
 pub mod sim;
 pub mod soak;
--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -124,6 +124,8 @@
                 let g = self.snapshot(ctx);
                 ctx.send(from, Msg::Gossip(Box::new(g)));
             }
+            Msg::RunnersLeaving(names) => self.marks.add_listed(names, ctx),
+            Msg::ListRead(read) => self.marks.add_listed(&read.leaving, ctx),
             Msg::Doubt { who } => {
                 let known = |n: &&NodeId| {
                     let row = self.table.rows.get(n);
--- a/src/membership/marks.rs
+++ b/src/membership/marks.rs
@@ -58,6 +58,13 @@
         }
     }
 
+    /// Marks runners that a list of runners shows as leaving.
+    pub fn add_listed(&mut self, names: &[Name], ctx: &mut Context) {
+        for name in names {
+            self.add(name, Span(0), ctx);
+        }
+    }
+
     /// Drops marks that are too old.
     pub fn forget(&mut self, now: Time) {
         let old: Vec<Name> =
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -11,6 +11,7 @@
 pub use crate::kernel::event::*;
 use crate::kernel::ids::*;
 pub use crate::membership::messages::*;
+use crate::runner_list::messages::ListRead;
 pub use crate::tell::*;
 use bitcode::{Decode, Encode};
 use std::net::SocketAddr;
@@ -27,30 +28,72 @@
 
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub enum Msg {
-    Hello { me: Member, empty: bool, digest: u64 },
-    Welcome { empty: bool, gossip: Option<Box<Gossip>> },
+    Hello {
+        me: Member,
+        empty: bool,
+        digest: u64,
+    },
+    Welcome {
+        empty: bool,
+        gossip: Option<Box<Gossip>>,
+    },
     Ping(Box<Gossip>),
     Pong(Box<Gossip>),
     Gossip(Box<Gossip>),
-    Doubt { who: Vec<NodeId> },
+    Doubt {
+        who: Vec<NodeId>,
+    },
     Sync,
     Chain(ChainMsg),
-    UpdateRequest { nonce: u64, direct: bool, have: Vec<(Scope, Version)> },
-    UpdateReply { nonce: u64, items: Vec<TopicUpdate> },
-    UpdatePush { items: Vec<TopicUpdate> },
-    UpdateRefused { nonce: u64, view: Option<View> },
+    UpdateRequest {
+        nonce: u64,
+        direct: bool,
+        have: Vec<(Scope, Version)>,
+    },
+    UpdateReply {
+        nonce: u64,
+        items: Vec<TopicUpdate>,
+    },
+    UpdatePush {
+        items: Vec<TopicUpdate>,
+    },
+    UpdateRefused {
+        nonce: u64,
+        view: Option<View>,
+    },
     ServingLeaseRequest(ServingLeaseRequest),
     ServingLeaseGrant(ServingLeaseGrant),
-    Op { id: ChangeId, attempt: u64, op: Op },
-    OpPending { id: ChangeId, attempt: u64 },
-    OpEnd { id: ChangeId, attempt: u64, answer: Answer },
-    Ask { attempt: u64, path: String },
-    AskEnd { attempt: u64, answer: Answer },
+    Op {
+        id: ChangeId,
+        attempt: u64,
+        op: Op,
+    },
+    OpPending {
+        id: ChangeId,
+        attempt: u64,
+    },
+    OpEnd {
+        id: ChangeId,
+        attempt: u64,
+        answer: Answer,
+    },
+    Ask {
+        attempt: u64,
+        path: String,
+    },
+    AskEnd {
+        attempt: u64,
+        answer: Answer,
+    },
     Tell(Arc<RouterTell>),
     Nudge,
     Want(Vec<Want>),
     Held(Box<HeldTell>),
     HeldAsk,
+    /// A controller has read the list of runners.
+    ListRead(Box<ListRead>),
+    /// Runners that the list shows as leaving, told to routers at once.
+    RunnersLeaving(Vec<Name>),
 }
 
 /// What an operator, or another node, asks of the head.
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -202,7 +202,7 @@
                 self.quick(ctx);
                 self.check_held(*from, rows, ctx);
             }
-            Event::Listed(list) => self.listed(list, ctx),
+            Event::Listed(listing) => self.listed(&listing.runners, ctx),
             Event::Mail { from, msg: Msg::HeldAsk, .. } => self.push_whole(*from, ctx),
             Event::Report { instance, report } if self.term > Term(0) => {
                 if let Some(r) = report {
--- a/src/platform/list.rs
+++ b/src/platform/list.rs
@@ -1,6 +1,7 @@
 use crate::fleet::runner::Runner;
 use crate::json::Tree;
 use crate::kernel::ids::Name;
+use crate::runner_list::timing::ListTiming;
 use crate::seam::{Call, RunnerList};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -11,6 +12,7 @@
 pub struct Instances {
     pub addr: SocketAddr,
     pub pause: Duration,
+    pub timing: ListTiming,
 }
 
 fn runner(t: &Tree) -> Option<Runner> {
@@ -44,6 +46,10 @@
         self.pause
     }
 
+    fn timing(&self) -> ListTiming {
+        self.timing
+    }
+
     fn ask(&self, page: Option<&str>) -> Call {
         let path = page.map_or("/instances".to_string(), |p| format!("/instances?PageToken={}", quoted(p)));
         Request::builder()
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -6,7 +6,9 @@
 use crate::fleet::config::Budget;
 use crate::kernel::fault::{Fault, Kind};
 use crate::kernel::ids::Name;
+use crate::kernel::time::Span;
 use crate::msg::Role;
+use crate::runner_list::timing::ListTiming;
 use crate::seam::Sides;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
@@ -114,6 +116,7 @@
     }
     let cloud = r.addr("CloudApi.Address");
     let lag = r.num("CloudApi.MaxLagMs", 800.0) as u64;
+    let drain = Span::ms(r.num("Timers.DrainTimeoutMs", 4000.0) as u64);
     let budget = Budget {
         percent: (r.num("Timers.RetryBudgetRatio", 0.2) * 100.0) as u64,
         allowance: r.num("Timers.RetryMin", 10.0) as u64,
@@ -132,11 +135,13 @@
     if !r.faults.is_empty() {
         return Err(r.faults);
     }
+    let pause = Duration::from_millis(lag.clamp(500, 1000));
+    let list = Instances { addr: cloud, pause, timing: ListTiming { drain } };
     let figures = Figures { budget, origin };
     let sides = Sides {
         caller: Arc::new(Caller),
         runner: Arc::new(RunnerWords { node }),
-        list: Some(Arc::new(Instances { addr: cloud, pause: Duration::from_millis(lag.clamp(500, 1000)) })),
+        list: Some(Arc::new(list)),
         operator: Some(Arc::new(Operator { figures })),
     };
     Ok(NodeConfig {
--- /dev/null
+++ b/src/runner_list/reader.rs
@@ -0,0 +1,119 @@
+//! Sees to it that some controller reads the list of runners, and tells of the runners that it shows as leaving.
+//!
+//! At rest the holder of the placement duty alone reads. Whoever reads tells the other controllers at once. A
+//! controller that has heard of no list for its patience reads the list itself, whatever it believes of the holder
+//! and of the chain. The word that a runner is leaving needs neither the duty nor a commit.
+#![deny(missing_docs)]
+
+use super::messages::{ListRead, RunnerListing};
+use super::timing::ListTiming;
+use crate::kernel::component::{Component, Context};
+use crate::kernel::ids::{FleetId, Name, NodeId};
+use crate::kernel::time::{Span, Time};
+use crate::membership::rendezvous::homes;
+use crate::msg::*;
+use std::collections::BTreeMap;
+
+/// How often a router is told of a runner that is leaving, besides gossip: once, and again with the next list.
+const TELLS: u32 = 2;
+/// Nodes silent for longer are not told.
+const GONE: Span = Span::ms(10_000);
+
+/// A controller's part in reading the list.
+pub struct ListReader {
+    timing: ListTiming,
+    /// When the newest list was asked for, as far as this node knows.
+    newest: Time,
+    /// When this node last asked for the list because no other did.
+    asked: Time,
+    /// Runners that this node's own lists show as leaving, and how often routers were told.
+    leaving: BTreeMap<Name, u32>,
+}
+
+impl ListReader {
+    /// A reader that takes the list to be new as of `now`.
+    pub fn new(now: Time, timing: ListTiming) -> ListReader {
+        ListReader { timing, newest: now, asked: now, leaving: BTreeMap::new() }
+    }
+
+    /// How old the list may become before this node reads it.
+    fn patience(&self, ctx: &Context) -> Span {
+        let live = ctx.views.controllers().filter(|row| row.quiet == Span(0) || row.who.node == ctx.me.node);
+        let order = homes("runner-list", &live.map(|row| row.who.node).collect::<Vec<NodeId>>());
+        let rank = order.iter().position(|node| *node == ctx.me.node).unwrap_or(order.len());
+        self.timing.patience(rank, order.len())
+    }
+
+    fn step_in(&mut self, ctx: &mut Context) {
+        if ctx.views.fleet == FleetId(0) {
+            return;
+        }
+        let age = ctx.now.since(self.newest.max(self.asked));
+        if age >= self.timing.patience(0, 1) && age >= self.patience(ctx) {
+            self.asked = ctx.now;
+            ctx.log_event("runner-list-unread", format!("for {}, read here", ctx.now.since(self.newest)));
+            ctx.out.push(Effect::ReadList);
+        }
+    }
+
+    fn read(&mut self, listing: &RunnerListing, ctx: &mut Context) {
+        self.newest = self.newest.max(listing.asked);
+        let leaving: Vec<Name> =
+            listing.runners.iter().filter(|r| r.leaving).map(|r| r.instance.clone()).collect();
+        self.leaving.retain(|name, _| leaving.contains(name));
+        for name in &leaving {
+            if !self.leaving.contains_key(name) {
+                self.leaving.insert(name.clone(), 0);
+                ctx.publish(JournalEvent::RunnerMarked(name.clone()));
+            }
+        }
+        self.tell_routers(ctx);
+        self.tell_controllers(ctx.now.since(listing.asked), leaving, ctx);
+    }
+
+    fn tell_routers(&mut self, ctx: &mut Context) {
+        let mut names = Vec::new();
+        for (name, tells) in self.leaving.iter_mut().filter(|row| *row.1 < TELLS) {
+            *tells += 1;
+            names.push(name.clone());
+        }
+        if !names.is_empty() {
+            for node in others(Role::Router, ctx) {
+                ctx.send(node, Msg::RunnersLeaving(names.clone()));
+            }
+        }
+    }
+
+    fn tell_controllers(&self, age: Span, leaving: Vec<Name>, ctx: &mut Context) {
+        let read = ListRead { age, leaving };
+        for node in others(Role::Controller, ctx) {
+            ctx.send(node, Msg::ListRead(Box::new(read.clone())));
+        }
+    }
+}
+
+fn others(role: Role, ctx: &Context) -> Vec<NodeId> {
+    let rows = ctx.views.members.iter().filter(|row| row.who.role == role && row.quiet < GONE);
+    rows.map(|row| row.who.node).filter(|node| *node != ctx.me.node).collect()
+}
+
+impl Component for ListReader {
+    fn name(&self) -> &'static str {
+        "runner-list"
+    }
+
+    fn on(&mut self, ev: &Event, ctx: &mut Context) {
+        match ev {
+            Event::Tick => self.step_in(ctx),
+            Event::Listed(listing) => self.read(listing, ctx),
+            Event::Mail { msg: Msg::ListRead(read), .. } => {
+                self.newest = self.newest.max(ctx.now - read.age);
+            }
+            _ => {}
+        }
+    }
+
+    fn status(&self, now: Time) -> Vec<(&'static str, String)> {
+        vec![("age", now.since(self.newest).to_string()), ("leaving", self.leaving.len().to_string())]
+    }
+}
--- a/src/seam.rs
+++ b/src/seam.rs
@@ -8,6 +8,7 @@
 use crate::kernel::ids::{ChangeId, Name};
 use crate::kernel::time::Span;
 use crate::msg::{Answer, Event, RunnerOrder};
+use crate::runner_list::timing::ListTiming;
 use crate::transfer::continuation::RunContract;
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -88,6 +89,8 @@
 pub trait RunnerList: Send + Sync {
     fn addr(&self) -> SocketAddr;
     fn pause(&self) -> std::time::Duration;
+    /// How old what is known of the list may become.
+    fn timing(&self) -> ListTiming;
     fn ask(&self, page: Option<&str>) -> Call;
     /// The runners of a page and the name of the next page.
     fn read(&self, body: &[u8]) -> Option<(Vec<Runner>, Option<String>)>;
--- a/src/sim/check.rs
+++ b/src/sim/check.rs
@@ -1,5 +1,5 @@
 use super::check_config::configs;
-use super::check_news::{leaving, versions};
+use super::check_news::{drained, leaving, versions};
 use super::check_tries::tries;
 use super::record::Fact;
 use super::world::World;
@@ -16,6 +16,7 @@
     bad.extend(runs_once(w));
     bad.extend(whole_answers(w));
     bad.extend(leaving(w));
+    bad.extend(drained(w));
     bad.extend(versions(w));
     bad.extend(configs(w));
     bad.extend(tries(w));
--- a/src/sim/check_news.rs
+++ b/src/sim/check_news.rs
@@ -5,6 +5,28 @@
 use crate::kernel::time::{Span, Time};
 use std::collections::BTreeMap;
 
+/// How long requests may reach a runner after the platform's list shows it as leaving.
+const DRAIN: Span = Span::ms(4000);
+
+/// Requests that reach a runner too long after the platform's list shows it as leaving.
+pub fn drained(w: &World) -> Bad {
+    let mut shown: BTreeMap<&Name, Time> = BTreeMap::new();
+    let mut bad = Bad::new();
+    for (t, f) in &w.record.rows {
+        match f {
+            Fact::ListShowsLeaving { runner } => drop(shown.entry(runner).or_insert(*t)),
+            Fact::RunBegan { call, runner, place, .. } => {
+                let late = shown.get(runner).map_or(Span(0), |at| t.since(*at));
+                if late > DRAIN {
+                    bad.push(format!("4 call {call} of node {place:?} reached {runner} {late} after it was listed as leaving"));
+                }
+            }
+            _ => {}
+        }
+    }
+    bad
+}
+
 pub fn leaving(w: &World) -> Bad {
     let mut learnt: BTreeMap<(Name, Option<usize>), Time> = BTreeMap::new();
     let mut asked: BTreeMap<ChangeId, Name> = BTreeMap::new();
--- a/src/sim/effects.rs
+++ b/src/sim/effects.rs
@@ -45,7 +45,8 @@
             }
             Effect::Routers(n) => self.nodes[place].routers = n,
             Effect::Watch(list) => self.nodes[place].watch = list,
-            Effect::Holds(_) => {}
+            Effect::ReadList => self.ask_list(place, life),
+            Effect::Holds(on) => self.nodes[place].reads_list = on,
             Effect::Look(runner) => self.later(Span(1), Event::Looked { place, life, runner }),
             Effect::Held(rows) => {
                 let now = self.local(place);
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -16,6 +16,7 @@
 pub mod front;
 pub mod hurts;
 pub mod hurts_more;
+pub mod listing;
 pub mod nodes;
 pub mod record;
 pub mod replay;
--- a/src/sim/nodes.rs
+++ b/src/sim/nodes.rs
@@ -1,4 +1,5 @@
 use super::disk::SimDisk;
+use super::listing::PAUSE;
 use super::record::Fact;
 use super::world::{Event, World};
 use crate::chain::leaving::Departure;
@@ -38,6 +39,8 @@
     pub routers: u64,
     pub watch: Vec<crate::fleet::runner::Runner>,
     pub ready: bool,
+    /// Whether it keeps reading the list of runners.
+    pub reads_list: bool,
     pub departure: Option<Departure>,
     pub rehearsed: Option<(Version, msg::Rehearsal)>,
 }
@@ -69,6 +72,7 @@
             routers: 1,
             watch: Vec::new(),
             ready: false,
+            reads_list: false,
             departure: None,
             rehearsed: None,
         }
@@ -104,6 +108,7 @@
         n.writing = false;
         n.held.clear();
         n.ready = false;
+        n.reads_list = false;
         n.departure = None;
         n.rehearsed = None;
         n.table = Arc::new(Table::new(n.place.domain.clone(), n.place.proof));
@@ -131,6 +136,9 @@
         let asker = move |want| sought.lock().unwrap().push_back((place, life, want));
         self.nodes[place].table.on_want(Arc::new(asker));
         self.later(TELL, Event::Tell { place, life });
+        if self.list.is_some() && self.nodes[place].role == Role::Controller {
+            self.later(PAUSE, Event::ListPoll { place, life });
+        }
     }
 
     pub fn kill_node(&mut self, place: usize) {
--- a/src/sim/record.rs
+++ b/src/sim/record.rs
@@ -7,26 +7,104 @@
 /// Something that happened in a simulated run, for the checks that judge it.
 #[derive(Clone, Debug)]
 pub enum Fact {
-    Called { call: u64, service: Name, path: String, body: Option<String>, last: u64, resumable: bool },
-    Tried { call: u64 },
-    Ended { call: u64, end: End, text: Option<String>, after: u64, code: String },
-    RunBegan { call: u64, runner: Name, model: Name, place: Option<usize> },
-    RunEnded { call: u64, whole: bool },
-    Ordered { runner: Name, term: u64, load: bool, name: Name, status: u16 },
-    Overfull { runner: Name },
-    Asked { id: ChangeId, what: Asked },
-    Answered { id: ChangeId, status: u16, at: Version },
-    Shown { place: usize, since: Time, at: Version, print: u64 },
-    LeavingLearnt { runner: Name, place: Option<usize> },
-    Learnt { place: usize, scope: String, at: Version, config_at: Version, print: u64 },
-    Asking { load: bool },
-    Down { place: usize },
-    Up { place: usize },
-    Told { what: &'static str, text: String },
-    ViewInstalled { node: NodeId, view: View },
-    PrepareSent { life: u64, no: ViewNo, ballot: Ballot },
-    AcceptSent { ballot: Ballot, view: View },
-    MemberReady { node: NodeId, no: ViewNo },
+    Called {
+        call: u64,
+        service: Name,
+        path: String,
+        body: Option<String>,
+        last: u64,
+        resumable: bool,
+    },
+    Tried {
+        call: u64,
+    },
+    Ended {
+        call: u64,
+        end: End,
+        text: Option<String>,
+        after: u64,
+        code: String,
+    },
+    RunBegan {
+        call: u64,
+        runner: Name,
+        model: Name,
+        place: Option<usize>,
+    },
+    RunEnded {
+        call: u64,
+        whole: bool,
+    },
+    Ordered {
+        runner: Name,
+        term: u64,
+        load: bool,
+        name: Name,
+        status: u16,
+    },
+    Overfull {
+        runner: Name,
+    },
+    Asked {
+        id: ChangeId,
+        what: Asked,
+    },
+    Answered {
+        id: ChangeId,
+        status: u16,
+        at: Version,
+    },
+    Shown {
+        place: usize,
+        since: Time,
+        at: Version,
+        print: u64,
+    },
+    /// The platform's list shows from now on that a runner is leaving.
+    ListShowsLeaving {
+        runner: Name,
+    },
+    LeavingLearnt {
+        runner: Name,
+        place: Option<usize>,
+    },
+    Learnt {
+        place: usize,
+        scope: String,
+        at: Version,
+        config_at: Version,
+        print: u64,
+    },
+    Asking {
+        load: bool,
+    },
+    Down {
+        place: usize,
+    },
+    Up {
+        place: usize,
+    },
+    Told {
+        what: &'static str,
+        text: String,
+    },
+    ViewInstalled {
+        node: NodeId,
+        view: View,
+    },
+    PrepareSent {
+        life: u64,
+        no: ViewNo,
+        ballot: Ballot,
+    },
+    AcceptSent {
+        ballot: Ballot,
+        view: View,
+    },
+    MemberReady {
+        node: NodeId,
+        no: ViewNo,
+    },
     Healed,
 }
 
--- a/src/sim/setup.rs
+++ b/src/sim/setup.rs
@@ -38,6 +38,7 @@
                 proof: FRESH,
                 lease: SERVING_LEASE,
                 policy: plan.policy,
+                list: None,
                 sides: Default::default(),
             };
             let node = SimNode::new(place, role, &mut w.rand);
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -1,4 +1,5 @@
 use super::front::Requests;
+use super::listing::SimList;
 use super::nodes::SimNode;
 use super::record::{Fact, Record};
 use super::runners::SimRunner;
@@ -10,6 +11,7 @@
 use crate::kernel::time::{Span, Time};
 use crate::launch::deployment::Deployment;
 use crate::msg::{Answer, Envelope};
+use crate::runner_list::messages::RunnerListing;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -40,6 +42,8 @@
     Run { runner: usize, life: u64, run: u64 },
     Loaded { runner: usize, life: u64, name: Name },
     Flow { flow: usize },
+    ListPoll { place: usize, life: u64 },
+    ListAnswer { place: usize, life: u64, listing: Box<RunnerListing> },
     Do(Deed),
 }
 
@@ -69,6 +73,8 @@
     pub marks: Option<Vec<(Time, &'static str)>>,
     pub shows: BTreeMap<ChangeId, (usize, Time)>,
     pub cost: Option<Box<super::cost::Cost>>,
+    /// The platform's list of runners, if it has one.
+    pub list: Option<SimList>,
 }
 
 impl World {
@@ -98,6 +104,7 @@
             marks: None,
             shows: BTreeMap::new(),
             cost: None,
+            list: None,
         }
     }
 
@@ -188,6 +195,8 @@
             Event::Run { runner, life, run } => self.run_step(runner, life, run),
             Event::Loaded { runner, life, name } => self.loaded(runner, life, &name),
             Event::Flow { flow } => self.flow(flow),
+            Event::ListPoll { place, life } => self.list_poll(place, life),
+            Event::ListAnswer { place, life, listing } => self.list_answered(place, life, *listing),
             Event::Do(deed) => deed(self),
         }
     }
@@ -216,6 +225,8 @@
         | Event::Reported { place, .. }
         | Event::Tell { place, .. }
         | Event::Driven { place, .. }
+        | Event::ListPoll { place, .. }
+        | Event::ListAnswer { place, .. }
         | Event::RequestFlow { place, .. }
         | Event::Send { place, .. } => Some(*place),
         _ => None,
--- a/tests/platform_words.rs
+++ b/tests/platform_words.rs
@@ -171,7 +171,11 @@
 }
 
 fn list() -> Instances {
-    Instances { addr: "10.200.0.4:8142".parse().expect("an address"), pause: Default::default() }
+    Instances {
+        addr: "10.200.0.4:8142".parse().expect("an address"),
+        pause: Default::default(),
+        timing: Default::default(),
+    }
 }
 
 #[test]
