--- a/src/sim/record.rs
+++ b/src/sim/record.rs
@@ -62,6 +62,10 @@
         at: Version,
         print: u64,
     },
+    /// The platform's list shows from now on that a runner is leaving.
+    ListShowsLeaving {
+        runner: Name,
+    },
     LeavingLearnt {
         runner: Name,
         place: Option<usize>,
