--- a/src/chain/messages.rs
+++ b/src/chain/messages.rs
@@ -137,6 +137,33 @@
     },
 }
 
+impl ChainMsg {
+    /// Its kind, for figures.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            ChainMsg::Pledge { .. } | ChainMsg::Pledged { .. } => "pledge",
+            ChainMsg::Append { .. } => "append",
+            ChainMsg::Progress { .. } => "progress",
+            ChainMsg::Heartbeat { .. } => "heartbeat",
+            ChainMsg::Join { .. } | ChainMsg::JoinHeard => "chain join",
+            ChainMsg::Snapshot { .. } | ChainMsg::Follow { .. } => "chain catch-up",
+            ChainMsg::Prepare { .. }
+            | ChainMsg::Promise { .. }
+            | ChainMsg::Accept { .. }
+            | ChainMsg::Accepted { .. }
+            | ChainMsg::Nack { .. }
+            | ChainMsg::ViewDecided { .. } => "view change",
+            ChainMsg::LeaseRequest { .. } | ChainMsg::LeaseGrant { .. } | ChainMsg::LeaseReturned { .. } => {
+                "chain lease"
+            }
+            ChainMsg::LeaseApplications { .. } => "lease applications",
+            ChainMsg::Released { .. } => "released",
+            ChainMsg::ReadIndexRequest { .. } | ChainMsg::ReadIndexReply { .. } => "read index",
+            ChainMsg::LeaseLedgerRequest { .. } | ChainMsg::LeaseLedger { .. } => "lease ledger",
+        }
+    }
+}
+
 /// What a controller keeps on its disk.
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub enum Record {
--- a/src/daemon/driver.rs
+++ b/src/daemon/driver.rs
@@ -1,4 +1,5 @@
-use super::keep::{letter, show, status};
+use super::input::Input;
+use super::keep::{letter, log_step_times, show, status};
 use super::links::Links;
 use super::ticks::Ticks;
 use super::writer::Writer;
@@ -8,13 +9,14 @@
 use crate::kernel::hold::Hold;
 use crate::kernel::ids::*;
 use crate::kernel::node::Node;
+use crate::kernel::step_times::StepTimes;
 use crate::kernel::time::{Clock, Span, Time};
 use crate::msg::*;
 use crate::wire;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::Duration;
 use tokio::sync::oneshot;
 
@@ -22,46 +24,6 @@
 const ROUTER_TICK: Span = Span::ms(50);
 const BATCH: usize = 256;
 
-pub enum Input {
-    Event(Event),
-    Envelope(Box<Envelope>),
-    Ask(ChangeId, Event, oneshot::Sender<Answer>),
-    Status(oneshot::Sender<String>),
-    Seeds(Vec<SocketAddr>),
-    Synced { life: u64, upto: u64 },
-    Stop,
-}
-
-#[derive(Clone)]
-pub struct Hand {
-    pub tx: Sender<Input>,
-}
-
-impl Hand {
-    pub fn feed(&self, ev: Event) {
-        let _ = self.tx.send(Input::Event(ev));
-    }
-
-    pub async fn ask(&self, id: ChangeId, ev: Event) -> Answer {
-        let (tx, rx) = oneshot::channel();
-        let write = matches!(ev, Event::Op { .. });
-        let text =
-            format!("this node stopped; the change may still be taken, ask with: spindledock change {id}");
-        let sent = self.tx.send(Input::Ask(id, ev, tx)).is_ok();
-        let dflt = || match write && sent {
-            true => Answer::new(504, "outcome-unknown", &text, 2),
-            false => Answer::new(503, "stopping", "this node is stopping; ask another", 1),
-        };
-        rx.await.unwrap_or_else(|_| dflt())
-    }
-
-    pub async fn status(&self) -> String {
-        let (tx, rx) = oneshot::channel();
-        let _ = self.tx.send(Input::Status(tx));
-        rx.await.unwrap_or_else(|_| "{}".into())
-    }
-}
-
 pub type Act = Box<dyn Fn(Effect) + Send>;
 pub type Build = Box<dyn Fn(Vec<Record>) -> (Node, Vec<Record>) + Send>;
 
@@ -110,7 +72,8 @@
                 Err(fault) => return Err(fault.to_string()),
             };
         }
-        let (node, first) = (self.build)(records);
+        let (mut node, first) = (self.build)(records);
+        node.step_times = Some(StepTimes::new(self.clock.clone()));
         if let (Some(disk), false) = (&mut disk, first.is_empty()) {
             disk.add(&first).map_err(|f| f.to_string())?;
         }
@@ -193,6 +156,8 @@
             let now = self.clock.now();
             if ticks.is_due(now, events) {
                 out.extend(r.node.feed(now, Event::Tick));
+                out.extend(r.node.feed(now, Event::Work));
+                log_step_times(&mut r.node, now);
             }
             if !self.act_all(r, done) || !self.carry(r, out) {
                 run = None;
--- a/src/daemon/keep.rs
+++ b/src/daemon/keep.rs
@@ -1,9 +1,9 @@
 use crate::json::tree::{Tree, map};
 use crate::kernel::node::Node;
-use crate::kernel::time::Span;
+use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 
-pub fn letter(node: &mut Node, now: crate::kernel::time::Time, l: Envelope) -> Vec<Effect> {
+pub fn letter(node: &mut Node, now: Time, l: Envelope) -> Vec<Effect> {
     let mine = node.views.fleet;
     let other = mine.0 != 0 && l.fleet.0 != 0 && mine != l.fleet;
     if other || (l.to.0 != 0 && l.to != node.me.node) {
@@ -24,7 +24,7 @@
     *shown = node.journal.len();
 }
 
-pub fn status(node: &Node, now: crate::kernel::time::Time) -> Tree {
+pub fn status(node: &Node, now: Time) -> Tree {
     let mut rows: Vec<(String, Tree)> = vec![
         ("node".into(), node.me.node.to_string().into()),
         ("fleet".into(), node.views.fleet.to_string().into()),
@@ -40,3 +40,10 @@
     }
     Tree::Map(rows)
 }
+
+/// Logs how long the steps of the last interval took, once it has ended.
+pub fn log_step_times(node: &mut Node, now: Time) {
+    let Some(figures) = node.step_times.as_mut().and_then(|times| times.ended(now)) else { return };
+    let (all, components, kinds) = (figures.all, figures.components(), figures.kinds());
+    log::info!(event = "step-times", steps = all.count, sum_ms = all.sum.as_ms(), longest_ms = all.longest.as_ms(), components = components, kinds = kinds; "");
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 pub mod assemble;
 pub mod config;
 pub mod driver;
+pub mod input;
 pub mod keep;
 pub mod links;
 pub mod logs;
--- a/src/daemon/poll.rs
+++ b/src/daemon/poll.rs
@@ -40,7 +40,7 @@
     table: Arc<Table>,
     clock: Arc<dyn Clock>,
     seen: Arc<dyn Fn() -> Vec<crate::http::sender::Kept> + Send + Sync>,
-    hand: super::driver::Hand,
+    hand: super::input::Hand,
 ) {
     let mut tick = tokio::time::interval(Duration::from_millis(250));
     let mut last = None;
--- a/src/daemon/reload.rs
+++ b/src/daemon/reload.rs
@@ -1,5 +1,5 @@
 use super::config::{NodeConfig, Start, from_args};
-use super::driver::{Hand, Input};
+use super::input::{Hand, Input};
 use crate::kernel::fault::Fault;
 use crate::msg::Role;
 use std::path::PathBuf;
--- a/src/daemon/roster.rs
+++ b/src/daemon/roster.rs
@@ -1,4 +1,4 @@
-use super::driver::Hand;
+use super::input::Hand;
 use crate::fleet::runner::Runner;
 use crate::http::pool::{Pool, open};
 use crate::msg::Event;
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -1,6 +1,7 @@
 use super::assemble::{Place, controller, router};
 use super::config::{HELP, NodeConfig, Start};
-use super::driver::{Driver, Hand, Input};
+use super::driver::Driver;
+use super::input::{Hand, Input};
 use super::links::Links;
 use super::reload::Origin;
 use super::serve::{Work, bind, serve_clients};
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -1,5 +1,5 @@
 use super::config::NodeConfig;
-use super::driver::Hand;
+use super::input::Hand;
 use super::links::Links;
 use super::serve::serve;
 use crate::gate::Table;
--- a/src/daemon/stop.rs
+++ b/src/daemon/stop.rs
@@ -1,7 +1,7 @@
 //! Stopping in order: what a process still does after SIGTERM, within its grace.
 #![deny(missing_docs)]
 
-use super::driver::Hand;
+use super::input::Hand;
 use crate::chain::leaving::Departure;
 use crate::gate::Table;
 use crate::http::serve::Front;
--- a/src/daemon/writer.rs
+++ b/src/daemon/writer.rs
@@ -1,4 +1,4 @@
-use super::driver::Input;
+use super::input::Input;
 use crate::kernel::disk::Disk;
 use crate::kernel::hold::{Job, write};
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/src/hollow/world.rs
+++ b/src/hollow/world.rs
@@ -199,6 +199,7 @@
             Event::Start { place } => self.start(place),
             Event::Tick { place, life } => {
                 self.feed(place, "tick", msg::Event::Tick);
+                self.feed(place, "work", msg::Event::Work);
                 self.later(TICK, Event::Tick { place, life });
             }
             Event::Tell { place, life } => {
--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -1,5 +1,5 @@
 use super::answer::{OutBody, operator, own, whole};
-use crate::daemon::driver::Hand;
+use crate::daemon::input::Hand;
 use crate::fleet::runner::Runner;
 use crate::json::Tree;
 use crate::kernel::ids::*;
--- a/src/kernel/event.rs
+++ b/src/kernel/event.rs
@@ -43,12 +43,31 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     Start,
+    /// The timed work that others wait for: heartbeats, leases, pings. Never held up by anything that waits.
     Tick,
-    Mail { from: NodeId, fleet: FleetId, msg: Msg },
-    Op { id: ChangeId, op: Op },
-    Ask { id: ChangeId, path: String },
-    Report { instance: Name, report: Option<Report> },
-    Ordered { order: OrderId, status: u16 },
+    /// The timed work of the duties (rollout, placement), done between more urgent inputs.
+    Work,
+    Mail {
+        from: NodeId,
+        fleet: FleetId,
+        msg: Msg,
+    },
+    Op {
+        id: ChangeId,
+        op: Op,
+    },
+    Ask {
+        id: ChangeId,
+        path: String,
+    },
+    Report {
+        instance: Name,
+        report: Option<Report>,
+    },
+    Ordered {
+        order: OrderId,
+        status: u16,
+    },
     RouterState(Arc<RouterTell>),
     Listed(Vec<Runner>),
     Wanted(Want),
@@ -110,6 +129,27 @@
     },
 }
 
+impl Event {
+    /// Its kind, for figures; messages by their own kind.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Event::Start => "start",
+            Event::Tick => "tick",
+            Event::Work => "work",
+            Event::Mail { msg, .. } => msg.kind(),
+            Event::Op { .. } => "operator call",
+            Event::Ask { .. } => "operator read",
+            Event::Report { .. } => "runner report",
+            Event::Ordered { .. } => "order answer",
+            Event::RouterState(_) => "router state",
+            Event::Listed(_) => "list of runners",
+            Event::Wanted(_) => "wanted name",
+            Event::Warned => "warning",
+            Event::Journal(_) => "journal",
+        }
+    }
+}
+
 impl JournalEvent {
     pub fn text(&self) -> Option<(&'static str, String)> {
         match self {
--- /dev/null
+++ b/src/kernel/input_queue.rs
@@ -0,0 +1,159 @@
+//! The inputs that wait for a node, in lanes: the most urgent first, in order within a lane.
+//!
+//! A lane that is never empty would keep those behind it waiting for good, so each of them gets a turn after
+//! `TURNS` inputs of the lane before; only the chain's lane, which few senders fill, is always first.
+#![deny(missing_docs)]
+
+use super::lanes::{Class, LANES, Lane, Slot};
+use super::time::{Span, Time};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// After how many serving inputs in a row a deferrable one gets its turn.
+pub const TURNS: u32 = 32;
+/// How many inputs may wait in one lane; beyond that the oldest that may be lost is dropped.
+pub const LANE_LIMIT: usize = 2048;
+
+struct Waiting<T> {
+    item: T,
+    since: Time,
+    class: Class,
+}
+
+struct LaneQueue<T> {
+    rows: BTreeMap<u64, Waiting<T>>,
+    slots: BTreeMap<Slot, u64>,
+    droppable: BTreeSet<u64>,
+    next: u64,
+    dropped: u64,
+    replaced: u64,
+}
+
+/// What a lane looks like.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct LaneState {
+    /// How many inputs wait.
+    pub length: usize,
+    /// How long the first of them has waited.
+    pub oldest: Span,
+    /// How many were dropped since the start.
+    pub dropped: u64,
+    /// How many gave their place to a newer one.
+    pub replaced: u64,
+}
+
+/// An input whose turn it is.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Next<T> {
+    /// The input.
+    pub item: T,
+    /// The lane it waited in.
+    pub lane: Lane,
+    /// For how long.
+    pub waited: Span,
+}
+
+/// The inputs that wait for one node.
+pub struct InputQueue<T> {
+    lanes: [LaneQueue<T>; LANES.len()],
+    in_a_row: u32,
+}
+
+impl<T> LaneQueue<T> {
+    fn new() -> LaneQueue<T> {
+        LaneQueue {
+            rows: BTreeMap::new(),
+            slots: BTreeMap::new(),
+            droppable: BTreeSet::new(),
+            next: 0,
+            dropped: 0,
+            replaced: 0,
+        }
+    }
+
+    fn add(&mut self, now: Time, class: Class, item: T) {
+        let place = class.slot.and_then(|slot| self.slots.get(&slot).copied());
+        let older = place.and_then(|place| self.rows.get_mut(&place)).filter(|row| row.class.replaceable);
+        if let Some(older) = older {
+            (older.item, older.class) = (item, class);
+            self.replaced += 1;
+            return;
+        }
+        self.next += 1;
+        if let Some(slot) = class.slot {
+            self.slots.insert(slot, self.next);
+        }
+        if class.droppable {
+            self.droppable.insert(self.next);
+        }
+        self.rows.insert(self.next, Waiting { item, since: now, class });
+        if self.rows.len() > LANE_LIMIT
+            && let Some(oldest) = self.droppable.first().copied()
+        {
+            self.remove(oldest);
+            self.dropped += 1;
+        }
+    }
+
+    fn remove(&mut self, place: u64) -> Option<Waiting<T>> {
+        let row = self.rows.remove(&place)?;
+        self.droppable.remove(&place);
+        if let Some(slot) = row.class.slot
+            && self.slots.get(&slot) == Some(&place)
+        {
+            self.slots.remove(&slot);
+        }
+        Some(row)
+    }
+
+    fn pop(&mut self) -> Option<Waiting<T>> {
+        let place = *self.rows.first_key_value()?.0;
+        self.remove(place)
+    }
+
+    fn state(&self, now: Time) -> LaneState {
+        let oldest = self.rows.first_key_value().map_or(Span(0), |(_, row)| now.since(row.since));
+        LaneState { length: self.rows.len(), oldest, dropped: self.dropped, replaced: self.replaced }
+    }
+}
+
+impl<T> Default for InputQueue<T> {
+    fn default() -> InputQueue<T> {
+        InputQueue { lanes: LANES.map(|_| LaneQueue::new()), in_a_row: 0 }
+    }
+}
+
+impl<T> InputQueue<T> {
+    /// Queues an input that came at `now`.
+    pub fn add(&mut self, now: Time, class: Class, item: T) {
+        self.lanes[class.lane as usize].add(now, class, item);
+    }
+
+    /// The input whose turn it is.
+    pub fn pop(&mut self, now: Time) -> Option<Next<T>> {
+        let lane = self.turn()?;
+        let row = self.lanes[lane as usize].pop()?;
+        match lane {
+            Lane::Chain => {}
+            Lane::Serving => self.in_a_row += 1,
+            Lane::Deferrable => self.in_a_row = 0,
+        }
+        Some(Next { item: row.item, lane, waited: now.since(row.since) })
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.lanes.iter().all(|lane| lane.rows.is_empty())
+    }
+
+    /// What each lane looks like.
+    pub fn state(&self, now: Time) -> [(Lane, LaneState); LANES.len()] {
+        LANES.map(|lane| (lane, self.lanes[lane as usize].state(now)))
+    }
+
+    fn turn(&self) -> Option<Lane> {
+        let waits = |lane: &Lane| !self.lanes[*lane as usize].rows.is_empty();
+        let first = LANES.into_iter().find(waits)?;
+        let due = first == Lane::Serving && self.in_a_row >= TURNS && waits(&Lane::Deferrable);
+        Some(if due { Lane::Deferrable } else { first })
+    }
+}
--- a/src/kernel/node.rs
+++ b/src/kernel/node.rs
@@ -1,6 +1,7 @@
 use super::component::{Component, Context, Me, Views};
 use super::journal::Journal;
 use super::rand::Rand;
+use super::step_times::StepTimes;
 use super::time::Time;
 use crate::msg::{Effect, Event, JournalEvent};
 use std::collections::VecDeque;
@@ -14,6 +15,8 @@
     pub room: u64,
     pub slow: bool,
     pub stuck: bool,
+    /// Measures the steps, where a driver wants it.
+    pub step_times: Option<StepTimes>,
 }
 
 impl Node {
@@ -27,6 +30,7 @@
             room: u64::MAX,
             slow: false,
             stuck: false,
+            step_times: None,
         }
     }
 
@@ -48,6 +52,10 @@
     }
 
     pub fn feed(&mut self, now: Time, ev: Event) -> Vec<Effect> {
+        let kind = ev.kind();
+        if let Some(times) = &mut self.step_times {
+            times.begin();
+        }
         let mut out = Vec::new();
         let mut events: VecDeque<JournalEvent> = VecDeque::new();
         let mut next = Some(ev);
@@ -66,9 +74,15 @@
                     out: &mut out,
                 };
                 p.on(&ev, &mut ctx);
+                if let Some(times) = &mut self.step_times {
+                    times.component(p.name());
+                }
             }
             next = events.pop_front().map(Event::Journal);
         }
+        if let Some(times) = &mut self.step_times {
+            times.end(kind);
+        }
         out
     }
 }
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -53,6 +53,35 @@
     HeldAsk,
 }
 
+impl Msg {
+    /// Its kind, for figures.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Msg::Hello { .. } => "hello",
+            Msg::Welcome { .. } => "welcome",
+            Msg::Ping(_) => "ping",
+            Msg::Pong(_) => "pong",
+            Msg::Gossip(_) => "gossip",
+            Msg::Doubt { .. } => "doubt",
+            Msg::Sync => "sync",
+            Msg::Chain(msg) => msg.kind(),
+            Msg::UpdateRequest { .. } => "update request",
+            Msg::UpdateReply { .. } => "update reply",
+            Msg::UpdatePush { .. } => "update push",
+            Msg::UpdateRefused { .. } => "update refused",
+            Msg::ServingLeaseRequest(_) => "serving lease request",
+            Msg::ServingLeaseGrant(_) => "serving lease grant",
+            Msg::Op { .. } | Msg::OpPending { .. } | Msg::OpEnd { .. } => "passed call",
+            Msg::Ask { .. } | Msg::AskEnd { .. } => "passed read",
+            Msg::Tell(_) => "tell",
+            Msg::Nudge => "nudge",
+            Msg::Want(_) => "want",
+            Msg::Held(_) => "holdings",
+            Msg::HeldAsk => "holdings request",
+        }
+    }
+}
+
 /// What an operator, or another node, asks of the head.
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub enum Op {
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -165,7 +165,7 @@
     fn on(&mut self, ev: &Event, ctx: &mut Context) {
         self.flights.pacer.tick(ctx.now);
         match ev {
-            Event::Tick => {
+            Event::Work => {
                 self.ask(ctx);
                 self.name_holder(ctx);
                 self.look(ctx);
--- a/src/rollout/head.rs
+++ b/src/rollout/head.rs
@@ -198,7 +198,7 @@
                 }
                 self.tick(ctx);
             }
-            Event::Tick => self.tick(ctx),
+            Event::Work => self.tick(ctx),
             _ => {}
         }
     }
--- a/src/sim/nodes.rs
+++ b/src/sim/nodes.rs
@@ -179,7 +179,10 @@
             table.tick(now, routers);
             self.tick_requests(place, life);
         }
-        self.timed(place, |w| w.feed(place, msg::Event::Tick));
+        self.timed(place, |w| {
+            w.feed(place, msg::Event::Tick);
+            w.feed(place, msg::Event::Work);
+        });
         self.later(TICK, Event::Tick { place, life });
     }
 
