Driver: inputs in lanes, the chain first; bounded and coalesced; the same on each link

Change: kernel/lanes.rs classes each input, kernel/input_queue.rs serves the chain first, then serving inputs, then deferrable ones one at a time; a newer report of a router takes the place of its older one, outcomes of orders and lists are never dropped. The queue to each peer is ordered the same way. Event::Work is queued behind the tick. Status and one log line each 5 s: steps by component and kind, lanes, traffic by kind. Simulator: a processor that inputs take time of (sim/processor.rs). Membership looks for rows to show only when one is due; routers repeat reports, holdings requests and questions to the core more rarely the more of them there are (at most 200 a second and kind to a controller).

--- a/src/daemon/driver.rs
+++ b/src/daemon/driver.rs
@@ -1,28 +1,30 @@
+//! Drives a node: queues what comes in, feeds it by urgency, ticks in time, and carries out what it asks for.
+
+use super::effects::Run;
 use super::input::Input;
-use super::keep::{letter, log_step_times, show, status};
+use super::keep::{lanes_line, letter, log_step_times, status};
 use super::links::Links;
 use super::ticks::Ticks;
 use super::writer::Writer;
-use crate::json::Tree;
-use crate::json::tree::map;
 use crate::kernel::fault::Kind;
 use crate::kernel::hold::Hold;
-use crate::kernel::ids::*;
+use crate::kernel::input_queue::InputQueue;
+use crate::kernel::lanes::Lane;
 use crate::kernel::node::Node;
 use crate::kernel::step_times::StepTimes;
 use crate::kernel::time::{Clock, Span, Time};
 use crate::msg::*;
-use crate::wire;
 use std::collections::{BTreeMap, VecDeque};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::Duration;
-use tokio::sync::oneshot;
 
 const TICK: Span = Span::ms(20);
 const ROUTER_TICK: Span = Span::ms(50);
+/// How many urgent inputs are served before their effects are carried out.
 const BATCH: usize = 256;
+/// How long a node that could not be started waits before it is tried again.
+const RESTART_PAUSE: Duration = Duration::from_millis(500);
 
 pub type Act = Box<dyn Fn(Effect) + Send>;
 pub type Build = Box<dyn Fn(Vec<Record>) -> (Node, Vec<Record>) + Send>;
@@ -35,26 +37,6 @@
     pub act: Act,
 }
 
-struct Run {
-    node: Node,
-    asks: BTreeMap<ChangeId, Vec<oneshot::Sender<Answer>>>,
-    own: VecDeque<Event>,
-    shown: u64,
-    hold: Hold,
-    /// Damaged files that were kept under other names when this life of the node began.
-    set_aside: Option<String>,
-}
-
-impl Run {
-    fn status(&self, now: Time) -> Tree {
-        let mut all = status(&self.node, now);
-        if let Some(kept) = &self.set_aside {
-            all.merge(map(&[("disk", map(&[("damaged_log_kept_as", kept.as_str().into())]))]));
-        }
-        all
-    }
-}
-
 impl Driver {
     /// A node as its disk tells, and the damaged files that were set aside.
     fn fresh(&self) -> Result<(Node, Option<String>), String> {
@@ -80,135 +62,137 @@
         Ok((node, set_aside))
     }
 
+    /// Runs the node until it is told to stop.
     pub fn run(self, rx: Receiver<Input>) {
         let mut run: Option<Run> = None;
+        let mut queue = InputQueue::default();
         let mut ticks = Ticks::new(if self.disk.is_some() { TICK } else { ROUTER_TICK });
         loop {
             let Some(r) = &mut run else {
-                match self.fresh() {
-                    Ok((mut node, set_aside)) => {
-                        let out = node.feed(self.clock.now(), Event::Start);
-                        let (asks, own) = (BTreeMap::new(), VecDeque::new());
-                        let mut r = Run { node, asks, own, shown: 0, hold: Hold::default(), set_aside };
-                        if self.carry(&mut r, out) {
-                            run = Some(r);
-                        }
-                    }
-                    Err(why) => log::error!(event = "node-not-started", fault = why; ""),
-                }
-                if run.is_none() {
-                    std::thread::sleep(Duration::from_millis(500));
-                    while let Ok(input) = rx.try_recv() {
-                        if let Input::Stop = input {
-                            return;
-                        }
-                    }
+                run = self.begin();
+                if run.is_none() && !pause(&rx) {
+                    return;
                 }
                 continue;
             };
-            let wait = ticks.wait(self.clock.now());
-            let first = if r.own.is_empty() { rx.recv_timeout(wait) } else { Err(RecvTimeoutError::Timeout) };
-            let mut inputs = Vec::new();
-            match first {
-                Ok(input) => inputs.push(input),
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return,
+            let idle = queue.is_empty() && r.own.is_empty();
+            let wait = if idle { ticks.wait(self.clock.now()) } else { Duration::ZERO };
+            if !self.receive(&rx, wait, &mut queue) {
+                return;
             }
-            while inputs.len() < BATCH
-                && let Ok(input) = rx.try_recv()
-            {
-                inputs.push(input);
-            }
-            let now = self.clock.now();
-            if let Some(disk) = &self.disk {
-                r.node.room = disk.room();
-                r.node.slow = r.hold.slow(now);
-                r.node.stuck = r.hold.stuck(now);
+            if !self.step(r, &mut queue, &mut ticks) {
+                run = None;
             }
-            let events = inputs.len() + r.own.len();
-            let mut done = Vec::new();
-            let mut out = Vec::new();
-            for ev in std::mem::take(&mut r.own) {
-                out.extend(r.node.feed(now, ev));
+        }
+    }
+
+    fn begin(&self) -> Option<Run> {
+        let (mut node, set_aside) = match self.fresh() {
+            Ok(fresh) => fresh,
+            Err(why) => {
+                log::error!(event = "node-not-started", fault = why; "");
+                return None;
             }
-            for input in inputs {
-                match input {
-                    Input::Stop => return,
-                    Input::Event(ev) => out.extend(r.node.feed(now, ev)),
-                    Input::Envelope(l) => out.extend(letter(&mut r.node, now, *l)),
-                    Input::Ask(id, ev, tx) => {
-                        r.asks.entry(id).or_default().push(tx);
-                        out.extend(r.node.feed(now, ev));
-                    }
-                    Input::Seeds(seeds) => {
-                        let own = r.node.me.addr;
-                        r.node.me.seed = seeds.contains(&own);
-                        r.node.me.seeds = seeds.into_iter().filter(|s| *s != own).collect();
-                    }
-                    Input::Synced { life, upto } => {
-                        if self.disk.as_ref().is_some_and(|d| d.life() == life) {
-                            done.extend(r.hold.synced(now, upto));
-                        }
-                    }
-                    Input::Status(tx) => drop(tx.send(r.status(now).to_string())),
-                }
+        };
+        let out = node.feed(self.clock.now(), Event::Start);
+        let (asks, own) = (BTreeMap::new(), VecDeque::new());
+        let mut r = Run { node, asks, own, shown: 0, hold: Hold::default(), set_aside };
+        self.carry(&mut r, out).then_some(r)
+    }
+
+    /// Queues all that has come in, and waits for the first of it if need be; false once the node is to stop.
+    fn receive(&self, rx: &Receiver<Input>, wait: Duration, queue: &mut InputQueue<Input>) -> bool {
+        let first = match rx.recv_timeout(wait) {
+            Ok(input) => Some(input),
+            Err(RecvTimeoutError::Timeout) => None,
+            Err(RecvTimeoutError::Disconnected) => return false,
+        };
+        let now = self.clock.now();
+        for input in first.into_iter().chain(rx.try_iter()) {
+            if let Input::Stop = input {
+                return false;
             }
+            queue.add(now, input.class(), input);
+        }
+        true
+    }
+
+    /// Serves urgent inputs, at most one deferrable one, and the tick if it is due; whether the node goes on.
+    fn step(&self, r: &mut Run, queue: &mut InputQueue<Input>, ticks: &mut Ticks) -> bool {
+        self.observe_disk(r);
+        let mut out = Vec::new();
+        let mut done = Vec::new();
+        let mut events = r.own.len();
+        for ev in std::mem::take(&mut r.own) {
+            out.extend(r.node.feed(self.clock.now(), ev));
+        }
+        for _ in 0..BATCH {
             let now = self.clock.now();
-            if ticks.is_due(now, events) {
-                out.extend(r.node.feed(now, Event::Tick));
-                out.extend(r.node.feed(now, Event::Work));
-                log_step_times(&mut r.node, now);
+            let Some(next) = queue.pop(now) else { break };
+            events += 1;
+            match next.item {
+                Input::Synced { life, upto } => done.extend(self.synced(r, life, upto)),
+                Input::Status(tx) => drop(tx.send(status(r, queue, now).to_string())),
+                input => out.extend(serve(r, now, input)),
             }
-            if !self.act_all(r, done) || !self.carry(r, out) {
-                run = None;
+            if next.lane == Lane::Deferrable || ticks.is_overdue(self.clock.now()) {
+                break;
             }
         }
+        let now = self.clock.now();
+        if ticks.is_due(now, events) {
+            out.extend(r.node.feed(now, Event::Tick));
+            let work = Input::Event(Event::Work);
+            queue.add(now, work.class(), work);
+            ticks.done(self.clock.now());
+            self.log_figures(r, queue, now);
+        }
+        self.act_all(r, done) && self.carry(r, out)
     }
 
-    fn carry(&self, r: &mut Run, out: Vec<Effect>) -> bool {
-        show(&r.node, &mut r.shown);
-        let (out, job) = r.hold.take(self.clock.now(), out);
-        if let (Some(disk), Some(job)) = (&self.disk, job) {
-            disk.write(job);
-        }
-        self.act_all(r, out)
+    fn observe_disk(&self, r: &mut Run) {
+        let Some(disk) = &self.disk else { return };
+        let now = self.clock.now();
+        r.node.room = disk.room();
+        r.node.slow = r.hold.slow(now);
+        r.node.stuck = r.hold.stuck(now);
     }
 
-    fn act_all(&self, r: &mut Run, out: Vec<Effect>) -> bool {
-        for e in out {
-            match e {
-                Effect::Save(_) | Effect::Rewrite(_) => {}
-                Effect::Reset(why) => {
-                    log::error!(event = "node-reset", fault = why, remedy = "it joins again as new"; "");
-                    if let Some(disk) = &self.disk {
-                        let _ = disk.renew().set_aside();
-                    }
-                    return false;
-                }
-                Effect::Send { to, msg } if to == r.node.me.node => {
-                    let fleet = r.node.views.fleet;
-                    r.own.push_back(Event::Mail { from: to, fleet, msg });
-                }
-                Effect::Send { to, msg } => {
-                    if let Some(addr) = r.node.views.member(to).map(|c| c.addr) {
-                        self.post(&r.node, to, addr, msg);
-                    }
-                }
-                Effect::SendAt { addr, msg } => self.post(&r.node, NodeId(0), addr, msg),
-                Effect::Answer { id, answer } => {
-                    for tx in r.asks.remove(&id).unwrap_or_default() {
-                        let _ = tx.send(answer.clone());
-                    }
-                }
-                other => (self.act)(other),
-            }
+    fn synced(&self, r: &mut Run, life: u64, upto: u64) -> Vec<Effect> {
+        let current = self.disk.as_ref().is_some_and(|d| d.life() == life);
+        if current { r.hold.synced(self.clock.now(), upto) } else { vec![] }
+    }
+
+    fn log_figures(&self, r: &mut Run, queue: &mut InputQueue<Input>, now: Time) {
+        if log_step_times(&mut r.node, now) {
+            let lanes = lanes_line(queue, now);
+            queue.new_interval();
+            let (sent, got) = self.links.traffic.take();
+            log::info!(event = "inputs", lanes = lanes, sent = sent, got = got; "");
         }
-        true
     }
+}
 
-    fn post(&self, node: &Node, to: NodeId, addr: SocketAddr, msg: Msg) {
-        let (from, fleet) = (node.me.node, node.views.fleet);
-        let letter = Envelope { from, to, fleet, addr: node.me.addr, msg };
-        self.links.send(addr, wire::pack(&letter));
+/// Waits before the node is started again; inputs that came meanwhile are lost. False once it is to stop.
+fn pause(rx: &Receiver<Input>) -> bool {
+    std::thread::sleep(RESTART_PAUSE);
+    !rx.try_iter().any(|input| matches!(input, Input::Stop))
+}
+
+fn serve(r: &mut Run, now: Time, input: Input) -> Vec<Effect> {
+    match input {
+        Input::Event(ev) => r.node.feed(now, ev),
+        Input::Envelope(l) => letter(&mut r.node, now, *l),
+        Input::Ask(id, ev, tx) => {
+            r.asks.entry(id).or_default().push(tx);
+            r.node.feed(now, ev)
+        }
+        Input::Seeds(seeds) => {
+            let own = r.node.me.addr;
+            r.node.me.seed = seeds.contains(&own);
+            r.node.me.seeds = seeds.into_iter().filter(|s| *s != own).collect();
+            vec![]
+        }
+        Input::Stop | Input::Synced { .. } | Input::Status(_) => vec![],
     }
 }
--- a/src/daemon/keep.rs
+++ b/src/daemon/keep.rs
@@ -1,4 +1,8 @@
+use super::effects::Run;
+use super::input::Input;
 use crate::json::tree::{Tree, map};
+use crate::kernel::input_queue::{InputQueue, LaneState};
+use crate::kernel::lanes::Lane;
 use crate::kernel::node::Node;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
@@ -24,7 +28,32 @@
     *shown = node.journal.len();
 }
 
-pub fn status(node: &Node, now: Time) -> Tree {
+/// What the node of this process tells of itself, its disk and its inputs.
+pub(super) fn status(run: &Run, queue: &InputQueue<Input>, now: Time) -> Tree {
+    let mut all = node_status(&run.node, now);
+    if let Some(kept) = &run.set_aside {
+        all.merge(map(&[("disk", map(&[("damaged_log_kept_as", kept.as_str().into())]))]));
+    }
+    let mut inputs = vec![("lanes", lanes_line(queue, now).into())];
+    if let Some(times) = &run.node.step_times {
+        inputs.push(("longest_step_ms", times.last().all.longest.as_ms().into()));
+        inputs.push(("steps_by_component", times.last().components().into()));
+        inputs.push(("steps_by_kind", times.last().kinds().into()));
+    }
+    all.merge(map(&[("inputs", map(&inputs))]));
+    all
+}
+
+/// Each lane as `length/oldest/longest wait/dropped/replaced`, times in milliseconds.
+pub(super) fn lanes_line(queue: &InputQueue<Input>, now: Time) -> String {
+    let row = |(lane, s): (Lane, LaneState)| {
+        let (oldest, longest) = (s.oldest.as_ms(), s.longest.as_ms());
+        format!("{lane:?}={}/{oldest}/{longest}/{}/{}", s.length, s.dropped, s.replaced)
+    };
+    queue.state(now).map(row).join(" ")
+}
+
+fn node_status(node: &Node, now: Time) -> Tree {
     let mut rows: Vec<(String, Tree)> = vec![
         ("node".into(), node.me.node.to_string().into()),
         ("fleet".into(), node.views.fleet.to_string().into()),
@@ -41,9 +70,10 @@
     Tree::Map(rows)
 }
 
-/// Logs how long the steps of the last interval took, once it has ended.
-pub fn log_step_times(node: &mut Node, now: Time) {
-    let Some(figures) = node.step_times.as_mut().and_then(|times| times.ended(now)) else { return };
+/// Logs how long the steps of the last interval took, once it has ended; whether it has.
+pub fn log_step_times(node: &mut Node, now: Time) -> bool {
+    let Some(figures) = node.step_times.as_mut().and_then(|times| times.ended(now)) else { return false };
     let (all, components, kinds) = (figures.all, figures.components(), figures.kinds());
     log::info!(event = "step-times", steps = all.count, sum_ms = all.sum.as_ms(), longest_ms = all.longest.as_ms(), components = components, kinds = kinds; "");
+    true
 }
--- a/src/daemon/links.rs
+++ b/src/daemon/links.rs
@@ -1,8 +1,11 @@
+use super::traffic::Traffic;
+use crate::kernel::input_queue::InputQueue;
+use crate::kernel::lanes::Class;
 use crate::kernel::registry::Service;
 use crate::kernel::time::{BootClock, Clock, Span, Time};
 use crate::msg::Envelope;
 use crate::wire;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -23,27 +26,39 @@
 const INBOX: usize = 256;
 const REACHES: usize = 32;
 
-#[derive(Default)]
+/// The messages that wait for one peer: the most urgent first, the same way as before a node.
 pub struct Queue {
-    rows: Mutex<VecDeque<(Time, Vec<u8>)>>,
+    rows: Mutex<InputQueue<Vec<u8>>>,
     bell: Notify,
 }
 
+impl Default for Queue {
+    fn default() -> Queue {
+        Queue { rows: Mutex::new(InputQueue::limited(INBOX)), bell: Notify::default() }
+    }
+}
+
 impl Queue {
-    pub fn add(&self, now: Time, raw: Vec<u8>) -> u64 {
+    /// Queues a message; how many were dropped for it. A peer may be away for long, so any message may be.
+    pub fn add(&self, now: Time, class: Class, raw: Vec<u8>) -> u64 {
         let mut rows = self.rows.lock().unwrap();
-        rows.push_back((now, raw));
-        let over = rows.len().saturating_sub(INBOX);
-        rows.drain(..over);
+        let before = rows.dropped();
+        rows.add(now, Class { droppable: true, ..class }, raw);
         self.bell.notify_one();
-        over as u64
+        rows.dropped() - before
     }
 
+    /// The next message that is not too old, and how many were.
     pub fn next(&self, now: Time) -> (Option<Vec<u8>>, u64) {
         let mut rows = self.rows.lock().unwrap();
-        let old = rows.iter().take_while(|r| now.since(r.0) > OLD).count();
-        rows.drain(..old);
-        (rows.pop_front().map(|r| r.1), old as u64)
+        let mut old = 0;
+        while let Some(next) = rows.pop(now) {
+            if next.waited <= OLD {
+                return (Some(next.item), old);
+            }
+            old += 1;
+        }
+        (None, old)
     }
 
     fn is_empty(&self) -> bool {
@@ -57,6 +72,7 @@
     reaches: Semaphore,
     pub bad: AtomicU64,
     pub lost: AtomicU64,
+    pub traffic: Traffic,
 }
 
 impl Service for Links {
@@ -75,17 +91,19 @@
             reaches: Semaphore::new(REACHES),
             bad: AtomicU64::new(0),
             lost: AtomicU64::new(0),
+            traffic: Traffic::default(),
         })
     }
 
-    pub fn send(self: &Arc<Links>, addr: SocketAddr, raw: Vec<u8>) {
+    pub fn send(self: &Arc<Links>, addr: SocketAddr, class: Class, kind: &'static str, raw: Vec<u8>) {
+        self.traffic.sent(kind, raw.len());
         let mut outs = self.outs.lock().unwrap();
         let queue = outs.entry(addr).or_insert_with(|| {
             let queue = Arc::new(Queue::default());
             self.rt.spawn(self.clone().write(addr, queue.clone()));
             queue
         });
-        let lost = queue.add(BootClock.now(), raw);
+        let lost = queue.add(BootClock.now(), class, raw);
         self.lost.fetch_add(lost, Ordering::Relaxed);
     }
 
@@ -98,7 +116,7 @@
             drop_when_silent(&tcp);
             let (me, take) = (self.clone(), take.clone());
             tokio::spawn(async move {
-                if let Err(f) = read(tcp, &take).await {
+                if let Err(f) = read(tcp, &take, &me.traffic).await {
                     me.bad.fetch_add(1, Ordering::Relaxed);
                     log::warn!(event = "link-closed", from = from.to_string(), fault = f.to_string(); "");
                 }
@@ -163,7 +181,7 @@
     }
 }
 
-async fn read(mut tcp: TcpStream, take: &Take) -> Result<(), crate::kernel::fault::Fault> {
+async fn read(mut tcp: TcpStream, take: &Take, traffic: &Traffic) -> Result<(), crate::kernel::fault::Fault> {
     loop {
         let mut head = [0u8; wire::HEAD];
         let came = tokio::time::timeout(UNHEARD, tcp.read_exact(&mut head)).await;
@@ -175,7 +193,9 @@
         if tcp.read_exact(&mut body).await.is_err() {
             return Ok(());
         }
-        take(wire::unpack(wire::body(&head, &body)?)?);
+        let envelope: Envelope = wire::unpack(wire::body(&head, &body)?)?;
+        traffic.got(envelope.msg.kind(), len);
+        take(envelope);
     }
 }
 
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 pub mod assemble;
 pub mod config;
 pub mod driver;
+pub mod effects;
 pub mod input;
 pub mod keep;
 pub mod links;
@@ -16,4 +17,5 @@
 pub mod status;
 pub mod stop;
 pub mod ticks;
+pub mod traffic;
 pub mod writer;
--- a/src/daemon/ticks.rs
+++ b/src/daemon/ticks.rs
@@ -29,6 +29,16 @@
         Duration::from_micros(period.0.saturating_sub(now.since(self.last).0))
     }
 
+    /// Whether the next tick waits only for the inputs that are being served.
+    pub fn is_overdue(&self, now: Time) -> bool {
+        now.since(self.last) >= SHORTEST
+    }
+
+    /// The tick has been done: a slow processor has time for inputs before the next one.
+    pub fn done(&mut self, now: Time) {
+        self.last = now;
+    }
+
     /// Whether a tick is due, after `events` came in.
     pub fn is_due(&mut self, now: Time, events: usize) -> bool {
         self.stirred |= events > 0;
--- a/src/distribution/mod.rs
+++ b/src/distribution/mod.rs
@@ -3,6 +3,7 @@
 pub mod delta;
 pub mod history;
 pub mod messages;
+mod pace;
 pub mod reader;
 pub mod relay_node;
 pub mod serving_lease;
--- a/src/distribution/relay_node.rs
+++ b/src/distribution/relay_node.rs
@@ -1,3 +1,4 @@
+use super::pace::{Due, Retry};
 use super::reader::{Learnt, Reader, Topic};
 use super::serving_lease::ServingLease;
 use super::subscribers::Subscribers;
@@ -20,26 +21,11 @@
 const WANTED: Span = Span::ms(3000);
 const SPREAD: u64 = 100_000;
 
-#[derive(Default)]
-struct Due {
-    at: Time,
-}
-
-impl Due {
-    fn came(&mut self, wait: Span, ctx: &mut Context) -> bool {
-        let came = ctx.now >= self.at;
-        if came {
-            self.at = ctx.now + wait + Span(ctx.rand.below(wait.0 / 8));
-        }
-        came
-    }
-}
-
 pub struct Distribution {
     pub reader: Reader,
     tail: Due,
     home: Due,
-    late: Due,
+    late: Retry,
     rounds: u64,
     learnt: Time,
     mine: BTreeMap<Scope, Time>,
@@ -65,7 +51,7 @@
             reader,
             tail: Due::default(),
             home: Due::default(),
-            late: Due::default(),
+            late: Retry::default(),
             rounds: 0,
             learnt: started,
             mine: BTreeMap::new(),
@@ -94,7 +80,7 @@
         let lively = ctx.now.since(self.learnt) < LIVELY;
         let to_tail = self.tail.came(ASK, ctx);
         let to_home = self.home.came(if lively { ASK } else { IDLE }, ctx);
-        let late = self.late.came(ASK, ctx);
+        let late = self.late.came(ctx);
         if !to_tail && !to_home && !late {
             return;
         }
@@ -123,6 +109,9 @@
                 homes.entry(home).or_default().push((scope.clone(), self.reader.have(scope)));
             }
         }
+        if late {
+            self.late.asked(!missed.is_empty() || !lost.is_empty());
+        }
         owned.append(&mut missed);
         if let Some(tail) = tail {
             self.ask(tail, true, owned, ctx);
@@ -193,7 +182,8 @@
     }
 
     fn hurry(&mut self, ctx: &mut Context) {
-        (self.tail, self.home, self.late) = Default::default();
+        (self.tail, self.home) = Default::default();
+        self.late.hurry();
         self.tick(ctx);
     }
 }
--- a/src/kernel/input_queue.rs
+++ b/src/kernel/input_queue.rs
@@ -10,7 +10,7 @@
 
 /// After how many serving inputs in a row a deferrable one gets its turn.
 pub const TURNS: u32 = 32;
-/// How many inputs may wait in one lane; beyond that the oldest that may be lost is dropped.
+/// How many inputs may wait in one lane of a node; beyond that the oldest that may be lost is dropped.
 pub const LANE_LIMIT: usize = 2048;
 
 struct Waiting<T> {
@@ -23,7 +23,9 @@
     rows: BTreeMap<u64, Waiting<T>>,
     slots: BTreeMap<Slot, u64>,
     droppable: BTreeSet<u64>,
+    limit: usize,
     next: u64,
+    longest: Span,
     dropped: u64,
     replaced: u64,
 }
@@ -35,6 +37,8 @@
     pub length: usize,
     /// How long the first of them has waited.
     pub oldest: Span,
+    /// How long the longest wait of the interval was.
+    pub longest: Span,
     /// How many were dropped since the start.
     pub dropped: u64,
     /// How many gave their place to a newer one.
@@ -59,12 +63,14 @@
 }
 
 impl<T> LaneQueue<T> {
-    fn new() -> LaneQueue<T> {
+    fn new(limit: usize) -> LaneQueue<T> {
         LaneQueue {
+            limit,
             rows: BTreeMap::new(),
             slots: BTreeMap::new(),
             droppable: BTreeSet::new(),
             next: 0,
+            longest: Span(0),
             dropped: 0,
             replaced: 0,
         }
@@ -74,7 +80,7 @@
         let place = class.slot.and_then(|slot| self.slots.get(&slot).copied());
         let older = place.and_then(|place| self.rows.get_mut(&place)).filter(|row| row.class.replaceable);
         if let Some(older) = older {
-            (older.item, older.class) = (item, class);
+            (older.item, older.class, older.since) = (item, class, now);
             self.replaced += 1;
             return;
         }
@@ -86,7 +92,7 @@
             self.droppable.insert(self.next);
         }
         self.rows.insert(self.next, Waiting { item, since: now, class });
-        if self.rows.len() > LANE_LIMIT
+        if self.rows.len() > self.limit
             && let Some(oldest) = self.droppable.first().copied()
         {
             self.remove(oldest);
@@ -105,24 +111,33 @@
         Some(row)
     }
 
-    fn pop(&mut self) -> Option<Waiting<T>> {
+    fn pop(&mut self, now: Time) -> Option<(T, Span)> {
         let place = *self.rows.first_key_value()?.0;
-        self.remove(place)
+        let row = self.remove(place)?;
+        let waited = now.since(row.since);
+        self.longest = self.longest.max(waited);
+        Some((row.item, waited))
     }
 
     fn state(&self, now: Time) -> LaneState {
         let oldest = self.rows.first_key_value().map_or(Span(0), |(_, row)| now.since(row.since));
-        LaneState { length: self.rows.len(), oldest, dropped: self.dropped, replaced: self.replaced }
+        let (longest, dropped, replaced) = (self.longest, self.dropped, self.replaced);
+        LaneState { length: self.rows.len(), oldest, longest, dropped, replaced }
     }
 }
 
 impl<T> Default for InputQueue<T> {
     fn default() -> InputQueue<T> {
-        InputQueue { lanes: LANES.map(|_| LaneQueue::new()), in_a_row: 0 }
+        InputQueue::limited(LANE_LIMIT)
     }
 }
 
 impl<T> InputQueue<T> {
+    /// A queue of which each lane drops what may be lost beyond `limit` inputs.
+    pub fn limited(limit: usize) -> InputQueue<T> {
+        InputQueue { lanes: LANES.map(|_| LaneQueue::new(limit)), in_a_row: 0 }
+    }
+
     /// Queues an input that came at `now`.
     pub fn add(&mut self, now: Time, class: Class, item: T) {
         self.lanes[class.lane as usize].add(now, class, item);
@@ -131,13 +146,13 @@
     /// The input whose turn it is.
     pub fn pop(&mut self, now: Time) -> Option<Next<T>> {
         let lane = self.turn()?;
-        let row = self.lanes[lane as usize].pop()?;
+        let (item, waited) = self.lanes[lane as usize].pop(now)?;
         match lane {
             Lane::Chain => {}
             Lane::Serving => self.in_a_row += 1,
             Lane::Deferrable => self.in_a_row = 0,
         }
-        Some(Next { item: row.item, lane, waited: now.since(row.since) })
+        Some(Next { item, lane, waited })
     }
 
     /// Whether nothing waits.
@@ -145,11 +160,21 @@
         self.lanes.iter().all(|lane| lane.rows.is_empty())
     }
 
+    /// How many were dropped since the start.
+    pub fn dropped(&self) -> u64 {
+        self.lanes.iter().map(|lane| lane.dropped).sum()
+    }
+
     /// What each lane looks like.
     pub fn state(&self, now: Time) -> [(Lane, LaneState); LANES.len()] {
         LANES.map(|lane| (lane, self.lanes[lane as usize].state(now)))
     }
 
+    /// The longest waits are counted anew.
+    pub fn new_interval(&mut self) {
+        self.lanes.iter_mut().for_each(|lane| lane.longest = Span(0));
+    }
+
     fn turn(&self) -> Option<Lane> {
         let waits = |lane: &Lane| !self.lanes[*lane as usize].rows.is_empty();
         let first = LANES.into_iter().find(waits)?;
--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -81,7 +81,7 @@
         let (known, empty) = (self.table.rows.len() as u64, ctx.views.fleet == FleetId(0));
         let wait = match known {
             0..2 => 300,
-            _ if empty => 2000,
+            _ if empty && ctx.me.role == Role::Controller => 2000,
             n => 2000 * (n / 32).max(1),
         };
         if ctx.now.since(self.greeted) >= Span::ms(wait) {
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -42,6 +42,8 @@
     pub served: Time,
     pub tries: u64,
     shown: BTreeMap<NodeId, bool>,
+    /// Whether a node is shown as quiet, so that its row grows older.
+    any_quiet: bool,
     book_at: Time,
 }
 
@@ -108,17 +110,19 @@
     }
 
     fn show(&mut self, ctx: &mut Context) {
-        let any = self.shown.values().any(|live| !live);
-        let due = any && ctx.now.since(self.book_at) >= AGED;
-        if !self.table.dirty && !due {
+        let aged = self.any_quiet && ctx.now.since(self.book_at) >= AGED;
+        let settled = self.table.settles.is_some_and(|at| ctx.now >= at);
+        if !self.table.dirty && !aged && !settled {
             return;
         }
         let rows = self.table.book(ctx.me, ctx.now);
         let now: BTreeMap<NodeId, bool> = rows.iter().map(|r| (r.who.node, r.quiet < SUSPECT)).collect();
-        self.table.dirty = self.table.rows.iter().any(|(n, k)| !k.live && now.get(n) == Some(&true));
-        if self.table.dirty && now == self.shown {
+        self.table.dirty = false;
+        self.table.settles = self.table.next_settled(ctx.now);
+        if self.table.settles.is_some() && now == self.shown {
             return;
         }
+        self.any_quiet = now.values().any(|live| !live);
         for (node, live) in &now {
             if self.shown.get(node) != Some(live) {
                 let what = if *live { "member-up" } else { "member-quiet" };
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -30,6 +30,8 @@
     pub digest: u64,
     pub watch: Watch,
     pub dirty: bool,
+    /// When the next node that fell quiet has been so for long enough to be shown so.
+    pub settles: Option<Time>,
 }
 
 fn print(who: &Member) -> u64 {
@@ -179,6 +181,12 @@
         ids.filter_map(|n| self.claim(n, me, now)).collect()
     }
 
+    /// When the first of the nodes that are quiet, but not shown so yet, will be.
+    pub fn next_settled(&self, now: Time) -> Option<Time> {
+        let unsettled = |k: &&Known| !k.live && now.since(k.turned) < SETTLE;
+        self.rows.values().filter(unsettled).map(|k| k.turned + SETTLE).min()
+    }
+
     pub fn book(&self, me: &Me, now: Time) -> Vec<Row> {
         let mut rows = vec![Row { who: me.member(), quiet: Span(0) }];
         for k in self.rows.values() {
--- a/src/placement/seeker.rs
+++ b/src/placement/seeker.rs
@@ -10,6 +10,8 @@
 const GATHER: Span = Span::ms(20);
 const HEARD: Span = Span::ms(1500);
 const ASK: Span = Span::ms(300);
+/// While no holder is heard, all controllers are asked at most this often for each router.
+const ASK_ALL_PER_ROUTER: Span = Span::ms(5);
 
 /// Who holds the placement duty, by what it sends.
 #[derive(Clone, Copy, Default)]
@@ -100,7 +102,8 @@
     fn tick(&mut self, ctx: &mut Context) {
         self.flush(ctx);
         let quiet = self.contact.holder(ctx.now).is_none();
-        if (self.behind || quiet) && ctx.now.since(self.asked) >= ASK {
+        let wait = if quiet { ask_all_interval(ctx) } else { ASK };
+        if (self.behind || quiet) && ctx.now.since(self.asked) >= wait {
             self.asked = ctx.now;
             for to in self.holders(ctx) {
                 ctx.send(to, Msg::HeldAsk);
@@ -109,6 +112,11 @@
     }
 }
 
+fn ask_all_interval(ctx: &Context) -> Span {
+    let routers = ctx.views.members.iter().filter(|row| row.who.role == Role::Router).count();
+    ASK.max(Span(ASK_ALL_PER_ROUTER.0 * routers as u64))
+}
+
 impl Component for Seeker {
     fn name(&self) -> &'static str {
         "seeker"
--- a/src/rollout/tell.rs
+++ b/src/rollout/tell.rs
@@ -2,20 +2,48 @@
 
 use crate::chain::view::View;
 use crate::kernel::component::{Component, Context, Views};
-use crate::kernel::ids::{NodeId, ViewNo};
+use crate::kernel::ids::{ChangeId, Name, NodeId, Version, ViewNo};
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 use crate::placement::seeker::HolderContact;
 
 /// How long all controllers are told after the view or the holder of the placement duty changed.
 const UNSETTLED: Span = Span::ms(2000);
+/// Until then, and while no holder is known, all controllers are told at most this often for each router: the
+/// changes come when the controllers have the least time to spare.
+const TELL_ALL_PER_ROUTER: Span = Span::ms(5);
+/// While nothing but figures changes, the head and the holder are told at most this often for each router.
+const TELL_PER_ROUTER: Span = Span(1_500);
 /// With up to this many routers all controllers are told, so that a new holder knows the use of names at once.
-const ROUTERS_TELLING_ALL: usize = 32;
+const ROUTERS_TELLING_ALL: u64 = 32;
 
 /// Whether the routers are few enough to tell all controllers of themselves.
 pub fn tells_all(views: &Views) -> bool {
-    let routers = views.members.iter().filter(|row| row.who.role == Role::Router);
-    routers.count() <= ROUTERS_TELLING_ALL
+    routers(views) <= ROUTERS_TELLING_ALL
+}
+
+fn routers(views: &Views) -> u64 {
+    views.members.iter().filter(|row| row.who.role == Role::Router).count() as u64
+}
+
+/// What others wait for in a router's state; the rest are figures.
+#[derive(Default, PartialEq)]
+struct Awaited {
+    trial_seen: ChangeId,
+    routes_at: Version,
+    rehearsed: Option<ChangeId>,
+    leaving: Vec<Name>,
+}
+
+impl Awaited {
+    fn of(tell: &RouterTell) -> Awaited {
+        Awaited {
+            trial_seen: tell.trial_seen,
+            routes_at: tell.routes_at,
+            rehearsed: tell.rehearsal.as_ref().map(|rehearsal| rehearsal.id),
+            leaving: tell.leaving.clone(),
+        }
+    }
 }
 
 /// Sends a router's state to the head, which rolls out changes, and to the holder of the placement duty; in a
@@ -26,6 +54,9 @@
     holder: Option<NodeId>,
     view: ViewNo,
     changed: Time,
+    told: Time,
+    told_all: Time,
+    awaited: Awaited,
 }
 
 impl Teller {
@@ -37,17 +68,39 @@
         }
     }
 
-    fn receivers(&self, ctx: &Context) -> Vec<NodeId> {
+    fn receivers(&mut self, ctx: &Context) -> Vec<NodeId> {
+        if tells_all(ctx.views) || self.tells_all_now(ctx) {
+            return ctx.views.controllers().map(|r| r.who.node).collect();
+        }
+        let head = ctx.views.view.as_ref().and_then(View::head);
+        let mut both: Vec<NodeId> = head.into_iter().chain(self.holder).collect();
+        both.dedup();
+        both
+    }
+
+    /// Whether this state is sent: one that nobody waits for is left out while many routers tell theirs.
+    fn is_due(&mut self, tell: &RouterTell, ctx: &Context) -> bool {
+        let awaited = Awaited::of(tell);
+        let news = awaited != self.awaited || !tell.live.is_empty() || !tell.moves.is_empty();
+        let due = news || ctx.now.since(self.told) >= Span(TELL_PER_ROUTER.0 * routers(ctx.views));
+        if due {
+            (self.told, self.awaited) = (ctx.now, awaited);
+        }
+        due
+    }
+
+    /// Whether it is time to tell all controllers, as the head or the holder is new or not known.
+    fn tells_all_now(&mut self, ctx: &Context) -> bool {
         let head = ctx.views.view.as_ref().and_then(View::head);
-        let is_settled = ctx.now.since(self.changed) >= UNSETTLED;
-        match (head, self.holder) {
-            (Some(head), Some(holder)) if is_settled && !tells_all(ctx.views) => {
-                let mut both = vec![head, holder];
-                both.dedup();
-                both
-            }
-            _ => ctx.views.controllers().map(|r| r.who.node).collect(),
+        let known = head.is_some() && self.holder.is_some();
+        if known && ctx.now.since(self.changed) >= UNSETTLED {
+            return false;
         }
+        let due = ctx.now.since(self.told_all) >= Span(TELL_ALL_PER_ROUTER.0 * routers(ctx.views));
+        if due {
+            self.told_all = ctx.now;
+        }
+        due
     }
 }
 
@@ -70,6 +123,9 @@
                     ctx.publish(JournalEvent::RunnerMarked(name.clone()));
                 }
                 self.note_changes(ctx);
+                if !self.is_due(tell, ctx) {
+                    return;
+                }
                 for to in self.receivers(ctx) {
                     ctx.send(to, Msg::Tell(tell.clone()));
                 }
--- a/src/sim/cost.rs
+++ b/src/sim/cost.rs
@@ -1,7 +1,7 @@
 use super::world::World;
 use crate::kernel::time::{BootClock, Clock, Span};
 use crate::launch::deployment::{Deployment, quebec};
-use crate::msg::{Envelope, Msg, Role};
+use crate::msg::{Envelope, Role};
 use crate::wire;
 use std::collections::BTreeMap;
 
@@ -18,26 +18,10 @@
     pub kinds: BTreeMap<&'static str, Spent>,
 }
 
-fn kind(msg: &Msg) -> &'static str {
-    match msg {
-        Msg::Hello { .. } | Msg::Welcome { .. } => "greeting",
-        Msg::Chain(_) => "chain",
-        Msg::UpdateRequest { .. }
-        | Msg::UpdateReply { .. }
-        | Msg::UpdatePush { .. }
-        | Msg::UpdateRefused { .. } => "distribution",
-        Msg::ServingLeaseRequest(_) | Msg::ServingLeaseGrant(_) => "serving leases",
-        Msg::Op { .. } | Msg::OpPending { .. } | Msg::OpEnd { .. } => "relay",
-        Msg::Ask { .. } | Msg::AskEnd { .. } => "relay",
-        Msg::Tell(_) | Msg::Nudge => "tell",
-        _ => "membership",
-    }
-}
-
 impl Cost {
     pub fn sent(&mut self, place: usize, letter: &Envelope) {
         let bytes = wire::pack(letter).len() as u64;
-        let kind = self.kinds.entry(kind(&letter.msg)).or_default();
+        let kind = self.kinds.entry(letter.msg.kind()).or_default();
         for row in [self.nodes.entry(place).or_default(), kind] {
             row.letters += 1;
             row.bytes += bytes;
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -17,6 +17,7 @@
 pub mod hurts;
 pub mod hurts_more;
 pub mod nodes;
+pub mod processor;
 pub mod record;
 pub mod replay;
 pub mod report;
--- a/src/sim/nodes.rs
+++ b/src/sim/nodes.rs
@@ -1,4 +1,5 @@
 use super::disk::SimDisk;
+use super::processor::Processor;
 use super::record::Fact;
 use super::world::{Event, World};
 use crate::chain::leaving::Departure;
@@ -40,6 +41,8 @@
     pub ready: bool,
     pub departure: Option<Departure>,
     pub rehearsed: Option<(Version, msg::Rehearsal)>,
+    /// Whether inputs take time.
+    pub processor: Option<Processor>,
 }
 
 pub const TICK: Span = Span::ms(20);
@@ -71,6 +74,7 @@
             ready: false,
             departure: None,
             rehearsed: None,
+            processor: None,
         }
     }
 
@@ -179,13 +183,17 @@
             table.tick(now, routers);
             self.tick_requests(place, life);
         }
-        self.timed(place, |w| {
-            w.feed(place, msg::Event::Tick);
-            w.feed(place, msg::Event::Work);
-        });
+        self.timed(place, |w| w.feed(place, msg::Event::Tick));
+        self.step(Event::Work { place, life });
         self.later(TICK, Event::Tick { place, life });
     }
 
+    pub fn work(&mut self, place: usize, life: u64) {
+        if self.fits(place, life) {
+            self.timed(place, |w| w.feed(place, msg::Event::Work));
+        }
+    }
+
     pub fn feed(&mut self, place: usize, ev: msg::Event) {
         let now = self.local(place);
         let n = &mut self.nodes[place];
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -29,6 +29,7 @@
 
 pub enum Event {
     Tick { place: usize, life: u64 },
+    Work { place: usize, life: u64 },
     Envelope { to: SocketAddr, letter: Box<Envelope> },
     Looked { place: usize, life: u64, runner: Name },
     Synced { place: usize, life: u64, upto: u64 },
@@ -158,7 +159,7 @@
         }
     }
 
-    fn step(&mut self, ev: Event) {
+    pub(super) fn step(&mut self, ev: Event) {
         let Some(place) = place_of(self, &ev) else { return self.act(ev) };
         let n = &mut self.nodes[place];
         let free = n.frozen_until;
@@ -166,12 +167,14 @@
             n.held.push_back(ev);
             return;
         }
+        let Some(ev) = self.queue_input(place, ev) else { return };
         self.act(ev);
     }
 
     pub fn act(&mut self, ev: Event) {
         match ev {
             Event::Tick { place, life } => self.tick(place, life),
+            Event::Work { place, life } => self.work(place, life),
             Event::Envelope { to, letter } => {
                 let place = self.nodes.iter().position(|n| n.place.addr == to).unwrap_or(0);
                 self.timed(place, |w| w.letter(to, *letter));
@@ -211,6 +214,7 @@
     match ev {
         Event::Envelope { to, .. } => w.nodes.iter().position(|n| n.place.addr == *to),
         Event::Tick { place, .. }
+        | Event::Work { place, .. }
         | Event::Looked { place, .. }
         | Event::Synced { place, .. }
         | Event::Reported { place, .. }
--- a/tests/platform_stop.rs
+++ b/tests/platform_stop.rs
@@ -6,7 +6,7 @@
 
 use road::{LONG, Road, order, say, status};
 use spindledock::chain::leaving::Departure;
-use spindledock::daemon::driver::Hand;
+use spindledock::daemon::input::Hand;
 use spindledock::daemon::stop::Stop;
 use spindledock::kernel::time::{BootClock, Span};
 use spindledock::msg::Role;
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -124,6 +124,11 @@
 refusal-committed|src/chain/adoption.rs|Step::Refuse\(code, text, answer\)|{ drop(text); Step::Answer(answer) }|order_again stays_refused
 base-in-queue|src/chain/adoption.rs| \|\| self.adoptions.expects\(base\)||order_again slow_disks
 one-per-base|src/fleet/fold.rs|if base != now \|\| config.revision <= now \{|if false {|order_killed eight_orders
+chain-first|src/kernel/lanes.rs|Msg::Chain\(_\) => Class::kept\(Lane::Chain\)|Msg::Chain(_) => Class::kept(Lane::Deferrable)|overload heartbeats_are_not_late
+deferrable-turn|src/kernel/input_queue.rs|let due = first == Lane::Serving &&|let due = false \&\&|input_queue each_gets_its_turn
+outcomes-kept|src/kernel/lanes.rs|Event::Report \{ .. \} \| Event::Ordered \{ .. \} => Class::kept|Event::Report { .. } \| Event::Ordered { .. } => Class::droppable|input_queue may_be_lost_goes
+live-orders-kept|src/kernel/lanes.rs|replaceable: tell.live.is_empty\(\)|replaceable: true|input_queue not_lost_and_order_is_kept
+bulk-behind|src/kernel/input_queue.rs|LANES.into_iter\(\).find\(waits\)|LANES.into_iter().rev().find(waits)|links it_goes_out_first
 R
 }
 
