--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -19,6 +19,7 @@
 pub mod hurts_more;
 pub mod listing;
 pub mod nodes;
+pub mod processor;
 pub mod record;
 pub mod replay;
 pub mod report;
--- a/src/sim/nodes.rs
+++ b/src/sim/nodes.rs
@@ -1,5 +1,6 @@
 use super::disk::SimDisk;
 use super::listing::PAUSE;
+use super::processor::Processor;
 use super::record::Fact;
 use super::world::{Event, World};
 use crate::chain::leaving::Departure;
@@ -43,6 +44,8 @@
     pub reads_list: bool,
     pub departure: Option<Departure>,
     pub rehearsed: Option<(Version, msg::Rehearsal)>,
+    /// Whether inputs take time.
+    pub processor: Option<Processor>,
 }
 
 pub const TICK: Span = Span::ms(20);
@@ -75,6 +78,7 @@
             reads_list: false,
             departure: None,
             rehearsed: None,
+            processor: None,
         }
     }
 
@@ -188,9 +192,16 @@
             self.tick_requests(place, life);
         }
         self.timed(place, |w| w.feed(place, msg::Event::Tick));
+        self.step(Event::Work { place, life });
         self.later(TICK, Event::Tick { place, life });
     }
 
+    pub fn work(&mut self, place: usize, life: u64) {
+        if self.fits(place, life) {
+            self.timed(place, |w| w.feed(place, msg::Event::Work));
+        }
+    }
+
     pub fn feed(&mut self, place: usize, ev: msg::Event) {
         let now = self.local(place);
         let n = &mut self.nodes[place];
