--- a/src/chain/adoption.rs
+++ b/src/chain/adoption.rs
@@ -149,7 +149,7 @@
     }
 
     fn adopt(&mut self, id: ChangeId, config: Box<FleetConfig>, ctx: &mut Context) {
-        let stage = self.adoptions.rehearse(&config, ctx.now);
+        let stage = self.adoptions.rehearse(&config, &ctx.views.state.config, ctx.now);
         let revision = config.revision;
         ctx.log_event("change-taken-in", format!("{id} revision {revision} {}", stage.note));
         self.adoptions.under_way = Some(UnderWay { id, since: ctx.now, revision });
--- a/src/chain/adoption_queue.rs
+++ b/src/chain/adoption_queue.rs
@@ -82,7 +82,6 @@
     pub fn note_live(&mut self, from: NodeId, now: Time, tell: &RouterTell) {
         if self.side.is_some() && !tell.live.is_empty() {
             self.live.insert(from, (now, tell.live.clone()));
-            self.live.retain(|_, row| now.since(row.0) < LIVE_FOR);
         }
     }
 
@@ -99,11 +98,14 @@
     }
 
     /// What the candidate would do to the requests that routers took lately. It is told, and refuses nothing.
-    pub(super) fn rehearse(&self, config: &FleetConfig, now: Time) -> StageFigure {
+    pub(super) fn rehearse(&mut self, config: &FleetConfig, current: &FleetConfig, now: Time) -> StageFigure {
+        self.live.retain(|_, account| now.since(account.0) < LIVE_FOR);
+        if config.services == current.services {
+            return rehearsed("the routes are unchanged".into());
+        }
         let table = RouteTable::from(route_rows(config));
         let (mut planned, mut refused, mut moved, mut why) = (0, 0, 0, String::new());
-        let accounts = self.live.values().filter(|account| now.since(account.0) < LIVE_FOR);
-        for live in accounts.flat_map(|account| &account.1) {
+        for live in self.live.values().flat_map(|account| &account.1) {
             planned += live.orders;
             match table.find(&live.host, &live.prefix) {
                 None => {
@@ -114,7 +116,10 @@
                 Some(_) => {}
             }
         }
-        let note = format!("planned={planned} refused={refused} moved={moved}{why}");
-        StageFigure { name: "rehearse".into(), ms: 0, ms_allowed: 0, tries: 1, tries_allowed: 1, note }
+        rehearsed(format!("planned={planned} refused={refused} moved={moved}{why}"))
     }
 }
+
+fn rehearsed(note: String) -> StageFigure {
+    StageFigure { name: "rehearse".into(), ms: 0, ms_allowed: 0, tries: 1, tries_allowed: 1, note }
+}
--- a/src/cli/offline.rs
+++ b/src/cli/offline.rs
@@ -8,6 +8,7 @@
 use crate::placement::picture::Picture;
 use crate::placement::planner::whole;
 use crate::placement::trial::rehearse;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
 pub fn plan(text: &str) -> Result<Tree, Vec<String>> {
@@ -86,7 +87,7 @@
         credit,
         busy: vec![],
     };
-    let plan = whole(&p, PlanId(1), "planned offline", usize::MAX);
+    let plan = whole(&p, PlanId(1), "planned offline", usize::MAX, &Cell::default());
     let tried = rehearse(&p, &plan);
     if !tried.faults.is_empty() {
         return Err(tried.faults);
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -49,7 +49,7 @@
     Tell(Arc<RouterTell>),
     Nudge,
     Want(Vec<Want>),
-    Held(Box<HeldTell>),
+    Held(Arc<HeldTell>),
     HeldAsk,
 }
 
--- a/src/placement/board.rs
+++ b/src/placement/board.rs
@@ -20,12 +20,16 @@
     pub(super) offers: &'a [Offer],
     pub(super) usage: Arc<Usage>,
     pub(super) flights: Flights,
+    /// The names that are under way at each runner.
+    pub(super) in_flight: BTreeMap<Name, Vec<Name>>,
     pub(super) now: Time,
     pub(super) busy: BTreeSet<Name>,
     /// Of them, those with something planned.
     pub(super) planned: BTreeSet<Name>,
-    /// The staying runners that hold a name.
+    /// How many staying runners hold a name, and will after the decisions so far.
     pub(super) holders: BTreeMap<&'a Name, u64>,
+    /// The places of the staying runners that hold a name.
+    held_at: BTreeMap<&'a Name, Vec<usize>>,
     /// The models that have adapters.
     pub(super) bases: OnceCell<BTreeSet<&'a Name>>,
     pub(super) copies: OnceCell<Copies<'a>>,
@@ -43,22 +47,28 @@
         let mut busy = planned.clone();
         let closed = |o: &&Offer| self.flights.open(&o.runner.instance) || self.flights.is_foreign(&o.report);
         busy.extend(offers.iter().filter(closed).map(|o| o.runner.instance.clone()));
-        let mut holders: BTreeMap<&Name, u64> = BTreeMap::new();
-        for name in offers.iter().filter(|o| !o.runner.leaving).flat_map(|o| &o.report.holds) {
-            *holders.entry(name).or_default() += 1;
+        let mut held_at: BTreeMap<&Name, Vec<usize>> = BTreeMap::new();
+        for (place, offer) in offers.iter().enumerate().filter(|o| !o.1.runner.leaving) {
+            for name in &offer.report.holds {
+                held_at.entry(name).or_default().push(place);
+            }
         }
+        let holders = held_at.iter().map(|(name, places)| (*name, places.len() as u64)).collect();
         let may_take = |o: &Offer| !o.runner.leaving && !busy.contains(&o.runner.instance);
         let open = (0..offers.len()).filter(|place| may_take(&offers[*place])).collect();
+        let flights = self.counted(s, now);
         Board {
             placement: self,
             fleet: s,
             offers,
             usage: self.usage.clone(),
-            flights: self.counted(s, now),
+            in_flight: flights.by_runner(),
+            flights,
             now,
             busy,
             planned,
             holders,
+            held_at,
             bases: OnceCell::new(),
             copies: OnceCell::new(),
             costs: offers.iter().map(|_| OnceCell::new()).collect(),
@@ -146,6 +156,17 @@
         }
     }
 
+    /// The places of the staying runners that report that they hold `name`.
+    pub fn held_at(&self, name: &Name) -> &[usize] {
+        self.held_at.get(name).map_or(&[], |places| places)
+    }
+
+    /// The service whose runners hold `name`.
+    pub fn service_of(&self, name: &Name) -> Option<&'a Service> {
+        let place = self.held_at(name).first()?;
+        self.config().service(&self.offers[*place].runner.service)
+    }
+
     /// Whether a staying runner holds `name`.
     pub fn is_held(&self, name: &Name) -> bool {
         self.holders.get(name).is_some_and(|holders| *holders > 0)
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -40,6 +40,14 @@
     pub loss: u64,
 }
 
+/// What a load costs at the runner at one place.
+struct Weighed<'a> {
+    place: usize,
+    unloads: Vec<&'a Name>,
+    ms: u64,
+    loss: u64,
+}
+
 impl<'a> Board<'a> {
     fn tuned(&self, o: &Offer, base: &Name) -> f64 {
         let on = o.report.holds.iter().filter(|n| self.config().adapter(n).is_some_and(|a| a.model == *base));
@@ -47,8 +55,12 @@
     }
 
     fn stays(&self, runner: &Name, name: &Name) -> bool {
-        let new = self.placement.settled.get(&(runner.clone(), name.clone()));
-        new.is_some_and(|t| self.now.since(*t) < SETTLED) || self.placement.flights.has(runner, name)
+        let new = self.placement.settled.get(runner).and_then(|names| names.get(name));
+        new.is_some_and(|t| self.now.since(*t) < SETTLED) || self.is_in_flight(runner, name)
+    }
+
+    fn is_in_flight(&self, runner: &Name, name: &Name) -> bool {
+        self.in_flight.get(runner).is_some_and(|names| names.contains(name))
     }
 
     /// What it costs, in ms of waiting, that `name` leaves this runner.
@@ -104,14 +116,20 @@
         })
     }
 
-    fn unloads(&self, o: &Offer, costs: &RunnerCosts, want: &Name, need: u64) -> Option<(Vec<Name>, f64)> {
+    fn unloads<'c>(
+        &self,
+        o: &Offer,
+        costs: &'c RunnerCosts<'a>,
+        want: &Name,
+        need: u64,
+    ) -> Option<(Vec<&'a Name>, f64)> {
         let tuned = is_adapter(self.config(), want);
         let base = self.config().adapter(want).map(|a| &a.model);
         let rows = || costs.droppable.iter().filter(|r| Some(r.1) != base);
         let (mut free, mut names, mut loss) = (costs.free_mb, Vec::new(), 0.0);
-        let mut drop = |cost: f64, name: &Name| {
+        let mut drop = |cost: f64, name: &'a Name| {
             loss += cost + UNLOAD_MS;
-            names.push(name.clone());
+            names.push(name);
             self.weight(o, name)
         };
         if tuned && costs.free_places == 0 {
@@ -133,13 +151,13 @@
         o.report.holds.iter().filter(mine).filter_map(|n| c.least_mb(n)).sum()
     }
 
-    fn weigh(&self, place: usize, want: &Name) -> Option<Choice> {
+    fn weigh(&self, place: usize, want: &Name) -> Option<Weighed<'a>> {
         let (o, c) = (&self.offers[place], self.config());
         let runner = &o.runner.instance;
         if self.is_busy(runner) || o.report.has(want) {
             return None;
         }
-        if self.flights.has(runner, want) || self.flights.was_refused(self.now, runner, want) {
+        if self.is_in_flight(runner, want) || self.flights.was_refused(self.now, runner, want) {
             return None;
         }
         if let Some(a) = c.adapter(want)
@@ -158,7 +176,7 @@
             + if tuned { costs.adapters * 10 } else { (self.copies().busy(place).min(1.0) * BUSY_MS) as u64 };
         let churn = if tuned { 0.0 } else { costs.churn };
         let ms = load + crowd + loss as u64 + churn as u64;
-        Some(Choice { runner: runner.clone(), unloads, ms, loss: loss as u64 })
+        Some(Weighed { place, unloads, ms, loss: loss as u64 })
     }
 
     /// Adapters of a base that is in use can't be loaded while a model is.
@@ -173,9 +191,20 @@
     /// count that load it from their own disk, unless such loads don't ask the store at all.
     pub fn choose(&self, service: &Name, want: &Name, from_store: bool) -> Option<Choice> {
         let free = is_adapter(self.config(), want) && !self.config().store.adapters;
-        let places = if from_store || free { &self.open } else { self.keepers(want) };
+        let places = match self.config().adapter(want) {
+            Some(adapter) if from_store || free => self.held_at(&adapter.model),
+            None if from_store => &self.open,
+            _ => self.keepers(want),
+        };
         let mine = places.iter().filter(|k| self.offers[**k].runner.service == *service);
         let rows = mine.filter_map(|k| self.weigh(*k, want));
-        rows.min_by(|a, b| (a.ms, &a.runner).cmp(&(b.ms, &b.runner)))
+        let runner = |row: &Weighed| &self.offers[row.place].runner.instance;
+        let best = rows.min_by(|a, b| (a.ms, runner(a)).cmp(&(b.ms, runner(b))))?;
+        Some(Choice {
+            runner: runner(&best).clone(),
+            unloads: best.unloads.into_iter().cloned().collect(),
+            ms: best.ms,
+            loss: best.loss,
+        })
     }
 }
--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -9,23 +9,27 @@
 use crate::kernel::component::Context;
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
+use crate::rollout::tell::report_freshness;
 use std::collections::BTreeMap;
 
 const CLAIM: Span = Span::ms(1000);
 const LEAVE: Span = Span::ms(3000);
-const FRESH_TELL: Span = Span::ms(1200);
 const IDLE_MOST: usize = 4;
+/// The shortest time between two plans for free room while nothing is waited for: this long for each runner.
+const IDLE_PLAN_PER_RUNNER: Span = Span::ms(3);
 
 impl Placement {
     pub(super) fn credit(&self, service: &Name, ctx: &Context) -> u64 {
-        let live = self.tells.values().filter(|t| ctx.now.since(t.0) < FRESH_TELL);
+        let freshness = report_freshness(self.tells.len());
+        let live = self.tells.values().filter(|t| ctx.now.since(t.0) < freshness);
         live.flat_map(|t| &t.1.tries).filter(|r| r.0 == *service).map(|r| r.3).sum()
     }
 
     fn demand(&self, ctx: &Context) -> Vec<(Name, Name, u64)> {
         let mut sum: BTreeMap<(&Name, &Name), u64> = BTreeMap::new();
+        let freshness = report_freshness(self.tells.len());
         for (at, tell) in self.tells.values() {
-            if ctx.now.since(*at) < FRESH_TELL {
+            if ctx.now.since(*at) < freshness {
                 for (service, model, n) in &tell.demand {
                     *sum.entry((service, model)).or_default() += n;
                 }
@@ -109,7 +113,9 @@
             && self.unseen.is_empty()
             && self.flights.rows.is_empty()
             && !s.plans.iter().any(|p| p.live());
-        if quiet && self.claims.is_empty() {
+        let gap = Span(IDLE_PLAN_PER_RUNNER.0 * s.runners.len() as u64);
+        if quiet && self.claims.is_empty() && ctx.now.since(self.work.last_idle_plan) >= gap {
+            self.work.last_idle_plan = ctx.now;
             self.offer_whole("room is free and nothing is waited for", IDLE_MOST, s, &demand, ctx);
         }
     }
@@ -149,7 +155,7 @@
         let id = PlanId(ctx.rand.next() | 1);
         let counted = self.counted(s, ctx.now);
         let p = self.picture(s, demand, &counted, ctx);
-        let plan = whole(&p, id, why, most);
+        let plan = whole(&p, id, why, most, &self.work.weighed);
         if plan.stages.is_empty() {
             return;
         }
@@ -164,7 +170,8 @@
         self.asked_plan = Some((id, ctx.now));
         let counted = self.counted(s, ctx.now);
         let p = self.picture(s, demand, &counted, ctx);
-        let mut plan = whole(&p, PlanId(id.short()), "asked for by an operator", usize::MAX);
+        let why = "asked for by an operator";
+        let mut plan = whole(&p, PlanId(id.short()), why, usize::MAX, &self.work.weighed);
         let tried = rehearse(&p, &plan);
         plan.state = if tried.faults.is_empty() { PlanState::Proposed } else { PlanState::Stopped };
         plan.rehearsal = format!("{} {}", tried.note, tried.faults.join("; "));
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -28,6 +28,8 @@
 pub struct Placement {
     pub reader: Reader,
     pub slice: Option<Arc<DutySlice>>,
+    /// The places of the runners in the slice.
+    pub(super) places: BTreeMap<Name, usize>,
     pub proven: Time,
     pub reports: BTreeMap<Name, (Time, Report)>,
     pub tells: BTreeMap<NodeId, (Time, Arc<RouterTell>)>,
@@ -53,7 +55,8 @@
     pub push: Push,
     pub jobs: BTreeMap<Name, Job>,
     pub decided: VecDeque<PlacementPlan>,
-    pub settled: BTreeMap<(Name, Name), Time>,
+    /// Since when a runner holds a name that it was seen to get.
+    pub settled: BTreeMap<Name, BTreeMap<Name, Time>>,
     pub policy: Policy,
     pub rows: BTreeMap<PlanId, super::drive::Row>,
     pub claims: BTreeMap<Name, Time>,
@@ -62,6 +65,8 @@
     pub refused_at: Time,
     pub asked_plan: Option<(ChangeId, Time)>,
     pub checked: Time,
+    /// When the reports were last searched for what routers miss.
+    pub(super) searched: Time,
     pub asked: Time,
     pub named: Time,
     /// When the chain was last told that this holder orders.
@@ -77,6 +82,7 @@
         Placement {
             reader,
             slice: None,
+            places: BTreeMap::new(),
             proven: Time(0),
             reports: BTreeMap::new(),
             tells: BTreeMap::new(),
@@ -107,6 +113,7 @@
             refused_at: Time(0),
             asked_plan: None,
             checked: Time(0),
+            searched: Time(0),
             asked: Time(0),
             named: Time(0),
             begun_told: Time(0),
@@ -142,9 +149,10 @@
                 self.afresh();
             }
         }
-        let listed = |n: &Name| slice.runners.iter().any(|r| r.instance == *n);
-        self.reports.retain(|n, _| listed(n));
-        self.kept.retain(|n, _| listed(n));
+        let runners = slice.runners.iter().enumerate();
+        self.places = runners.map(|(place, runner)| (runner.instance.clone(), place)).collect();
+        self.reports.retain(|n, _| self.places.contains_key(n));
+        self.kept.retain(|n, _| self.places.contains_key(n));
         self.slice = Some(Arc::new(slice));
     }
 
@@ -177,12 +185,13 @@
                     self.work(ctx);
                 }
                 self.push(ctx);
+                self.push_on(ctx);
             }
             Event::Mail { msg: Msg::UpdateReply { nonce, items }, .. } => {
                 for l in self.reader.told(*nonce, items) {
                     if let Some(Slice::Duty(s)) = l.slice {
                         let s = *s;
-                        let list = self.reporting(&s);
+                        let list = self.reporting(&s).cloned().collect();
                         self.learn(ctx.me.node, s);
                         let mine = self.term > Term(0);
                         ctx.out.push(Effect::Watch(if mine { list } else { vec![] }));
--- a/src/placement/fill.rs
+++ b/src/placement/fill.rs
@@ -10,6 +10,7 @@
 use crate::kernel::ids::{ChangeId, Name, Term};
 use crate::kernel::time::Time;
 use crate::msg::*;
+use std::collections::BTreeSet;
 
 impl Placement {
     /// Unloads what runs least, where the policy is to end runs for what is wanted.
@@ -48,9 +49,9 @@
                 && (a.leaving || !b.leaving)
                 && a.service == b.service
         };
-        let known = |r: &Runner| s.runners.iter().any(|o| same(o, r));
-        let here = |o: &Runner| list.iter().any(|r| r.instance == o.instance);
-        if list.iter().all(known) && s.runners.iter().all(here) {
+        let known = |r: &Runner| self.runner(s, &r.instance).is_some_and(|o| same(o, r));
+        let names: BTreeSet<&Name> = list.iter().map(|r| &r.instance).collect();
+        if list.iter().all(known) && s.runners.iter().all(|o| names.contains(&o.instance)) {
             return;
         }
         let id = ChangeId::random(ctx.rand);
@@ -65,10 +66,22 @@
         ctx.send(head, Msg::Op { id, attempt: 0, op: Op::Internal(change) });
     }
 
+    /// A runner of the fleet.
+    pub(super) fn runner<'a>(&self, s: &'a DutySlice, name: &Name) -> Option<&'a Runner> {
+        s.runners.get(*self.places.get(name)?).filter(|runner| runner.instance == *name)
+    }
+
+    /// Whether a runner is of the fleet and not about to leave it.
+    pub(super) fn stays(&self, name: &Name) -> bool {
+        let runner = self.slice.as_ref().and_then(|s| self.runner(s, name));
+        runner.is_some_and(|runner| !runner.leaving)
+    }
+
     /// The runners whose reports tell what they hold.
-    pub fn reporting(&self, s: &DutySlice) -> Vec<Runner> {
-        let plain = |r: &&Runner| s.config.service(&r.service).is_some_and(|x| x.sort == Sort::Plain);
-        s.runners.iter().filter(|r| !(self.bare_plain && plain(r))).cloned().collect()
+    pub fn reporting<'a>(&self, s: &'a DutySlice) -> impl Iterator<Item = &'a Runner> + use<'a> {
+        let bare_plain = self.bare_plain;
+        let plain = |r: &Runner| s.config.service(&r.service).is_some_and(|x| x.sort == Sort::Plain);
+        s.runners.iter().filter(move |r| !(bare_plain && plain(r)))
     }
 
     /// The runners whose reports are fresh.
@@ -85,8 +98,7 @@
 
     /// Whether a load of `name` fits at a runner by its fresh report.
     pub fn fits_at(&self, runner: &Name, name: &Name, s: &DutySlice, now: Time) -> bool {
-        let row = s.runners.iter().find(|r| r.instance == *runner);
-        let offer = row.and_then(|r| self.offer(r, s, now));
+        let offer = self.runner(s, runner).and_then(|r| self.offer(r, s, now));
         offer.is_some_and(|o| fits(&s.config, &o, &self.flights, name))
     }
 }
--- a/src/placement/flights.rs
+++ b/src/placement/flights.rs
@@ -64,7 +64,8 @@
 pub struct Flights {
     pub rows: BTreeMap<OrderId, Flight>,
     pub pacer: Pacer,
-    pub refused: BTreeMap<(Name, Name), Time>,
+    /// When a runner refused an order for a name.
+    pub refused: BTreeMap<Name, BTreeMap<Name, Time>>,
     pub sequences: Sequences,
 }
 
@@ -134,7 +135,7 @@
             self.sequences.doubt(now, &runner);
         }
         if (400..500).contains(&status) {
-            self.refused.insert((runner, name), now);
+            self.refused.entry(runner).or_default().insert(name, now);
             self.rows.remove(&order);
         }
     }
@@ -182,9 +183,18 @@
     }
 
     pub fn was_refused(&self, now: Time, runner: &Name, name: &Name) -> bool {
-        let at = self.refused.get(&(runner.clone(), name.clone()));
+        let at = self.refused.get(runner).and_then(|names| names.get(name));
         at.is_some_and(|t| now.since(*t) < Span::ms(5000))
     }
+
+    /// What is under way at each runner.
+    pub fn by_runner(&self) -> BTreeMap<Name, Vec<Name>> {
+        let mut all: BTreeMap<Name, Vec<Name>> = BTreeMap::new();
+        for flight in self.rows.values() {
+            all.entry(flight.runner.clone()).or_default().push(flight.name.clone());
+        }
+        all
+    }
 }
 
 pub fn is_adapter(c: &FleetConfig, name: &Name) -> bool {
--- a/src/placement/holder.rs
+++ b/src/placement/holder.rs
@@ -1,4 +1,5 @@
 use super::duty::Placement;
+use crate::chain::view::View;
 use crate::fleet::slice::DutySlice;
 use crate::fleet::state::*;
 use crate::kernel::component::Context;
@@ -13,6 +14,13 @@
 /// How often the chain is told that this holder orders, until that is recorded.
 const RECORD_AGAIN: Span = Span::ms(600);
 
+/// Who of those that may holds the duty next. The ends of the chain have work enough: one of them only if no other may.
+fn successor(view: &View, may: &dyn Fn(NodeId) -> bool) -> Option<NodeId> {
+    let is_end = |node: NodeId| view.head() == Some(node) || view.tail() == Some(node);
+    let candidates = || view.chain.iter().rev().copied().filter(|node| may(*node));
+    candidates().find(|node| !is_end(*node)).or_else(|| candidates().next())
+}
+
 impl Placement {
     pub fn name_holder(&mut self, ctx: &mut Context) {
         let post = ctx.views.role;
@@ -27,11 +35,10 @@
         if holder.is_some_and(|h| view.has(h) && live(h)) {
             return;
         }
-        let rank: Vec<NodeId> = view.chain.iter().rev().copied().filter(|n| live(*n)).collect();
-        if let Some(next) = rank.first() {
+        if let Some(next) = successor(&view, &live) {
             self.named = ctx.now;
             ctx.log_event("duty-named", format!("{next} holds placement next"));
-            ctx.publish(JournalEvent::Submitted(Arc::new(Change::Duty { holder: *next })));
+            ctx.publish(JournalEvent::Submitted(Arc::new(Change::Duty { holder: next })));
         }
     }
 
@@ -53,8 +60,8 @@
             return;
         }
         let Some(view) = ctx.views.view.clone() else { return };
-        let next = view.chain.iter().rev().find(|n| **n != ctx.me.node).copied();
-        if let Some(next) = next {
+        let is_other = |node: NodeId| node != ctx.me.node;
+        if let Some(next) = successor(&view, &is_other) {
             ctx.log_event("duty-handed", format!("{next} is named successor"));
             self.tell_head(Change::Duty { holder: next }, ctx);
         }
--- a/src/placement/job.rs
+++ b/src/placement/job.rs
@@ -80,8 +80,8 @@
 
     /// Orders what the decisions under way need next, the oldest first: they share the store's allowance.
     pub fn run_jobs(&mut self, s: &DutySlice, ctx: &mut Context) {
-        let mut runners: Vec<(Time, Name)> =
-            self.jobs.iter().map(|(r, job)| (job.since, r.clone())).collect();
+        let due = self.jobs.iter().filter(|(runner, job)| self.is_due(runner, job, ctx.now));
+        let mut runners: Vec<(Time, Name)> = due.map(|(r, job)| (job.since, r.clone())).collect();
         runners.sort();
         for (_, r) in runners {
             let Some(job) = self.jobs.remove(&r) else { continue };
@@ -103,6 +103,12 @@
         }
     }
 
+    /// Whether a decision has something to do: its next order, or its end.
+    fn is_due(&self, runner: &Name, job: &Job, now: Time) -> bool {
+        let waits = job.order.is_some_and(|order| self.flights.rows.contains_key(&order)) || now < job.next;
+        !waits || now.since(job.since) > ALLOWED || !self.stays(runner)
+    }
+
     fn run_job(
         &mut self,
         runner: &Name,
@@ -114,7 +120,7 @@
         if ctx.now.since(job.since) > ALLOWED {
             return Err((id, PlanState::Stopped, "its time was spent"));
         }
-        if !s.runners.iter().any(|r| r.instance == *runner && !r.leaving) {
+        if !self.stays(runner) {
             return Err((id, PlanState::Stopped, "the runner left"));
         }
         if job.order.is_some_and(|o| self.flights.rows.contains_key(&o)) || ctx.now < job.next {
@@ -178,7 +184,9 @@
                 return;
             }
             NO_ROOM | 499 => {
-                self.flights.refused.remove(&(runner.clone(), name));
+                if let Some(names) = self.flights.refused.get_mut(&runner) {
+                    names.remove(&name);
+                }
                 job.next = ctx.now + job.gap;
                 job.gap = Span((job.gap.0 * 2).min(Span::ms(160).0));
                 self.look_at(&runner, ctx.now);
--- a/src/placement/look.rs
+++ b/src/placement/look.rs
@@ -10,9 +10,17 @@
 
 const REST: Span = Span::ms(1000);
 const WORK: Span = Span::ms(500);
+/// With more runners than this those at work are asked less often, in proportion.
+const RUNNERS_ASKED_OFTEN: u64 = 64;
+/// A tick asks up to this many runners for reports, or
+const LOOKS_PER_TICK: usize = 16;
+/// one of so many, so that they don't all answer at the same moment.
+const RUNNERS_PER_LOOK: usize = 16;
 const AGAIN: Span = Span::ms(80);
 const LOST: Span = Span::ms(1000);
 const STALE: Span = Span::ms(1500);
+/// How often the reports are searched for what routers miss.
+const SEARCH_EVERY: Span = Span::ms(20);
 /// A runner's refusal of an order for want of room, or because another is under way.
 pub const NO_ROOM: u16 = 409;
 
@@ -29,6 +37,11 @@
     }
 }
 
+/// How long a runner at work is left, if so many are known.
+fn pause_at_work(runners: usize) -> Span {
+    Span((WORK.0 * runners as u64 / RUNNERS_ASKED_OFTEN).clamp(WORK.0, REST.0))
+}
+
 pub type Looks = BTreeMap<Name, Look>;
 
 impl Placement {
@@ -39,16 +52,24 @@
     }
 
     pub fn look(&mut self, ctx: &mut Context) {
-        let Some(s) = &self.slice else { return };
+        let Some(s) = self.slice.clone() else { return };
         if self.term == Term(0) {
             return;
         }
-        for r in &self.reporting(s) {
-            let l = self.looks.entry(r.instance.clone()).or_default();
+        let mut left = LOOKS_PER_TICK.max(s.runners.len() / RUNNERS_PER_LOOK);
+        for r in self.reporting(&s) {
+            if !self.looks.contains_key(&r.instance) {
+                self.looks.insert(r.instance.clone(), Look::default());
+            }
+            let Some(l) = self.looks.get_mut(&r.instance) else { continue };
             let open = l.asked.is_some_and(|t| ctx.now.since(t) < LOST);
             if ctx.now < l.next || open {
                 continue;
             }
+            if left == 0 {
+                return;
+            }
+            left -= 1;
             l.asked = Some(ctx.now);
             l.next = ctx.now + REST;
             ctx.out.push(Effect::Look(r.instance.clone()));
@@ -89,9 +110,13 @@
 
     /// A router misses what is known as held: both may be wrong.
     pub fn check_held(&mut self, from: NodeId, rows: &[Want], ctx: &mut Context) {
+        if ctx.now.since(self.checked) < STALE || ctx.now.since(self.searched) < SEARCH_EVERY {
+            return;
+        }
+        self.searched = ctx.now;
         let known = |w: &&Want| self.reports.values().any(|r| r.1.has(&w.name));
         let names: Vec<Name> = rows.iter().filter(known).map(|w| w.name.clone()).collect();
-        if names.is_empty() || ctx.now.since(self.checked) < STALE {
+        if names.is_empty() {
             return;
         }
         self.checked = ctx.now;
@@ -127,9 +152,11 @@
         let old = self.reports.insert(instance.clone(), (ctx.now, r.clone()));
         let new = |n: &&Name| old.as_ref().is_some_and(|o| !o.1.has(n));
         for n in r.holds.iter().filter(new) {
-            self.settled.insert((instance.clone(), n.clone()), ctx.now);
+            self.settled.entry(instance.clone()).or_default().insert(n.clone(), ctx.now);
+        }
+        if let Some(names) = self.settled.get_mut(instance) {
+            names.retain(|_, since| ctx.now.since(*since) < SETTLED);
         }
-        self.settled.retain(|_, t| ctx.now.since(*t) < SETTLED);
         self.kept.entry(instance.clone()).or_default().extend(r.holds.iter().cloned());
     }
 
@@ -137,9 +164,10 @@
         let ends = self.flights.rows.values().filter(|f| f.runner == *runner && f.answered);
         let soon = ends.map(|f| f.end.max(ctx.now + AGAIN)).min();
         let busy = report.is_some_and(|r| r.running + r.waiting > 0);
+        let pause = pause_at_work(self.reports.len());
         let Some(l) = self.looks.get_mut(runner) else { return };
         l.asked = None;
-        l.next = ctx.now + if busy { WORK } else { REST };
+        l.next = ctx.now + if busy { pause } else { REST };
         if let Some(t) = soon {
             l.next = l.next.min(t);
         }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -10,6 +10,7 @@
 pub mod flights;
 pub mod holder;
 pub mod job;
+pub mod layout;
 pub mod look;
 pub mod meet;
 pub mod nominate;
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -28,7 +28,7 @@
         ctx: &mut Context,
     ) -> Option<OrderId> {
         let s = self.slice.as_ref()?;
-        let r = s.runners.iter().find(|r| r.instance == *runner).cloned()?;
+        let r = self.runner(s, runner).cloned()?;
         if self.flights.has(runner, name) || !self.may_order(ctx.now) || self.flights.open(runner) {
             return None;
         }
@@ -109,7 +109,7 @@
     /// A report with what it leaves out taken from the configuration and from the routers.
     pub fn known(&self, s: &DutySlice, r: &Report) -> Report {
         let mut r = self.distrust.corrected(&s.config, r.clone());
-        let service = s.runners.iter().find(|x| x.instance == r.instance).map(|x| &x.service);
+        let service = self.runner(s, &r.instance).map(|x| &x.service);
         let Some(service) = service.and_then(|n| s.config.service(n)) else { return r };
         if r.room_mb == 0 {
             r.room_mb = service.room_mb;
--- a/src/placement/planner.rs
+++ b/src/placement/planner.rs
@@ -1,23 +1,13 @@
 use super::flights::is_adapter;
+use super::layout::{Layout, Room};
 use super::nominate::Way;
 use super::picture::Picture;
 use super::room::{free_mb, idle_names};
-use crate::fleet::config::{Service, Ways};
 use crate::fleet::plan::{PlacementPlan, Step};
 use crate::kernel::ids::*;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
-/// The room of one runner while a plan is laid out.
-struct Row {
-    runner: Name,
-    service: Name,
-    free: u64,
-    slots: u64,
-    held: Vec<Name>,
-    unload: Vec<Name>,
-    load: Vec<Name>,
-}
-
 pub fn small(p: &Picture, id: PlanId, want: &Name, way: &Way, service: &Name, ms: u64) -> PlacementPlan {
     let why = format!("{want} is wanted; startup is estimated at {ms}ms");
     let load =
@@ -59,20 +49,23 @@
     steps
 }
 
-pub fn whole(p: &Picture, id: PlanId, why: &str, most: usize) -> PlacementPlan {
-    let mut desks: Vec<Row> = p.offers.iter().filter(|o| !o.runner.leaving).map(|o| desk(p, o)).collect();
-    let evacuate = leave(p, &mut desks, id);
+/// A plan for all names, of up to `most` loads; how many rooms were weighed is added to `weighed`.
+pub fn whole(p: &Picture, id: PlanId, why: &str, most: usize, weighed: &Cell<u64>) -> PlacementPlan {
+    let mut layout = Layout::of(p);
+    let evacuate = leave(p, &mut layout, id);
     let mut unplaced = Vec::new();
     for s in &p.config.services {
         let mut names: Vec<&Name> = s.models.iter().collect();
         names.sort_by_key(|n| (std::cmp::Reverse(p.demand_of(n)), std::cmp::Reverse(p.config.weight(n)), *n));
         for name in names.into_iter().chain(&s.adapters) {
-            if !place(p, s, &mut desks, name) {
+            if !layout.place(&s.name, name, p.config) {
                 unplaced.push(name.clone());
             }
         }
     }
-    let unloads = desks.iter().flat_map(|d| step(d, &d.unload, false)).collect::<Vec<_>>();
+    weighed.set(weighed.get() + layout.weighed());
+    let rooms = layout.rooms();
+    let unloads = rooms.iter().flat_map(|room| steps(room, &room.unload, false)).collect::<Vec<_>>();
     let mut stages = Vec::new();
     if !evacuate.is_empty() {
         stages.push(p.stage("make way", evacuate));
@@ -82,11 +75,8 @@
     }
     let mut left = most;
     for n in 0.. {
-        let row: Vec<Step> = desks
-            .iter()
-            .filter_map(|d| Some(step(d, std::slice::from_ref(d.load.get(n)?), true).remove(0)))
-            .take(left)
-            .collect();
+        let nth = |room: &Room| Some(steps(room, std::slice::from_ref(room.load.get(n)?), true).remove(0));
+        let row: Vec<Step> = rooms.iter().filter_map(nth).take(left).collect();
         if row.is_empty() {
             break;
         }
@@ -98,66 +88,15 @@
     plan
 }
 
-fn step(d: &Row, names: &[Name], load: bool) -> Vec<Step> {
+fn steps(room: &Room, names: &[Name], load: bool) -> Vec<Step> {
     let one = |name: &Name| {
-        let (runner, name) = (d.runner.clone(), name.clone());
+        let (runner, name) = (room.runner.clone(), name.clone());
         if load { Step::Load { runner, name } } else { Step::Unload { runner, name } }
     };
     names.iter().map(one).collect()
 }
 
-fn desk(p: &Picture, o: &super::flights::Offer) -> Row {
-    let busy = p.busy.contains(&o.runner.instance);
-    let mut d = Row {
-        runner: o.runner.instance.clone(),
-        service: o.runner.service.clone(),
-        free: if busy { 0 } else { free_mb(p.config, o, p.flights) },
-        slots: if busy { 0 } else { super::room::adapters_free(p.config, o, p.flights) },
-        held: o.report.holds.iter().chain(&o.report.loading).cloned().collect(),
-        unload: vec![],
-        load: vec![],
-    };
-    if p.config.placement.way == Ways::Greedy && !busy {
-        for name in idle_names(p.config, o, &|_| false) {
-            if p.config.model(&name).is_some() {
-                d.free += p.config.least_mb(&name).unwrap_or(0);
-                d.held.retain(|n| *n != name);
-                d.unload.push(name);
-            }
-        }
-    }
-    d
-}
-
-fn place(p: &Picture, s: &Service, desks: &mut [Row], name: &Name) -> bool {
-    let of = |d: &Row| d.service == s.name;
-    if desks.iter().any(|d| of(d) && (d.held.contains(name) || d.load.contains(name))) {
-        return true;
-    }
-    let Some(mb) = p.config.weight(name) else { return false };
-    let base = p.config.adapter(name).map(|a| a.model.clone());
-    let fits = |d: &&mut Row| {
-        let based = base.as_ref().is_none_or(|m| d.slots > 0 && d.held.contains(m));
-        of(d) && d.free >= mb && based
-    };
-    let Some(d) = desks.iter_mut().filter(fits).max_by_key(|d| (d.free, std::cmp::Reverse(d.runner.clone())))
-    else {
-        return false;
-    };
-    d.free -= mb;
-    if base.is_some() {
-        d.slots -= 1;
-    }
-    if d.unload.contains(name) {
-        d.unload.retain(|n| n != name);
-        d.held.push(name.clone());
-    } else {
-        d.load.push(name.clone());
-    }
-    true
-}
-
-fn leave(p: &Picture, desks: &mut [Row], id: PlanId) -> Vec<Step> {
+fn leave(p: &Picture, layout: &mut Layout, id: PlanId) -> Vec<Step> {
     let mut out = Vec::new();
     let mut taken: BTreeMap<&Name, u64> = BTreeMap::new();
     for o in p.offers.iter().filter(|o| o.runner.leaving && !p.busy.contains(&o.runner.instance)) {
@@ -171,20 +110,15 @@
                 || p.offers.iter().filter(|t| !t.runner.leaving && t.runner.service == o.runner.service);
             let held = mates().filter(free).filter(|t| t.report.has(model)).min_by_key(|t| t.report.running);
             let mb = p.config.weight(model).unwrap_or(u64::MAX);
-            let roomy = |t: &&super::flights::Offer| {
-                desks.iter().any(|d| d.runner == t.runner.instance && d.free >= mb)
-            };
+            let roomy = |t: &&super::flights::Offer| layout.has_free(&t.runner.instance, mb);
             let Some(to) =
                 held.or_else(|| mates().filter(free).filter(roomy).min_by_key(|t| t.report.running))
             else {
                 continue;
             };
             *taken.entry(&to.runner.instance).or_default() += runs;
-            if !to.report.has(model)
-                && let Some(d) = desks.iter_mut().find(|d| d.runner == to.runner.instance)
-            {
-                d.free = d.free.saturating_sub(mb);
-                d.held.push(model.clone());
+            if !to.report.has(model) {
+                layout.reserve(&to.runner.instance, model, mb);
             }
             out.push(Step::Move {
                 id: MoveId(id.0 ^ (out.len() as u64 + 1)),
--- a/src/placement/push.rs
+++ b/src/placement/push.rs
@@ -7,6 +7,7 @@
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 const BEAT: Span = Span::ms(500);
 const MINOR: Span = Span::ms(200);
@@ -16,6 +17,8 @@
 const GAP_PER_ROUTER: Span = Span::ms(1);
 /// How much longer mere figures may wait than the rest, in gaps.
 const MINOR_GAPS: u64 = 5;
+/// How many rows of whole holdings are sent in a tick.
+const ROWS_OF_WHOLE: usize = 1024;
 const GONE: Span = Span::ms(10_000);
 
 /// What routers were told of the runners' holdings.
@@ -28,6 +31,10 @@
     minor: Time,
     looked: Time,
     whole: bool,
+    /// Routers that are yet to be told all that is held.
+    behind: BTreeSet<NodeId>,
+    /// How many more rows of whole holdings this tick may send.
+    rows_left: usize,
 }
 
 impl Placement {
@@ -88,25 +95,51 @@
         self.push.seq += 1;
         self.push.beat = ctx.now;
         self.push.minor = ctx.now;
-        let tell = HeldTell {
-            term: self.term,
-            seq: self.push.seq,
-            whole,
-            rows: if whole { rows.values().cloned().collect() } else { news },
+        let routers = self.routers(ctx);
+        let in_parts = whole && rows.len() * routers.len() > ROWS_OF_WHOLE;
+        let rows_told = match whole {
+            true if in_parts => vec![],
+            true => rows.values().cloned().collect(),
+            false => news,
         };
         self.push.sent = rows;
-        for to in self.routers(ctx) {
-            ctx.send(to, Msg::Held(Box::new(tell.clone())));
+        let (term, seq) = (self.term, self.push.seq);
+        let tell = Arc::new(HeldTell { term, seq, whole: whole && !in_parts, rows: rows_told });
+        for to in &routers {
+            ctx.send(*to, Msg::Held(tell.clone()));
+        }
+        if in_parts {
+            self.push.behind.extend(routers);
         }
     }
 
+    /// A router asks for all that is held; it is told in its turn.
     pub fn push_whole(&mut self, to: NodeId, ctx: &mut Context) {
-        if self.term == Term(0) {
+        if self.term > Term(0) {
+            self.push.behind.insert(to);
+            self.push_to_behind(ctx);
+        }
+    }
+
+    /// Allows again what a tick may send of whole holdings, and tells the next routers that are behind.
+    pub fn push_on(&mut self, ctx: &mut Context) {
+        self.push.rows_left = ROWS_OF_WHOLE;
+        self.push_to_behind(ctx);
+    }
+
+    fn push_to_behind(&mut self, ctx: &mut Context) {
+        let size = self.push.sent.len().max(1);
+        if self.push.behind.is_empty() || self.push.rows_left == 0 {
             return;
         }
         let rows = self.push.sent.values().cloned().collect();
-        let tell = HeldTell { term: self.term, seq: self.push.seq, whole: true, rows };
-        ctx.send(to, Msg::Held(Box::new(tell)));
+        let tell = Arc::new(HeldTell { term: self.term, seq: self.push.seq, whole: true, rows });
+        while self.push.rows_left > 0
+            && let Some(to) = self.push.behind.pop_first()
+        {
+            self.push.rows_left = self.push.rows_left.saturating_sub(size);
+            ctx.send(to, Msg::Held(tell.clone()));
+        }
     }
 
     pub fn close_to(&mut self, runner: &Name, name: &Name, closed: bool) {
--- a/src/placement/quick.rs
+++ b/src/placement/quick.rs
@@ -17,6 +17,8 @@
 const RUNNERS_WEIGHED_AT_ONCE: usize = 32;
 /// The shortest time between two rounds of decisions over more runners: this long for each of them.
 const ROUND_PER_RUNNER: Span = Span::ms(1);
+/// A name that was weighed in vain is left for so many rounds.
+const ROUNDS_OF_REST: u64 = 4;
 /// The longest time between two rounds while something is wanted.
 const ROUND_AT_REST: Span = Span::ms(100);
 
@@ -28,6 +30,10 @@
     /// Runners that were weighed for a wanted name.
     pub weighed: Cell<u64>,
     last_round: Time,
+    /// When new plans were last searched for.
+    pub(super) last_proposal: Time,
+    /// When free room was last planned for.
+    pub(super) last_idle_plan: Time,
     /// When models that are short of runners were last looked for.
     pub(super) last_spread: Time,
     /// How many were found then.
@@ -81,12 +87,27 @@
             return None;
         }
         let want = self.wants.get(name)?;
-        let choice = board.choose(&want.service, name, from_store)?;
-        let blind = self.used.is_empty() && board.now().since(want.since) < BLIND;
-        if blind && !choice.unloads.is_empty() {
+        if want.rests_until.get() > board.now() {
             return None;
         }
-        (!board.is_held(name) || choice.loss <= LOSS).then_some(choice)
+        let choice = board.choose(&want.service, name, from_store);
+        let blind = self.used.is_empty() && board.now().since(want.since) < BLIND;
+        let is_taken = |choice: &Choice| {
+            (!blind || choice.unloads.is_empty()) && (!board.is_held(name) || choice.loss <= LOSS)
+        };
+        let taken = choice.filter(is_taken);
+        if taken.is_none() && from_store {
+            want.rests_until.set(board.now() + self.rest_in_vain());
+        }
+        taken
+    }
+
+    /// How long a name that was weighed in vain is left, so that the others are weighed as well.
+    fn rest_in_vain(&self) -> Span {
+        match self.reports.len() {
+            few if few <= RUNNERS_WEIGHED_AT_ONCE => Span(0),
+            many => Span(ROUND_PER_RUNNER.0 * many as u64 * ROUNDS_OF_REST),
+        }
     }
 
     /// Whether a load of `name` is ordered, planned or decided.
@@ -101,12 +122,12 @@
             return false;
         }
         let base = s.config.adapter(name).map(|a| &a.model);
-        board.offers().iter().any(|o| {
+        board.held_at(name).iter().map(|place| &board.offers()[*place]).any(|o| {
             let open = |n: &Name| {
                 o.report.has(n) && !self.push.closing.get(&o.runner.instance).is_some_and(|c| c.contains(n))
             };
             let free = o.report.running + o.report.waiting < o.report.slots;
-            !o.runner.leaving && free && open(name) && base.is_none_or(open)
+            free && open(name) && base.is_none_or(open)
         })
     }
 
--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -6,6 +6,7 @@
 use super::board::Board;
 use super::choose::Choice;
 use super::duty::Placement;
+use super::flights::Offer;
 use crate::fleet::slice::DutySlice;
 use crate::kernel::component::Context;
 use crate::kernel::ids::Name;
@@ -67,6 +68,8 @@
     /// Loads from the store that were decided, in this round and before.
     store_loads: u64,
     decided: Vec<Decision>,
+    /// How many runners had been weighed, ever, when the round has weighed as many as it may.
+    weighed_most: u64,
 }
 
 impl Placement {
@@ -83,6 +86,7 @@
         let mut round = Round {
             board: self.board(s, &offers, ctx.now),
             left: DECISIONS.max(offers.len() / RUNNERS_PER_DECISION),
+            weighed_most: self.work.weighed.get() + self.most_weighed(&offers),
             store_left,
             store_loads: self.work.store_loads,
             decided: vec![],
@@ -107,6 +111,12 @@
         self.run_jobs(s, ctx);
     }
 
+    /// How many runners a round may weigh: enough for all its decisions, and as often in vain.
+    fn most_weighed(&self, offers: &[Offer]) -> u64 {
+        let decisions = DECISIONS.max(offers.len() / RUNNERS_PER_DECISION);
+        2 * (decisions * offers.len()) as u64
+    }
+
     fn begin_all(&mut self, decided: Vec<Decision>, ctx: &mut Context) {
         let closes = decided.iter().any(|d| !d.choice.unloads.is_empty());
         for d in decided {
@@ -124,7 +134,7 @@
     /// Decides for the wanted names in this order, as far as the turn and the round allow.
     fn meet_wants(&self, wanted: &[&Name], round: &mut Round, turn: Turn, s: &DutySlice) {
         for name in wanted {
-            if round.left == 0 {
+            if round.left == 0 || round.is_spent() {
                 return;
             }
             let from_store = round.may_ask_store(Purpose::Wanted, turn);
@@ -141,11 +151,11 @@
     fn short(&self, board: &Board, s: &DutySlice) -> Vec<Shortage> {
         let mut short = vec![];
         let used = self.usage.names.iter().filter(|u| u.1.runs > 0 && s.config.model(u.0).is_some());
-        for (name, used) in used {
-            let Some(service) = s.config.services.iter().find(|x| x.models.contains(name)) else { continue };
+        for (name, used) in used.filter(|u| board.is_held(u.0)) {
+            let Some(service) = board.service_of(name) else { continue };
             let demand = used.runs + self.waits(name);
             let missing = board.short_by(name, demand, self.under_way(name), service);
-            if missing > 0 && board.is_held(name) {
+            if missing > 0 {
                 short.push(Shortage { missing, name: name.clone(), service: service.name.clone() });
             }
         }
@@ -155,6 +165,11 @@
 }
 
 impl Round<'_> {
+    /// Whether the round has weighed as many runners as it may.
+    fn is_spent(&self) -> bool {
+        self.board.placement.work.weighed.get() >= self.weighed_most
+    }
+
     /// Whether the store allows a load for this purpose now.
     fn may_ask_store(&self, purpose: Purpose, turn: Turn) -> bool {
         let wanted_next = self.store_loads.is_multiple_of(TURNS);
@@ -166,7 +181,7 @@
         for Shortage { missing, name, service } in short {
             let decided = self.decided.iter().filter(|d| d.want == *name).count() as u64;
             for had in decided..*missing {
-                if self.left == 0 {
+                if self.left == 0 || self.is_spent() {
                     return;
                 }
                 let from_store = self.may_ask_store(Purpose::Copy, turn);
--- a/src/placement/seeker.rs
+++ b/src/placement/seeker.rs
@@ -5,11 +5,17 @@
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
+use crate::rollout::tell::{is_small, router_count, tells_all};
 use std::collections::BTreeMap;
 
 const GATHER: Span = Span::ms(20);
 const HEARD: Span = Span::ms(1500);
 const ASK: Span = Span::ms(300);
+const ASK_IN_LARGE_FLEET: Span = Span::ms(1000);
+/// How long wants are gathered in a large fleet: this long for each router.
+const GATHER_PER_ROUTER: Span = Span(600);
+/// How long wants are kept for a holder that is not known.
+const WANTS_KEPT: Span = Span::ms(4000);
 
 /// Who holds the placement duty, by what it sends.
 #[derive(Clone, Copy, Default)]
@@ -44,13 +50,39 @@
     behind: bool,
     wants: BTreeMap<Name, Want>,
     sent: BTreeMap<Name, Time>,
+    /// When wants were last sent, or dropped.
+    flushed: Time,
+    /// Which controller is asked next while the holder is not known.
+    turn: usize,
 }
 
 impl Seeker {
     fn holders(&self, ctx: &Context) -> Vec<NodeId> {
         match self.contact.holder(ctx.now) {
             Some(n) => vec![n],
-            None => ctx.views.controllers().map(|r| r.who.node).collect(),
+            None if tells_all(ctx.views) => ctx.views.controllers().map(|r| r.who.node).collect(),
+            None => vec![],
+        }
+    }
+
+    /// Whom to ask for the holdings: the holder, or while it is not known all controllers of a small fleet, one after
+    /// another those of a large one.
+    fn asked_for_holdings(&mut self, ctx: &Context) -> Vec<NodeId> {
+        let known = self.holders(ctx);
+        if !known.is_empty() {
+            return known;
+        }
+        let controllers: Vec<NodeId> = ctx.views.controllers().map(|row| row.who.node).collect();
+        self.turn = self.turn.wrapping_add(1);
+        let next = self.turn.checked_rem(controllers.len());
+        next.map(|place| controllers[place]).into_iter().collect()
+    }
+
+    /// How long wants are gathered, so that all routers together send no more than those of a small fleet.
+    fn gather(ctx: &Context) -> Span {
+        match router_count(ctx.views) {
+            few if is_small(few) => Span(0),
+            many => Span(GATHER_PER_ROUTER.0 * many as u64),
         }
     }
 
@@ -61,6 +93,15 @@
     }
 
     fn flush(&mut self, ctx: &mut Context) {
+        let waited = ctx.now.since(self.flushed);
+        let holders = self.holders(ctx);
+        if holders.is_empty() && waited >= WANTS_KEPT {
+            self.flushed = ctx.now;
+            return self.wants.clear();
+        }
+        if holders.is_empty() || waited < Self::gather(ctx) {
+            return;
+        }
         self.sent.retain(|_, t| ctx.now.since(*t) < GATHER);
         let held = |n: &Name| self.sent.contains_key(n);
         let rows: Vec<Want> = self.wants.values().filter(|w| !held(&w.name)).cloned().collect();
@@ -71,7 +112,8 @@
             self.wants.remove(&w.name);
             self.sent.insert(w.name.clone(), ctx.now);
         }
-        for to in self.holders(ctx) {
+        self.flushed = ctx.now;
+        for to in holders {
             ctx.send(to, Msg::Want(rows.clone()));
         }
     }
@@ -100,9 +142,10 @@
     fn tick(&mut self, ctx: &mut Context) {
         self.flush(ctx);
         let quiet = self.contact.holder(ctx.now).is_none();
-        if (self.behind || quiet) && ctx.now.since(self.asked) >= ASK {
+        let gap = if tells_all(ctx.views) { ASK } else { ASK_IN_LARGE_FLEET };
+        if (self.behind || quiet) && ctx.now.since(self.asked) >= gap {
             self.asked = ctx.now;
-            for to in self.holders(ctx) {
+            for to in self.asked_for_holdings(ctx) {
                 ctx.send(to, Msg::HeldAsk);
             }
         }
--- a/src/placement/stages.rs
+++ b/src/placement/stages.rs
@@ -7,10 +7,12 @@
 use crate::kernel::time::Span;
 use crate::membership::service::SUSPECT;
 use crate::msg::Role;
+use crate::rollout::tell::report_freshness;
 
 const PLAN: Span = Span::ms(100);
+/// The shortest time between two searches for new plans: this long for each runner.
+const PROPOSAL_PER_RUNNER: Span = Span::ms(2);
 const AGAIN: Span = Span::ms(600);
-const FRESH_TELL: Span = Span::ms(1200);
 
 struct Spent {
     ms: u64,
@@ -32,7 +34,11 @@
         }
         self.run_plans(&s, ctx);
         self.retire_withdrawn(&s, ctx);
-        self.propose(&s, ctx);
+        let gap = Span(PROPOSAL_PER_RUNNER.0 * self.reports.len() as u64);
+        if ctx.now.since(self.work.last_proposal) >= gap {
+            self.work.last_proposal = ctx.now;
+            self.propose(&s, ctx);
+        }
     }
 
     fn step(&mut self, m: &MovePlan, phase: Phase, why: &str, spent: &Spent, ctx: &mut Context) {
@@ -131,9 +137,10 @@
 
     fn progress(&self, id: MoveId, ctx: &Context) -> (Option<u64>, u64, u64) {
         let live = ctx.views.members.iter().filter(|r| r.who.role == Role::Router && r.quiet < SUSPECT);
+        let freshness = report_freshness(self.tells.len());
         let (mut left, mut tries, mut postponed) = (Some(0), 0, 0);
         for r in live {
-            let tell = self.tells.get(&r.who.node).filter(|t| ctx.now.since(t.0) < FRESH_TELL);
+            let tell = self.tells.get(&r.who.node).filter(|t| ctx.now.since(t.0) < freshness);
             let row = tell.and_then(|t| t.1.moves.iter().find(|m| m.id == id));
             left = match (left, row) {
                 (Some(n), Some(m)) => Some(n + m.left),
--- a/src/placement/uses.rs
+++ b/src/placement/uses.rs
@@ -6,10 +6,10 @@
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
 use crate::msg::RouterTell;
+use crate::rollout::tell::report_freshness;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-const FRESH: Span = Span::ms(1200);
 /// How long a router that fell silent is remembered.
 const KEPT: Span = Span::ms(5000);
 /// How often the sums are made anew: this long for each router that tells, and
@@ -53,6 +53,7 @@
         used: &BTreeMap<Name, Time>,
         now: Time,
     ) -> Usage {
+        let freshness = report_freshness(tells.len());
         let mut names = Uses::new();
         let mut running: BTreeMap<&Name, BTreeMap<&Name, u64>> = BTreeMap::new();
         let mut rates: BTreeMap<&Name, (u64, u64)> = BTreeMap::new();
@@ -60,7 +61,7 @@
             for (runner, name, n) in &tell.active {
                 *running.entry(runner).or_default().entry(name).or_default() += n;
             }
-            let fresh = now.since(*at) < FRESH;
+            let fresh = now.since(*at) < freshness;
             for u in &tell.uses {
                 rates.entry(&u.name).or_default().0 += if fresh { u.milli_per_s } else { 0 };
             }
@@ -105,13 +106,13 @@
             self.wanted(from, &want, now);
         }
         self.tells.insert(from, (now, tell.clone()));
-        self.tells.retain(|_, row| now.since(row.0) < KEPT);
     }
 
     /// Sums anew what routers tell, unless that was done a moment ago.
     pub fn refresh_usage(&mut self, now: Time) {
         let gap = Span((REFRESH_PER_ROUTER.0 * self.tells.len() as u64).max(REFRESH.0));
         if now.since(self.usage.made) >= gap {
+            self.tells.retain(|_, row| now.since(row.0) < KEPT);
             self.usage = Arc::new(Usage::of(&self.tells, &self.used, now));
         }
     }
--- a/src/placement/wants.rs
+++ b/src/placement/wants.rs
@@ -6,6 +6,7 @@
 use crate::fleet::holdings::Want;
 use crate::kernel::ids::{Name, NodeId};
 use crate::kernel::time::{Span, Time};
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
 /// How long what a router told of its waiting requests counts.
@@ -22,6 +23,8 @@
     pub class: Class,
     /// Since when.
     pub since: Time,
+    /// Until when it is not weighed again, as no runner could take it.
+    pub(super) rests_until: Cell<Time>,
     rows: BTreeMap<NodeId, (Time, u64)>,
 }
 
@@ -49,7 +52,13 @@
     pub fn wanted(&mut self, from: NodeId, want: &Want, now: Time) {
         let row = self.wants.entry(want.name.clone()).or_insert_with(|| {
             self.work.stirred = true;
-            Wanted { service: want.service.clone(), class: want.class, since: now, rows: BTreeMap::new() }
+            Wanted {
+                service: want.service.clone(),
+                class: want.class,
+                since: now,
+                rests_until: Cell::new(Time(0)),
+                rows: BTreeMap::new(),
+            }
         });
         row.class = row.class.min(want.class);
         row.rows.insert(from, (now, want.count));
--- a/src/rollout/head.rs
+++ b/src/rollout/head.rs
@@ -11,6 +11,10 @@
 const NUDGE: Span = Span::ms(1000);
 const AGAIN: Span = Span::ms(1500);
 const TELL: Span = Span::ms(1500);
+/// A router's report that is older is dropped.
+const FORGOTTEN_AFTER: Span = Span::ms(10_000);
+/// How often old reports are looked for.
+const FORGET_EVERY: Span = Span::ms(1000);
 
 struct Trial {
     id: ChangeId,
@@ -30,6 +34,7 @@
     asked: Option<(ChangeId, Time)>,
     spread: Option<(Version, Time)>,
     spread_ms: Option<(Version, u64)>,
+    forgotten: Time,
 }
 
 fn figure(name: &str, ms: u64, tries: u64, a: &Allowance, note: String) -> StageFigure {
@@ -37,6 +42,13 @@
 }
 
 impl Rollout {
+    fn forget_old_reports(&mut self, now: Time) {
+        if now.since(self.forgotten) >= FORGET_EVERY {
+            self.forgotten = now;
+            self.tells.retain(|_, row| now.since(row.0) < FORGOTTEN_AFTER);
+        }
+    }
+
     fn routers(ctx: &Context) -> Vec<NodeId> {
         let live = ctx.views.members.iter().filter(|r| r.who.role == Role::Router && r.quiet < SUSPECT);
         live.map(|r| r.who.node).collect()
@@ -49,21 +61,21 @@
 
     fn tick(&mut self, ctx: &mut Context) {
         self.spread_tick(ctx);
-        let Some(c) = ctx.views.state.trial.clone() else {
+        let Some(candidate) = &ctx.views.state.trial else {
             self.trial = None;
             return;
         };
+        let (id, rules) = (candidate.id, Self::rules(ctx, candidate));
         if !ctx.views.role.head || !ctx.views.role.ready {
             self.trial = None;
             return;
         }
-        if self.trial.as_ref().is_none_or(|t| t.id != c.id) {
-            let asked = self.asked.filter(|a| a.0 == c.id).map_or(ctx.now, |a| a.1);
+        if self.trial.as_ref().is_none_or(|t| t.id != id) {
+            let asked = self.asked.filter(|a| a.0 == id).map_or(ctx.now, |a| a.1);
             let ms = ctx.now.since(asked).as_ms();
-            let rules = Self::rules(ctx, &c);
             let note = "no faults; recorded by every member of the chain".to_string();
             self.trial = Some(Trial {
-                id: c.id,
+                id,
                 since: ctx.now,
                 stage_since: ctx.now,
                 nudged: ctx.now,
@@ -73,11 +85,10 @@
                 settled: None,
             });
         }
-        self.advance(&c, ctx);
+        self.advance(id, &rules, ctx);
     }
 
-    fn advance(&mut self, c: &Candidate, ctx: &mut Context) {
-        let rules = Self::rules(ctx, c);
+    fn advance(&mut self, id: ChangeId, rules: &Rules, ctx: &mut Context) {
         let routers = Self::routers(ctx);
         let Some(t) = &mut self.trial else { return };
         if let Some(at) = t.settled {
@@ -96,8 +107,8 @@
         let a = if t.rehearsing { &rules.rehearse } else { &rules.deliver };
         let done = |n: &NodeId| {
             fresh.get(n).is_some_and(|r| match t.rehearsing {
-                false => r.trial_seen == c.id,
-                true => r.rehearsal.as_ref().is_some_and(|x| x.id == c.id),
+                false => r.trial_seen == id,
+                true => r.rehearsal.as_ref().is_some_and(|x| x.id == id),
             })
         };
         let late: Vec<NodeId> = routers.iter().copied().filter(|n| !done(n)).collect();
@@ -184,8 +195,6 @@
         match ev {
             Event::Mail { from, msg: Msg::Tell(tell), .. } => {
                 self.tells.insert(*from, (ctx.now, tell.clone()));
-                self.tells.retain(|_, row| ctx.now.since(row.0) < Span::ms(10_000));
-                self.tick(ctx);
             }
             Event::Journal(JournalEvent::Submitted(change)) => {
                 if let Change::Propose { id, .. } = &**change {
@@ -198,7 +207,10 @@
                 }
                 self.tick(ctx);
             }
-            Event::Tick => self.tick(ctx),
+            Event::Tick => {
+                self.forget_old_reports(ctx.now);
+                self.tick(ctx);
+            }
             _ => {}
         }
     }
--- a/src/rollout/tell.rs
+++ b/src/rollout/tell.rs
@@ -2,30 +2,68 @@
 
 use crate::chain::view::View;
 use crate::kernel::component::{Component, Context, Views};
-use crate::kernel::ids::{NodeId, ViewNo};
+use crate::kernel::ids::{ChangeId, Name, NodeId, Version, ViewNo};
+use crate::kernel::rand::mix;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 use crate::placement::seeker::HolderContact;
+use std::sync::Arc;
 
-/// How long all controllers are told after the view or the holder of the placement duty changed.
-const UNSETTLED: Span = Span::ms(2000);
 /// With up to this many routers all controllers are told, so that a new holder knows the use of names at once.
 const ROUTERS_TELLING_ALL: usize = 32;
+/// How often a router tells of itself in a small fleet. With more routers it does so less often, in proportion,
+const SHORTEST_INTERVAL: Span = Span::ms(250);
+/// but at least this often.
+const LONGEST_INTERVAL: Span = Span::ms(1000);
+/// How much later than its interval a report may come and is still taken for the newest.
+const REPORT_DELAY: Span = Span::ms(950);
+
+/// How many routers are known.
+pub fn router_count(views: &Views) -> usize {
+    views.members.iter().filter(|row| row.who.role == Role::Router).count()
+}
+
+/// Whether so many routers are few enough to turn to all controllers.
+pub fn is_small(routers: usize) -> bool {
+    routers <= ROUTERS_TELLING_ALL
+}
 
 /// Whether the routers are few enough to tell all controllers of themselves.
 pub fn tells_all(views: &Views) -> bool {
-    let routers = views.members.iter().filter(|row| row.who.role == Role::Router);
-    routers.count() <= ROUTERS_TELLING_ALL
+    is_small(router_count(views))
+}
+
+/// How often each of so many routers tells of itself.
+pub fn report_interval(routers: usize) -> Span {
+    let proportional = SHORTEST_INTERVAL.0 * routers as u64 / ROUTERS_TELLING_ALL as u64;
+    Span(proportional.clamp(SHORTEST_INTERVAL.0, LONGEST_INTERVAL.0))
+}
+
+/// How long the report of one of so many routers counts.
+pub fn report_freshness(routers: usize) -> Span {
+    report_interval(routers) + REPORT_DELAY
+}
+
+/// What the head was told last.
+#[derive(Default, PartialEq)]
+struct ToldHead {
+    trial: ChangeId,
+    rehearsed: ChangeId,
+    routes_at: Version,
+    leaving: Vec<Name>,
 }
 
-/// Sends a router's state to the head, which rolls out changes, and to the holder of the placement duty; in a
-/// small fleet to all controllers.
+/// Sends a router's state to those that use it. In a small fleet all controllers are told of all. In others the holder
+/// of the placement duty is, at intervals, and the head of what it uses: routes, changes that are tried, and runners
+/// that are leaving. Nobody is told in the holder's place while it is not known: a new one makes itself known.
 #[derive(Default)]
 pub struct Teller {
     contact: HolderContact,
     holder: Option<NodeId>,
     view: ViewNo,
-    changed: Time,
+    /// When the holder is to be told next.
+    due: Time,
+    told_head: ToldHead,
 }
 
 impl Teller {
@@ -33,24 +71,55 @@
         let (view, holder) =
             (ctx.views.view.as_ref().map_or(ViewNo(0), |v| v.no), self.contact.holder(ctx.now));
         if (view, holder) != (self.view, self.holder) {
-            (self.view, self.holder, self.changed) = (view, holder, ctx.now);
+            (self.view, self.holder) = (view, holder);
+            self.told_head = ToldHead::default();
         }
     }
 
-    fn receivers(&self, ctx: &Context) -> Vec<NodeId> {
+    fn tell_all(tell: &Arc<RouterTell>, ctx: &mut Context) {
+        let receivers: Vec<NodeId> = ctx.views.controllers().map(|row| row.who.node).collect();
+        for to in receivers {
+            ctx.send(to, Msg::Tell(tell.clone()));
+        }
+    }
+
+    fn tell_users(&mut self, tell: &Arc<RouterTell>, routers: usize, ctx: &mut Context) {
         let head = ctx.views.view.as_ref().and_then(View::head);
-        let is_settled = ctx.now.since(self.changed) >= UNSETTLED;
-        match (head, self.holder) {
-            (Some(head), Some(holder)) if is_settled && !tells_all(ctx.views) => {
-                let mut both = vec![head, holder];
-                both.dedup();
-                both
-            }
-            _ => ctx.views.controllers().map(|r| r.who.node).collect(),
+        let news = self.is_news_for_head(tell);
+        if let Some(head) = head.filter(|_| news) {
+            ctx.send(head, Msg::Tell(tell.clone()));
+        }
+        if ctx.now < self.due && !news {
+            return;
         }
+        self.due = next_turn(ctx.me.node, report_interval(routers), ctx.now);
+        if let Some(holder) = self.holder.filter(|holder| !news || head != Some(*holder)) {
+            ctx.send(holder, Msg::Tell(tell.clone()));
+        }
+    }
+
+    /// Whether the head is to be told at once. It is told anew as long as a change is tried or a runner is leaving.
+    fn is_news_for_head(&mut self, tell: &RouterTell) -> bool {
+        let told = ToldHead {
+            trial: tell.trial_seen,
+            rehearsed: tell.rehearsal.as_ref().map(|rehearsal| rehearsal.id).unwrap_or_default(),
+            routes_at: tell.routes_at,
+            leaving: tell.leaving.clone(),
+        };
+        let lasts = told.trial != ChangeId::default() || !told.leaving.is_empty();
+        let news = lasts || !tell.live.is_empty() || told != self.told_head;
+        self.told_head = told;
+        news
     }
 }
 
+/// The next time at which it is this router's turn, so that not all tell at the same moment.
+fn next_turn(me: NodeId, interval: Span, now: Time) -> Time {
+    let offset = mix(me.0) % interval.0;
+    let since_turn = (now.0 + interval.0 - offset) % interval.0;
+    now + Span(interval.0 - since_turn)
+}
+
 impl Component for Teller {
     fn name(&self) -> &'static str {
         "teller"
@@ -70,8 +139,9 @@
                     ctx.publish(JournalEvent::RunnerMarked(name.clone()));
                 }
                 self.note_changes(ctx);
-                for to in self.receivers(ctx) {
-                    ctx.send(to, Msg::Tell(tell.clone()));
+                match router_count(ctx.views) {
+                    few if is_small(few) => Self::tell_all(tell, ctx),
+                    many => self.tell_users(tell, many, ctx),
                 }
             }
             _ => {}
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -110,7 +110,7 @@
         GOSSIP => Msg::Gossip(Box::new(coder.decode(raw).ok()?)),
         TELL => Msg::Tell(Arc::new(coder.decode(raw).ok()?)),
         WANT => Msg::Want(coder.decode(raw).ok()?),
-        HELD => Msg::Held(Box::new(coder.decode(raw).ok()?)),
+        HELD => Msg::Held(std::sync::Arc::new(coder.decode(raw).ok()?)),
         UPDATE_REQUEST => {
             let (nonce, direct, have) = coder.decode(raw).ok()?;
             Msg::UpdateRequest { nonce, direct, have }
