--- a/src/fleet/holdings.rs
+++ b/src/fleet/holdings.rs
@@ -29,11 +29,20 @@
     pub holding: Option<Box<Holding>>,
 }
 
+/// What the holder of the placement duty tells routers of the runners' holdings.
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub struct HeldTell {
+    /// Who holds the duty.
+    pub holder: NodeId,
+    /// Its term.
     pub term: Term,
+    /// The number of this message under the term.
     pub seq: u64,
+    /// Whether these are all holdings, or those that changed since the message before.
     pub whole: bool,
+    /// Whether the router that gets it passes it on to the others of its zone.
+    pub relay: bool,
+    /// The runners and what they hold.
     pub rows: Vec<HeldRow>,
 }
 
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -10,7 +10,7 @@
 use crate::distribution::Reader;
 use crate::distribution::reader::Topic;
 use crate::fleet::plan::{PlacementPlan, Step};
-use crate::fleet::runner::Report;
+use crate::fleet::runner::{Report, Runner};
 use crate::fleet::slice::{DutySlice, Slice};
 use crate::fleet::state::*;
 use crate::kernel::component::{Component, Context};
@@ -68,6 +68,8 @@
     /// When the reports were last searched for what routers miss.
     pub(super) searched: Time,
     pub asked: Time,
+    /// The list of runners that the head was last sent, and when.
+    pub(super) listed: (Vec<Runner>, Time),
     pub named: Time,
     /// When the chain was last told that this holder orders.
     pub begun_told: Time,
@@ -115,6 +117,7 @@
             checked: Time(0),
             searched: Time(0),
             asked: Time(0),
+            listed: (vec![], Time(0)),
             named: Time(0),
             begun_told: Time(0),
             warned: false,
@@ -232,6 +235,7 @@
         vec![
             ("term", self.term.to_string()),
             ("may_order", self.may_order(now).to_string()),
+            ("routers_heard", self.tells.len().to_string()),
             ("rounds", self.work.rounds.to_string()),
             ("weighed", self.work.weighed.get().to_string()),
             ("in_flight", self.flights.rows.len().to_string()),
--- a/src/placement/fill.rs
+++ b/src/placement/fill.rs
@@ -8,10 +8,13 @@
 use crate::fleet::state::Change;
 use crate::kernel::component::Context;
 use crate::kernel::ids::{ChangeId, Name, Term};
-use crate::kernel::time::Time;
+use crate::kernel::time::{Span, Time};
 use crate::msg::*;
 use std::collections::BTreeSet;
 
+/// How long a list that was sent to the head has until it is sent again.
+const LIST_AGAIN: Span = Span::ms(600);
+
 impl Placement {
     /// Unloads what runs least, where the policy is to end runs for what is wanted.
     pub fn preempt(
@@ -54,8 +57,12 @@
         if list.iter().all(known) && s.runners.iter().all(|o| names.contains(&o.instance)) {
             return;
         }
+        if self.listed.0 == list && ctx.now.since(self.listed.1) < LIST_AGAIN {
+            return;
+        }
         let id = ChangeId::random(ctx.rand);
         let Some(head) = ctx.views.view.as_ref().and_then(|v| v.head()) else { return };
+        self.listed = (list.to_vec(), ctx.now);
         ctx.log_event("runners-listed", list.len().to_string());
         ctx.send(head, Msg::Op { id, attempt: 0, op: Op::Runners(list.to_vec()) });
     }
--- a/src/placement/job.rs
+++ b/src/placement/job.rs
@@ -83,10 +83,19 @@
         let due = self.jobs.iter().filter(|(runner, job)| self.is_due(runner, job, ctx.now));
         let mut runners: Vec<(Time, Name)> = due.map(|(r, job)| (job.since, r.clone())).collect();
         runners.sort();
+        let mut store_left = self.flights.loads_left(&s.config.store);
         for (_, r) in runners {
-            let Some(job) = self.jobs.remove(&r) else { continue };
+            let Some(mut job) = self.jobs.remove(&r) else { continue };
+            if store_left == 0 && self.awaits_store(&r, &job, s, ctx.now) {
+                job.next = ctx.now + AGAIN;
+                self.jobs.insert(r, job);
+                continue;
+            }
             let end = match self.run_job(&r, job, s, ctx) {
                 Ok(job) => {
+                    if job.order.is_some() {
+                        store_left = self.flights.loads_left(&s.config.store);
+                    }
                     self.jobs.insert(r, job);
                     continue;
                 }
@@ -103,6 +112,14 @@
         }
     }
 
+    /// Whether all that is left to do is a load from the store, and there is time for it.
+    fn awaits_store(&self, runner: &Name, job: &Job, s: &DutySlice, now: Time) -> bool {
+        let Some((true, name)) = job.steps.front() else { return false };
+        let goes_on = self.stays(runner) && now.since(job.since) <= ALLOWED;
+        let held = self.reports.get(runner).is_some_and(|row| row.1.has(name));
+        goes_on && !held && self.asks_store(s, runner, name)
+    }
+
     /// Whether a decision has something to do: its next order, or its end.
     fn is_due(&self, runner: &Name, job: &Job, now: Time) -> bool {
         let waits = job.order.is_some_and(|order| self.flights.rows.contains_key(&order)) || now < job.next;
--- a/src/placement/push.rs
+++ b/src/placement/push.rs
@@ -5,7 +5,10 @@
 use crate::kernel::component::Context;
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
+use crate::membership::rendezvous::home;
+use crate::membership::service::SUSPECT;
 use crate::msg::*;
+use crate::rollout::tell::tells_all;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -19,6 +22,8 @@
 const MINOR_GAPS: u64 = 5;
 /// How many rows of whole holdings are sent in a tick.
 const ROWS_OF_WHOLE: usize = 1024;
+/// How many routers of a zone take turns in passing holdings on.
+const RELAYS_OF_ZONE: u64 = 2;
 const GONE: Span = Span::ms(10_000);
 
 /// What routers were told of the runners' holdings.
@@ -37,6 +42,18 @@
     rows_left: usize,
 }
 
+/// The routers that pass a message on to their zones, one in each. Two of a zone take turns, so that all miss only
+/// every other message while one of them is lost, and notice it by the next.
+fn relays(seq: u64, ctx: &Context) -> Vec<NodeId> {
+    let mut zones: BTreeMap<&Name, Vec<NodeId>> = BTreeMap::new();
+    let live = ctx.views.members.iter().filter(|row| row.who.role == Role::Router && row.quiet < SUSPECT);
+    for row in live {
+        zones.entry(&row.who.domain).or_default().push(row.who.node);
+    }
+    let key = format!("holdings-{}", seq % RELAYS_OF_ZONE);
+    zones.values().filter_map(|routers| home(&key, routers)).collect()
+}
+
 impl Placement {
     fn rows(&self, now: Time) -> BTreeMap<Name, HeldRow> {
         let row = |(name, (at, r)): (&Name, &(Time, crate::fleet::runner::Report))| {
@@ -95,24 +112,20 @@
         self.push.seq += 1;
         self.push.beat = ctx.now;
         self.push.minor = ctx.now;
-        let routers = self.routers(ctx);
-        let in_parts = whole && rows.len() * routers.len() > ROWS_OF_WHOLE;
-        let rows_told = match whole {
-            true if in_parts => vec![],
-            true => rows.values().cloned().collect(),
-            false => news,
-        };
+        let rows_told = if whole { rows.values().cloned().collect() } else { news };
         self.push.sent = rows;
-        let (term, seq) = (self.term, self.push.seq);
-        let tell = Arc::new(HeldTell { term, seq, whole: whole && !in_parts, rows: rows_told });
-        for to in &routers {
-            ctx.send(*to, Msg::Held(tell.clone()));
-        }
-        if in_parts {
-            self.push.behind.extend(routers);
+        let relay = !tells_all(ctx.views);
+        let tell = Arc::new(self.tell(whole, relay, rows_told, ctx));
+        let receivers = if relay { relays(self.push.seq, ctx) } else { self.routers(ctx) };
+        for to in receivers {
+            ctx.send(to, Msg::Held(tell.clone()));
         }
     }
 
+    fn tell(&self, whole: bool, relay: bool, rows: Vec<HeldRow>, ctx: &Context) -> HeldTell {
+        HeldTell { holder: ctx.me.node, term: self.term, seq: self.push.seq, whole, relay, rows }
+    }
+
     /// A router asks for all that is held; it is told in its turn.
     pub fn push_whole(&mut self, to: NodeId, ctx: &mut Context) {
         if self.term > Term(0) {
@@ -133,7 +146,7 @@
             return;
         }
         let rows = self.push.sent.values().cloned().collect();
-        let tell = Arc::new(HeldTell { term: self.term, seq: self.push.seq, whole: true, rows });
+        let tell = Arc::new(self.tell(true, false, rows, ctx));
         while self.push.rows_left > 0
             && let Some(to) = self.push.behind.pop_first()
         {
--- a/src/placement/quick.rs
+++ b/src/placement/quick.rs
@@ -30,6 +30,8 @@
     /// Runners that were weighed for a wanted name.
     pub weighed: Cell<u64>,
     last_round: Time,
+    /// When old wants were last looked for.
+    pub(super) wants_forgotten: Time,
     /// When new plans were last searched for.
     pub(super) last_proposal: Time,
     /// When free room was last planned for.
--- a/src/placement/seeker.rs
+++ b/src/placement/seeker.rs
@@ -7,6 +7,7 @@
 use crate::msg::*;
 use crate::rollout::tell::{is_small, router_count, tells_all};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 const GATHER: Span = Span::ms(20);
 const HEARD: Span = Span::ms(1500);
@@ -118,7 +119,20 @@
         }
     }
 
-    fn told(&mut self, from: NodeId, tell: &HeldTell, ctx: &mut Context) {
+    /// Passes holdings on to the other routers of this zone.
+    fn relay(tell: &HeldTell, ctx: &mut Context) {
+        let passed = Arc::new(HeldTell { relay: false, ..tell.clone() });
+        let is_mate = |row: &&Row| {
+            let who = &row.who;
+            who.role == Role::Router && who.domain == ctx.me.domain && who.node != ctx.me.node
+        };
+        let mates: Vec<NodeId> = ctx.views.members.iter().filter(is_mate).map(|row| row.who.node).collect();
+        for mate in mates {
+            ctx.send(mate, Msg::Held(passed.clone()));
+        }
+    }
+
+    fn told(&mut self, tell: &HeldTell, ctx: &mut Context) {
         let newer = tell.term > self.contact.term;
         if tell.term < self.contact.term || (!newer && tell.seq < self.seq) {
             return;
@@ -126,7 +140,7 @@
         if newer {
             (self.seq, self.behind) = (tell.seq, true);
         }
-        self.contact.heard(from, tell.term, ctx.now);
+        self.contact.heard(tell.holder, tell.term, ctx.now);
         if tell.whole {
             self.behind = false;
         } else if tell.seq > self.seq + 1 {
@@ -163,8 +177,11 @@
                 self.add(want);
                 self.flush(ctx);
             }
-            Event::Mail { from, msg: Msg::Held(tell), .. } => {
-                self.told(*from, tell, ctx);
+            Event::Mail { msg: Msg::Held(tell), .. } => {
+                if tell.relay {
+                    Self::relay(tell, ctx);
+                }
+                self.told(tell, ctx);
                 self.tick(ctx);
             }
             Event::Tick => self.tick(ctx),
--- a/src/placement/wants.rs
+++ b/src/placement/wants.rs
@@ -11,6 +11,8 @@
 
 /// How long what a router told of its waiting requests counts.
 const TOLD_COUNTS: Span = Span::ms(1500);
+/// How often older ones are looked for.
+const FORGET_EVERY: Span = Span::ms(100);
 
 /// What a request counts as having waited when it is told of, in ms.
 const FIRST_MS: u64 = 100;
@@ -66,6 +68,10 @@
 
     /// Forgets what no router has told of lately.
     pub(super) fn forget_old_wants(&mut self, now: Time) {
+        if now.since(self.work.wants_forgotten) < FORGET_EVERY {
+            return;
+        }
+        self.work.wants_forgotten = now;
         for wanted in self.wants.values_mut() {
             wanted.rows.retain(|_, row| now.since(row.0) < TOLD_COUNTS);
         }
--- a/src/rollout/tell.rs
+++ b/src/rollout/tell.rs
@@ -131,8 +131,8 @@
                 let known = rows.iter().filter(|r| r.who.role == Role::Router);
                 ctx.out.push(Effect::Routers(known.count() as u64));
             }
-            Event::Mail { from, msg: Msg::Held(tell), .. } => {
-                self.contact.heard(*from, tell.term, ctx.now);
+            Event::Mail { msg: Msg::Held(tell), .. } => {
+                self.contact.heard(tell.holder, tell.term, ctx.now);
             }
             Event::RouterState(tell) => {
                 for name in &tell.leaving {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -12,7 +12,7 @@
 pub const NET_MAX: usize = 32 << 20;
 pub const DISK_MAX: usize = 64 << 20;
 pub const HEAD: usize = 12;
-const EDITION: u8 = 3;
+const EDITION: u8 = 4;
 /// A coder that took more than this is not kept for the next envelope.
 const CODER_MAX: usize = 64 << 10;
 
