--- a/src/msg.rs
+++ b/src/msg.rs
@@ -88,7 +88,7 @@
     Tell(Arc<RouterTell>),
     Nudge,
     Want(Vec<Want>),
-    Held(Box<HeldTell>),
+    Held(Arc<HeldTell>),
     HeldAsk,
     /// A controller has read the list of runners.
     ListRead(Box<ListRead>),
--- a/src/placement/push.rs
+++ b/src/placement/push.rs
@@ -5,8 +5,12 @@
 use crate::kernel::component::Context;
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
+use crate::membership::rendezvous::home;
+use crate::membership::service::SUSPECT;
 use crate::msg::*;
+use crate::rollout::tell::tells_all;
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 const BEAT: Span = Span::ms(500);
 const MINOR: Span = Span::ms(200);
@@ -16,6 +20,10 @@
 const GAP_PER_ROUTER: Span = Span::ms(1);
 /// How much longer mere figures may wait than the rest, in gaps.
 const MINOR_GAPS: u64 = 5;
+/// How many rows of whole holdings are sent in a tick.
+const ROWS_OF_WHOLE: usize = 1024;
+/// How many routers of a zone take turns in passing holdings on.
+const RELAYS_OF_ZONE: u64 = 2;
 const GONE: Span = Span::ms(10_000);
 
 /// What routers were told of the runners' holdings.
@@ -28,6 +36,22 @@
     minor: Time,
     looked: Time,
     whole: bool,
+    /// Routers that are yet to be told all that is held.
+    behind: BTreeSet<NodeId>,
+    /// How many more rows of whole holdings this tick may send.
+    rows_left: usize,
+}
+
+/// The routers that pass a message on to their zones, one in each. Two of a zone take turns, so that all miss only
+/// every other message while one of them is lost, and notice it by the next.
+fn relays(seq: u64, ctx: &Context) -> Vec<NodeId> {
+    let mut zones: BTreeMap<&Name, Vec<NodeId>> = BTreeMap::new();
+    let live = ctx.views.members.iter().filter(|row| row.who.role == Role::Router && row.quiet < SUSPECT);
+    for row in live {
+        zones.entry(&row.who.domain).or_default().push(row.who.node);
+    }
+    let key = format!("holdings-{}", seq % RELAYS_OF_ZONE);
+    zones.values().filter_map(|routers| home(&key, routers)).collect()
 }
 
 impl Placement {
@@ -88,25 +112,47 @@
         self.push.seq += 1;
         self.push.beat = ctx.now;
         self.push.minor = ctx.now;
-        let tell = HeldTell {
-            term: self.term,
-            seq: self.push.seq,
-            whole,
-            rows: if whole { rows.values().cloned().collect() } else { news },
-        };
+        let rows_told = if whole { rows.values().cloned().collect() } else { news };
         self.push.sent = rows;
-        for to in self.routers(ctx) {
-            ctx.send(to, Msg::Held(Box::new(tell.clone())));
+        let relay = !tells_all(ctx.views);
+        let tell = Arc::new(self.tell(whole, relay, rows_told, ctx));
+        let receivers = if relay { relays(self.push.seq, ctx) } else { self.routers(ctx) };
+        for to in receivers {
+            ctx.send(to, Msg::Held(tell.clone()));
         }
     }
 
+    fn tell(&self, whole: bool, relay: bool, rows: Vec<HeldRow>, ctx: &Context) -> HeldTell {
+        HeldTell { holder: ctx.me.node, term: self.term, seq: self.push.seq, whole, relay, rows }
+    }
+
+    /// A router asks for all that is held; it is told in its turn.
     pub fn push_whole(&mut self, to: NodeId, ctx: &mut Context) {
-        if self.term == Term(0) {
+        if self.term > Term(0) {
+            self.push.behind.insert(to);
+            self.push_to_behind(ctx);
+        }
+    }
+
+    /// Allows again what a tick may send of whole holdings, and tells the next routers that are behind.
+    pub fn push_on(&mut self, ctx: &mut Context) {
+        self.push.rows_left = ROWS_OF_WHOLE;
+        self.push_to_behind(ctx);
+    }
+
+    fn push_to_behind(&mut self, ctx: &mut Context) {
+        let size = self.push.sent.len().max(1);
+        if self.push.behind.is_empty() || self.push.rows_left == 0 {
             return;
         }
         let rows = self.push.sent.values().cloned().collect();
-        let tell = HeldTell { term: self.term, seq: self.push.seq, whole: true, rows };
-        ctx.send(to, Msg::Held(Box::new(tell)));
+        let tell = Arc::new(self.tell(true, false, rows, ctx));
+        while self.push.rows_left > 0
+            && let Some(to) = self.push.behind.pop_first()
+        {
+            self.push.rows_left = self.push.rows_left.saturating_sub(size);
+            ctx.send(to, Msg::Held(tell.clone()));
+        }
     }
 
     pub fn close_to(&mut self, runner: &Name, name: &Name, closed: bool) {
--- a/src/placement/seeker.rs
+++ b/src/placement/seeker.rs
@@ -5,13 +5,18 @@
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
 use crate::msg::*;
+use crate::rollout::tell::{is_small, router_count, tells_all};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 const GATHER: Span = Span::ms(20);
 const HEARD: Span = Span::ms(1500);
 const ASK: Span = Span::ms(300);
-/// While no holder is heard, all controllers are asked at most this often for each router.
-const ASK_ALL_PER_ROUTER: Span = Span::ms(5);
+const ASK_IN_LARGE_FLEET: Span = Span::ms(1000);
+/// How long wants are gathered in a large fleet: this long for each router.
+const GATHER_PER_ROUTER: Span = Span(600);
+/// How long wants are kept for a holder that is not known.
+const WANTS_KEPT: Span = Span::ms(4000);
 
 /// Who holds the placement duty, by what it sends.
 #[derive(Clone, Copy, Default)]
@@ -46,13 +51,39 @@
     behind: bool,
     wants: BTreeMap<Name, Want>,
     sent: BTreeMap<Name, Time>,
+    /// When wants were last sent, or dropped.
+    flushed: Time,
+    /// Which controller is asked next while the holder is not known.
+    turn: usize,
 }
 
 impl Seeker {
     fn holders(&self, ctx: &Context) -> Vec<NodeId> {
         match self.contact.holder(ctx.now) {
             Some(n) => vec![n],
-            None => ctx.views.controllers().map(|r| r.who.node).collect(),
+            None if tells_all(ctx.views) => ctx.views.controllers().map(|r| r.who.node).collect(),
+            None => vec![],
+        }
+    }
+
+    /// Whom to ask for the holdings: the holder, or while it is not known all controllers of a small fleet, one after
+    /// another those of a large one.
+    fn asked_for_holdings(&mut self, ctx: &Context) -> Vec<NodeId> {
+        let known = self.holders(ctx);
+        if !known.is_empty() {
+            return known;
+        }
+        let controllers: Vec<NodeId> = ctx.views.controllers().map(|row| row.who.node).collect();
+        self.turn = self.turn.wrapping_add(1);
+        let next = self.turn.checked_rem(controllers.len());
+        next.map(|place| controllers[place]).into_iter().collect()
+    }
+
+    /// How long wants are gathered, so that all routers together send no more than those of a small fleet.
+    fn gather(ctx: &Context) -> Span {
+        match router_count(ctx.views) {
+            few if is_small(few) => Span(0),
+            many => Span(GATHER_PER_ROUTER.0 * many as u64),
         }
     }
 
@@ -63,6 +94,15 @@
     }
 
     fn flush(&mut self, ctx: &mut Context) {
+        let waited = ctx.now.since(self.flushed);
+        let holders = self.holders(ctx);
+        if holders.is_empty() && waited >= WANTS_KEPT {
+            self.flushed = ctx.now;
+            return self.wants.clear();
+        }
+        if holders.is_empty() || waited < Self::gather(ctx) {
+            return;
+        }
         self.sent.retain(|_, t| ctx.now.since(*t) < GATHER);
         let held = |n: &Name| self.sent.contains_key(n);
         let rows: Vec<Want> = self.wants.values().filter(|w| !held(&w.name)).cloned().collect();
@@ -73,12 +113,26 @@
             self.wants.remove(&w.name);
             self.sent.insert(w.name.clone(), ctx.now);
         }
-        for to in self.holders(ctx) {
+        self.flushed = ctx.now;
+        for to in holders {
             ctx.send(to, Msg::Want(rows.clone()));
         }
     }
 
-    fn told(&mut self, from: NodeId, tell: &HeldTell, ctx: &mut Context) {
+    /// Passes holdings on to the other routers of this zone.
+    fn relay(tell: &HeldTell, ctx: &mut Context) {
+        let passed = Arc::new(HeldTell { relay: false, ..tell.clone() });
+        let is_mate = |row: &&Row| {
+            let who = &row.who;
+            who.role == Role::Router && who.domain == ctx.me.domain && who.node != ctx.me.node
+        };
+        let mates: Vec<NodeId> = ctx.views.members.iter().filter(is_mate).map(|row| row.who.node).collect();
+        for mate in mates {
+            ctx.send(mate, Msg::Held(passed.clone()));
+        }
+    }
+
+    fn told(&mut self, tell: &HeldTell, ctx: &mut Context) {
         let newer = tell.term > self.contact.term;
         if tell.term < self.contact.term || (!newer && tell.seq < self.seq) {
             return;
@@ -86,7 +140,7 @@
         if newer {
             (self.seq, self.behind) = (tell.seq, true);
         }
-        self.contact.heard(from, tell.term, ctx.now);
+        self.contact.heard(tell.holder, tell.term, ctx.now);
         if tell.whole {
             self.behind = false;
         } else if tell.seq > self.seq + 1 {
@@ -102,21 +156,16 @@
     fn tick(&mut self, ctx: &mut Context) {
         self.flush(ctx);
         let quiet = self.contact.holder(ctx.now).is_none();
-        let wait = if quiet { ask_all_interval(ctx) } else { ASK };
-        if (self.behind || quiet) && ctx.now.since(self.asked) >= wait {
+        let gap = if tells_all(ctx.views) { ASK } else { ASK_IN_LARGE_FLEET };
+        if (self.behind || quiet) && ctx.now.since(self.asked) >= gap {
             self.asked = ctx.now;
-            for to in self.holders(ctx) {
+            for to in self.asked_for_holdings(ctx) {
                 ctx.send(to, Msg::HeldAsk);
             }
         }
     }
 }
 
-fn ask_all_interval(ctx: &Context) -> Span {
-    let routers = ctx.views.members.iter().filter(|row| row.who.role == Role::Router).count();
-    ASK.max(Span(ASK_ALL_PER_ROUTER.0 * routers as u64))
-}
-
 impl Component for Seeker {
     fn name(&self) -> &'static str {
         "seeker"
@@ -128,8 +177,11 @@
                 self.add(want);
                 self.flush(ctx);
             }
-            Event::Mail { from, msg: Msg::Held(tell), .. } => {
-                self.told(*from, tell, ctx);
+            Event::Mail { msg: Msg::Held(tell), .. } => {
+                if tell.relay {
+                    Self::relay(tell, ctx);
+                }
+                self.told(tell, ctx);
                 self.tick(ctx);
             }
             Event::Tick => self.tick(ctx),
--- a/src/placement/wants.rs
+++ b/src/placement/wants.rs
@@ -6,10 +6,13 @@
 use crate::fleet::holdings::Want;
 use crate::kernel::ids::{Name, NodeId};
 use crate::kernel::time::{Span, Time};
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
 /// How long what a router told of its waiting requests counts.
 const TOLD_COUNTS: Span = Span::ms(1500);
+/// How often older ones are looked for.
+const FORGET_EVERY: Span = Span::ms(100);
 
 /// What a request counts as having waited when it is told of, in ms.
 const FIRST_MS: u64 = 100;
@@ -22,6 +25,8 @@
     pub class: Class,
     /// Since when.
     pub since: Time,
+    /// Until when it is not weighed again, as no runner could take it.
+    pub(super) rests_until: Cell<Time>,
     rows: BTreeMap<NodeId, (Time, u64)>,
 }
 
@@ -49,7 +54,13 @@
     pub fn wanted(&mut self, from: NodeId, want: &Want, now: Time) {
         let row = self.wants.entry(want.name.clone()).or_insert_with(|| {
             self.work.stirred = true;
-            Wanted { service: want.service.clone(), class: want.class, since: now, rows: BTreeMap::new() }
+            Wanted {
+                service: want.service.clone(),
+                class: want.class,
+                since: now,
+                rests_until: Cell::new(Time(0)),
+                rows: BTreeMap::new(),
+            }
         });
         row.class = row.class.min(want.class);
         row.rows.insert(from, (now, want.count));
@@ -57,6 +68,10 @@
 
     /// Forgets what no router has told of lately.
     pub(super) fn forget_old_wants(&mut self, now: Time) {
+        if now.since(self.work.wants_forgotten) < FORGET_EVERY {
+            return;
+        }
+        self.work.wants_forgotten = now;
         for wanted in self.wants.values_mut() {
             wanted.rows.retain(|_, row| now.since(row.0) < TOLD_COUNTS);
         }
