--- a/tests/report_pace.rs
+++ b/tests/report_pace.rs
@@ -15,7 +15,6 @@
 use spindledock::msg::*;
 use spindledock::placement::seeker::Seeker;
 use spindledock::rollout::tell::Teller;
-use spindledock::sim::record::Fact;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -135,11 +134,11 @@
     let mut office = Office::open(vanua(), 3);
     assert_eq!(office.done(0, 0, "3 a b"), Some(200));
     assert_eq!(office.done(0, 3, "4 a b"), Some(200));
-    let notes = office.w.record.rows.iter().filter_map(|row| match &row.1 {
-        Fact::Told { what, text } if *what == "change-taken-in" => Some(text.clone()),
-        _ => None,
-    });
-    let notes: Vec<String> = notes.collect();
+    let head = office.head();
+    let node = office.w.nodes[head].node.as_ref().expect("the head is up");
+    let stages = node.views.state.outcomes.iter().flat_map(|outcome| &outcome.stages);
+    let notes: Vec<&str> =
+        stages.filter(|stage| stage.name == "rehearse").map(|stage| stage.note.as_str()).collect();
     assert!(notes[0].contains("planned="), "{notes:?}");
     assert!(notes[1].contains("unchanged"), "{notes:?}");
 }
