--- a/src/daemon/assemble.rs
+++ b/src/daemon/assemble.rs
@@ -1,6 +1,9 @@
 use crate::chain::Chain;
 use crate::chain::change_queue::ChangeQueue;
 use crate::chain::serving_leases::ServingLeases;
+use crate::constraints::QuotaSettings;
+use crate::constraints::client::QuotaClient;
+use crate::constraints::owner::QuotaOwner;
 use crate::distribution::Distribution;
 use crate::kernel::component::Me;
 use crate::kernel::ids::*;
@@ -28,6 +31,7 @@
     pub lease: Span,
     pub policy: Policy,
     pub sides: Sides,
+    pub quota: QuotaSettings,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -62,6 +66,7 @@
     node.add(Box::new(Distribution::new(now)));
     node.add(Box::<crate::rollout::tell::Teller>::default());
     node.add(Box::new(crate::placement::seeker::Seeker::default()));
+    node.add(Box::new(QuotaClient::new(place.quota)));
     node
 }
 
@@ -83,6 +88,7 @@
     node.add(Box::new(chain));
     node.add(Box::new(ChangeQueue::new(place.sides.operator.clone())));
     node.add(Box::new(ServingLeases::default()));
+    node.add(Box::new(QuotaOwner::new(place.quota)));
     node.add(Box::new(Relay::default()));
     node.add(Box::new(Rollout::default()));
     let bare_plain = !place.sides.runner.plain_reports();
--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -1,3 +1,4 @@
+use crate::constraints::QuotaSettings;
 use crate::distribution::reader::SERVING_LEASE;
 use crate::json::{Reader, Tree};
 use crate::kernel::fault::{Fault, Kind};
@@ -25,6 +26,7 @@
     pub proof_ms: u64,
     pub lease_ms: u64,
     pub sides: Sides,
+    pub quota: QuotaSettings,
     pub lean: bool,
 }
 
@@ -229,6 +231,7 @@
                 proof_ms,
                 lease_ms,
                 sides,
+                quota: QuotaSettings::default(),
                 lean,
             })
         }
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -81,6 +81,7 @@
         lease: Span::ms(c.lease_ms),
         policy: super::assemble::Policy::Move,
         sides: c.sides.clone(),
+        quota: c.quota,
     }
 }
 
@@ -188,6 +189,7 @@
         Effect::Watch(list) => *runners.lock().unwrap() = list,
         Effect::Holds(on) => drop(list.as_ref().map(|l| l.switch(on))),
         Effect::Held(rows) => table.held(clock.now(), &rows),
+        Effect::QuotaGranted(grants) => table.quota.lock().unwrap().granted(clock.now(), &grants),
         Effect::Look(name) => {
             let found = runners.lock().unwrap().iter().find(|r| r.instance == name).cloned();
             let Some(r) = found else { return };
@@ -219,6 +221,9 @@
 ) {
     let inbox = Mutex::new(hand.clone());
     table.on_want(Arc::new(move |want| inbox.lock().unwrap().feed(Event::Wanted(want))));
+    let inbox = Mutex::new(hand.clone());
+    let asker = move |demand| inbox.lock().unwrap().feed(Event::QuotaWanted(demand));
+    table.quota.lock().unwrap().on_wanted(Arc::new(asker));
     let seen = front.clone();
     let seen = Arc::new(move || seen.seen.rows());
     tokio::spawn(poll::tells(table.clone(), clock.clone(), seen, hand.clone()));
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -39,6 +39,7 @@
     let (f, l) = (front.clone(), links.clone());
     let metrics = move || {
         let mut out = gates(&f.table, f.clock.now());
+        out.push_str(&quota(&f.table, f.clock.now()));
         let _ = writeln!(out, "spindledock_open_orders {}", f.open.load(Ordering::Relaxed));
         let _ = writeln!(out, "spindledock_bad_frames {}", l.bad.load(Ordering::Relaxed));
         let _ = writeln!(out, "spindledock_dropped_letters {}", l.lost.load(Ordering::Relaxed));
@@ -53,6 +54,22 @@
     tokio::spawn(serve(socket, Arc::new(move |order| Box::pin(desk.clone().answer(order)))));
 }
 
+fn quota(table: &Table, now: Time) -> String {
+    let mut shares = table.quota.lock().unwrap();
+    let counts = shares.counts();
+    let mut out = String::new();
+    let mut row = |key: &str, value: u64| {
+        let _ = writeln!(out, "spindledock_quota_{key} {value}");
+    };
+    row("at_once", counts.at_once);
+    row("waited", counts.waited);
+    row("blocked", counts.blocked);
+    row("unanswered", counts.unanswered);
+    row("waiting", shares.waiting() as u64);
+    row("outstanding_tokens", shares.outstanding(now));
+    out
+}
+
 fn gates(table: &Table, now: Time) -> String {
     let mut out = String::new();
     for gate in table.gates() {
--- a/src/gate/order.rs
+++ b/src/gate/order.rs
@@ -112,6 +112,8 @@
     TooLong,
     NoRoute,
     UnknownKey,
+    OverQuota,
+    NoQuotaAnswer,
     Full,
 }
 
@@ -136,7 +138,7 @@
 
     pub fn status(&self) -> u16 {
         match self.why {
-            Why::InboxFull | Why::Crowded => 429,
+            Why::InboxFull | Why::Crowded | Why::OverQuota => 429,
             Why::NoModel | Why::Gone | Why::NoRoute => 404,
             Why::UnknownKey => 401,
             _ => 503,
@@ -157,6 +159,8 @@
             Why::TooLong => "wait-too-long",
             Why::NoRoute => "route-changed",
             Why::UnknownKey => "unknown-key",
+            Why::OverQuota => "over-quota",
+            Why::NoQuotaAnswer => "quota-unknown",
             Why::Full => "runners-full",
         }
     }
@@ -179,6 +183,8 @@
                 "its route was changed while it waited; see the current configuration and ask again"
             }
             Why::UnknownKey => "it carries no key of a tenant; send a key that the configuration names",
+            Why::OverQuota => "its tenant's quota (rate and burst) is used up; ask again after Retry-After",
+            Why::NoQuotaAnswer => "the controller that counts its tenant's quota did not answer; ask again",
             Why::Full => "the runners tried turned it away; ask again after Retry-After",
             Why::Gone => "the service was withdrawn; see the current configuration",
             Why::Crowded => "orders of a higher class fill the inbox; ask again later",
--- a/src/gate/sweep.rs
+++ b/src/gate/sweep.rs
@@ -47,6 +47,7 @@
     }
 
     pub fn tick(&self, now: Time, routers: u64) {
+        self.quota.lock().unwrap().sweep(now);
         for g in self.gates() {
             let mut g = g.lock().unwrap();
             g.routers = routers.max(1);
--- a/src/gate/table.rs
+++ b/src/gate/table.rs
@@ -1,5 +1,6 @@
 use super::core::Gate;
 use super::held::Asker;
+use crate::constraints::shares::Shares;
 use crate::fleet::config::Limits;
 use crate::fleet::holdings::HeldRow;
 use crate::fleet::routes::RouteTable;
@@ -24,6 +25,8 @@
     held: Mutex<BTreeMap<Name, HeldRow>>,
     asker: Mutex<Option<Asker>>,
     limits: Mutex<(Version, Limits)>,
+    /// What this router holds of tenants' quotas.
+    pub quota: Mutex<Shares>,
 }
 
 impl Service for Table {
@@ -46,6 +49,7 @@
             held: Mutex::default(),
             asker: Mutex::default(),
             limits: Mutex::new((Version(0), Limits::default())),
+            quota: Mutex::default(),
         }
     }
 
--- a/src/hollow/size.rs
+++ b/src/hollow/size.rs
@@ -84,6 +84,7 @@
             lease: SERVING_LEASE,
             policy: Policy::Move,
             sides: Default::default(),
+            quota: Default::default(),
         }
     }
 
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -14,6 +14,7 @@
 mod linger;
 pub mod own;
 pub mod pool;
+pub mod quota;
 pub mod sender;
 pub mod serve;
 pub mod served_body;
--- a/src/http/serve.rs
+++ b/src/http/serve.rs
@@ -4,6 +4,7 @@
 use super::client::ClientConnections;
 use super::forward::{ForwardJob, forward};
 use super::pool::Pool;
+use super::quota::take_token;
 use crate::fleet::config::Sort;
 use crate::fleet::slice::RouteRow;
 use crate::gate::order::Why;
@@ -124,6 +125,9 @@
             },
             Err(answer) => return *answer,
         };
+        if let Err(over) = take_token(&self.table, &*self.clock, &order).await {
+            return refused(&*self.sides.caller, &over);
+        }
         let Some(gate) = self.table.gate(&order.service) else {
             return refused(&*self.sides.caller, &Refusal::new(Why::Stale, 1));
         };
--- a/src/kernel/event.rs
+++ b/src/kernel/event.rs
@@ -3,6 +3,7 @@
 use crate::chain::leaving::Departure;
 use crate::chain::messages::{ChainRole, Record};
 use crate::chain::view::View;
+use crate::constraints::shares::{Grant, QuotaDemand};
 use crate::fleet::FleetState;
 use crate::fleet::holdings::{HeldRow, Want};
 use crate::fleet::runner::{Report, Runner};
@@ -52,6 +53,7 @@
     RouterState(Arc<RouterTell>),
     Listed(Vec<Runner>),
     Wanted(Want),
+    QuotaWanted(QuotaDemand),
     Warned,
     Journal(JournalEvent),
 }
@@ -102,6 +104,8 @@
         until: Time,
     },
     Leaving(Departure),
+    /// Owners of quotas have answered.
+    QuotaGranted(Vec<Grant>),
     Learn {
         scope: Scope,
         at: Version,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 pub mod chain;
 pub mod cli;
+pub mod constraints;
 pub mod daemon;
 pub mod distribution;
 pub mod explore;
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -2,6 +2,7 @@
 
 pub use crate::chain::messages::*;
 use crate::chain::view::View;
+pub use crate::constraints::messages::ConstraintMsg;
 pub use crate::distribution::messages::{
     LeaseApplication, LeaseNumber, ServingLeaseGrant, ServingLeaseRequest, TopicUpdate,
 };
@@ -51,6 +52,7 @@
     Want(Vec<Want>),
     Held(Box<HeldTell>),
     HeldAsk,
+    Constraint(ConstraintMsg),
 }
 
 /// What an operator, or another node, asks of the head.
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -2,10 +2,12 @@
 use super::list::Instances;
 use super::operator::{Figures, Operator, Origin};
 use super::runner::RunnerWords;
+use crate::constraints::QuotaSettings;
 use crate::daemon::config::NodeConfig;
 use crate::fleet::config::Budget;
 use crate::kernel::fault::{Fault, Kind};
 use crate::kernel::ids::Name;
+use crate::kernel::time::Span;
 use crate::msg::Role;
 use crate::seam::Sides;
 use std::net::{IpAddr, SocketAddr};
@@ -78,6 +80,18 @@
     }
 }
 
+/// How exactly quotas are kept.
+fn quota(r: &Rows) -> QuotaSettings {
+    let default = QuotaSettings::default();
+    let window_s = r.num("Timers.QuotaWindowS", default.window.as_ms() as f64 / 1000.0);
+    let tolerance = r.num("Timers.QuotaTolerance", default.tolerance_milli as f64 / 1000.0);
+    QuotaSettings {
+        window: Span::ms((window_s * 1000.0) as u64),
+        tolerance_milli: (tolerance * 1000.0) as u64,
+        slack: r.num("Timers.QuotaSlack", default.slack as f64) as u64,
+    }
+}
+
 pub fn read(role: Role, text: &str) -> Result<NodeConfig, Vec<Fault>> {
     let docs = YamlLoader::load_from_str(text)
         .map_err(|e| vec![fault("settings", e.to_string(), "write one well-formed YAML document")])?;
@@ -122,6 +136,7 @@
         window_s: r.num("Timers.OriginWindowS", Origin::default().window_s),
         tolerance: r.num("Timers.OriginTolerance", Origin::default().tolerance),
     };
+    let quota = quota(&r);
     let grace = r.num("Timers.GraceS", 8.0) * 1000.0;
     let proof_ms = r.num("Timers.ConvergenceMs", 2000.0).max(1000.0) as u64;
     let acknowledged_within = r.num("Timers.AckTimeoutMs", 4000.0) as u64;
@@ -155,6 +170,7 @@
         lease_ms: proof_ms + acknowledgement_wait(acknowledged_within),
         lame_ms: if role == Role::Router { LAME_MS } else { 0 },
         sides,
+        quota,
         lean: true,
     })
 }
--- a/src/sim/check.rs
+++ b/src/sim/check.rs
@@ -20,6 +20,7 @@
     bad.extend(configs(w));
     bad.extend(tries(w));
     bad.extend(holders(w));
+    bad.extend(super::check_quota::quotas(w));
     bad.extend(room_and_store(w));
     bad.extend(w.requests.leaks.iter().cloned());
     bad.extend(super::check_views::views(w));
--- a/src/sim/effects.rs
+++ b/src/sim/effects.rs
@@ -46,6 +46,10 @@
             Effect::Routers(n) => self.nodes[place].routers = n,
             Effect::Watch(list) => self.nodes[place].watch = list,
             Effect::Holds(_) => {}
+            Effect::QuotaGranted(grants) => {
+                let now = self.local(place);
+                self.nodes[place].table.quota.lock().unwrap().granted(now, &grants);
+            }
             Effect::Look(runner) => self.later(Span(1), Event::Looked { place, life, runner }),
             Effect::Held(rows) => {
                 let now = self.local(place);
--- a/src/sim/front.rs
+++ b/src/sim/front.rs
@@ -3,6 +3,7 @@
 use crate::forwarding::{In, Out, RequestFlow};
 use crate::gate::order::Why;
 use crate::gate::{Gate, Order, Plan};
+use crate::http::admission::admit;
 use crate::kernel::time::{Span, Time};
 use crate::standin::script::Script;
 use crate::standin::tally::End;
@@ -47,6 +48,12 @@
             return refused(self, "not-fresh", End::Refused);
         };
         let Some(row) = found else { return refused(self, "unknown-route", End::Refused) };
+        let Some((_, routes)) = table.fresh_routes(now) else {
+            return refused(self, "not-fresh", End::Refused);
+        };
+        let Ok(admission) = admit(&routes, &row, self.quota.key(call)) else {
+            return refused(self, "unknown-key", End::Refused);
+        };
         let script = body.as_deref().and_then(Script::read);
         let Some(gate) = table.gate(&row.service) else { return refused(self, "not-fresh", End::Refused) };
         self.requests.next += 1;
@@ -65,6 +72,8 @@
             routes_at,
             kind: row.route.kind,
             gap: Span::ms(row.route.gap_ms),
+            rank: admission.rank,
+            credential: admission.credential,
             ..Order::default()
         };
         self.nodes[place].seen.add(&order, "", path, body.as_ref().map_or(0, |b| b.len()));
@@ -80,8 +89,7 @@
             attempts: BTreeMap::new(),
             gap: (self.now, Span(0)),
         };
-        self.requests.rows.insert(id, request);
-        self.request(place, life, id, In::Go);
+        self.take_token(id, request);
     }
 
     pub fn request(&mut self, place: usize, life: u64, id: u64, ev: In) {
@@ -163,6 +171,7 @@
     }
 
     pub fn drop_requests(&mut self, place: usize) {
+        self.drop_waiting_for_quota(place);
         let ids: Vec<u64> = self.requests.rows.iter().filter(|r| r.1.place == place).map(|r| *r.0).collect();
         for id in ids {
             let Some(r) = self.requests.rows.remove(&id) else { continue };
--- a/src/sim/nodes.rs
+++ b/src/sim/nodes.rs
@@ -130,6 +130,7 @@
         let sought = self.sought.clone();
         let asker = move |want| sought.lock().unwrap().push_back((place, life, want));
         self.nodes[place].table.on_want(Arc::new(asker));
+        self.connect_shares(place, life);
         self.later(TELL, Event::Tell { place, life });
     }
 
--- a/src/sim/setup.rs
+++ b/src/sim/setup.rs
@@ -39,6 +39,7 @@
                 lease: SERVING_LEASE,
                 policy: plan.policy,
                 sides: Default::default(),
+                quota: Default::default(),
             };
             let node = SimNode::new(place, role, &mut w.rand);
             w.nodes.push(node);
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -63,6 +63,7 @@
     pub answers: BTreeMap<ChangeId, Answer>,
     pub woken: Arc<Mutex<VecDeque<Woken>>>,
     pub sought: Arc<Mutex<VecDeque<Sought>>>,
+    pub quota: super::quota::SimQuota,
     pub flows: Vec<super::callers::SimFlow>,
     pub calls: u64,
     pub turn: Option<u64>,
@@ -92,6 +93,7 @@
             answers: BTreeMap::new(),
             woken: Arc::default(),
             sought: Arc::default(),
+            quota: Default::default(),
             flows: Vec::new(),
             calls: 0,
             turn: None,
@@ -146,6 +148,7 @@
     }
 
     fn wake(&mut self) {
+        self.pass_quota_words();
         loop {
             let Some((place, life, want)) = self.sought.lock().unwrap().pop_front() else { break };
             if self.fits(place, life) {
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -36,6 +36,7 @@
 const HELD_ASK: u8 = 20;
 const SYNC: u8 = 21;
 const NUDGE: u8 = 22;
+const CONSTRAINT: u8 = 23;
 
 /// Appends a message.
 pub(super) fn put(msg: &Msg, coder: &mut Buffer, body: &mut Vec<u8>) {
@@ -46,6 +47,7 @@
         Msg::Tell(tell) => part(TELL, &**tell, coder, body),
         Msg::Want(rows) => part(WANT, rows, coder, body),
         Msg::Held(held) => part(HELD, &**held, coder, body),
+        Msg::Constraint(msg) => part(CONSTRAINT, msg, coder, body),
         Msg::UpdateRequest { nonce, direct, have } => {
             part(UPDATE_REQUEST, &(*nonce, *direct, have.clone()), coder, body)
         }
@@ -111,6 +113,7 @@
         TELL => Msg::Tell(Arc::new(coder.decode(raw).ok()?)),
         WANT => Msg::Want(coder.decode(raw).ok()?),
         HELD => Msg::Held(Box::new(coder.decode(raw).ok()?)),
+        CONSTRAINT => Msg::Constraint(coder.decode(raw).ok()?),
         UPDATE_REQUEST => {
             let (nonce, direct, have) = coder.decode(raw).ok()?;
             Msg::UpdateRequest { nonce, direct, have }
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -3,6 +3,7 @@
 use spindledock::chain::acceptor::AcceptedView;
 use spindledock::chain::ledger_transfer::{LeaseLedger, LedgerRow};
 use spindledock::chain::view::View;
+use spindledock::constraints::messages::*;
 use spindledock::distribution::history::Body;
 use spindledock::fleet::config::Class;
 use spindledock::fleet::holdings::{HeldTell, Want};
@@ -90,6 +91,20 @@
     ]
 }
 
+fn constraint_messages() -> Vec<Msg> {
+    let (key, tenant) = (AcquireKey(4), Name::from("t"));
+    let asked = AcquireRow { tenant: tenant.clone(), needed: 2, ahead: 1 };
+    let got = GrantedRow { tenant, tokens: 1, blocked: Some(Span::ms(100)) };
+    let rows = vec![
+        ConstraintMsg::AuthorityRequest { view: ViewNo(2), sent: Time(9) },
+        ConstraintMsg::AuthorityGrant { view: ViewNo(2), sent: Time(9) },
+        ConstraintMsg::Acquire(Acquire { key, rows: vec![asked] }),
+        ConstraintMsg::Granted { key, rows: vec![got] },
+        ConstraintMsg::NotOwner { key, view: Some(view()) },
+    ];
+    rows.into_iter().map(Msg::Constraint).collect()
+}
+
 fn messages() -> Vec<Msg> {
     let answer = Answer { status: 200, body: "{}".into(), retry_s: 0, redirect: Some(addr()) };
     let want = Want { service: Name::from("s"), name: Name::from("m"), class: Class::Chat, count: 3 };
@@ -123,7 +138,8 @@
         Msg::Held(Box::new(HeldTell { term: Term(3), seq: 8, whole: true, rows: vec![] })),
         Msg::HeldAsk,
     ];
-    plain.into_iter().chain(chain_messages().into_iter().map(Msg::Chain)).collect()
+    let plain = plain.into_iter().chain(constraint_messages());
+    plain.chain(chain_messages().into_iter().map(Msg::Chain)).collect()
 }
 
 fn envelope(msg: Msg) -> Envelope {
