--- a/src/constraints/bucket.rs
+++ b/src/constraints/bucket.rs
@@ -10,9 +10,9 @@
 const NEXT_FREE_MOST: Span = Span::ms(60_000);
 
 /// A bucket that was empty as it opened counts as filling for so long at most.
-const FILLING_MOST: Span = Span::ms(5000);
+const FILLING_MOST: Span = Span::ms(6000);
 /// It is no longer filling once it holds this part of its capacity.
-const FILLED_PART: u64 = 4;
+const FILLED_PART: u64 = 2;
 
 /// Tokens that come at a rate, up to a capacity.
 #[derive(Clone, Debug)]
--- a/src/constraints/client.rs
+++ b/src/constraints/client.rs
@@ -139,13 +139,30 @@
     }
 
     fn refused(&mut self, owner: NodeId, key: AcquireKey, view: &Option<View>, ctx: &mut Context) {
-        let Some(flight) = self.take_flight(owner, key) else { return };
-        self.give_up(flight);
-        match view {
-            Some(newer) if ctx.views.older(newer) => ctx.publish(JournalEvent::ViewHeard(newer.clone())),
-            _ => drop(self.paused.insert(owner, ctx.now + NOT_OWNER_PAUSE)),
+        if let Some(flight) = self.take_flight(owner, key) {
+            self.give_up(flight);
+            self.paused.insert(owner, ctx.now + NOT_OWNER_PAUSE);
+        }
+        self.view_told(view, ctx);
+    }
+
+    /// A newer view may name other owners; the node's own change of view asks them.
+    fn view_told(&self, view: &Option<View>, ctx: &mut Context) {
+        if let Some(newer) = view
+            && ctx.views.older(newer)
+        {
+            ctx.publish(JournalEvent::ViewHeard(newer.clone()));
+        }
+    }
+
+    /// Asks one of the other members for its view: the owner may have been left out of it.
+    fn request_view(&self, silent: NodeId, ctx: &mut Context) {
+        let Some(view) = &ctx.views.view else { return };
+        let others: Vec<NodeId> = view.chain.iter().copied().filter(|node| *node != silent).collect();
+        let draw = ctx.rand.below(others.len() as u64) as usize;
+        if let Some(other) = others.get(draw) {
+            ctx.send(*other, Msg::Constraint(ConstraintMsg::ViewRequest));
         }
-        self.ask(ctx);
     }
 
     /// What a question asked for is wanted again. Tokens of a late answer are not used.
@@ -185,6 +202,7 @@
             } else if let Some(question) = flight.resend(ctx.now) {
                 self.counts.resent += 1;
                 ctx.send(owner, Msg::Constraint(ConstraintMsg::Acquire(question)));
+                self.request_view(owner, ctx);
             }
         }
         self.paused.retain(|_, until| ctx.now < *until);
@@ -209,6 +227,9 @@
             Event::Mail { from, msg: Msg::Constraint(ConstraintMsg::NotOwner { key, view }), .. } => {
                 self.refused(*from, *key, view, ctx)
             }
+            Event::Mail { msg: Msg::Constraint(ConstraintMsg::ViewReply { view }), .. } => {
+                self.view_told(view, ctx)
+            }
             Event::Journal(JournalEvent::ViewHeard(_)) => self.view_changed(ctx),
             Event::Tick => self.tick(ctx),
             _ => {}
--- a/src/constraints/messages.rs
+++ b/src/constraints/messages.rs
@@ -32,6 +32,13 @@
         /// A row for each of the question's.
         rows: Vec<GrantedRow>,
     },
+    /// A router asks another member than the owner for its view, as the owner is silent.
+    ViewRequest,
+    /// Its answer.
+    ViewReply {
+        /// The newest view that the node knows.
+        view: Option<View>,
+    },
     /// The node doesn't own a tenant of the question, or has no authority yet. Nothing was spent.
     NotOwner {
         /// Which question of the router it answers.
--- a/src/constraints/owner.rs
+++ b/src/constraints/owner.rs
@@ -186,7 +186,13 @@
             }
             ConstraintMsg::AuthorityGrant { view, sent } => self.authority_granted(*view, *sent, ctx),
             ConstraintMsg::Acquire(question) => self.acquire(from, question, ctx),
-            ConstraintMsg::Granted { .. } | ConstraintMsg::NotOwner { .. } => {}
+            ConstraintMsg::ViewRequest => {
+                let view = ctx.views.view.clone();
+                ctx.send(from, Msg::Constraint(ConstraintMsg::ViewReply { view }));
+            }
+            ConstraintMsg::Granted { .. }
+            | ConstraintMsg::NotOwner { .. }
+            | ConstraintMsg::ViewReply { .. } => {}
         }
     }
 }
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -101,6 +101,8 @@
         ConstraintMsg::Acquire(Acquire { key, rows: vec![asked] }),
         ConstraintMsg::Granted { key, rows: vec![got] },
         ConstraintMsg::NotOwner { key, view: Some(view()) },
+        ConstraintMsg::ViewRequest,
+        ConstraintMsg::ViewReply { view: Some(view()) },
     ];
     rows.into_iter().map(Msg::Constraint).collect()
 }
