Quotas: counters go to the next owner while the old one lives; docs, guards

Change: the new owner asks the old one, which gives each count once; a bucket that fills blocks nobody.

--- a/src/constraints/bucket.rs
+++ b/src/constraints/bucket.rs
@@ -30,6 +30,18 @@
         TokenBucket { limit, level: 0, refilled: from, opened: from, filling: true }
     }
 
+    /// A bucket that another owner counted until now. Requests may have come while nobody granted.
+    pub fn handed_over(limit: QuotaLimit, level: u64, now: Time) -> TokenBucket {
+        let bucket = TokenBucket { limit, level, refilled: now, opened: now, filling: true };
+        TokenBucket { level: level.min(bucket.capacity()), ..bucket }
+    }
+
+    /// What it holds, for another owner.
+    pub fn level(&mut self, now: Time) -> u64 {
+        self.refill(now);
+        self.level
+    }
+
     /// Takes over a limit; the level stays, at most the new capacity.
     pub fn set_limit(&mut self, limit: QuotaLimit, now: Time) {
         self.refill(now);
--- a/src/constraints/client.rs
+++ b/src/constraints/client.rs
@@ -243,7 +243,6 @@
             ("resent", self.counts.resent.to_string()),
             ("answered", self.counts.answered.to_string()),
             ("given_up", self.counts.given_up.to_string()),
-            ("under_way", self.flights.len().to_string()),
             ("wait_mean_us", mean.to_string()),
             ("wait_most_us", self.counts.wait_most.0.to_string()),
         ]
--- a/src/constraints/messages.rs
+++ b/src/constraints/messages.rs
@@ -32,6 +32,24 @@
         /// A row for each of the question's.
         rows: Vec<GrantedRow>,
     },
+    /// A new owner asks the owner of the view before for its counters.
+    HandoverRequest {
+        /// The new owner's view.
+        view: ViewNo,
+        /// The new owner's time; it names the request.
+        asked: Time,
+        /// The tenants that are counted.
+        tenants: Vec<Name>,
+    },
+    /// The old owner, which grants no more, gives what it still had.
+    Handover {
+        /// The view of both.
+        view: ViewNo,
+        /// As in the request.
+        asked: Time,
+        /// The counters that weren't given yet.
+        counters: Vec<HandedCounter>,
+    },
     /// A router asks another member than the owner for its view, as the owner is silent.
     ViewRequest,
     /// Its answer.
@@ -82,3 +100,12 @@
     /// The quota blocks the rest: when to ask again.
     pub blocked: Option<Span>,
 }
+
+/// The level of a tenant's bucket, on its way to another owner.
+#[derive(Clone, PartialEq, Debug, Encode, Decode)]
+pub struct HandedCounter {
+    /// The tenant.
+    pub tenant: Name,
+    /// In the bucket's units.
+    pub level: u64,
+}
--- a/src/constraints/owner.rs
+++ b/src/constraints/owner.rs
@@ -3,16 +3,13 @@
 
 use super::answers::{GivenAnswers, Question};
 use super::authority::{Authority, gives_authority};
-use super::bucket::TokenBucket;
+use super::counters::Counters;
 use super::messages::{Acquire, AcquireKey, AcquireRow, ConstraintMsg, GrantedRow};
-use super::ownership::owner_of;
 use super::settings::QuotaSettings;
-use crate::fleet::tenants::QuotaLimit;
 use crate::kernel::component::{Component, Context};
 use crate::kernel::ids::{Name, NodeId, Version, ViewNo};
 use crate::kernel::time::{Span, Time};
 use crate::msg::{Event, Msg};
-use std::collections::BTreeMap;
 
 /// The shortest time for which a router is told to refuse a tenant, so that a tenant far over its quota costs few questions.
 const BLOCKED_LEAST: Span = Span::ms(100);
@@ -29,10 +26,8 @@
 /// Component of the controllers.
 pub struct QuotaOwner {
     settings: QuotaSettings,
-    view: ViewNo,
     config_at: Option<Version>,
-    quotas: BTreeMap<Name, QuotaLimit>,
-    buckets: BTreeMap<Name, TokenBucket>,
+    counters: Counters,
     authority: Authority,
     answers: GivenAnswers,
     counts: Counts,
@@ -43,59 +38,62 @@
     pub fn new(settings: QuotaSettings) -> QuotaOwner {
         QuotaOwner {
             settings,
-            view: ViewNo::default(),
             config_at: None,
-            quotas: BTreeMap::new(),
-            buckets: BTreeMap::new(),
+            counters: Counters::default(),
             authority: Authority::default(),
             answers: GivenAnswers::default(),
             counts: Counts::default(),
         }
     }
 
-    /// Keeps the counters of tenants that this node owned in the view before and owns in the new one: nobody else could
-    /// grant between them.
-    fn follow_view(&mut self, ctx: &Context) {
-        let Some(view) = ctx.views.view.as_ref().filter(|view| view.no != self.view) else { return };
-        let went_on = self.view.next() == view.no;
-        self.buckets.retain(|tenant, _| went_on && owner_of(view, tenant) == Some(ctx.me.node));
-        self.view = view.no;
-        self.authority.follow(view.no);
+    /// Follows the view and the configuration.
+    fn follow(&mut self, ctx: &Context) {
+        let node = ctx.me.node;
+        if let Some(view) = ctx.views.view.as_ref().filter(|view| !self.counters.is_in(view)) {
+            self.authority.follow(view.no);
+            self.counters.follow_view(view, node, ctx.now);
+        }
+        let state = &ctx.views.state;
+        if self.config_at != Some(state.config_at) {
+            self.config_at = Some(state.config_at);
+            self.counters.set_limits(self.settings, &state.config, ctx.now);
+            self.add_buckets(ctx);
+        }
     }
 
-    /// Takes over the limits of a new configuration.
-    fn follow_config(&mut self, ctx: &Context) {
-        let state = &ctx.views.state;
-        if self.config_at == Some(state.config_at) {
-            return;
+    fn add_buckets(&mut self, ctx: &Context) {
+        if let Some(alone_from) = self.authority.alone_from() {
+            self.counters.add_missing(alone_from.max(ctx.now));
         }
-        self.config_at = Some(state.config_at);
-        let limited = |quota| self.settings.bucket_limit(quota);
-        let rows = state.config.tenants.iter();
-        self.quotas = rows.filter_map(|t| Some((t.name.clone(), limited(t.quota?)))).collect();
-        let quotas = &self.quotas;
-        self.buckets.retain(|tenant, _| quotas.contains_key(tenant));
-        for (tenant, bucket) in &mut self.buckets {
-            bucket.set_limit(quotas[tenant], ctx.now);
+    }
+
+    fn request_counters(&mut self, ctx: &mut Context) {
+        let (view, asked) = (self.counters.view_no(), ctx.now);
+        for (from, tenants) in self.counters.handover.request(ctx.now) {
+            let msg = ConstraintMsg::HandoverRequest { view, asked, tenants };
+            ctx.send(from, Msg::Constraint(msg));
         }
-        self.add_buckets(ctx);
     }
 
-    /// Adds an empty bucket for each tenant that this node owns and has none for yet.
-    fn add_buckets(&mut self, ctx: &Context) {
-        let (Some(alone_from), Some(view)) = (self.authority.alone_from(), &ctx.views.view) else { return };
-        for (tenant, limit) in &self.quotas {
-            if !self.buckets.contains_key(tenant) && owner_of(view, tenant) == Some(ctx.me.node) {
-                let bucket = TokenBucket::empty(*limit, alone_from.max(ctx.now));
-                self.buckets.insert(tenant.clone(), bucket);
-            }
+    fn counters_requested(
+        &mut self,
+        from: NodeId,
+        view: ViewNo,
+        asked: Time,
+        tenants: &[Name],
+        ctx: &mut Context,
+    ) {
+        if view != self.counters.view_no() {
+            return;
         }
+        let counters = self.counters.handover.take(tenants);
+        ctx.send(from, Msg::Constraint(ConstraintMsg::Handover { view, asked, counters }));
     }
 
     fn request_authority(&mut self, ctx: &mut Context) {
         let Some(view) = ctx.views.view.as_ref().filter(|view| view.has(ctx.me.node)) else { return };
         let (Some(tail), no) = (view.tail(), view.no) else { return };
-        if self.quotas.is_empty() || ctx.views.role.isolated || !self.authority.renews(ctx.now) {
+        if self.counters.has_no_limits() || ctx.views.role.isolated || !self.authority.renews(ctx.now) {
             return;
         }
         if tail == ctx.me.node {
@@ -139,27 +137,16 @@
         answer(router, key, rows, ctx);
     }
 
-    /// Whether this node has authority and owns the tenants of a question, and no earlier owner may still grant.
+    /// Whether this node has authority, owns the tenants of a question, and knows what may still be granted.
     fn may_answer(&self, question: &Acquire, ctx: &Context) -> bool {
-        let Some(view) = &ctx.views.view else { return false };
-        let may_grant = |row: &AcquireRow| {
-            owner_of(view, &row.tenant) == Some(ctx.me.node) && self.counts_for(&row.tenant, ctx.now)
-        };
-        self.authority.holds(ctx.now) && question.rows.iter().all(may_grant)
-    }
-
-    /// Whether the tenant's bucket is open, or it has no quota.
-    fn counts_for(&self, tenant: &Name, now: Time) -> bool {
-        match self.buckets.get(tenant) {
-            Some(bucket) => bucket.is_open(now),
-            None => !self.quotas.contains_key(tenant),
-        }
+        let counts = |row: &AcquireRow| self.counters.counts_for(&row.tenant, ctx.now);
+        self.authority.holds(ctx.now) && question.rows.iter().all(counts)
     }
 
     /// Checks and reserves in one step.
     fn grant(&mut self, row: &AcquireRow, now: Time) -> GrantedRow {
         let tenant = row.tenant.clone();
-        let Some(bucket) = self.buckets.get_mut(&tenant) else {
+        let Some(bucket) = self.counters.bucket(&tenant) else {
             return GrantedRow { tenant, tokens: row.needed.saturating_add(row.ahead), blocked: None };
         };
         let filling = bucket.is_filling(now);
@@ -176,6 +163,7 @@
 
     fn tick(&mut self, ctx: &mut Context) {
         self.request_authority(ctx);
+        self.request_counters(ctx);
         self.answers.sweep(ctx.now);
     }
 
@@ -186,6 +174,12 @@
             }
             ConstraintMsg::AuthorityGrant { view, sent } => self.authority_granted(*view, *sent, ctx),
             ConstraintMsg::Acquire(question) => self.acquire(from, question, ctx),
+            ConstraintMsg::HandoverRequest { view, asked, tenants } => {
+                self.counters_requested(from, *view, *asked, tenants, ctx)
+            }
+            ConstraintMsg::Handover { view, asked, counters } => {
+                self.counters.handed_over(from, *view, *asked, counters, ctx.now)
+            }
             ConstraintMsg::ViewRequest => {
                 let view = ctx.views.view.clone();
                 ctx.send(from, Msg::Constraint(ConstraintMsg::ViewReply { view }));
@@ -207,8 +201,7 @@
     }
 
     fn on(&mut self, ev: &Event, ctx: &mut Context) {
-        self.follow_view(ctx);
-        self.follow_config(ctx);
+        self.follow(ctx);
         match ev {
             Event::Mail { from, msg: Msg::Constraint(msg), .. } => self.hear(*from, msg, ctx),
             Event::Tick => self.tick(ctx),
@@ -218,7 +211,7 @@
 
     fn status(&self, now: Time) -> Vec<(&'static str, String)> {
         vec![
-            ("tenants", self.buckets.len().to_string()),
+            ("tenants", self.counters.len().to_string()),
             ("authority_left", self.authority.left(now).to_string()),
             ("granted", self.counts.granted.to_string()),
             ("blocked", self.counts.blocked.to_string()),
--- a/tests/quota_owner.rs
+++ b/tests/quota_owner.rs
@@ -210,6 +210,54 @@
     assert_eq!(tokens(&acquire(&mut owner, settled + Span::ms(100), 2, 20)), 1);
 }
 
+/// The owner of the first view, with a full bucket, and the node that owns the tenant in the next view, which both know.
+fn old_and_new_owner() -> (Node, Node, Time) {
+    let gains = owner_of(&view(1, &NODES), &tenant()).expect("an owner");
+    let rest: Vec<NodeId> = NODES.into_iter().filter(|node| *node != gains).collect();
+    let (first, second) = (view(1, &rest), view(2, &NODES));
+    let (mut old, settled) = settled_owner(&first);
+    let mut new = member(gains, &first);
+    new.feed(settled, Event::Tick);
+    install(&mut old, &second);
+    install(&mut new, &second);
+    (old, new, settled)
+}
+
+fn handover_request(new: &mut Node, now: Time) -> ConstraintMsg {
+    let asked = sent(new.feed(now, Event::Tick));
+    let request = asked.into_iter().find(|msg| matches!(msg, ConstraintMsg::HandoverRequest { .. }));
+    request.expect("a request for the counter")
+}
+
+#[test]
+fn given_an_old_owner_that_lives_when_the_view_changes_then_the_new_one_goes_on_with_its_count() {
+    let (mut old, mut new, settled) = old_and_new_owner();
+    let request = handover_request(&mut new, settled);
+    let given = mail(&mut old, settled, new.me.node, request.clone());
+    let again = mail(&mut old, settled, new.me.node, request);
+    assert!(matches!(&again[..], [ConstraintMsg::Handover { counters, .. }] if counters.is_empty()));
+    assert_eq!(tokens(&acquire(&mut old, settled, 1, 20)), 0, "the old owner grants no more");
+    for _ in 0..2 {
+        mail(&mut new, settled, old.me.node, given[0].clone());
+    }
+    authorize(&mut new, settled + Span::ms(200));
+    assert_eq!(tokens(&acquire(&mut new, settled + Span::ms(200), 1, 30)), 20);
+    mail(&mut new, settled, old.me.node, given[0].clone());
+    assert_eq!(tokens(&acquire(&mut new, settled + Span::ms(200), 2, 30)), 0);
+}
+
+#[test]
+fn given_a_new_owner_that_was_restarted_when_a_counter_for_its_earlier_life_comes_then_it_counts_for_nothing()
+{
+    let (mut old, mut new, settled) = old_and_new_owner();
+    let request = handover_request(&mut new, settled);
+    let given = mail(&mut old, settled, new.me.node, request);
+    let mut restarted = member(new.me.node, &view(2, &NODES));
+    mail(&mut restarted, settled + Span::ms(100), old.me.node, given[0].clone());
+    authorize(&mut restarted, settled + Span::ms(200));
+    assert_eq!(tokens(&acquire(&mut restarted, settled + Span::ms(300), 1, 20)), 0);
+}
+
 #[test]
 fn given_a_grant_of_authority_for_another_view_or_request_when_it_comes_then_it_counts_for_nothing() {
     let first = view(1, &NODES);
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -95,6 +95,7 @@
     let (key, tenant) = (AcquireKey(4), Name::from("t"));
     let asked = AcquireRow { tenant: tenant.clone(), needed: 2, ahead: 1 };
     let got = GrantedRow { tenant, tokens: 1, blocked: Some(Span::ms(100)) };
+    let counter = HandedCounter { tenant: Name::from("t"), level: 7 };
     let rows = vec![
         ConstraintMsg::AuthorityRequest { view: ViewNo(2), sent: Time(9) },
         ConstraintMsg::AuthorityGrant { view: ViewNo(2), sent: Time(9) },
@@ -102,6 +103,8 @@
         ConstraintMsg::Granted { key, rows: vec![got] },
         ConstraintMsg::NotOwner { key, view: Some(view()) },
         ConstraintMsg::ViewRequest,
+        ConstraintMsg::HandoverRequest { view: ViewNo(2), asked: Time(9), tenants: vec![Name::from("t")] },
+        ConstraintMsg::Handover { view: ViewNo(2), asked: Time(9), counters: vec![counter] },
         ConstraintMsg::ViewReply { view: Some(view()) },
     ];
     rows.into_iter().map(Msg::Constraint).collect()
