--- a/src/gate/order.rs
+++ b/src/gate/order.rs
@@ -113,6 +113,8 @@
     NoRoute,
     UnknownKey,
     KeyPassedOn,
+    OverQuota,
+    NoQuotaAnswer,
     Full,
 }
 
@@ -137,7 +139,7 @@
 
     pub fn status(&self) -> u16 {
         match self.why {
-            Why::InboxFull | Why::Crowded => 429,
+            Why::InboxFull | Why::Crowded | Why::OverQuota => 429,
             Why::NoModel | Why::Gone | Why::NoRoute => 404,
             Why::UnknownKey => 401,
             _ => 503,
@@ -159,6 +161,8 @@
             Why::NoRoute => "route-changed",
             Why::UnknownKey => "unknown-key",
             Why::KeyPassedOn => "key-passed-on",
+            Why::OverQuota => "over-quota",
+            Why::NoQuotaAnswer => "quota-unknown",
             Why::Full => "runners-full",
         }
     }
@@ -182,6 +186,8 @@
             }
             Why::KeyPassedOn => "its key was given to another tenant while it waited; ask again",
             Why::UnknownKey => "it carries no key of a tenant; send a key that the configuration names",
+            Why::OverQuota => "its tenant's quota (rate and burst) is used up; ask again after Retry-After",
+            Why::NoQuotaAnswer => "the controller that counts its tenant's quota did not answer; ask again",
             Why::Full => "the runners tried turned it away; ask again after Retry-After",
             Why::Gone => "the service was withdrawn; see the current configuration",
             Why::Crowded => "orders of a higher class fill the inbox; ask again later",
--- a/src/hollow/size.rs
+++ b/src/hollow/size.rs
@@ -85,6 +85,7 @@
             policy: Policy::Move,
             list: None,
             sides: Default::default(),
+            quota: Default::default(),
         }
     }
 
--- a/src/kernel/event.rs
+++ b/src/kernel/event.rs
@@ -3,6 +3,7 @@
 use crate::chain::leaving::Departure;
 use crate::chain::messages::{ChainRole, Record};
 use crate::chain::view::View;
+use crate::constraints::shares::{Grant, QuotaDemand};
 use crate::fleet::FleetState;
 use crate::fleet::holdings::{HeldRow, Want};
 use crate::fleet::runner::{Report, Runner};
@@ -72,6 +73,7 @@
     RouterState(Arc<RouterTell>),
     Listed(RunnerListing),
     Wanted(Want),
+    QuotaWanted(QuotaDemand),
     Warned,
     Journal(JournalEvent),
 }
@@ -124,6 +126,8 @@
         until: Time,
     },
     Leaving(Departure),
+    /// Owners of quotas have answered.
+    QuotaGranted(Vec<Grant>),
     Learn {
         scope: Scope,
         at: Version,
@@ -147,6 +151,7 @@
             Event::RouterState(_) => "router state",
             Event::Listed(_) => "list of runners",
             Event::Wanted(_) => "wanted name",
+            Event::QuotaWanted(_) => "quota wanted",
             Event::Warned => "warning",
             Event::Journal(_) => "journal",
         }
--- a/src/kernel/lanes.rs
+++ b/src/kernel/lanes.rs
@@ -2,6 +2,7 @@
 #![deny(missing_docs)]
 
 use super::ids::NodeId;
+use crate::constraints::messages::ConstraintMsg;
 use crate::msg::{Event, Msg, Role};
 
 /// The lanes before a node, the most urgent first.
@@ -73,7 +74,9 @@
         Event::Report { .. } | Event::Ordered { .. } => Class::kept(Lane::Deferrable),
         Event::Wanted(_) => Class::droppable(Lane::Deferrable),
         Event::Start | Event::Tick | Event::Journal(_) => Class::kept(Lane::Chain),
-        Event::Op { .. } | Event::Ask { .. } | Event::Warned => Class::kept(Lane::Serving),
+        Event::Op { .. } | Event::Ask { .. } | Event::QuotaWanted(_) | Event::Warned => {
+            Class::kept(Lane::Serving)
+        }
     }
 }
 
@@ -81,6 +84,9 @@
 pub fn class_of_message(from: NodeId, msg: &Msg) -> Class {
     match msg {
         Msg::Chain(_) => Class::kept(Lane::Chain),
+        Msg::Constraint(ConstraintMsg::AuthorityRequest { .. } | ConstraintMsg::AuthorityGrant { .. }) => {
+            Class::newest(Lane::Chain, from, msg.kind())
+        }
         Msg::Tell(tell) => {
             Class { replaceable: tell.live.is_empty(), ..Class::newest(Lane::Deferrable, from, msg.kind()) }
         }
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -2,6 +2,7 @@
 
 pub use crate::chain::messages::*;
 use crate::chain::view::View;
+pub use crate::constraints::messages::ConstraintMsg;
 pub use crate::distribution::messages::{
     LeaseApplication, LeaseNumber, ServingLeaseGrant, ServingLeaseRequest, TopicUpdate,
 };
@@ -94,6 +95,8 @@
     ListRead(Box<ListRead>),
     /// Runners that the list shows as leaving, told to routers at once.
     RunnersLeaving(Vec<Name>),
+    /// What routers and owners say about quotas.
+    Constraint(ConstraintMsg),
 }
 
 impl Msg {
@@ -123,6 +126,7 @@
             Msg::HeldAsk => "holdings request",
             Msg::ListRead(_) => "list read",
             Msg::RunnersLeaving(_) => "runners leaving",
+            Msg::Constraint(_) => "quota",
         }
     }
 }
--- a/src/sim/effects.rs
+++ b/src/sim/effects.rs
@@ -47,6 +47,10 @@
             Effect::Watch(list) => self.nodes[place].watch = list,
             Effect::ReadList => self.ask_list(place, life),
             Effect::Holds(on) => self.nodes[place].reads_list = on,
+            Effect::QuotaGranted(grants) => {
+                let now = self.local(place);
+                self.nodes[place].table.quota.lock().unwrap().granted(now, &grants);
+            }
             Effect::Look(runner) => self.later(Span(1), Event::Looked { place, life, runner }),
             Effect::Held(rows) => {
                 let now = self.local(place);
--- a/src/sim/front.rs
+++ b/src/sim/front.rs
@@ -49,7 +49,7 @@
             return refused(self, "not-fresh", End::Refused);
         };
         let Some(row) = routes.find("", path) else { return refused(self, "unknown-route", End::Refused) };
-        let key = key.map(|key| KeyDigest::of(key.as_bytes()));
+        let key = key.map(|key| KeyDigest::of(key.as_bytes())).or_else(|| self.quota.key(call));
         let Ok(admission) = admit(&routes, row, key) else {
             return refused(self, Refusal::new(Why::UnknownKey, 0).code(), End::Refused);
         };
@@ -88,8 +88,7 @@
             attempts: BTreeMap::new(),
             gap: (self.now, Span(0)),
         };
-        self.requests.rows.insert(id, request);
-        self.request(place, life, id, In::Go);
+        self.take_token(id, request);
     }
 
     pub fn request(&mut self, place: usize, life: u64, id: u64, ev: In) {
@@ -171,6 +170,7 @@
     }
 
     pub fn drop_requests(&mut self, place: usize) {
+        self.drop_waiting_for_quota(place);
         let ids: Vec<u64> = self.requests.rows.iter().filter(|r| r.1.place == place).map(|r| *r.0).collect();
         for id in ids {
             let Some(r) = self.requests.rows.remove(&id) else { continue };
--- a/src/sim/setup.rs
+++ b/src/sim/setup.rs
@@ -40,6 +40,7 @@
                 policy: plan.policy,
                 list: None,
                 sides: Default::default(),
+                quota: Default::default(),
             };
             let node = SimNode::new(place, role, &mut w.rand);
             w.nodes.push(node);
--- a/src/sim/world.rs
+++ b/src/sim/world.rs
@@ -68,6 +68,7 @@
     pub answers: BTreeMap<ChangeId, Answer>,
     pub woken: Arc<Mutex<VecDeque<Woken>>>,
     pub sought: Arc<Mutex<VecDeque<Sought>>>,
+    pub quota: super::quota::SimQuota,
     pub flows: Vec<super::callers::SimFlow>,
     /// The keys that callers use in turn; without any they send none.
     pub caller_keys: Vec<String>,
@@ -101,6 +102,7 @@
             answers: BTreeMap::new(),
             woken: Arc::default(),
             sought: Arc::default(),
+            quota: Default::default(),
             flows: Vec::new(),
             caller_keys: Vec::new(),
             calls: 0,
@@ -157,6 +159,7 @@
     }
 
     fn wake(&mut self) {
+        self.pass_quota_words();
         loop {
             let Some((place, life, want)) = self.sought.lock().unwrap().pop_front() else { break };
             if self.fits(place, life) {
