Placement: an order without an answer holds up neither its model nor its name for a minute

A model could be served nowhere and loaded nowhere for up to 60 s: an unload sent to a runner as it fell silent stayed expected, so routers were told that the model was closing there, though the runner held it on; a load likewise counted as coming, so the name was loaded nowhere else. Cause: an order is overdue 9 s after it, once the runner reports again and is at rest; others may go ahead from then on, but the news to routers and the look for loads under way still counted it until it was forgotten. Change: an overdue unload no longer closes its model at routers, an overdue load no longer counts as coming. Room still counts what may arrive late, so the allowance of room is as before; a late unload is met by the runner's 421.

--- a/src/placement/flights.rs
+++ b/src/placement/flights.rs
@@ -58,6 +58,11 @@
             overdue: false,
         }
     }
+
+    /// Whether it is an unload that is expected to be carried out.
+    pub fn unloads(&self) -> bool {
+        !self.load && !self.overdue
+    }
 }
 
 #[derive(Clone, Default)]
@@ -80,8 +85,9 @@
         self.rows.values().any(|f| f.runner == *runner && f.name == *name)
     }
 
+    /// Whether a load of `name` is expected to be carried out.
     pub fn loading(&self, name: &Name) -> bool {
-        self.rows.values().any(|f| f.load && f.name == *name)
+        self.rows.values().any(|f| f.load && !f.overdue && f.name == *name)
     }
 
     pub fn busy(&self, runner: &Name) -> usize {
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -58,6 +58,7 @@
 plan-accept|src/placement/demand.rs|s.config.placement.auto \{ PlanState::Running|true { PlanState::Running|plan version_is_accepted
 plan-allowance|src/placement/drive.rs|if ms > most.ms \|\| tries > most.tries|if false|plan at_its_allowance
 route-again|src/gate/tell.rs|if order.routes_at == self.routes.0|if true|turn their_route_is_dropped
+silent-unload|src/placement/flights.rs|!self.load && !self.overdue|!self.load|silent_unload every_model_is_served
 list-step-in|src/runner_list/reader.rs|if age >= self.timing.patience\(0, 1\) && age >= self.patience\(ctx\) \{|if false {|runner_list cut_off_from_the_list
 list-mark|src/runner_list/reader.rs|\.filter\(\|r\| r.leaving\)|.filter(\|_\| false)|runner_list held_up_by_slow_disks
 mark-gossip|src/gate/sweep.rs|h.leaving = true;\s+g.wake\(now\);|g.wake(now);|leaving tells_only_it
