--- a/src/kernel/lanes.rs
+++ b/src/kernel/lanes.rs
@@ -96,7 +96,7 @@
         Msg::Hello { .. } | Msg::Sync | Msg::HeldAsk => Class::newest(Lane::Deferrable, from, msg.kind()),
         Msg::Want(_) | Msg::Held(_) => Class::droppable(Lane::Deferrable),
         // A router takes only the grant of its newest request.
-        Msg::ServingLeaseRequest(_) => Class::newest(Lane::Serving, from, msg.kind()),
+        Msg::ServingLeaseRequest(_) | Msg::ListRead(_) => Class::newest(Lane::Serving, from, msg.kind()),
         _ => Class::droppable(Lane::Serving),
     }
 }
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -64,6 +64,7 @@
 key-not-forwarded|src/platform/caller.rs|heads.remove\(KEY_HEADER\)\?|heads.get(KEY_HEADER).cloned()?|platform_keys hears_its_tenant
 tenant-claim|src/platform/runner.rs|heads.remove\(TENANT\);||platform_keys neither_key_nor_tenant
 key-unshown|src/chain/show.rs|state.config.shown\(\)|state.config.tree()|platform_tenants anything_of_the_fleet
+silent-unload|src/placement/flights.rs|!self.load && !self.overdue|!self.load|silent_unload every_model_is_served
 list-step-in|src/runner_list/reader.rs|if age >= self.timing.patience\(0, 1\) && age >= self.patience\(ctx\) \{|if false {|runner_list cut_off_from_the_list
 list-mark|src/runner_list/reader.rs|\.filter\(\|r\| r.leaving\)|.filter(\|_\| false)|runner_list held_up_by_slow_disks
 mark-gossip|src/gate/sweep.rs|h.leaving = true;\s+g.wake\(now\);|g.wake(now);|leaving tells_only_it
