--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -124,6 +124,7 @@
 refusal-committed|src/chain/adoption.rs|Step::Refuse\(code, text, answer\)|{ drop(text); Step::Answer(answer) }|order_again stays_refused
 base-in-queue|src/chain/adoption.rs| \|\| self.adoptions.expects\(base\)||order_again slow_disks
 one-per-base|src/fleet/fold.rs|if base != now \|\| config.revision <= now \{|if false {|order_killed eight_orders
+quota-asked|src/http/quota.rs|if tenant.quota.is_none\(\)|if true|quota_request gets_429
 quota-authority|src/constraints/owner.rs|self.authority.holds\(ctx.now\) && ||quota_owner its_authority_has_run_out
 quota-quiet|src/constraints/authority.rs|first \+ AUTHORITY_LEASE \+ CLOCK_DRIFT_MARGIN|first|quota_owner view_before_may_still_run
 quota-repeat|src/constraints/answers.rs|Some\(last\) if last.key == key|Some(last) if false|quota_owner tokens_are_spent_once
