--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -138,6 +138,7 @@
 outcomes-kept|src/kernel/lanes.rs|Event::Report \{ .. \} \| Event::Ordered \{ .. \} => Class::kept|Event::Report { .. } \| Event::Ordered { .. } => Class::droppable|input_queue may_be_lost_goes
 live-orders-kept|src/kernel/lanes.rs|replaceable: tell.live.is_empty\(\)|replaceable: true|input_queue not_lost_and_order_is_kept
 bulk-behind|src/kernel/input_queue.rs|LANES.into_iter\(\).find\(waits\)|LANES.into_iter().rev().find(waits)|links it_goes_out_first
+quota-asked|src/http/quota.rs|if tenant.quota.is_none\(\)|if true|quota_request gets_429
 quota-authority|src/constraints/owner.rs|self.authority.holds\(ctx.now\) && ||quota_owner its_authority_has_run_out
 quota-quiet|src/constraints/authority.rs|first \+ AUTHORITY_LEASE \+ CLOCK_DRIFT_MARGIN|first|quota_owner view_before_may_still_run
 quota-repeat|src/constraints/answers.rs|Some\(last\) if last.key == key|Some(last) if false|quota_owner tokens_are_spent_once
