--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -142,7 +142,7 @@
 quota-authority|src/constraints/owner.rs|self.authority.holds\(ctx.now\) && ||quota_owner its_authority_has_run_out
 quota-quiet|src/constraints/authority.rs|first \+ AUTHORITY_LEASE \+ CLOCK_DRIFT_MARGIN|first|quota_owner view_before_may_still_run
 quota-repeat|src/constraints/answers.rs|Some\(last\) if last.key == key|Some(last) if false|quota_owner tokens_are_spent_once
-quota-lease|src/constraints/tenant_share.rs|self.tokens.retain\(\|tokens\| now < tokens.valid_until\);||quota_owner lease_has_run_out
+quota-lease|src/constraints/tenant_share.rs|self.tokens.retain\(\|tokens\| now < tokens.valid_until\);||quota_share lease_has_run_out
 quota-missed-view|src/constraints/counters.rs|old.filter\(\|old\| old.no.next\(\) == view.no\)|old|quota_owner missed_a_view
 quota-handed-once|src/constraints/handover.rs|self.given_up.remove\(tenant\)\?|*self.given_up.get(tenant)?|quota_owner goes_on_with_its_count
 quota-tail-lease|src/constraints/authority.rs| && ctx.now < role.until||quota_owner tail_without_its_lease
