--- a/src/placement/look.rs
+++ b/src/placement/look.rs
@@ -1,7 +1,7 @@
 use super::choose::SETTLED;
 use super::duty::Placement;
 use crate::fleet::holdings::Want;
-use crate::fleet::runner::{Report, Runner};
+use crate::fleet::runner::Report;
 use crate::kernel::component::Context;
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
@@ -51,25 +51,28 @@
         }
     }
 
-    /// Asks for the reports that are due, the longest due first.
     pub fn look(&mut self, ctx: &mut Context) {
         let Some(s) = self.slice.clone() else { return };
         if self.term == Term(0) {
             return;
         }
-        let is_due = |look: &Look| {
-            let open = look.asked.is_some_and(|asked| ctx.now.since(asked) < LOST);
-            ctx.now >= look.next && !open
-        };
-        let next = |runner: &Runner| self.looks.get(&runner.instance).copied().unwrap_or_default();
-        let looks = self.reporting(&s).map(|runner| (next(runner), runner));
-        let mut due: Vec<(Time, &Name)> =
-            looks.filter(|row| is_due(&row.0)).map(|(look, runner)| (look.next, &runner.instance)).collect();
-        due.sort();
-        for (_, runner) in due.into_iter().take(LOOKS_PER_TICK.max(s.runners.len() / RUNNERS_PER_LOOK)) {
-            let look = Look { asked: Some(ctx.now), next: ctx.now + REST };
-            self.looks.insert(runner.clone(), look);
-            ctx.out.push(Effect::Look(runner.clone()));
+        let mut left = LOOKS_PER_TICK.max(s.runners.len() / RUNNERS_PER_LOOK);
+        for r in self.reporting(&s) {
+            if !self.looks.contains_key(&r.instance) {
+                self.looks.insert(r.instance.clone(), Look::default());
+            }
+            let Some(l) = self.looks.get_mut(&r.instance) else { continue };
+            let open = l.asked.is_some_and(|t| ctx.now.since(t) < LOST);
+            if ctx.now < l.next || open {
+                continue;
+            }
+            if left == 0 {
+                return;
+            }
+            left -= 1;
+            l.asked = Some(ctx.now);
+            l.next = ctx.now + REST;
+            ctx.out.push(Effect::Look(r.instance.clone()));
         }
     }
 
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -63,7 +63,7 @@
 restart-credit|src/gate/budget.rs|credit: 0.0|credit: 10.0|tries restarts
 saved-credit|src/gate/budget.rs|self.share.max\(LEAST as f64\)|500.0|tries quiet_time
 round-pace|src/placement/quick.rs|if now.since\(self.work.last_round\) < gap|if false|grown holder_orders_soon
-tell-few|src/rollout/tell.rs|ctx.now.since\(self.changed\) >= UNSETTLED|false|grown only_head_and_holder
+tell-few|src/rollout/tell.rs|routers <= ROUTERS_TELLING_ALL|true|report_pace hears_each_once_a_second
 tick-pace|src/daemon/ticks.rs|if now.since\(self.last\) < period|if false|ticks fifty_times
 distrust|src/placement/look.rs|self.distrust.failed\(runner, ctx.now\);||liar serve_on
 read-index|src/chain/read_index.rs|return self.arrived\(from, id, attempt, op, ctx\)|return self.decide(from, id, attempt, op, ctx)|cut_off nothing_old_is_said
