--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -9,6 +9,7 @@
 use spindledock::kernel::ids::*;
 use spindledock::kernel::rand::Rand;
 use spindledock::kernel::time::{Span, Time};
+use spindledock::launch::deployment::{Deployment, small};
 use spindledock::sim::World;
 use spindledock::sim::check_quota::runs_by_tenant;
 use spindledock::sim::record::Fact;
