Quotas: authority only for owners that know the newest limits

The request names the version of the configuration; the tail compares it with its own. Story given_an_owner_with_older_limits: the field is new, so it can't run on the old code; guard quota-limits-known.

--- a/src/constraints/messages.rs
+++ b/src/constraints/messages.rs
@@ -2,7 +2,7 @@
 #![deny(missing_docs)]
 
 use crate::chain::view::View;
-use crate::kernel::ids::{Name, ViewNo};
+use crate::kernel::ids::{Name, Version, ViewNo};
 use crate::kernel::time::{Span, Time};
 use bitcode::{Decode, Encode};
 
@@ -15,6 +15,8 @@
         view: ViewNo,
         /// The owner's time; its authority counts from then.
         sent: Time,
+        /// The configuration whose limits it would grant by.
+        config_at: Version,
     },
     /// The tail gives it.
     AuthorityGrant {
--- a/src/constraints/owner.rs
+++ b/src/constraints/owner.rs
@@ -102,12 +102,20 @@
             }
             return;
         }
-        let sent = ctx.now;
-        ctx.send(tail, Msg::Constraint(ConstraintMsg::AuthorityRequest { view: no, sent }));
+        let (sent, config_at) = (ctx.now, ctx.views.state.config_at);
+        ctx.send(tail, Msg::Constraint(ConstraintMsg::AuthorityRequest { view: no, sent, config_at }));
     }
 
-    fn authority_requested(&self, from: NodeId, view: ViewNo, sent: Time, ctx: &mut Context) {
-        if gives_authority(view, ctx) {
+    /// The tail gives authority to owners that know the newest limits.
+    fn authority_requested(
+        &self,
+        from: NodeId,
+        view: ViewNo,
+        config_at: Version,
+        sent: Time,
+        ctx: &mut Context,
+    ) {
+        if gives_authority(view, ctx) && config_at == ctx.views.state.config_at {
             ctx.send(from, Msg::Constraint(ConstraintMsg::AuthorityGrant { view, sent }));
         }
     }
@@ -169,8 +177,8 @@
 
     fn hear(&mut self, from: NodeId, msg: &ConstraintMsg, ctx: &mut Context) {
         match msg {
-            ConstraintMsg::AuthorityRequest { view, sent } => {
-                self.authority_requested(from, *view, *sent, ctx)
+            ConstraintMsg::AuthorityRequest { view, sent, config_at } => {
+                self.authority_requested(from, *view, *config_at, *sent, ctx)
             }
             ConstraintMsg::AuthorityGrant { view, sent } => self.authority_granted(*view, *sent, ctx),
             ConstraintMsg::Acquire(question) => self.acquire(from, question, ctx),
--- a/tests/quota_members/mod.rs
+++ b/tests/quota_members/mod.rs
@@ -87,7 +87,7 @@
 /// The tail answers the owner's request at once.
 pub fn authorize(node: &mut Node, now: Time) {
     for msg in sent(node.feed(now, Event::Tick)) {
-        if let ConstraintMsg::AuthorityRequest { view, sent } = msg {
+        if let ConstraintMsg::AuthorityRequest { view, sent, .. } = msg {
             mail(node, now, NodeId(9), ConstraintMsg::AuthorityGrant { view, sent });
         }
     }
--- a/tests/quota_owner.rs
+++ b/tests/quota_owner.rs
@@ -178,12 +178,26 @@
 fn given_a_tail_without_its_lease_when_asked_for_authority_then_it_is_silent() {
     let first = view(1, &NODES);
     let mut tail = member(NODES[2], &first);
-    let ask = ConstraintMsg::AuthorityRequest { view: first.no, sent: START };
+    let config_at = tail.views.state.config_at;
+    let ask = ConstraintMsg::AuthorityRequest { view: first.no, sent: START, config_at };
     let role = |until| ChainRole { view: first.no, tail: true, until, ..ChainRole::default() };
     tail.views.apply(&JournalEvent::Role(role(START)));
     assert!(mail(&mut tail, START, NODES[0], ask.clone()).is_empty());
     tail.views.apply(&JournalEvent::Role(role(START + Span::ms(1))));
     assert_eq!(mail(&mut tail, START, NODES[0], ask).len(), 1);
-    let newer = ConstraintMsg::AuthorityRequest { view: ViewNo(2), sent: START };
+    let newer = ConstraintMsg::AuthorityRequest { view: ViewNo(2), sent: START, config_at };
     assert!(mail(&mut tail, START, NODES[0], newer).is_empty());
 }
+
+#[test]
+fn given_an_owner_with_older_limits_than_the_tail_when_it_asks_for_authority_then_it_gets_none() {
+    let first = view(1, &NODES);
+    let mut tail = member(NODES[2], &first);
+    let until = START + Span::ms(1);
+    let role = ChainRole { view: first.no, tail: true, until, ..ChainRole::default() };
+    tail.views.apply(&JournalEvent::Role(role));
+    let newest = tail.views.state.config_at;
+    let ask = |config_at| ConstraintMsg::AuthorityRequest { view: first.no, sent: START, config_at };
+    assert!(mail(&mut tail, START, NODES[0], ask(Version(0))).is_empty());
+    assert_eq!(mail(&mut tail, START, NODES[0], ask(newest)).len(), 1);
+}
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -97,7 +97,7 @@
     let got = GrantedRow { tenant, tokens: 1, blocked: Some(Span::ms(100)) };
     let counter = HandedCounter { tenant: Name::from("t"), level: 7 };
     let rows = vec![
-        ConstraintMsg::AuthorityRequest { view: ViewNo(2), sent: Time(9) },
+        ConstraintMsg::AuthorityRequest { view: ViewNo(2), sent: Time(9), config_at: Version(3) },
         ConstraintMsg::AuthorityGrant { view: ViewNo(2), sent: Time(9) },
         ConstraintMsg::Acquire(Acquire { key, rows: vec![asked] }),
         ConstraintMsg::Granted { key, rows: vec![got] },
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -145,6 +145,7 @@
 quota-lease|src/constraints/tenant_share.rs|self.tokens.retain\(\|tokens\| now < tokens.valid_until\);||quota_share lease_has_run_out
 quota-missed-view|src/constraints/counters.rs|old.filter\(\|old\| old.no.next\(\) == view.no\)|old|quota_owner missed_a_view
 quota-handed-once|src/constraints/handover.rs|self.given_up.remove\(tenant\)\?|*self.given_up.get(tenant)?|quota_owner goes_on_with_its_count
+quota-limits-known|src/constraints/owner.rs| && config_at == ctx.views.state.config_at||quota_owner older_limits_than_the_tail
 quota-tail-lease|src/constraints/authority.rs| && ctx.now < role.until||quota_owner tail_without_its_lease
 R
 }
