--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -23,26 +23,8 @@
     free_places: u64,
     adapters: u64,
     churn: f64,
-    /// What may give way, the cheapest first.
-    droppable: Vec<Droppable<'a>>,
-}
-
-/// A name that may give way at a runner.
-struct Droppable<'a> {
-    name: &'a Name,
-    /// The waiting that its absence costs, in ms.
-    cost: f64,
-    is_adapter: bool,
-    /// What is free without it and its adapters.
-    frees_mb: u64,
-}
-
-/// What is to be loaded.
-struct Load<'b> {
-    name: &'b Name,
-    base: Option<&'b Name>,
-    need_mb: u64,
-    load_ms: u64,
+    /// What may give way, with the waiting that its absence costs in ms; the cheapest first.
+    droppable: Vec<(f64, &'a Name)>,
 }
 
 /// Where a load goes, what is unloaded for it, and the time and the loss that are estimated.
@@ -114,14 +96,10 @@
         Some(loss)
     }
 
-    fn droppable(&self, o: &'a Offer) -> Vec<Droppable<'a>> {
-        let row = |name: &'a Name| {
-            let cost = self.loss(o, name)?;
-            let (is_adapter, frees_mb) = (is_adapter(self.config(), name), self.weight(o, name));
-            Some(Droppable { name, cost, is_adapter, frees_mb })
-        };
-        let mut rows: Vec<Droppable> = o.report.holds.iter().filter_map(row).collect();
-        rows.sort_by(|a, b| a.cost.total_cmp(&b.cost).then(a.name.cmp(b.name)));
+    fn droppable(&self, o: &'a Offer) -> Vec<(f64, &'a Name)> {
+        let rows = o.report.holds.iter().filter_map(|n| Some((self.loss(o, n)?, n)));
+        let mut rows: Vec<(f64, &Name)> = rows.collect();
+        rows.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
         rows
     }
 
@@ -138,24 +116,33 @@
         })
     }
 
-    fn unloads(costs: &RunnerCosts<'a>, load: &Load) -> Option<(Vec<&'a Name>, f64)> {
-        let rows = || costs.droppable.iter().filter(|row| Some(row.name) != load.base);
+    fn unloads<'c>(
+        &self,
+        o: &Offer,
+        costs: &'c RunnerCosts<'a>,
+        want: &Name,
+        need: u64,
+    ) -> Option<(Vec<&'a Name>, f64)> {
+        let tuned = is_adapter(self.config(), want);
+        let base = self.config().adapter(want).map(|a| &a.model);
+        let rows = || costs.droppable.iter().filter(|r| Some(r.1) != base);
         let (mut free, mut names, mut loss) = (costs.free_mb, Vec::new(), 0.0);
-        let mut drop = |row: &Droppable<'a>| {
-            loss += row.cost + UNLOAD_MS;
-            names.push(row.name);
-            row.frees_mb
+        let mut drop = |cost: f64, name: &'a Name| {
+            loss += cost + UNLOAD_MS;
+            names.push(name);
+            self.weight(o, name)
         };
-        if load.base.is_some() && costs.free_places == 0 {
-            free += drop(rows().find(|row| row.is_adapter)?);
+        if tuned && costs.free_places == 0 {
+            let (cost, name) = rows().find(|r| is_adapter(self.config(), r.1))?;
+            free += drop(*cost, name);
         }
-        for row in rows().filter(|row| !row.is_adapter) {
-            if free >= load.need_mb {
+        for (cost, name) in rows().filter(|r| !is_adapter(self.config(), r.1)) {
+            if free >= need {
                 break;
             }
-            free += drop(row);
+            free += drop(*cost, name);
         }
-        (free >= load.need_mb).then_some((names, loss))
+        (free >= need).then_some((names, loss))
     }
 
     fn weight(&self, o: &Offer, name: &Name) -> u64 {
@@ -164,28 +151,31 @@
         o.report.holds.iter().filter(mine).filter_map(|n| c.least_mb(n)).sum()
     }
 
-    fn weigh(&self, place: usize, load: &Load) -> Option<Weighed<'a>> {
-        let o = &self.offers[place];
-        let (runner, want) = (&o.runner.instance, load.name);
+    fn weigh(&self, place: usize, want: &Name) -> Option<Weighed<'a>> {
+        let (o, c) = (&self.offers[place], self.config());
+        let runner = &o.runner.instance;
         if self.is_busy(runner) || o.report.has(want) {
             return None;
         }
         if self.is_in_flight(runner, want) || self.flights.was_refused(self.now, runner, want) {
             return None;
         }
-        if load.base.is_some_and(|base| !o.report.has(base) || self.flights.given_up(&o.report, base)) {
+        if let Some(a) = c.adapter(want)
+            && (!o.report.has(&a.model) || self.flights.given_up(&o.report, &a.model))
+        {
             return None;
         }
         self.placement.work.weighed.set(self.placement.work.weighed.get() + 1);
-        let (costs, tuned) = (self.costs(place), load.base.is_some());
-        let fits = costs.free_mb >= load.need_mb && (!tuned || costs.free_places > 0);
-        let (unloads, loss) = if fits { (vec![], 0.0) } else { Self::unloads(costs, load)? };
+        let costs = self.costs(place);
+        let (need, tuned) = (c.weight(want)?, is_adapter(c, want));
+        let fits = costs.free_mb >= need && (!tuned || costs.free_places > 0);
+        let (unloads, loss) = if fits { (vec![], 0.0) } else { self.unloads(o, costs, want, need)? };
         let kept = !tuned && self.placement.is_kept(self.fleet, runner, want);
-        let load_ms = if kept { self.config().store.kept_ms } else { load.load_ms };
+        let load = if kept { c.store.kept_ms } else { c.load_ms(want) };
         let crowd = o.report.running * 5
             + if tuned { costs.adapters * 10 } else { (self.copies().busy(place).min(1.0) * BUSY_MS) as u64 };
         let churn = if tuned { 0.0 } else { costs.churn };
-        let ms = load_ms + crowd + loss as u64 + churn as u64;
+        let ms = load + crowd + loss as u64 + churn as u64;
         Some(Weighed { place, unloads, ms, loss: loss as u64 })
     }
 
@@ -200,16 +190,14 @@
     /// The runner of the service where `want` is held soonest with the least loss. Without `from_store` only those
     /// count that load it from their own disk, unless such loads don't ask the store at all.
     pub fn choose(&self, service: &Name, want: &Name, from_store: bool) -> Option<Choice> {
-        let config = self.config();
-        let base = config.adapter(want).map(|adapter| &adapter.model);
-        let load = Load { name: want, base, need_mb: config.weight(want)?, load_ms: config.load_ms(want) };
-        let places = match base {
-            Some(base) if from_store || !config.store.adapters => self.held_at(base),
+        let free = is_adapter(self.config(), want) && !self.config().store.adapters;
+        let places = match self.config().adapter(want) {
+            Some(adapter) if from_store || free => self.held_at(&adapter.model),
             None if from_store => &self.open,
             _ => self.keepers(want),
         };
         let mine = places.iter().filter(|k| self.offers[**k].runner.service == *service);
-        let rows = mine.filter_map(|k| self.weigh(*k, &load));
+        let rows = mine.filter_map(|k| self.weigh(*k, want));
         let runner = |row: &Weighed| &self.offers[row.place].runner.instance;
         let best = rows.min_by(|a, b| (a.ms, runner(a)).cmp(&(b.ms, runner(b))))?;
         Some(Choice {
--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -16,8 +16,6 @@
 const DECISIONS: usize = 8;
 /// one for so many runners, so that it ends soon.
 const RUNNERS_PER_DECISION: usize = 8;
-/// A round weighs up to this many runners for names, so that its step stays short beside the chain's heartbeats.
-const MOST_WEIGHED: u64 = 4096;
 /// How often models are looked for that are short of runners.
 const SPREAD_EACH: Span = Span::ms(100);
 /// What may be lost for a copy of a model that is short of one runner, in ms of waiting; the more it is short of, the
@@ -113,10 +111,10 @@
         self.run_jobs(s, ctx);
     }
 
-    /// How many runners a round may weigh.
+    /// How many runners a round may weigh: enough for all its decisions, and as often in vain.
     fn most_weighed(&self, offers: &[Offer]) -> u64 {
         let decisions = DECISIONS.max(offers.len() / RUNNERS_PER_DECISION);
-        MOST_WEIGHED.min(2 * (decisions * offers.len()) as u64)
+        2 * (decisions * offers.len()) as u64
     }
 
     fn begin_all(&mut self, decided: Vec<Decision>, ctx: &mut Context) {
