--- a/tests/common/duty.rs
+++ b/tests/common/duty.rs
@@ -179,6 +179,7 @@
     pub fn tick(&mut self, slice: &Arc<Slice>) -> Vec<Effect> {
         self.now = self.now + TICK;
         let mut out = self.feed(Event::Tick);
+        out.extend(self.feed(Event::Work));
         let asked = sent(&out).find_map(|(_, msg)| match msg {
             Msg::UpdateRequest { nonce, have, .. } => Some((*nonce, have[0].1)),
             _ => None,
--- a/tests/placement_steps.rs
+++ b/tests/placement_steps.rs
@@ -154,7 +154,7 @@
     bench.views.members = Arc::new(rows);
     bench.views.state.duty = Some(Duty { holder: NodeId(99), term: Term(1), begun: true });
     bench.now = bench.now + TICK;
-    let published = bench.published(Event::Tick);
+    let published = bench.published(Event::Work);
     published.into_iter().find_map(|event| match event {
         JournalEvent::Submitted(change) => match &*change {
             Change::Duty { holder } => Some(*holder),
