--- a/src/sim/callers.rs
+++ b/src/sim/callers.rs
@@ -1,3 +1,4 @@
+use super::quota::key_of;
 use super::record::Fact;
 use super::world::{Event, World};
 use crate::forwarding::{AnswerEnd, In};
@@ -87,7 +88,10 @@
 
     fn caller_key(&self, call: u64) -> Option<String> {
         let count = self.caller_keys.len() as u64;
-        (count > 0).then(|| self.caller_keys[(call % count) as usize].clone())
+        if count > 0 {
+            return Some(self.caller_keys[(call % count) as usize].clone());
+        }
+        self.quota.sender(call).map(|tenant| key_of(&tenant))
     }
 
     pub fn end_run(&mut self, k: usize, run: u64, whole: bool) {
--- a/src/sim/front.rs
+++ b/src/sim/front.rs
@@ -49,7 +49,7 @@
             return refused(self, "not-fresh", End::Refused);
         };
         let Some(row) = routes.find("", path) else { return refused(self, "unknown-route", End::Refused) };
-        let key = key.map(|key| KeyDigest::of(key.as_bytes())).or_else(|| self.quota.key(call));
+        let key = key.map(|key| KeyDigest::of(key.as_bytes()));
         let Ok(admission) = admit(&routes, row, key) else {
             return refused(self, Refusal::new(Why::UnknownKey, 0).code(), End::Refused);
         };
--- a/src/sim/quota.rs
+++ b/src/sim/quota.rs
@@ -5,7 +5,6 @@
 use super::record::Fact;
 use super::world::World;
 use crate::constraints::shares::{QuotaDecision, QuotaDemand};
-use crate::fleet::tenants::KeyDigest;
 use crate::forwarding::In;
 use crate::http::quota::outcome;
 use crate::kernel::ids::Name;
@@ -64,11 +63,6 @@
         });
         chosen.map(|tenant| tenant.name.clone())
     }
-
-    /// The key that a call carries.
-    pub fn key(&self, call: u64) -> Option<KeyDigest> {
-        self.sender(call).map(|tenant| KeyDigest::of(key_of(&tenant).as_bytes()))
-    }
 }
 
 impl World {
