--- a/src/chain/serving_leases.rs
+++ b/src/chain/serving_leases.rs
@@ -21,8 +21,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// What a router's clock may lose against the tail's while a lease runs.
-const CLOCK_DRIFT_MARGIN: Span = Span::ms(20);
+/// What one node's clock may lose against another's while a lease runs.
+pub const CLOCK_DRIFT_MARGIN: Span = Span::ms(20);
 /// How often the released version is told up the chain again.
 const REPEAT_INTERVAL: Span = Span::ms(150);
 
--- a/src/constraints/authority.rs
+++ b/src/constraints/authority.rs
@@ -4,6 +4,7 @@
 //! `AUTHORITY_LEASE` after a tail of the next view leads.
 #![deny(missing_docs)]
 
+use crate::chain::serving_leases::CLOCK_DRIFT_MARGIN;
 use crate::kernel::component::{Context, Views};
 use crate::kernel::ids::ViewNo;
 use crate::kernel::time::{Span, Time};
@@ -11,8 +12,6 @@
 
 /// How long authority runs, counted from its request. Longer bears longer stalls of the tail; a new owner waits as long.
 pub const AUTHORITY_LEASE: Span = Span::ms(800);
-/// What clocks may drift apart meanwhile.
-const CLOCK_DRIFT_MARGIN: Span = Span::ms(20);
 /// How often authority is asked for.
 const RENEWAL_INTERVAL: Span = Span::ms(150);
 /// How many requests may be without an answer: those of one lease.
