Placement: answers of orders, needs of the holder and work outside steps are logged

No log line told how an order was answered, what a holder had yet to do, or what a driver's work outside the node's steps took, so a holder that decides too little could not be told apart from one whose orders never leave it.

order-answered: status, what was ordered, and after how long. placement-needs, each second from the holder: wanted and missing names, those without a decision and the oldest of them, decisions and orders under way, blocked runners, the store's allowance. step-times: a row 'effects' for what is carried out after the steps.

--- a/src/daemon/driver.rs
+++ b/src/daemon/driver.rs
@@ -147,7 +147,12 @@
             ticks.done(self.clock.now());
             self.log_figures(r, queue, now);
         }
-        self.act_all(r, done) && self.carry(r, out)
+        let began = self.clock.now();
+        let goes_on = self.act_all(r, done) && self.carry(r, out);
+        if let Some(times) = &mut r.node.step_times {
+            times.outside("effects", began);
+        }
+        goes_on
     }
 
     fn observe_disk(&self, r: &mut Run) {
--- a/src/kernel/step_times.rs
+++ b/src/kernel/step_times.rs
@@ -81,6 +81,12 @@
         self.current.kinds.entry(kind).or_default().add(took);
     }
 
+    /// What a driver did outside the node's steps, since `began`.
+    pub fn outside(&mut self, name: &'static str, began: Time) {
+        let took = self.clock.now().since(began);
+        self.current.components.entry(name).or_default().add(took);
+    }
+
     /// The figures of an interval that has just ended.
     pub fn ended(&mut self, now: Time) -> Option<&StepFigures> {
         if now.since(self.since) < INTERVAL {
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -189,6 +189,9 @@
                 }
                 self.push(ctx);
                 self.push_on(ctx);
+                if self.term > Term(0) {
+                    self.log_needs(ctx);
+                }
             }
             Event::Mail { msg: Msg::UpdateReply { nonce, items }, .. } => {
                 for l in self.reader.told(*nonce, items) {
--- a/src/placement/job.rs
+++ b/src/placement/job.rs
@@ -41,6 +41,11 @@
         &self.want
     }
 
+    /// Whether something has yet to give way.
+    pub fn awaits_unload(&self) -> bool {
+        self.behind || self.steps.front().is_some_and(|step| !step.0)
+    }
+
     /// Whether the load is yet to be ordered.
     pub fn awaits_load(&self) -> bool {
         let ordered = self.order.is_some() && self.steps.front().is_some_and(|step| step.0);
--- a/src/placement/look.rs
+++ b/src/placement/look.rs
@@ -86,6 +86,7 @@
             self.load_failed(&runner, "it refused a load", ctx);
         }
         self.work.stirred = true;
+        self.log_answer(order, status, ctx);
         self.flights.answered(ctx.now, order, status);
         if let Some(f) = self.flights.rows.get(&order) {
             let (runner, end) = (f.runner.clone(), f.end);
@@ -96,6 +97,14 @@
         self.push(ctx);
     }
 
+    fn log_answer(&self, order: OrderId, status: u16, ctx: &mut Context) {
+        let Some(flight) = self.flights.rows.get(&order) else { return };
+        let what = if flight.load { "load" } else { "unload" };
+        let after = ctx.now.since(flight.since).as_ms();
+        let text = format!("{status} to {what} {} on {} after {after}ms", flight.name, flight.runner);
+        ctx.log_event("order-answered", text);
+    }
+
     /// A runner's told room has turned out wrong, unless its report shows that it was at work on something.
     pub fn load_failed(&mut self, runner: &Name, why: &str, ctx: &mut Context) {
         let working = |r: &Report| r.busy || !r.loading.is_empty();
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -13,6 +13,7 @@
 pub mod layout;
 pub mod look;
 pub mod meet;
+pub mod needs;
 pub mod nominate;
 pub mod order;
 pub mod pacer;
--- /dev/null
+++ b/src/placement/needs.rs
@@ -0,0 +1,71 @@
+//! What the holder of the placement duty has yet to do, for its log.
+#![deny(missing_docs)]
+
+use super::duty::Placement;
+use crate::fleet::slice::DutySlice;
+use crate::kernel::component::Context;
+use crate::kernel::ids::Name;
+use crate::kernel::time::{Span, Time};
+use std::collections::BTreeSet;
+
+/// How often a holder logs what it has yet to do.
+const LOG_EVERY: Span = Span::ms(1000);
+
+/// What requests wait for, and what is done about it.
+#[derive(Default)]
+struct Needs {
+    /// Names that requests wait for.
+    wanted: usize,
+    /// Of them, those that no runner holds.
+    missing: usize,
+    /// Of the missing, those that are adapters.
+    missing_adapters: usize,
+    /// Of the missing, those for which nothing is decided.
+    undecided: usize,
+    /// How long the first of the undecided has been waited for.
+    oldest: Span,
+}
+
+impl Placement {
+    /// Logs once a second what this holder has yet to do.
+    pub(super) fn log_needs(&mut self, ctx: &mut Context) {
+        if self.slice.is_none() || ctx.now.since(self.work.needs_logged) < LOG_EVERY {
+            return;
+        }
+        self.work.needs_logged = ctx.now;
+        let Some(slice) = self.slice.clone() else { return };
+        let needs = self.needs(&slice, ctx.now);
+        let unloading = self.jobs.values().filter(|job| job.awaits_unload()).count();
+        let open = self.reports.keys().filter(|runner| self.flights.open(runner)).count();
+        let store = self.flights.pacer.left(&slice.config.store);
+        let text = format!(
+            "wanted={} missing={} missing_adapters={} undecided={} oldest_ms={} jobs={} unloading={unloading} \
+             in_flight={} blocked_runners={open} store_left={store:.1} rounds={} weighed={} may_order={}",
+            needs.wanted,
+            needs.missing,
+            needs.missing_adapters,
+            needs.undecided,
+            needs.oldest.as_ms(),
+            self.jobs.len(),
+            self.flights.rows.len(),
+            self.work.rounds,
+            self.work.weighed.get(),
+            self.may_order(ctx.now),
+        );
+        ctx.log_event("placement-needs", text);
+    }
+
+    fn needs(&self, slice: &DutySlice, now: Time) -> Needs {
+        let held: BTreeSet<&Name> = self.reports.values().flat_map(|row| &row.1.holds).collect();
+        let mut needs = Needs { wanted: self.wants.len(), ..Needs::default() };
+        for (name, want) in self.wants.iter().filter(|row| !held.contains(row.0)) {
+            needs.missing += 1;
+            needs.missing_adapters += usize::from(slice.config.adapter(name).is_some());
+            if !self.coming(name, slice) {
+                needs.undecided += 1;
+                needs.oldest = needs.oldest.max(now.since(want.since));
+            }
+        }
+        needs
+    }
+}
--- a/src/placement/quick.rs
+++ b/src/placement/quick.rs
@@ -42,6 +42,8 @@
     pub(super) short: usize,
     /// Loads from the store that were decided.
     pub(super) store_loads: u64,
+    /// When this holder last logged what it has yet to do.
+    pub(super) needs_logged: Time,
     /// Something came in since the last round.
     pub stirred: bool,
 }
