Driver: the runtime gets a turn after each 10 ms of the node's work

Each holder of placement was left out of the view within 2 s of its first order, and then nobody ordered for 5 s.

Cause: starvation of a thread by its neighbour. The node's thread and the runtime that writes its messages share one core. While orders are under way something always waits for the node, so it never blocked, and its heartbeats, proofs and orders stayed in the process: no step was over 250 ms, the chain's lane waited under 100 ms, and yet 561 of 1,133 orders ended unsent.

Now the driver waits for the runtime after each 10 ms of work: a marker is spawned behind all that was handed over, and the node goes on once it has run. Serving inputs are cut off at the same point.

Against the code before it cannot be built, as the driver gave no turns.

--- a/src/daemon/driver.rs
+++ b/src/daemon/driver.rs
@@ -26,7 +26,12 @@
 /// How long a node that could not be started waits before it is tried again.
 const RESTART_PAUSE: Duration = Duration::from_millis(500);
 
+/// For so long a node is at work before the runtime gets a turn to send and receive.
+pub const WORK_BETWEEN_TURNS: Span = Span::ms(10);
+
 pub type Act = Box<dyn Fn(Effect) + Send>;
+/// Waits until the runtime has carried out what it was given so far.
+pub type Turn = Box<dyn Fn() + Send>;
 pub type Build = Box<dyn Fn(Vec<Record>) -> (Node, Vec<Record>) + Send>;
 
 pub struct Driver {
@@ -35,6 +40,8 @@
     pub disk: Option<Writer>,
     pub build: Build,
     pub act: Act,
+    /// Threads may share one core: a node that is never idle would keep its own messages from leaving without it.
+    pub turn: Turn,
 }
 
 impl Driver {
@@ -67,6 +74,7 @@
         let mut run: Option<Run> = None;
         let mut queue = InputQueue::default();
         let mut ticks = Ticks::new(if self.disk.is_some() { TICK } else { ROUTER_TICK });
+        let mut turn_due = self.clock.now() + WORK_BETWEEN_TURNS;
         loop {
             let Some(r) = &mut run else {
                 run = self.begin();
@@ -80,9 +88,16 @@
             if !self.receive(&rx, wait, &mut queue) {
                 return;
             }
-            if !self.step(r, &mut queue, &mut ticks) {
+            if !wait.is_zero() {
+                turn_due = self.clock.now() + WORK_BETWEEN_TURNS;
+            }
+            if !self.step(r, &mut queue, &mut ticks, turn_due) {
                 run = None;
             }
+            if self.clock.now() >= turn_due {
+                (self.turn)();
+                turn_due = self.clock.now() + WORK_BETWEEN_TURNS;
+            }
         }
     }
 
@@ -118,7 +133,7 @@
     }
 
     /// Serves urgent inputs, at most one deferrable one, and the tick if it is due; whether the node goes on.
-    fn step(&self, r: &mut Run, queue: &mut InputQueue<Input>, ticks: &mut Ticks) -> bool {
+    fn step(&self, r: &mut Run, queue: &mut InputQueue<Input>, ticks: &mut Ticks, turn_due: Time) -> bool {
         self.observe_disk(r);
         let mut out = Vec::new();
         let mut done = Vec::new();
@@ -135,7 +150,8 @@
                 Input::Status(tx) => drop(tx.send(status(r, queue, now).to_string())),
                 input => out.extend(serve(r, now, input)),
             }
-            if next.lane == Lane::Deferrable || ticks.is_overdue(self.clock.now()) {
+            let now = self.clock.now();
+            if next.lane == Lane::Deferrable || ticks.is_overdue(now) || now >= turn_due {
                 break;
             }
         }
--- a/src/daemon/links.rs
+++ b/src/daemon/links.rs
@@ -24,6 +24,8 @@
 const SILENT_MS: libc::c_int = 2000;
 const OLD: Span = Span::ms(2000);
 const INBOX: usize = 256;
+/// The longest that a turn of the runtime is waited for.
+const LONGEST_TURN: Duration = Duration::from_millis(50);
 const REACHES: usize = 32;
 
 /// The messages that wait for one peer: the most urgent first, the same way as before a node.
@@ -107,6 +109,15 @@
         self.lost.fetch_add(lost, Ordering::Relaxed);
     }
 
+    /// Waits until the runtime has carried out what it was given so far.
+    pub fn give_turn(&self) {
+        let (done, turn) = std::sync::mpsc::sync_channel(1);
+        self.rt.spawn(async move {
+            let _ = done.send(());
+        });
+        let _ = turn.recv_timeout(LONGEST_TURN);
+    }
+
     pub async fn listen(self: Arc<Links>, socket: TcpListener, take: Take) {
         loop {
             let Ok((tcp, from)) = socket.accept().await else {
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -126,7 +126,9 @@
             Role::Controller => controller(&spot, now, Box::new(Kernel), records),
         }
     });
-    let driver = Driver { clock: clock.clone(), links: links.clone(), disk, build, act };
+    let sender = links.clone();
+    let turn = Box::new(move || sender.give_turn());
+    let driver = Driver { clock: clock.clone(), links: links.clone(), disk, build, act, turn };
     let thread = std::thread::Builder::new().name("node".into()).spawn(move || driver.run(rx));
     let thread = thread.expect("the machine must let this process start threads");
     let inbox = Mutex::new(tx.clone());
--- /dev/null
+++ b/tests/runtime_turns.rs
@@ -0,0 +1,109 @@
+//! A node and the runtime that sends its messages share one core, and the node is never idle.
+
+use spindledock::daemon::driver::{Driver, WORK_BETWEEN_TURNS};
+use spindledock::daemon::input::Input;
+use spindledock::daemon::links::Links;
+use spindledock::kernel::component::{Component, Context, Me};
+use spindledock::kernel::ids::*;
+use spindledock::kernel::node::Node;
+use spindledock::kernel::rand::Seeded;
+use spindledock::kernel::time::{Clock, Span, Time};
+use spindledock::msg::{Effect, Event, Msg, Role};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, mpsc};
+
+/// How long the node is at work on one input.
+const WORK_OF_INPUT: Span = Span::ms(1);
+/// How many inputs wait from the start.
+const INPUTS: u64 = 400;
+
+/// A clock that only the node's work moves.
+struct WorkClock(AtomicU64);
+
+impl Clock for WorkClock {
+    fn now(&self) -> Time {
+        Time(self.0.load(Ordering::SeqCst))
+    }
+}
+
+/// A component that works on each input and sends a message for it.
+struct Busy {
+    clock: Arc<WorkClock>,
+    peer: SocketAddr,
+}
+
+impl Component for Busy {
+    fn name(&self) -> &'static str {
+        "busy"
+    }
+
+    fn on(&mut self, event: &Event, ctx: &mut Context) {
+        if let Event::Warned = event {
+            self.clock.0.fetch_add(WORK_OF_INPUT.0, Ordering::SeqCst);
+            ctx.out.push(Effect::SendAt { addr: self.peer, msg: Msg::Nudge });
+        }
+    }
+}
+
+fn me() -> Me {
+    let addr = SocketAddr::from(([127, 0, 0, 1], 1));
+    Me {
+        node: NodeId(1),
+        role: Role::Controller,
+        domain: Name::from("z1"),
+        addr,
+        admin: addr,
+        seeds: vec![],
+        seed: false,
+        core: 3,
+        bear: 1,
+        first: true,
+        proof: Span::ms(2000),
+        lease: Span::ms(4500),
+        started: Time(0),
+    }
+}
+
+#[test]
+fn given_a_node_that_is_never_idle_when_threads_share_one_core_then_its_messages_leave_all_the_same() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a socket");
+    let peer = listener.local_addr().expect("an address");
+    let links = Links::new(runtime.handle().clone());
+    let clock = Arc::new(WorkClock(AtomicU64::new(1_000_000)));
+    let (tx, rx) = mpsc::channel();
+    for _ in 0..INPUTS {
+        tx.send(Input::Event(Event::Warned)).expect("the queue is open");
+    }
+    let turns: Arc<Mutex<Vec<Time>>> = Arc::default();
+    let (taken, at, of_node) = (turns.clone(), clock.clone(), clock.clone());
+    let end = Mutex::new(Some(tx));
+    let turn = move || {
+        runtime.block_on(async { tokio::task::yield_now().await });
+        let mut taken = taken.lock().unwrap();
+        taken.push(at.now());
+        if at.now() >= Time(1_000_000) + Span(WORK_OF_INPUT.0 * INPUTS) {
+            drop(end.lock().unwrap().take());
+        }
+    };
+    let build = move |_| {
+        let mut node = Node::new(me(), Box::new(Seeded(1)));
+        node.add(Box::new(Busy { clock: of_node.clone(), peer }));
+        (node, vec![])
+    };
+    let driver = Driver {
+        clock: clock.clone(),
+        links: links.clone(),
+        disk: None,
+        build: Box::new(build),
+        act: Box::new(|_| {}),
+        turn: Box::new(turn),
+    };
+    driver.run(rx);
+    let turns = turns.lock().unwrap();
+    let longest = turns.windows(2).map(|pair| pair[1].since(pair[0])).max().unwrap_or(Span(u64::MAX));
+    println!("{} turns, the longest work between two {longest}", turns.len());
+    assert!(longest <= WORK_BETWEEN_TURNS + WORK_OF_INPUT, "the runtime was kept from sending for {longest}");
+    assert!(listener.set_nonblocking(true).is_ok() && listener.accept().is_ok(), "nothing has left the node");
+}
