Lanes: timed work and answers of runners no longer wait behind what routers report

Cause: what a node does for its duty waited in one queue with what all routers send. Work, Report and Ordered, of which there are only as many as the node asked for, now have a lane of their own before routers' reports.

--- a/src/daemon/driver.rs
+++ b/src/daemon/driver.rs
@@ -132,7 +132,7 @@
         true
     }
 
-    /// Serves urgent inputs, at most one deferrable one, and the tick if it is due; whether the node goes on.
+    /// Serves urgent inputs, at most one of the duties' or routers' reports, and the tick if it is due; whether the node goes on.
     fn step(&self, r: &mut Run, queue: &mut InputQueue<Input>, ticks: &mut Ticks, turn_due: Time) -> bool {
         self.observe_disk(r);
         let mut out = Vec::new();
@@ -151,7 +151,7 @@
                 input => out.extend(serve(r, now, input)),
             }
             let now = self.clock.now();
-            if next.lane == Lane::Deferrable || ticks.is_overdue(now) || now >= turn_due {
+            if next.lane >= Lane::Duty || ticks.is_overdue(now) || now >= turn_due {
                 break;
             }
         }
--- a/src/kernel/input_queue.rs
+++ b/src/kernel/input_queue.rs
@@ -1,15 +1,17 @@
 //! The inputs that wait for a node, in lanes: the most urgent first, in order within a lane.
 //!
 //! A lane that is never empty would keep those behind it waiting for good, so each of them gets a turn after
-//! `TURNS` inputs of the lane before; only the chain's lane, which few senders fill, is always first.
+//! `TURNS` inputs of the lanes before; only the chain's lane, which few senders fill, is always first.
 #![deny(missing_docs)]
 
 use super::lanes::{Class, LANES, Lane, Slot};
 use super::time::{Span, Time};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// After how many serving inputs in a row a deferrable one gets its turn.
+/// After how many serving inputs a lane behind them gets its turn.
 pub const TURNS: u32 = 32;
+/// For how many serving inputs one of the duties counts: its steps are long.
+const WEIGHT_OF_DUTY: u32 = 8;
 /// How many inputs may wait in one lane of a node; beyond that the oldest that may be lost is dropped.
 pub const LANE_LIMIT: usize = 2048;
 
@@ -59,7 +61,8 @@
 /// The inputs that wait for one node.
 pub struct InputQueue<T> {
     lanes: [LaneQueue<T>; LANES.len()],
-    in_a_row: u32,
+    /// How many inputs of more urgent lanes were served since each lane had its turn, by weight.
+    passed_over: [u32; LANES.len()],
 }
 
 impl<T> LaneQueue<T> {
@@ -135,7 +138,7 @@
 impl<T> InputQueue<T> {
     /// A queue of which each lane drops what may be lost beyond `limit` inputs.
     pub fn limited(limit: usize) -> InputQueue<T> {
-        InputQueue { lanes: LANES.map(|_| LaneQueue::new(limit)), in_a_row: 0 }
+        InputQueue { lanes: LANES.map(|_| LaneQueue::new(limit)), passed_over: [0; LANES.len()] }
     }
 
     /// Queues an input that came at `now`.
@@ -147,14 +150,22 @@
     pub fn pop(&mut self, now: Time) -> Option<Next<T>> {
         let lane = self.turn()?;
         let (item, waited) = self.lanes[lane as usize].pop(now)?;
-        match lane {
-            Lane::Chain => {}
-            Lane::Serving => self.in_a_row += 1,
-            Lane::Deferrable => self.in_a_row = 0,
-        }
+        self.count(lane);
         Some(Next { item, lane, waited })
     }
 
+    fn count(&mut self, served: Lane) {
+        let weight = match served {
+            Lane::Chain => return,
+            Lane::Duty => WEIGHT_OF_DUTY,
+            Lane::Serving | Lane::Deferrable => 1,
+        };
+        self.passed_over[served as usize] = 0;
+        self.passed_over[served as usize + 1..]
+            .iter_mut()
+            .for_each(|passed| *passed = passed.saturating_add(weight));
+    }
+
     /// Whether nothing waits.
     pub fn is_empty(&self) -> bool {
         self.lanes.iter().all(|lane| lane.rows.is_empty())
@@ -178,7 +189,10 @@
     fn turn(&self) -> Option<Lane> {
         let waits = |lane: &Lane| !self.lanes[*lane as usize].rows.is_empty();
         let first = LANES.into_iter().find(waits)?;
-        let due = first == Lane::Serving && self.in_a_row >= TURNS && waits(&Lane::Deferrable);
-        Some(if due { Lane::Deferrable } else { first })
+        if first == Lane::Chain {
+            return Some(first);
+        }
+        let is_due = |lane: &Lane| waits(lane) && self.passed_over[*lane as usize] >= TURNS;
+        Some(LANES.into_iter().find(is_due).unwrap_or(first))
     }
 }
--- a/src/kernel/lanes.rs
+++ b/src/kernel/lanes.rs
@@ -12,12 +12,14 @@
     Chain,
     /// Calls, reads, serving leases, distribution and membership: someone waits for an answer.
     Serving,
-    /// Reports and the work that follows from them.
+    /// The timed work of the duties, and what runners answer to it: as much as this node itself has asked for.
+    Duty,
+    /// What routers report, however many they are.
     Deferrable,
 }
 
 /// All lanes.
-pub const LANES: [Lane; 3] = [Lane::Chain, Lane::Serving, Lane::Deferrable];
+pub const LANES: [Lane; 4] = [Lane::Chain, Lane::Serving, Lane::Duty, Lane::Deferrable];
 
 /// A place that only the newest input of one sender and kind takes.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
@@ -66,12 +68,12 @@
 pub fn class_of(event: &Event) -> Class {
     match event {
         Event::Mail { from, msg, .. } => class_of_message(*from, msg),
-        Event::Work => Class { droppable: false, ..Class::newest(Lane::Deferrable, OWN, event.kind()) },
+        Event::Work => Class { droppable: false, ..Class::newest(Lane::Duty, OWN, event.kind()) },
         Event::Listed(_) => Class { droppable: false, ..Class::newest(Lane::Serving, OWN, event.kind()) },
         Event::RouterState(tell) => {
             Class { replaceable: tell.live.is_empty(), ..Class::newest(Lane::Deferrable, OWN, event.kind()) }
         }
-        Event::Report { .. } | Event::Ordered { .. } => Class::kept(Lane::Deferrable),
+        Event::Report { .. } | Event::Ordered { .. } => Class::kept(Lane::Duty),
         Event::Wanted(_) => Class::droppable(Lane::Deferrable),
         Event::Start | Event::Tick | Event::Journal(_) => Class::kept(Lane::Chain),
         Event::Op { .. } | Event::Ask { .. } | Event::QuotaWanted(_) | Event::Warned => {
