Fleet: rows are looked up by a hash of their name

The index is hashbrown's table with foldhash's fixed hasher; both were in Cargo.lock already. Nothing iterates over it, so the order of rows stays the list's.

--- a/src/fleet/named.rs
+++ b/src/fleet/named.rs
@@ -1,12 +1,15 @@
 //! A list of named rows that is searched by name.
 //!
 //! Configurations hold tens of thousands of models and adapters, and placement looks them up by name all
-//! the time. The order by name is built at the first look-up and dropped by any change of the list.
+//! the time. The index by name is built at the first look-up and dropped by any change of the list.
 #![deny(missing_docs)]
 
 use crate::kernel::ids::Name;
 use bitcode::{Decode, Encode};
+use foldhash::fast::FixedState;
+use hashbrown::HashTable;
 use std::fmt;
+use std::hash::BuildHasher;
 use std::ops::{Deref, DerefMut};
 use std::sync::{Arc, OnceLock};
 
@@ -16,7 +19,7 @@
     fn name(&self) -> &Name;
 }
 
-/// A `Vec` of named rows with an order by name beside it.
+/// A `Vec` of named rows with an index by name beside it.
 #[derive(Clone, Encode, Decode)]
 pub struct NamedList<T> {
     rows: Vec<T>,
@@ -24,23 +27,34 @@
     by_name: ByName,
 }
 
-/// The places of the rows, sorted by name; equal names by place.
+/// The places of the rows by their names; of equal names the first.
 #[derive(Clone, Default)]
-struct ByName(OnceLock<Arc<[u32]>>);
+struct ByName(OnceLock<Arc<HashTable<u32>>>);
+
+fn hash(name: &Name) -> u64 {
+    FixedState::default().hash_one(name)
+}
 
 impl<T: Named> NamedList<T> {
     /// The first row of that name.
     pub fn named(&self, name: &Name) -> Option<&T> {
-        let order = self.by_name.0.get_or_init(|| self.order());
-        let at = order.partition_point(|place| self.rows[*place as usize].name() < name);
-        let row = &self.rows[*order.get(at)? as usize];
-        (row.name() == name).then_some(row)
+        let index = self.by_name.0.get_or_init(|| Arc::new(self.index()));
+        let place = index.find(hash(name), |place| self.name_at(*place) == name)?;
+        self.rows.get(*place as usize)
+    }
+
+    fn index(&self) -> HashTable<u32> {
+        let mut index = HashTable::with_capacity(self.rows.len());
+        for place in 0..self.rows.len() as u32 {
+            let name = self.name_at(place);
+            let is_same = |other: &u32| self.name_at(*other) == name;
+            index.entry(hash(name), is_same, |other| hash(self.name_at(*other))).or_insert(place);
+        }
+        index
     }
 
-    fn order(&self) -> Arc<[u32]> {
-        let mut places: Vec<u32> = (0..self.rows.len() as u32).collect();
-        places.sort_by(|a, b| self.rows[*a as usize].name().cmp(self.rows[*b as usize].name()));
-        places.into()
+    fn name_at(&self, place: u32) -> &Name {
+        self.rows[place as usize].name()
     }
 }
 
