Placement: holdings are told at a pace by the routers that are known, not by those that were heard

A new holder that has heard few routers took its fleet for a small one and told holdings at each report: 1,478 messages in 5 s, 4.4 ms for each report of a runner, so that it had no time to hear routers (trial, second holder: 0 to 9 wanted names for 6 s while hundreds were missing).

tests/placement_steps.rs: a new holder tells holdings at most four times in its first second.

--- a/src/placement/push.rs
+++ b/src/placement/push.rs
@@ -8,7 +8,7 @@
 use crate::membership::rendezvous::home;
 use crate::membership::service::SUSPECT;
 use crate::msg::*;
-use crate::rollout::tell::tells_all;
+use crate::rollout::tell::{router_count, tells_all};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -79,7 +79,7 @@
 
     /// Tells routers what changed, unless they were told a moment ago; a later tick then does.
     pub fn push(&mut self, ctx: &mut Context) {
-        let gap = match self.tells.len() {
+        let gap = match router_count(ctx.views) {
             few if few <= ROUTERS_TOLD_AT_ONCE => Span(0),
             many => Span(GAP_PER_ROUTER.0 * many as u64),
         };
--- a/tests/placement_steps.rs
+++ b/tests/placement_steps.rs
@@ -142,6 +142,18 @@
     assert_eq!(relays.len(), 2 * ZONES as usize, "two of each zone take turns");
 }
 
+/// How often a second routers may be told of holdings, if nothing is about to be unloaded.
+const TELLS_A_SECOND: usize = 4;
+
+#[test]
+fn given_a_new_holder_that_heard_no_router_yet_when_reports_come_then_holdings_are_told_a_few_times_a_second()
+{
+    let mut holder = Holder::new();
+    let ticks = Span::ms(1000).0 / TICK.0;
+    let messages: usize = (0..ticks).map(|_| held(&holder.tick()).count()).sum();
+    assert!(messages > 0 && messages <= TELLS_A_SECOND * ZONES as usize, "{messages} messages in a second");
+}
+
 fn named(dead: &[u64]) -> Option<NodeId> {
     let placement = Placement::new(BEGIN, Policy::Move);
     let mut bench = Bench::new(placement, NodeId(1), Role::Controller, 3);
