Placement: orders under way are found by runner and by name; large fleets act in timed work alone

Cause: each round searched all orders under way for each wanted name, and for each name that a weighed runner holds, and every report, want and answer carried on all decisions and maybe began a round.

Small fleets act at once as before.

--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -52,13 +52,18 @@
         }
     }
 
-    pub fn wants(&self, n: &Name) -> bool {
+    /// What is held at the end of the step that was not before.
+    pub fn wanted(&self) -> Option<&Name> {
         match self {
-            Step::Load { name, .. } => name == n,
-            Step::Unload { .. } => false,
-            Step::Move { want, .. } => want == n,
+            Step::Load { name, .. } => Some(name),
+            Step::Unload { .. } => None,
+            Step::Move { want, .. } => Some(want),
         }
     }
+
+    pub fn wants(&self, name: &Name) -> bool {
+        self.wanted() == Some(name)
+    }
 }
 
 impl fmt::Display for Step {
--- a/src/placement/board.rs
+++ b/src/placement/board.rs
@@ -20,8 +20,8 @@
     pub(super) offers: &'a [Offer],
     pub(super) usage: Arc<Usage>,
     pub(super) flights: Flights,
-    /// The names that are under way at each runner.
-    pub(super) in_flight: BTreeMap<Name, Vec<Name>>,
+    /// The names of which a load is ordered, planned or decided.
+    coming: BTreeSet<Name>,
     pub(super) now: Time,
     pub(super) busy: BTreeSet<Name>,
     /// Of them, those with something planned.
@@ -62,7 +62,7 @@
             fleet: s,
             offers,
             usage: self.usage.clone(),
-            in_flight: flights.by_runner(),
+            coming: self.all_coming(s),
             flights,
             now,
             busy,
@@ -93,6 +93,11 @@
         &self.flights
     }
 
+    /// Whether a load of `name` was ordered, planned or decided when the board was made.
+    pub fn is_coming(&self, name: &Name) -> bool {
+        self.coming.contains(name)
+    }
+
     /// Whether no order may be sent to the runner.
     pub fn is_busy(&self, runner: &Name) -> bool {
         self.busy.contains(runner)
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -60,7 +60,7 @@
     }
 
     fn is_in_flight(&self, runner: &Name, name: &Name) -> bool {
-        self.in_flight.get(runner).is_some_and(|names| names.contains(name))
+        self.flights.has(runner, name)
     }
 
     /// What it costs, in ms of waiting, that `name` leaves this runner.
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -214,7 +214,7 @@
                 for want in rows {
                     self.wanted(*from, want, ctx.now);
                 }
-                self.quick(ctx);
+                self.react(ctx);
                 self.check_held(*from, rows, ctx);
             }
             Event::Listed(listing) => self.listed(&listing.runners, ctx),
@@ -226,7 +226,7 @@
                 }
                 self.looked(instance, report.as_ref(), ctx);
                 self.push(ctx);
-                self.quick(ctx);
+                self.react(ctx);
             }
             Event::Ordered { order, status } => self.ordered(*order, *status, ctx),
             Event::Warned => self.hand_over(ctx),
--- /dev/null
+++ b/src/placement/flight_table.rs
@@ -0,0 +1,103 @@
+//! The orders under way, found by their runner and by the name they load.
+#![deny(missing_docs)]
+
+use super::flights::Flight;
+use crate::kernel::ids::{Name, OrderId};
+use std::collections::BTreeMap;
+
+/// The orders under way.
+#[derive(Clone, Default)]
+pub struct FlightTable {
+    rows: BTreeMap<OrderId, Flight>,
+    by_runner: BTreeMap<Name, Vec<OrderId>>,
+    loads_by_name: BTreeMap<Name, Vec<OrderId>>,
+}
+
+impl FlightTable {
+    /// Adds an order, in the place of one with the same id.
+    pub fn insert(&mut self, order: OrderId, flight: Flight) {
+        self.remove(order);
+        self.by_runner.entry(flight.runner.clone()).or_default().push(order);
+        if flight.load {
+            self.loads_by_name.entry(flight.name.clone()).or_default().push(order);
+        }
+        self.rows.insert(order, flight);
+    }
+
+    /// Takes an order out.
+    pub fn remove(&mut self, order: OrderId) -> Option<Flight> {
+        let flight = self.rows.remove(&order)?;
+        forget(&mut self.by_runner, &flight.runner, order);
+        if flight.load {
+            forget(&mut self.loads_by_name, &flight.name, order);
+        }
+        Some(flight)
+    }
+
+    /// Keeps those orders at a runner for which `keeps` says so; it may change them.
+    pub fn retain_at(&mut self, runner: &Name, mut keeps: impl FnMut(&mut Flight) -> bool) {
+        for order in self.by_runner.get(runner).cloned().unwrap_or_default() {
+            if self.rows.get_mut(&order).is_some_and(|flight| !keeps(flight)) {
+                self.remove(order);
+            }
+        }
+    }
+
+    /// The order with this id.
+    pub fn get(&self, order: &OrderId) -> Option<&Flight> {
+        self.rows.get(order)
+    }
+
+    /// The order with this id, to be changed; its runner, its name and what it does stay as they are.
+    pub fn get_mut(&mut self, order: &OrderId) -> Option<&mut Flight> {
+        self.rows.get_mut(order)
+    }
+
+    /// Whether the order is under way.
+    pub fn contains_key(&self, order: &OrderId) -> bool {
+        self.rows.contains_key(order)
+    }
+
+    /// Whether no order is under way.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// How many orders are under way.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// All orders.
+    pub fn values(&self) -> impl Iterator<Item = &Flight> {
+        self.rows.values()
+    }
+
+    /// All orders, to be changed as by [`FlightTable::get_mut`].
+    pub fn values_mut(&mut self) -> impl Iterator<Item = &mut Flight> {
+        self.rows.values_mut()
+    }
+
+    /// The orders at a runner.
+    pub fn at(&self, runner: &Name) -> impl Iterator<Item = &Flight> {
+        self.rows_of(self.by_runner.get(runner))
+    }
+
+    /// The loads of a name.
+    pub fn loads_of(&self, name: &Name) -> impl Iterator<Item = &Flight> {
+        self.rows_of(self.loads_by_name.get(name))
+    }
+
+    fn rows_of<'a>(&'a self, orders: Option<&'a Vec<OrderId>>) -> impl Iterator<Item = &'a Flight> {
+        orders.into_iter().flatten().filter_map(|order| self.rows.get(order))
+    }
+}
+
+/// Takes an order out of the list under `key`, and the list if it was the last.
+fn forget(lists: &mut BTreeMap<Name, Vec<OrderId>>, key: &Name, order: OrderId) {
+    let Some(list) = lists.get_mut(key) else { return };
+    list.retain(|other| *other != order);
+    if list.is_empty() {
+        lists.remove(key);
+    }
+}
--- a/src/placement/flights.rs
+++ b/src/placement/flights.rs
@@ -1,3 +1,4 @@
+use super::flight_table::FlightTable;
 use super::look::NO_ROOM;
 use super::pacer::Pacer;
 use super::sequence::Sequences;
@@ -67,7 +68,7 @@
 
 #[derive(Clone, Default)]
 pub struct Flights {
-    pub rows: BTreeMap<OrderId, Flight>,
+    pub rows: FlightTable,
     pub pacer: Pacer,
     /// When a runner refused an order for a name.
     pub refused: BTreeMap<Name, BTreeMap<Name, Time>>,
@@ -83,46 +84,38 @@
     }
 
     pub fn has(&self, runner: &Name, name: &Name) -> bool {
-        self.rows.values().any(|f| f.runner == *runner && f.name == *name)
+        self.rows.at(runner).any(|f| f.name == *name)
     }
 
     /// Whether a load of `name` is expected to be carried out.
     pub fn loading(&self, name: &Name) -> bool {
-        self.rows.values().any(|f| f.load && !f.overdue && f.name == *name)
+        self.rows.loads_of(name).any(|f| !f.overdue)
     }
 
     pub fn busy(&self, runner: &Name) -> usize {
-        self.rows.values().filter(|f| f.runner == *runner).count()
+        self.rows.at(runner).count()
     }
 
     /// An order whose outcome is still open: no other is sent to that runner.
     pub fn open(&self, runner: &Name) -> bool {
         let blocks = |f: &&Flight| !f.overdue && !f.there && (f.load || !f.answered);
-        self.rows.values().filter(|f| f.runner == *runner).any(|f| blocks(&f))
+        self.rows.at(runner).any(|f| blocks(&f))
     }
 
     /// What the runner gave up by an unload it has taken, while its report still shows it.
     pub fn given_up(&self, report: &Report, name: &Name) -> bool {
-        let mine = |f: &&Flight| f.runner == report.instance && f.name == *name;
-        self.rows.values().filter(mine).any(|f| !f.load && f.answered)
+        self.rows.at(&report.instance).any(|f| f.name == *name && !f.load && f.answered)
     }
 
     pub fn pending_mb(&self, report: &Report) -> u64 {
-        let new = |f: &&Flight| {
-            f.load && f.runner == report.instance && !report.has(&f.name) && !report.loading.contains(&f.name)
-        };
-        self.rows.values().filter(new).map(|f| f.mb).sum()
+        let new = |f: &&Flight| f.load && !report.has(&f.name) && !report.loading.contains(&f.name);
+        self.rows.at(&report.instance).filter(new).map(|f| f.mb).sum()
     }
 
     pub fn pending_adapters(&self, report: &Report) -> u64 {
-        let new = |f: &&Flight| {
-            f.load
-                && f.adapter
-                && f.runner == report.instance
-                && !report.has(&f.name)
-                && !report.loading.contains(&f.name)
-        };
-        self.rows.values().filter(new).count() as u64
+        let new =
+            |f: &&Flight| f.load && f.adapter && !report.has(&f.name) && !report.loading.contains(&f.name);
+        self.rows.at(&report.instance).filter(new).count() as u64
     }
 
     pub fn answered(&mut self, now: Time, order: OrderId, status: u16) {
@@ -142,29 +135,26 @@
         }
         if (400..500).contains(&status) {
             self.refused.entry(runner).or_default().insert(name, now);
-            self.rows.remove(&order);
+            self.rows.remove(order);
         }
     }
 
     /// The runner took an order that built on `expected`: what is overdue and built on no more is void.
     fn took(&mut self, now: Time, runner: &Name, expected: u64) {
         self.sequences.took(now, runner, expected);
-        self.rows.retain(|_, f| f.runner != *runner || !f.overdue || f.expected > expected);
+        self.rows.retain_at(runner, |f| !f.overdue || f.expected > expected);
     }
 
     /// Whether a report shows an order under way that is none of ours.
     pub fn is_foreign(&self, report: &Report) -> bool {
         let busy = report.busy || !report.loading.is_empty();
-        busy && !self.rows.values().any(|f| f.runner == report.instance && !f.overdue)
+        busy && !self.rows.at(&report.instance).any(|f| !f.overdue)
     }
 
     /// Takes in a report; whether a load that the runner had taken is neither held nor under way.
     pub fn told(&mut self, now: Time, report: &Report) -> bool {
         let mut vanished = false;
-        self.rows.retain(|_, f| {
-            if f.runner != report.instance {
-                return true;
-            }
+        self.rows.retain_at(&report.instance, |f| {
             let held = report.has(&f.name);
             let busy = report.loading.contains(&f.name) || report.busy;
             let taken = report.orders > f.expected || report.orders == 0;
@@ -192,15 +182,6 @@
         let at = self.refused.get(runner).and_then(|names| names.get(name));
         at.is_some_and(|t| now.since(*t) < Span::ms(5000))
     }
-
-    /// What is under way at each runner.
-    pub fn by_runner(&self) -> BTreeMap<Name, Vec<Name>> {
-        let mut all: BTreeMap<Name, Vec<Name>> = BTreeMap::new();
-        for flight in self.rows.values() {
-            all.entry(flight.runner.clone()).or_default().push(flight.name.clone());
-        }
-        all
-    }
 }
 
 pub fn is_adapter(c: &FleetConfig, name: &Name) -> bool {
--- a/src/placement/look.rs
+++ b/src/placement/look.rs
@@ -93,7 +93,7 @@
             self.look_at(&runner, if status == 200 { ctx.now } else { end });
         }
         self.job_answered(order, status, ctx);
-        self.quick(ctx);
+        self.react(ctx);
         self.push(ctx);
     }
 
@@ -170,7 +170,7 @@
     }
 
     pub fn looked(&mut self, runner: &Name, report: Option<&Report>, ctx: &Context) {
-        let ends = self.flights.rows.values().filter(|f| f.runner == *runner && f.answered);
+        let ends = self.flights.rows.at(runner).filter(|f| f.answered);
         let soon = ends.map(|f| f.end.max(ctx.now + AGAIN)).min();
         let busy = report.is_some_and(|r| r.running + r.waiting > 0);
         let pause = pause_at_work(self.reports.len());
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -7,6 +7,7 @@
 pub mod drive;
 pub mod duty;
 pub mod fill;
+pub mod flight_table;
 pub mod flights;
 pub mod holder;
 pub mod job;
--- a/src/placement/push.rs
+++ b/src/placement/push.rs
@@ -58,11 +58,11 @@
     fn rows(&self, now: Time) -> BTreeMap<Name, HeldRow> {
         let row = |(name, (at, r)): (&Name, &(Time, crate::fleet::runner::Report))| {
             let mut closing = self.push.closing.get(name).cloned().unwrap_or_default();
-            let going = self.flights.rows.values().filter(|f| f.runner == *name && f.unloads());
+            let going = self.flights.rows.at(name).filter(|f| f.unloads());
             closing.extend(going.map(|f| f.name.clone()));
             let closing: Vec<Name> = closing.into_iter().collect();
             let mut r = r.clone();
-            for f in self.flights.rows.values().filter(|f| f.runner == *name && f.there) {
+            for f in self.flights.rows.at(name).filter(|f| f.there) {
                 if !r.has(&f.name) {
                     r.holds.push(f.name.clone());
                 }
--- a/src/placement/quick.rs
+++ b/src/placement/quick.rs
@@ -8,6 +8,7 @@
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
 use std::cell::Cell;
+use std::collections::BTreeSet;
 
 /// A name that is held is loaded once more for what waits for it only if less than this is lost, in ms of waiting.
 const LOSS: u64 = 1000;
@@ -65,6 +66,19 @@
         }
     }
 
+    /// Whether there are so few runners that everything that comes in is acted on at once. Otherwise it waits for
+    /// the next timed work, which acts on all of it together.
+    pub(super) fn acts_at_once(&self) -> bool {
+        self.reports.len() <= RUNNERS_WEIGHED_AT_ONCE
+    }
+
+    /// Carries on with what has just come in, if that is done at once.
+    pub(super) fn react(&mut self, ctx: &mut Context) {
+        if self.acts_at_once() {
+            self.quick(ctx);
+        }
+    }
+
     fn is_round_due(&mut self, now: Time) -> bool {
         let gap = match self.reports.len() {
             few if few <= RUNNERS_WEIGHED_AT_ONCE => Span(0),
@@ -87,7 +101,7 @@
         from_store: bool,
         s: &DutySlice,
     ) -> Option<Choice> {
-        if s.config.weight(name).is_none() || self.coming(name, s) || self.served(board, name, s) {
+        if s.config.weight(name).is_none() || board.is_coming(name) || self.served(board, name, s) {
             return None;
         }
         let want = self.wants.get(name)?;
@@ -114,6 +128,15 @@
         }
     }
 
+    /// The names of which a load is ordered, planned or decided.
+    pub(super) fn all_coming(&self, s: &DutySlice) -> BTreeSet<Name> {
+        let ordered = self.flights.rows.values().filter(|f| f.load && !f.overdue).map(|f| &f.name);
+        let decided = self.jobs.values().map(|job| job.want());
+        let planned = s.plans.iter().filter(|p| p.live()).flat_map(|p| p.steps()).filter_map(|x| x.wanted());
+        let moved = s.moves.iter().filter(|m| m.live()).map(|m| &m.want);
+        ordered.chain(decided).chain(planned).chain(moved).cloned().collect()
+    }
+
     /// Whether a load of `name` is ordered, planned or decided.
     pub fn coming(&self, name: &Name, s: &DutySlice) -> bool {
         let planned = || s.plans.iter().filter(|p| p.live()).flat_map(|p| p.steps()).any(|x| x.wants(name));
@@ -137,7 +160,7 @@
 
     /// How many loads of `name` are ordered or decided.
     pub(super) fn under_way(&self, name: &Name) -> u64 {
-        let ordered = self.flights.rows.values().filter(|f| f.load && f.name == *name);
+        let ordered = self.flights.rows.loads_of(name);
         let decided = self.jobs.values().filter(|job| job.wants(name) && job.awaits_load());
         (ordered.count() + decided.count()) as u64
     }
--- /dev/null
+++ b/tests/flight_table.rs
@@ -0,0 +1,43 @@
+//! The orders under way, found by runner and by name as they change.
+
+use quickcheck::quickcheck;
+use spindledock::kernel::ids::{Name, OrderId};
+use spindledock::kernel::time::Time;
+use spindledock::placement::flight_table::FlightTable;
+use spindledock::placement::flights::Flight;
+
+const RUNNERS: u8 = 5;
+const NAMES: u8 = 4;
+
+fn flight(runner: u8, name: u8, load: bool) -> Flight {
+    let (runner, name) = (Name(format!("r{}", runner % RUNNERS)), Name(format!("m{}", name % NAMES)));
+    Flight { load, ..Flight::planned(runner, name, 1, false, Time(1)) }
+}
+
+/// Whether each look-up finds what a search of all rows finds.
+fn is_consistent(table: &FlightTable) -> bool {
+    let at = |n: u8| Name(format!("r{n}"));
+    let of = |n: u8| Name(format!("m{n}"));
+    let by_runner = |n: u8| table.values().filter(|f| f.runner == at(n)).count();
+    let by_name = |n: u8| table.values().filter(|f| f.load && f.name == of(n)).count();
+    (0..RUNNERS).all(|n| table.at(&at(n)).count() == by_runner(n))
+        && (0..NAMES).all(|n| table.loads_of(&of(n)).count() == by_name(n))
+        && table.len() == table.values().count()
+}
+
+quickcheck! {
+    fn given_any_changes_when_orders_are_looked_up_then_each_is_found_by_runner_and_by_name(
+        steps: Vec<(u8, u8, u8, bool)>
+    ) -> bool {
+        let mut table = FlightTable::default();
+        steps.into_iter().all(|(kind, runner, name, load)| {
+            let order = OrderId(u64::from(name) + 8 * u64::from(runner));
+            match kind % 3 {
+                0 => table.insert(order, flight(runner, name, load)),
+                1 => drop(table.remove(order)),
+                _ => table.retain_at(&Name(format!("r{}", runner % RUNNERS)), |f| f.load == load),
+            }
+            is_consistent(&table)
+        })
+    }
+}
