Placement: names that nobody holds get half of a round beside hot models

Cause: hot models and missing names take turns for loads of the store, but what the turns left went to hot models first, as many as a round may decide. With more copies wanted than a round holds nothing was left, round after round.

--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -1,7 +1,8 @@
 //! One round of decisions: what is loaded where, all from one picture.
 //!
 //! Two things compete for the loads that the store of weights allows: models short of runners, of which one copy serves
-//! many requests, and names that nobody holds, of which a load serves one. While both are there they take turns.
+//! many requests, and names that nobody holds, of which a load serves one. While both are there they take turns, and
+//! each gets half of what a round may decide and load before the other takes what is left.
 
 use super::board::Board;
 use super::choose::Choice;
@@ -44,6 +45,13 @@
     Anyone,
 }
 
+/// What a round keeps for others.
+#[derive(Clone, Copy, Default)]
+struct Reserve {
+    decisions: usize,
+    store_loads: u64,
+}
+
 /// What a round has decided.
 struct Decision {
     want: Name,
@@ -95,12 +103,14 @@
         let found = if spreads { short.len() } else { self.work.short };
         let wanted = self.most_pressing(ctx.now);
         if found > 0 && !self.wants.is_empty() {
-            round.spread(&short, Turn::InTurn);
+            round.spread(&short, Turn::InTurn, Reserve::default());
             self.meet_wants(&wanted, &mut round, Turn::InTurn, s);
         }
         if spreads || found == 0 {
-            round.spread(&short, Turn::Anyone);
+            let half = if wanted.is_empty() { Reserve::default() } else { round.half() };
+            round.spread(&short, Turn::Anyone, half);
             self.meet_wants(&wanted, &mut round, Turn::Anyone, s);
+            round.spread(&short, Turn::Anyone, Reserve::default());
         }
         let (decided, store_loads) = (round.decided, round.store_loads);
         (self.work.short, self.work.store_loads) = (found, store_loads);
@@ -165,6 +175,11 @@
 }
 
 impl Round<'_> {
+    /// Half of what the round may still decide and load.
+    fn half(&self) -> Reserve {
+        Reserve { decisions: self.left / 2, store_loads: self.store_left / 2 }
+    }
+
     /// Whether the round has weighed as many runners as it may.
     fn is_spent(&self) -> bool {
         self.board.placement.work.weighed.get() >= self.weighed_most
@@ -176,15 +191,16 @@
         self.store_left > 0 && (turn == Turn::Anyone || wanted_next == (purpose == Purpose::Wanted))
     }
 
-    /// More copies of models that are short of runners, where that costs little.
-    fn spread(&mut self, short: &[Shortage], turn: Turn) {
+    /// More copies of models that are short of runners, where that costs little; what is reserved is left to others.
+    fn spread(&mut self, short: &[Shortage], turn: Turn, reserved: Reserve) {
         for Shortage { missing, name, service } in short {
             let decided = self.decided.iter().filter(|d| d.want == *name).count() as u64;
             for had in decided..*missing {
-                if self.left == 0 || self.is_spent() {
+                if self.left <= reserved.decisions || self.is_spent() {
                     return;
                 }
-                let from_store = self.may_ask_store(Purpose::Copy, turn);
+                let allowed = self.store_left > reserved.store_loads;
+                let from_store = allowed && self.may_ask_store(Purpose::Copy, turn);
                 let Some(choice) = self.board.choose(service, name, from_store) else { break };
                 if choice.loss > SPREAD_LOSS * (missing - had).min(SHORT_COUNTED) {
                     break;
--- /dev/null
+++ b/tests/placement_shares.rs
@@ -0,0 +1,101 @@
+//! What a holder of the placement duty does in a large fleet while both hot models and names that nobody holds wait.
+
+#[path = "common/duty.rs"]
+mod duty;
+
+use duty::*;
+use spindledock::daemon::assemble::Policy;
+use spindledock::fleet::config::Class;
+use spindledock::fleet::holdings::{UseTell, Want};
+use spindledock::fleet::runner::Report;
+use spindledock::fleet::slice::Slice;
+use spindledock::kernel::ids::*;
+use spindledock::kernel::time::Span;
+use spindledock::msg::*;
+use spindledock::placement::Placement;
+use std::sync::Arc;
+
+const ROUTERS: u64 = 293;
+const HOT_MODELS: usize = 30;
+/// How many requests of a hot model each of a hundred routers has under way.
+const RUNS_AT_A_ROUTER: u64 = 40;
+/// The first model that no runner holds.
+const FIRST_MISSING: u64 = 500;
+const MISSING: u64 = 120;
+
+/// A runner with room for two more models.
+fn roomy_report(n: usize) -> Report {
+    let report = full_report(&size(), n);
+    let holds = report.holds[..1].to_vec();
+    Report { holds, runs: vec![], running: 3, orders: 1, used_mb: 65_000, ..report }
+}
+
+fn fleet() -> Arc<Slice> {
+    let mut slice = duty_slice(&size());
+    slice.config.store.loads_per_minute = 4500;
+    slice.config.store.burst = 40;
+    Arc::new(Slice::Duty(Box::new(slice)))
+}
+
+fn service() -> Name {
+    duty_slice(&size()).runners[0].service.clone()
+}
+
+/// What a router tells that has requests for all hot models under way.
+fn busy_router() -> Arc<RouterTell> {
+    let size = size();
+    let hot = || (0..HOT_MODELS).map(|n| size.held(3 * n as u64));
+    let active =
+        hot().enumerate().map(|(n, name)| (size.runner(n).instance, name, RUNS_AT_A_ROUTER)).collect();
+    let service = service();
+    let used = |name| UseTell { service: service.clone(), name, idle: Span::ms(0), milli_per_s: 500 };
+    Arc::new(RouterTell { active, uses: hot().map(used).collect(), ..RouterTell::default() })
+}
+
+fn wants() -> Vec<Want> {
+    let names = (FIRST_MISSING..FIRST_MISSING + MISSING).map(|n| size().held(n));
+    let service = service();
+    names.map(|name| Want { service: service.clone(), name, class: Class::Normal, count: 1 }).collect()
+}
+
+/// The models that are ordered to be loaded, or for which something is unloaded, by the decisions logged.
+fn decided(events: impl Iterator<Item = JournalEvent>, missing: &[Name]) -> (usize, usize) {
+    let (mut hot, mut wanted) = (0, 0);
+    for event in events {
+        let JournalEvent::Text("plan-small", text) = event else { continue };
+        let is_missing = missing.iter().any(|name| text.contains(&format!(" {name} is wanted")));
+        hot += usize::from(text.contains(" is hot"));
+        wanted += usize::from(is_missing);
+    }
+    (hot, wanted)
+}
+
+#[test]
+fn given_hot_models_and_names_nobody_holds_when_both_wait_then_half_of_the_decisions_are_for_the_names() {
+    let mut bench = Bench::new(Placement::new(BEGIN, Policy::Move), HOLDER, Role::Controller, ROUTERS);
+    let slice = fleet();
+    let missing: Vec<Name> = wants().into_iter().map(|want| want.name).collect();
+    for _ in 0..100 {
+        for name in looked_at(&bench.tick(&slice)) {
+            let place = name.0[1..].parse().expect("a runner's number");
+            bench.feed(Event::Report { instance: name, report: Some(roomy_report(place)) });
+        }
+    }
+    let (tell, wants) = (busy_router(), wants());
+    for n in 0..100 {
+        bench.mail(router(n), Msg::Tell(tell.clone()));
+    }
+    bench.now = bench.now + Span::ms(500);
+    let (mut hot, mut wanted) = (0, 0);
+    while hot + wanted < 60 && bench.now < BEGIN + Span::ms(4000) {
+        bench.now = bench.now + TICK;
+        bench.mail(router(200), Msg::Want(wants.clone()));
+        let (more_hot, more_wanted) = decided(bench.published(Event::Work).into_iter(), &missing);
+        (hot, wanted) = (hot + more_hot, wanted + more_wanted);
+    }
+    println!("rounds {}, weighed {}", bench.figure("rounds"), bench.figure("weighed"));
+    println!("{hot} decisions for hot models, {wanted} for names that nobody holds");
+    assert!(hot + wanted >= 32, "{hot} + {wanted} decisions");
+    assert!(hot >= 8, "hot models get their share: {hot} of {}", hot + wanted);
+    assert!(wanted >= hot, "{wanted} for names that nobody holds, {hot} for hot models");
+}
