--- a/src/daemon/driver.rs
+++ b/src/daemon/driver.rs
@@ -132,7 +132,8 @@
         true
     }
 
-    /// Serves urgent inputs, at most one of the duties' or routers' reports, and the tick if it is due; whether the node goes on.
+    /// Serves urgent inputs, at most one of the duty's or the routers', and the tick if it is due; whether the node
+    /// goes on.
     fn step(&self, r: &mut Run, queue: &mut InputQueue<Input>, ticks: &mut Ticks, turn_due: Time) -> bool {
         self.observe_disk(r);
         let mut out = Vec::new();
--- a/src/placement/push.rs
+++ b/src/placement/push.rs
@@ -8,15 +8,13 @@
 use crate::membership::rendezvous::home;
 use crate::membership::service::SUSPECT;
 use crate::msg::*;
-use crate::rollout::tell::{router_count, tells_all};
+use crate::rollout::tell::{is_small, router_count, tells_all};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 const BEAT: Span = Span::ms(500);
 const MINOR: Span = Span::ms(200);
-/// Up to this many routers are told of every change at once.
-const ROUTERS_TOLD_AT_ONCE: usize = 32;
-/// The shortest time between two looks for changes with more routers: this long for each of them.
+/// The shortest time between two looks for changes in a large fleet: this long for each of its routers.
 const GAP_PER_ROUTER: Span = Span::ms(1);
 /// How much longer mere figures may wait than the rest, in gaps.
 const MINOR_GAPS: u64 = 5;
@@ -80,7 +78,7 @@
     /// Tells routers what changed, unless they were told a moment ago; a later tick then does.
     pub fn push(&mut self, ctx: &mut Context) {
         let gap = match router_count(ctx.views) {
-            few if few <= ROUTERS_TOLD_AT_ONCE => Span(0),
+            few if is_small(few) => Span(0),
             many => Span(GAP_PER_ROUTER.0 * many as u64),
         };
         if ctx.now.since(self.push.looked) >= gap {
