--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -60,10 +60,6 @@
             Step::Move { want, .. } => Some(want),
         }
     }
-
-    pub fn wants(&self, name: &Name) -> bool {
-        self.wanted() == Some(name)
-    }
 }
 
 impl fmt::Display for Step {
--- a/src/placement/flights.rs
+++ b/src/placement/flights.rs
@@ -87,11 +87,6 @@
         self.rows.at(runner).any(|f| f.name == *name)
     }
 
-    /// Whether a load of `name` is expected to be carried out.
-    pub fn loading(&self, name: &Name) -> bool {
-        self.rows.loads_of(name).any(|f| !f.overdue)
-    }
-
     pub fn busy(&self, runner: &Name) -> usize {
         self.rows.at(runner).count()
     }
--- a/src/placement/meet.rs
+++ b/src/placement/meet.rs
@@ -53,7 +53,7 @@
         let mine = || board.offers().iter().filter(|o| o.runner.service == *service);
         let served = || mine().filter(free).any(|o| o.report.has(want) && !o.runner.leaving);
         let plain = s.config.weight(want).is_none();
-        if plain || self.claimed(want, ctx.now) || board.is_held(want) && served() || self.coming(want, s) {
+        if plain || self.claimed(want, ctx.now) || board.is_held(want) && served() || board.is_coming(want) {
             return None;
         }
         let waited = self.wanted.get(want).map_or(0, |t| ctx.now.since(*t).as_ms());
--- a/src/placement/needs.rs
+++ b/src/placement/needs.rs
@@ -29,11 +29,11 @@
 impl Placement {
     /// Logs once a second what this holder has yet to do.
     pub(super) fn log_needs(&mut self, ctx: &mut Context) {
-        if self.slice.is_none() || ctx.now.since(self.work.needs_logged) < LOG_EVERY {
+        let Some(slice) = self.slice.clone() else { return };
+        if ctx.now.since(self.work.needs_logged) < LOG_EVERY {
             return;
         }
         self.work.needs_logged = ctx.now;
-        let Some(slice) = self.slice.clone() else { return };
         let needs = self.needs(&slice, ctx.now);
         let unloading = self.jobs.values().filter(|job| job.awaits_unload()).count();
         let open = self.reports.keys().filter(|runner| self.flights.open(runner)).count();
@@ -57,11 +57,12 @@
 
     fn needs(&self, slice: &DutySlice, now: Time) -> Needs {
         let held: BTreeSet<&Name> = self.reports.values().flat_map(|row| &row.1.holds).collect();
+        let coming = self.all_coming(slice);
         let mut needs = Needs { wanted: self.wants.len(), ..Needs::default() };
         for (name, want) in self.wants.iter().filter(|row| !held.contains(row.0)) {
             needs.missing += 1;
             needs.missing_adapters += usize::from(slice.config.adapter(name).is_some());
-            if !self.coming(name, slice) {
+            if !coming.contains(name) {
                 needs.undecided += 1;
                 needs.oldest = needs.oldest.max(now.since(want.since));
             }
--- a/src/placement/quick.rs
+++ b/src/placement/quick.rs
@@ -137,13 +137,6 @@
         ordered.chain(decided).chain(planned).chain(moved).cloned().collect()
     }
 
-    /// Whether a load of `name` is ordered, planned or decided.
-    pub fn coming(&self, name: &Name, s: &DutySlice) -> bool {
-        let planned = || s.plans.iter().filter(|p| p.live()).flat_map(|p| p.steps()).any(|x| x.wants(name));
-        let moved = || s.moves.iter().any(|m| m.live() && m.want == *name);
-        self.flights.loading(name) || self.jobs.values().any(|j| j.wants(name)) || planned() || moved()
-    }
-
     fn served(&self, board: &Board, name: &Name, s: &DutySlice) -> bool {
         if !board.is_held(name) {
             return false;
