--- a/tests/common/maps.rs
+++ b/tests/common/maps.rs
@@ -49,7 +49,11 @@
 }
 
 pub fn open(adapters: u64, seed: u64) -> World {
-    let mut w = World::build(maps(adapters), seed);
+    open_with(maps(adapters), seed)
+}
+
+pub fn open_with(plan: Deployment, seed: u64) -> World {
+    let mut w = World::build(plan, seed);
     for r in &mut w.runners {
         r.stock.single = true;
         r.stock.slots = 64;
