Placement: a new holder logs what it has to wait for

The wait after a takeover could be told from the orders alone; it now stands in one line (duty-taken): how long before any order, and how many runners are left alone for longer.

--- a/src/placement/deputy.rs
+++ b/src/placement/deputy.rs
@@ -27,6 +27,17 @@
         granted.unwrap_or_else(|| Takeover::of_all_runners(clock))
     }
 
+    /// Logs what this node has to wait for, if it has just become the holder.
+    pub(super) fn log_takeover(&self, old: Term, ctx: &mut Context) {
+        if self.term == old || self.term == Term(0) {
+            return;
+        }
+        let wait = self.takeover.wait(self.flights.pacer.clock());
+        let (ms, runners) = (wait.all.as_ms(), wait.runners);
+        let text = format!("{} after {ms}ms, {runners} runners are left alone for longer", self.term);
+        ctx.log_event("duty-taken", text);
+    }
+
     /// Counts the loads that the predecessor may have under way: at runners where an order may still arrive, or that
     /// are left alone and at work.
     pub(super) fn count_predecessor_loads(&mut self) {
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -173,7 +173,9 @@
                     if let Some(Slice::Duty(s)) = l.slice {
                         let s = *s;
                         let list = self.reporting(&s).cloned().collect();
+                        let term = self.term;
                         self.learn(ctx.me.node, s);
+                        self.log_takeover(term, ctx);
                         let mine = self.term > Term(0);
                         ctx.out.push(Effect::Watch(if mine { list } else { vec![] }));
                         ctx.out.push(Effect::Holds(mine));
--- a/src/placement/takeover.rs
+++ b/src/placement/takeover.rs
@@ -24,6 +24,14 @@
     is_as_deputy: bool,
 }
 
+/// How long a holder has to wait yet.
+pub struct Wait {
+    /// Before it may order at all.
+    pub all: Span,
+    /// How many runners are left alone for longer than that.
+    pub runners: usize,
+}
+
 /// A runner that is left alone.
 pub struct LeftAlone<'a> {
     /// The runner.
@@ -84,6 +92,12 @@
         rows.map(move |(runner, from)| LeftAlone { runner, arrives: clock + APART < *from })
     }
 
+    /// How long there is to wait yet.
+    pub fn wait(&self, clock: Time) -> Wait {
+        let begin = self.all.max(clock);
+        Wait { all: begin.since(clock), runners: self.left_alone(begin).count() }
+    }
+
     /// Whether there is nothing left to wait for.
     pub fn is_over(&self, clock: Time) -> bool {
         clock >= self.over
