--- a/tests/duty_gap.rs
+++ b/tests/duty_gap.rs
@@ -11,7 +11,7 @@
 use spindledock::sim::record::Fact;
 use spindledock::sim::whatif::place_of;
 
-/// The longest time from a successor's naming until it orders.
+/// The longest time from a holder's loss until its successor orders.
 const GAP_MOST: Span = Span::ms(1000);
 
 fn rare(n: u64) -> (String, Option<String>) {
@@ -50,6 +50,14 @@
     orders.iter().find(|row| row.1 > old).map(|row| (row.1, row.0))
 }
 
+/// Where the deputy runs.
+fn deputy(w: &World) -> Option<usize> {
+    let place = place_of(w, "holder")?;
+    let duty = w.nodes[place].node.as_ref()?.views.state.duty.clone()?;
+    let node = duty.deputy?.node;
+    w.nodes.iter().position(|n| n.node.as_ref().is_some_and(|x| x.me.node == node))
+}
+
 fn orders_soon_after(lose: impl Fn(&mut World, usize)) {
     seeded(1..6, |seed| {
         let mut w = busy(seed);
@@ -61,7 +69,7 @@
         let named = named(&w, lost).expect("a successor is named");
         let (term, first) = next_term(&w, lost).expect("the successor orders");
         println!("named after {}, under {term} from {} on", named.since(lost), first.since(lost));
-        assert!(first.since(named) <= GAP_MOST, "named at {named:?}, first order at {first:?}");
+        assert!(first.since(lost) <= GAP_MOST, "lost at {lost:?}, first order at {first:?}");
     });
 }
 
@@ -83,3 +91,66 @@
         w.kill_node(holder);
     });
 }
+
+/// Cuts a node off from the other controllers, both ways; runners and routers still hear it.
+fn cut_off(w: &mut World, node: usize) {
+    for other in w.controllers().into_iter().filter(|other| *other != node) {
+        w.cuts.extend([(node, other), (other, node)]);
+    }
+}
+
+#[test]
+fn given_a_holder_that_is_cut_off_when_its_deputy_follows_then_orders_go_out_within_a_second() {
+    orders_soon_after(cut_off);
+}
+
+/// The longest time without an order, from `from` on.
+fn longest_pause(w: &World, from: Time) -> Span {
+    let is_order = |fact: &Fact| matches!(fact, Fact::Ordered { .. });
+    let orders = w.record.rows.iter().filter(|row| row.0 >= from && is_order(&row.1)).map(|row| row.0);
+    let mut times = vec![from];
+    times.extend(orders);
+    times.push(w.now);
+    let pauses = times.windows(2).map(|pair| pair[1].since(pair[0]));
+    pauses.max().unwrap_or(Span(0))
+}
+
+#[test]
+fn given_a_deputy_that_is_lost_when_another_takes_its_place_then_orders_go_on_within_two_seconds() {
+    seeded(1..6, |seed| {
+        let mut w = busy(seed);
+        let holder = place_of(&w, "holder").expect("a holder");
+        let deputy = deputy(&w).expect("a deputy");
+        assert_ne!(holder, deputy);
+        let lost = w.now;
+        w.kill_node(deputy);
+        w.run_for(Span::ms(8000));
+        sound(&w);
+        let pause = longest_pause(&w, lost);
+        println!("longest pause {pause}");
+        assert!(pause <= Span::ms(2000), "{pause} without an order");
+        assert_eq!(next_term(&w, lost), None, "the duty stays where it is");
+    });
+}
+
+#[test]
+fn given_holders_that_are_lost_one_after_the_other_when_they_come_back_then_turns_at_a_runner_stay_apart() {
+    seeded(1..9, |seed| {
+        let mut w = busy(seed);
+        for loss in 0..5u64 {
+            let Some(holder) = place_of(&w, "holder") else { continue };
+            match (loss + seed) % 3 {
+                0 => w.freeze(holder, Span::ms(2000)),
+                1 => w.operate(holder, Event::Warned),
+                _ => w.kill_node(holder),
+            }
+            w.run_for(Span::ms(700 + 300 * ((seed + loss) % 5)));
+            if !w.nodes[holder].alive {
+                w.start_node(holder);
+            }
+            w.run_for(Span::ms(500));
+        }
+        w.run_for(Span::ms(12_000));
+        sound(&w);
+    });
+}
