--- a/src/placement/holder.rs
+++ b/src/placement/holder.rs
@@ -14,13 +14,20 @@
 /// How often the chain is told that this holder orders, until that is recorded.
 const RECORD_AGAIN: Span = Span::ms(600);
 
-/// Who of those that may holds the duty next. The ends of the chain have work enough: one of them only if no other may.
+/// Who of those that may takes on a duty. The ends of the chain have work enough: one of them only if no other may.
 pub(super) fn successor(view: &View, may: &dyn Fn(NodeId) -> bool) -> Option<NodeId> {
     let is_end = |node: NodeId| view.head() == Some(node) || view.tail() == Some(node);
     let candidates = || view.chain.iter().rev().copied().filter(|node| may(*node));
     candidates().find(|node| !is_end(*node)).or_else(|| candidates().next())
 }
 
+/// The deputy follows the holder if it may, else a successor.
+fn next_holder(duty: Option<&Duty>, view: &View, may: &dyn Fn(NodeId) -> bool) -> Option<NodeId> {
+    let deputy = duty.and_then(|duty| duty.deputy).map(|deputy| deputy.node);
+    let deputy = deputy.filter(|node| view.has(*node) && may(*node));
+    deputy.or_else(|| successor(view, may))
+}
+
 impl Placement {
     pub fn name_holder(&mut self, ctx: &mut Context) {
         let post = ctx.views.role;
@@ -35,9 +42,7 @@
         if duty.map(|duty| duty.holder).is_some_and(|h| view.has(h) && live(h)) {
             return;
         }
-        let deputy = duty.and_then(|duty| duty.deputy).map(|deputy| deputy.node);
-        let deputy = deputy.filter(|node| view.has(*node) && live(*node));
-        if let Some(next) = deputy.or_else(|| successor(&view, &live)) {
+        if let Some(next) = next_holder(duty, &view, &live) {
             let deputy = successor(&view, &|node| node != next && live(node));
             self.named = ctx.now;
             ctx.log_event("duty-named", format!("{next} holds placement next"));
@@ -66,9 +71,7 @@
         let Some(view) = ctx.views.view.clone() else { return };
         let is_other = |node: NodeId| node != ctx.me.node;
         let duty = self.slice.as_ref().and_then(|slice| slice.duty.as_ref());
-        let deputy = duty.and_then(|duty| duty.deputy).map(|deputy| deputy.node);
-        let deputy = deputy.filter(|node| view.has(*node));
-        if let Some(next) = deputy.or_else(|| successor(&view, &is_other)) {
+        if let Some(next) = next_holder(duty, &view, &is_other) {
             ctx.log_event("duty-handed", format!("{next} is named successor"));
             let deputy = successor(&view, &|node| is_other(node) && node != next);
             self.tell_head(Change::Duty { holder: next, deputy }, ctx);
