Placement: unloads of withdrawn names come up again while their lease lasts

Cause: these unloads are looked for once a second; the first look asks for a lease and orders nothing, and by the next look the lease has too little time left, so it asks again. Unloads to end runs (policy preempt) are looked for as rarely in a large fleet. Change: a grant for a runner without a decision under way has both looked for again with the next timed work. Decisions, plans and moves look again within 100 ms as they did. Withdrawn, duty_gap and order_leases pass.

--- a/src/placement/deputy.rs
+++ b/src/placement/deputy.rs
@@ -5,6 +5,7 @@
 use super::holder::successor;
 use super::lease_messages::{OrderLeaseGrant, OrderLeaseRequest};
 use super::takeover::Takeover;
+use crate::daemon::assemble::Policy;
 use crate::fleet::slice::DutySlice;
 use crate::fleet::state::Change;
 use crate::kernel::component::Context;
@@ -105,5 +106,17 @@
         let Some(slice) = self.slice.clone().filter(|_| self.may_order(ctx.now)) else { return };
         self.hasten_jobs(&leased, ctx.now);
         self.run_jobs(&slice, ctx);
+        self.look_again(&leased);
+    }
+
+    /// Unloads that belong to no decision are looked for rarely: they come up again while the lease lasts.
+    fn look_again(&mut self, leased: &[Name]) {
+        if leased.iter().all(|runner| self.jobs.contains_key(runner)) {
+            return;
+        }
+        self.retired = Time(0);
+        if self.policy == Policy::Preempt {
+            self.work.last_proposal = Time(0);
+        }
     }
 }
