--- a/src/fleet/fold.rs
+++ b/src/fleet/fold.rs
@@ -19,9 +19,8 @@
             Change::Settle { id, verdict, stages } => self.settle(*id, verdict, stages),
             Change::Runners { id, list } => self.take_runners(*id, list),
             Change::Leaving { id, instance } => self.mark_leaving(*id, instance),
-            Change::Duty { holder, deputy } => self.give_duty(*holder, *deputy),
+            Change::Duty { holder } => self.give_duty(*holder),
             Change::DutyBegun { term } => self.begin_duty(*term),
-            Change::Deputy { term, deputy } => self.appoint_deputy(*term, *deputy),
             Change::Move { id, plan } => self.take_move(*id, plan),
             Change::Plan { term, plan, asked } => self.fold_plan(*term, plan, *asked),
             Change::PlanAsk { id } => self.fold_ask(*id),
@@ -138,18 +137,9 @@
         }
     }
 
-    fn appoint_deputy(&mut self, term: Term, deputy: Option<NodeId>) {
-        let appointed = self.at;
-        let is_new = |duty: &&mut Duty| duty.term == term && duty.deputy.map(|old| old.node) != deputy;
-        if let Some(duty) = self.duty.as_mut().filter(is_new) {
-            duty.deputy = deputy.map(|node| Deputy { node, appointed });
-            self.touch(Scope::Duty);
-        }
-    }
-
-    fn give_duty(&mut self, holder: NodeId, deputy: Option<NodeId>) {
-        let deputy = deputy.map(|node| Deputy { node, appointed: self.at });
-        self.duty = Some(Duty::after(self.duty.as_ref(), holder, deputy));
+    fn give_duty(&mut self, holder: NodeId) {
+        let term = self.duty.as_ref().map_or(Term(1), |d| d.term.next());
+        self.duty = Some(Duty { holder, term, begun: false });
         let names: Vec<Name> = self.config.services.iter().map(|s| s.name.clone()).collect();
         for name in names {
             self.touch(Scope::Service(name));
--- a/src/fleet/show.rs
+++ b/src/fleet/show.rs
@@ -182,12 +182,7 @@
     pub fn tree(&self) -> Tree {
         let trial = self.trial.as_ref().map_or(Tree::Null, |t| t.id.to_string().into());
         let duty = self.duty.as_ref().map_or(Tree::Null, |d| {
-            let deputy = d.deputy.map(|deputy| deputy.node.to_string()).unwrap_or_default();
-            map(&[
-                ("holder", d.holder.to_string().into()),
-                ("term", d.term.0.into()),
-                ("deputy", deputy.into()),
-            ])
+            map(&[("holder", d.holder.to_string().into()), ("term", d.term.0.into())])
         });
         map(&[
             ("version", self.at.to_string().into()),
--- a/src/fleet/slice.rs
+++ b/src/fleet/slice.rs
@@ -53,8 +53,6 @@
     pub runners: Vec<Runner>,
     pub moves: Vec<MovePlan>,
     pub duty: Term,
-    /// The holder of the duty was its predecessor's deputy.
-    pub deputy_follows: bool,
     pub limits: Limits,
 }
 
@@ -86,7 +84,6 @@
                 let mut s = service_slice(&self.config, service);
                 s.config_at = self.config_at;
                 s.duty = self.duty.as_ref().map_or(Term(0), |d| d.term);
-                s.deputy_follows = self.duty.as_ref().is_some_and(|duty| duty.follows_as_deputy());
                 s.runners = self.runners.iter().filter(|r| r.service == *name).cloned().collect();
                 s.moves = self.live_moves().filter(|m| m.service == *name).cloned().collect();
                 Slice::Service(Box::new(s))
@@ -123,7 +120,6 @@
         runners: Vec::new(),
         moves: Vec::new(),
         duty: Term(0),
-        deputy_follows: false,
         limits: c.limits.clone(),
     }
 }
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -1,5 +1,5 @@
 use super::config::FleetConfig;
-pub use super::duty::{Deputy, Duty};
+pub use super::duty::Duty;
 use super::ledger::{LedgerEntry, OrderLedger};
 pub use super::outcome::{Decision, Outcome, OutcomeCode};
 use super::plan::{PlacementPlan, PlanState};
@@ -44,17 +44,11 @@
     },
     Duty {
         holder: NodeId,
-        deputy: Option<NodeId>,
     },
     /// The holder of this term has waited out its predecessor and orders from now on.
     DutyBegun {
         term: Term,
     },
-    /// The holder of this term asks another controller for its order leases from now on, or none.
-    Deputy {
-        term: Term,
-        deputy: Option<NodeId>,
-    },
     Move {
         id: ChangeId,
         plan: MovePlan,
--- a/src/gate/learn.rs
+++ b/src/gate/learn.rs
@@ -1,10 +1,9 @@
 use super::core::Gate;
+use super::wait::QUIET;
 use crate::fleet::runner::Report;
 use crate::fleet::slice::ServiceSlice;
 use crate::kernel::ids::*;
 use crate::kernel::time::Time;
-use crate::placement::duty::ORDER_FRESH;
-use crate::placement::takeover::QUIET;
 use std::sync::Arc;
 
 impl Gate {
@@ -21,7 +20,7 @@
         self.gone = false;
         let old = self.slice.as_ref().map(|s| s.duty);
         if old.is_some_and(|t| t != slice.duty) {
-            self.pace.quiet_until = now + if slice.deputy_follows { ORDER_FRESH } else { QUIET };
+            self.pace.quiet_until = now + QUIET;
         }
         self.pace.learn(&slice);
         self.tries.percent = slice.budget.percent as f64;
--- a/src/msg.rs
+++ b/src/msg.rs
@@ -12,7 +12,6 @@
 pub use crate::kernel::event::*;
 use crate::kernel::ids::*;
 pub use crate::membership::messages::*;
-use crate::placement::lease_messages::{OrderLeaseGrant, OrderLeaseRequest};
 use crate::runner_list::messages::ListRead;
 pub use crate::tell::*;
 use bitcode::{Decode, Encode};
@@ -92,8 +91,6 @@
     Want(Vec<Want>),
     Held(Arc<HeldTell>),
     HeldAsk,
-    OrderLeaseRequest(OrderLeaseRequest),
-    OrderLeaseGrant(OrderLeaseGrant),
     /// A controller has read the list of runners.
     ListRead(Box<ListRead>),
     /// Runners that the list shows as leaving, told to routers at once.
@@ -127,8 +124,6 @@
             Msg::Want(_) => "want",
             Msg::Held(_) => "holdings",
             Msg::HeldAsk => "holdings request",
-            Msg::OrderLeaseRequest(_) => "order lease request",
-            Msg::OrderLeaseGrant(_) => "order lease grant",
             Msg::ListRead(_) => "list read",
             Msg::RunnersLeaving(_) => "runners leaving",
             Msg::Constraint(_) => "quota",
--- a/src/placement/board.rs
+++ b/src/placement/board.rs
@@ -45,10 +45,7 @@
     pub fn board<'a>(&'a self, s: &'a DutySlice, offers: &'a [Offer], now: Time) -> Board<'a> {
         let planned: BTreeSet<Name> = self.busy(s, now).into_iter().collect();
         let mut busy = planned.clone();
-        let closed = |o: &&Offer| {
-            let runner = &o.runner.instance;
-            self.flights.open(runner) || self.flights.is_foreign(&o.report) || self.is_left_alone(runner)
-        };
+        let closed = |o: &&Offer| self.flights.open(&o.runner.instance) || self.flights.is_foreign(&o.report);
         busy.extend(offers.iter().filter(closed).map(|o| o.runner.instance.clone()));
         let mut held_at: BTreeMap<&Name, Vec<usize>> = BTreeMap::new();
         for (place, offer) in offers.iter().enumerate().filter(|o| !o.1.runner.leaving) {
--- a/src/placement/duty.rs
+++ b/src/placement/duty.rs
@@ -1,12 +1,9 @@
 use super::distrust::Distrust;
 use super::flights::Flights;
 use super::job::Job;
-use super::lease_grants::LeaseGrants;
 use super::look::Looks;
-use super::order_leases::OrderLeases;
 use super::push::Push;
 use super::quick::Work;
-use super::takeover::Takeover;
 use super::uses::Usage;
 use super::wants::Wanted;
 use crate::daemon::assemble::Policy;
@@ -25,6 +22,7 @@
 use std::sync::Arc;
 
 pub const ORDER_FRESH: Span = Span::ms(1000);
+pub const QUIET: Span = Span::ms(4000);
 pub const REPORT: Span = Span::ms(2500);
 
 pub struct Placement {
@@ -43,9 +41,7 @@
     /// Runners whose loads failed although they told of room.
     pub distrust: Distrust,
     pub term: Term,
-    pub(super) takeover: Takeover,
-    pub(super) leases: OrderLeases,
-    pub(super) grants: LeaseGrants,
+    pub may_from: Time,
     pub kept: BTreeMap<Name, BTreeSet<Name>>,
     pub phases: BTreeMap<MoveId, (Phase, Time, u64)>,
     pub sent: BTreeMap<MoveId, Time>,
@@ -75,8 +71,6 @@
     /// The list of runners that the head was last sent, and when.
     pub(super) listed: (Vec<Runner>, Time),
     pub named: Time,
-    /// When a deputy was last named.
-    pub(super) appointed: Time,
     /// When the chain was last told that this holder orders.
     pub begun_told: Time,
     pub warned: bool,
@@ -99,9 +93,7 @@
             flights: Flights::default(),
             distrust: Distrust::default(),
             term: Term(0),
-            takeover: Takeover::never(),
-            leases: OrderLeases::default(),
-            grants: LeaseGrants::default(),
+            may_from: Time(u64::MAX),
             kept: BTreeMap::new(),
             phases: BTreeMap::new(),
             sent: BTreeMap::new(),
@@ -127,7 +119,6 @@
             asked: Time(0),
             listed: (vec![], Time(0)),
             named: Time(0),
-            appointed: Time(0),
             begun_told: Time(0),
             warned: false,
             bare_plain: false,
@@ -135,9 +126,45 @@
     }
 
     pub fn may_order(&self, now: Time) -> bool {
-        !self.warned
-            && self.takeover.may_order(self.flights.pacer.clock())
-            && now.since(self.proven) < ORDER_FRESH
+        !self.warned && self.flights.pacer.clock() >= self.may_from && now.since(self.proven) < ORDER_FRESH
+    }
+
+    fn learn(&mut self, me: NodeId, slice: DutySlice) {
+        let mine = slice.duty.as_ref().filter(|d| d.holder == me).map(|d| d.term);
+        match mine {
+            Some(term) if term != self.term => {
+                self.term = term;
+                let mut pacer = std::mem::take(&mut self.flights.pacer);
+                let begun = slice.duty.as_ref().is_some_and(|duty| duty.begun);
+                self.may_from = pacer.clock() + if begun { Span(0) } else { QUIET };
+                pacer.follow(&slice.config.store, ORDER_FRESH);
+                self.flights = Flights { pacer, ..Flights::default() };
+                self.phases.clear();
+                self.rows.clear();
+                self.claims.clear();
+                self.unseen.clear();
+                self.afresh();
+            }
+            Some(_) => {}
+            None => {
+                self.term = Term(0);
+                self.may_from = Time(u64::MAX);
+                self.afresh();
+            }
+        }
+        let runners = slice.runners.iter().enumerate();
+        self.places = runners.map(|(place, runner)| (runner.instance.clone(), place)).collect();
+        self.reports.retain(|n, _| self.places.contains_key(n));
+        self.kept.retain(|n, _| self.places.contains_key(n));
+        self.slice = Some(Arc::new(slice));
+    }
+
+    fn afresh(&mut self) {
+        self.reports.clear();
+        self.looks.clear();
+        self.jobs.clear();
+        self.settled.clear();
+        self.push_anew();
     }
 }
 
@@ -152,12 +179,10 @@
             Event::Work => {
                 self.ask(ctx);
                 self.name_holder(ctx);
-                self.appoint_deputy(ctx);
                 self.look(ctx);
                 self.refresh_usage(ctx.now);
                 self.flights.arrive(ctx.now);
                 self.distrust.forget(ctx.now);
-                self.count_predecessor_loads();
                 self.quick(ctx);
                 if self.may_order(ctx.now) {
                     self.work(ctx);
@@ -173,9 +198,7 @@
                     if let Some(Slice::Duty(s)) = l.slice {
                         let s = *s;
                         let list = self.reporting(&s).cloned().collect();
-                        let term = self.term;
                         self.learn(ctx.me.node, s);
-                        self.log_takeover(term, ctx);
                         let mine = self.term > Term(0);
                         ctx.out.push(Effect::Watch(if mine { list } else { vec![] }));
                         ctx.out.push(Effect::Holds(mine));
@@ -207,13 +230,8 @@
             }
             Event::Ordered { order, status } => self.ordered(*order, *status, ctx),
             Event::Warned => self.hand_over(ctx),
-            Event::Mail { from, msg: Msg::OrderLeaseRequest(request), .. } => {
-                self.lease_asked(*from, request, ctx);
-            }
-            Event::Mail { msg: Msg::OrderLeaseGrant(grant), .. } => self.lease_granted(grant, ctx),
             _ => {}
         }
-        self.ask_leases(ctx);
     }
 
     fn status(&self, now: Time) -> Vec<(&'static str, String)> {
--- a/src/placement/flights.rs
+++ b/src/placement/flights.rs
@@ -73,15 +73,12 @@
     /// When a runner refused an order for a name.
     pub refused: BTreeMap<Name, BTreeMap<Name, Time>>,
     pub sequences: Sequences,
-    /// How many loads of the holder before may be under way.
-    pub predecessor_loads: u64,
 }
 
 impl Flights {
     /// How many loads the store of weights allows at this moment.
     pub fn loads_left(&mut self, rule: &Store) -> u64 {
-        let own = self.rows.values().filter(|f| f.load && f.counted).count() as u64;
-        let under_way = own + self.predecessor_loads;
+        let under_way = self.rows.values().filter(|f| f.load && f.counted).count() as u64;
         let at_once = if rule.at_once == 0 { u64::MAX } else { rule.at_once.saturating_sub(under_way) };
         at_once.min(self.pacer.left(rule).max(0.0) as u64)
     }
--- a/src/placement/holder.rs
+++ b/src/placement/holder.rs
@@ -14,20 +14,13 @@
 /// How often the chain is told that this holder orders, until that is recorded.
 const RECORD_AGAIN: Span = Span::ms(600);
 
-/// Who of those that may takes on a duty. The ends of the chain have work enough: one of them only if no other may.
-pub(super) fn successor(view: &View, may: &dyn Fn(NodeId) -> bool) -> Option<NodeId> {
+/// Who of those that may holds the duty next. The ends of the chain have work enough: one of them only if no other may.
+fn successor(view: &View, may: &dyn Fn(NodeId) -> bool) -> Option<NodeId> {
     let is_end = |node: NodeId| view.head() == Some(node) || view.tail() == Some(node);
     let candidates = || view.chain.iter().rev().copied().filter(|node| may(*node));
     candidates().find(|node| !is_end(*node)).or_else(|| candidates().next())
 }
 
-/// The deputy follows the holder if it may, else a successor.
-fn next_holder(duty: Option<&Duty>, view: &View, may: &dyn Fn(NodeId) -> bool) -> Option<NodeId> {
-    let deputy = duty.and_then(|duty| duty.deputy).map(|deputy| deputy.node);
-    let deputy = deputy.filter(|node| view.has(*node) && may(*node));
-    deputy.or_else(|| successor(view, may))
-}
-
 impl Placement {
     pub fn name_holder(&mut self, ctx: &mut Context) {
         let post = ctx.views.role;
@@ -38,15 +31,14 @@
         let live = |n: NodeId| {
             n == ctx.me.node || ctx.views.members.iter().any(|r| r.who.node == n && r.quiet < SUSPECT)
         };
-        let duty = ctx.views.state.duty.as_ref();
-        if duty.map(|duty| duty.holder).is_some_and(|h| view.has(h) && live(h)) {
+        let holder = ctx.views.state.duty.as_ref().map(|d| d.holder);
+        if holder.is_some_and(|h| view.has(h) && live(h)) {
             return;
         }
-        if let Some(next) = next_holder(duty, &view, &live) {
-            let deputy = successor(&view, &|node| node != next && live(node));
+        if let Some(next) = successor(&view, &live) {
             self.named = ctx.now;
             ctx.log_event("duty-named", format!("{next} holds placement next"));
-            ctx.publish(JournalEvent::Submitted(Arc::new(Change::Duty { holder: next, deputy })));
+            ctx.publish(JournalEvent::Submitted(Arc::new(Change::Duty { holder: next })));
         }
     }
 
@@ -55,8 +47,7 @@
     /// counts that orders name.
     pub fn record_begun(&mut self, s: &DutySlice, ctx: &mut Context) {
         let recorded = s.duty.as_ref().is_none_or(|duty| duty.term != self.term || duty.begun);
-        let waits = !self.takeover.is_over(self.flights.pacer.clock());
-        if recorded || waits || ctx.now.since(self.begun_told) < RECORD_AGAIN {
+        if recorded || ctx.now.since(self.begun_told) < RECORD_AGAIN {
             return;
         }
         self.begun_told = ctx.now;
@@ -70,11 +61,9 @@
         }
         let Some(view) = ctx.views.view.clone() else { return };
         let is_other = |node: NodeId| node != ctx.me.node;
-        let duty = self.slice.as_ref().and_then(|slice| slice.duty.as_ref());
-        if let Some(next) = next_holder(duty, &view, &is_other) {
+        if let Some(next) = successor(&view, &is_other) {
             ctx.log_event("duty-handed", format!("{next} is named successor"));
-            let deputy = successor(&view, &|node| is_other(node) && node != next);
-            self.tell_head(Change::Duty { holder: next, deputy }, ctx);
+            self.tell_head(Change::Duty { holder: next }, ctx);
         }
     }
 
--- a/src/placement/job.rs
+++ b/src/placement/job.rs
@@ -174,15 +174,6 @@
         Ok(job)
     }
 
-    /// Lets the decisions at these runners go on at once.
-    pub(super) fn hasten_jobs(&mut self, runners: &[Name], now: Time) {
-        for runner in runners {
-            if let Some(job) = self.jobs.get_mut(runner) {
-                job.next = now;
-            }
-        }
-    }
-
     /// An answer to an order of a job: the next step, the same again, or the end.
     pub fn job_answered(&mut self, order: OrderId, status: u16, ctx: &mut Context) {
         let Some((runner, mut job)) = self.job_of(order) else { return };
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -33,7 +33,7 @@
             return None;
         }
         let report = self.reports.get(runner).map(|r| self.known(s, &r.1))?;
-        if self.flights.is_foreign(&report) || self.is_left_alone(runner) {
+        if self.flights.is_foreign(&report) {
             return None;
         }
         let expected = self.flights.sequences.expected(runner)?;
@@ -51,7 +51,6 @@
         if counted && self.flights.loads_left(rule) == 0 {
             return None;
         }
-        let leased_until = self.leases.until(runner, ctx.now)?;
         let order = OrderId(ctx.rand.next() | 1);
         let ms = if kept && !adapter { rule.kept_ms } else { s.config.load_ms(name) };
         let flight = Flight {
@@ -71,7 +70,7 @@
             expected,
             overdue: false,
         };
-        let due = leased_until.min(self.proven + ORDER_FRESH);
+        let due = self.proven + ORDER_FRESH;
         if counted {
             self.flights.pacer.took(order, due.since(ctx.now));
         }
--- a/tests/must_never_too.rs
+++ b/tests/must_never_too.rs
@@ -92,6 +92,7 @@
         chat(&mut w, 6.0, 300, 6, Span::ms(12_000));
         w.run_for(Span::ms(6000));
         w.flows[1].until = w.now;
+        w.run_for(Span::ms(1500));
         any_move(&mut w, true);
         w.run_for(Span::ms(80_000));
         sound(&w);
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -21,9 +21,7 @@
 restart-proof|src/distribution/reader.rs|proven < self.started \|\| ||news slides_back
 same-event|src/transfer/handover.rs|if !self.contract.same_place\(a, b\)|if false|must_never_too source_keeps_it
 budget|src/gate/budget.rs|if self.credit < 1.0|if false|must_never_too in_the_budget
-holder-wait|src/placement/takeover.rs|QUIET: Span = Span\(LEASE.0 \+ APART.0\)|QUIET: Span = Span(0)|must_never_too three_seconds_apart
-order-lease|src/placement/order.rs|self.leases.until\(runner, ctx.now\)\?|Time(u64::MAX)|duty_gap within_a_second
-deputy-follows|src/placement/deputy.rs|granted.unwrap_or_else\(\|\| Takeover::of_all_runners\(clock\)\)|Takeover::of_all_runners(clock)|duty_gap within_a_second
+holder-wait|src/placement/duty.rs|QUIET: Span = Span::ms\(4000\)|QUIET: Span = Span::ms(0)|must_never_too three_seconds_apart
 room|src/placement/room.rs|if free_mb\(c, o, f\) < mb|if false|must_never_too never_overrun
 in-flight|src/placement/flights.rs|self.rows.at\(&report.instance\).filter\(new\).map\(\|f\| f.mb\).sum\(\)|0|placement in_flight
 store-rate|src/placement/flights.rs|at_once.min\(self.pacer.left\(rule\).max\(0.0\) as u64\)|at_once|must_never_too never_overrun
@@ -33,7 +31,7 @@
 lead-folded|src/chain/installation.rs|self.is_head\(\) && self.committed >= self.lead_from|self.is_head()|lead the_rest_is_kept
 ready-stays|src/chain/installation.rs|went_on && self.ready && view.has\(self.ident\)|false|mend all_the_same
 mending|src/chain/view_change.rs|if !self.in_chain\(\) \|\| !self.ready \|\| !self.hears_majority\(ctx.now\)|if true|chain changes_go_on
-return-time|src/placement/takeover.rs|QUIET: Span = Span\(LEASE.0 \+ APART.0\)|QUIET: Span = Span(14_000_000)|back each_herd
+return-time|src/placement/duty.rs|QUIET: Span = Span::ms\(4000\)|QUIET: Span = Span::ms(14000)|back each_herd
 wait-refused|src/gate/wait.rs|if now \+ wait < order.due \{|if true {|wait hear_it_early
 overlap|src/forwarding/resume.rs|Join::Repeat\(last\) if last == item|Join::Repeat(_)|forwarding mixed
 join-by-id|src/forwarding/resume.rs|self.sequence.is_next\(id\)\)|self.sequence.is_next(id) \|\| true)|platform_stream never_mixed
