Bodies of all clients are bounded by one account of memory for the process

Cause: a body was bounded for each request, never for the process. The pieces of a chunked body were kept one by one until its end, each with the read buffer it came in, and joined by a copy. Callers saw the router's process grow until the machine ended it.

--- a/src/daemon/command_line.rs
+++ b/src/daemon/command_line.rs
@@ -7,9 +7,22 @@
 use pico_args::Arguments;
 
 /// The keys of the settings; each is also a flag, with `-` for `_`.
-const KEYS: [&str; 13] = [
-    "address", "admin", "http", "domain", "seeds", "core", "bear", "first", "data", "drain_ms", "lame_ms",
-    "proof_ms", "lease_ms",
+const KEYS: [&str; 15] = [
+    "address",
+    "admin",
+    "http",
+    "domain",
+    "seeds",
+    "core",
+    "bear",
+    "first",
+    "data",
+    "drain_ms",
+    "lame_ms",
+    "proof_ms",
+    "lease_ms",
+    "memory_mb",
+    "max_descriptors",
 ];
 
 /// What `--restore-as-only` must be given to confirm that all other copies are lost.
@@ -31,6 +44,8 @@
   --lame-ms N         how long it still accepts requests after SIGTERM (default 0)
   --proof-ms N        how long a router serves after its last proof of a current state (default 2000)
   --lease-ms N        how long a router may serve while it reaches no controller (default 4500)
+  --memory-mb N       the memory that this process may take (default: the machine's)
+  --max-descriptors N how many descriptors it may open (default: the limit of the operating system)
   --check             check the settings, print the faults and exit
   --inspect           print what this controller's data folder holds and exit
   --restore-as-only I-KNOW-THE-OTHERS-ARE-LOST
@@ -85,9 +100,8 @@
         let Some(got) = got else { continue };
         let value = match key {
             "seeds" => Tree::List(got.split(',').map(Tree::from).collect()),
-            "core" | "bear" | "drain_ms" | "lame_ms" | "proof_ms" | "lease_ms" => {
-                got.parse::<u64>().map_or(Tree::Text(got), Tree::from)
-            }
+            "core" | "bear" | "drain_ms" | "lame_ms" | "proof_ms" | "lease_ms" | "memory_mb"
+            | "max_descriptors" => got.parse::<u64>().map_or(Tree::Text(got), Tree::from),
             "first" => got.parse::<bool>().map_or(Tree::Text(got), Tree::Bool),
             _ => Tree::Text(got),
         };
--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -1,6 +1,7 @@
 //! The settings of a process, as its JSON file and the flags of [`super::command_line`] give them. The platform's own
 //! settings file is read in [`crate::platform::settings`].
 
+use super::machine_limits::MachineLimits;
 use crate::constraints::QuotaSettings;
 use crate::distribution::reader::SERVING_LEASE;
 use crate::json::{Reader, Tree};
@@ -11,6 +12,11 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+/// The least memory that a process can be given, in MB.
+const MIN_MEMORY_MB: u64 = 32;
+/// The fewest descriptors that a process can be given.
+const MIN_DESCRIPTORS: u64 = 256;
+
 /// The settings of one process. Those that [`NodeSettings`](super::assemble::NodeSettings) has too mean the same.
 #[derive(Clone, Debug)]
 pub struct NodeConfig {
@@ -46,6 +52,8 @@
     pub protocols: Protocols,
     /// How exactly quotas are kept.
     pub quota: QuotaSettings,
+    /// What the machine gives to the process.
+    pub machine: MachineLimits,
     /// Whether the process runs its I/O on one thread.
     pub is_single_threaded: bool,
 }
@@ -129,6 +137,16 @@
         freshness_limit_ms,
         120_000,
     );
+    let found = MachineLimits::detect();
+    let machine = MachineLimits {
+        memory_mb: reader.num("memory_mb", Some(found.memory_mb), MIN_MEMORY_MB, u64::MAX),
+        max_descriptors: reader.num(
+            "max_descriptors",
+            Some(found.max_descriptors),
+            MIN_DESCRIPTORS,
+            u64::MAX,
+        ),
+    };
     if let (Some(a), Some(b)) = (addr, admin)
         && (a == b || http == Some(a) || http == Some(b))
     {
@@ -156,6 +174,7 @@
                 serving_lease_ms,
                 protocols,
                 quota: QuotaSettings::default(),
+                machine,
                 is_single_threaded,
             })
         }
--- /dev/null
+++ b/src/daemon/machine_limits.rs
@@ -0,0 +1,43 @@
+//! What the machine gives to this process, and how much of it clients may take.
+
+/// The part of the memory that bodies of requests and answers may take: one in this many bytes.
+const BODY_MEMORY_SHARE: u64 = 4;
+/// The descriptors that are kept for files.
+const FILE_DESCRIPTORS: u64 = 200;
+
+/// The memory and the descriptors of this process.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct MachineLimits {
+    /// The memory in MB.
+    pub memory_mb: u64,
+    /// The most open descriptors.
+    pub max_descriptors: u64,
+}
+
+impl MachineLimits {
+    /// The memory of the machine and the limit that the operating system sets to this process.
+    pub fn detect() -> MachineLimits {
+        MachineLimits { memory_mb: machine_memory_mb(), max_descriptors: descriptor_limit() }
+    }
+
+    /// How many bytes the bodies of all clients may take together.
+    pub fn body_bytes(&self) -> usize {
+        ((self.memory_mb << 20) / BODY_MEMORY_SHARE) as usize
+    }
+}
+
+/// The memory of the machine in MB, as the kernel tells it.
+fn machine_memory_mb() -> u64 {
+    let pages = unsafe { libc::sysconf(libc::_SC_PHYS_PAGES) }.max(0) as u64;
+    let page_bytes = unsafe { libc::sysconf(libc::_SC_PAGESIZE) }.max(0) as u64;
+    (pages * page_bytes) >> 20
+}
+
+/// The limit on open descriptors of this process.
+fn descriptor_limit() -> u64 {
+    let mut limit = libc::rlimit { rlim_cur: 0, rlim_max: 0 };
+    match unsafe { libc::getrlimit(libc::RLIMIT_NOFILE, &raw mut limit) } {
+        0 => limit.rlim_cur,
+        _ => FILE_DESCRIPTORS,
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -15,6 +15,7 @@
 pub mod links;
 pub mod listener;
 pub mod logs;
+pub mod machine_limits;
 pub mod node_io;
 pub mod panics;
 pub mod peer_queue;
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -16,6 +16,7 @@
 use crate::chain::leaving::Departure;
 use crate::gate::BalancerTable;
 use crate::http::client::ClientConnections;
+use crate::http::memory_account::MemoryAccount;
 use crate::http::pool::Pool;
 use crate::http::request_service::RequestService;
 use crate::kernel::disk::LogFile;
@@ -155,6 +156,7 @@
         open_requests: AtomicU64::new(0),
         recent: Default::default(),
         clients: ClientConnections::new(clock.clone()),
+        memory: MemoryAccount::new(clock.clone(), config.machine.body_bytes()),
         protocols: config.protocols.clone(),
     });
     super::status::serve_admin_api(
--- a/src/http/attempt.rs
+++ b/src/http/attempt.rs
@@ -5,6 +5,7 @@
 use super::exchange::{BodyBroken, Classified, Exchange, RunnerAnswer};
 use super::guard::Check;
 use super::pool::Pool;
+use super::receive::ReceivedBody;
 use crate::fleet::config::RouteKind;
 use crate::fleet::runner::Runner;
 use crate::forwarding::FlowEvent;
@@ -62,8 +63,8 @@
     pub uri: Uri,
     /// The end-to-end headers.
     pub headers: HeaderMap,
-    /// The whole body.
-    pub body: Bytes,
+    /// The whole body, with the memory reserved for it.
+    pub body: ReceivedBody,
 }
 
 /// The head of a runner's answer: the attempt, its status and headers.
@@ -80,7 +81,7 @@
 /// The request as this attempt's runner receives it, with the remaining time as its deadline.
 pub fn outgoing_request(job: &Attempt) -> Request<Full<Bytes>> {
     let (request, runner) = (&job.request, &job.runner);
-    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    let mut outgoing = Request::new(Full::new(request.body.bytes.clone()));
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.uri.clone();
     *outgoing.headers_mut() = request.headers.clone();
--- a/src/http/request_service.rs
+++ b/src/http/request_service.rs
@@ -5,8 +5,11 @@
 use super::attempt::{ForwardedRequest, end_to_end};
 use super::client::ClientConnections;
 use super::forward::{ForwardJob, forward};
+use super::memory_account::MemoryAccount;
 use super::pool::Pool;
 use super::quota::take_token;
+use super::receive::{ReceiveError, ReceiveLimits, receive};
+use super::request_head::head_bytes;
 use crate::fleet::config::ServiceKind;
 use crate::fleet::slice::RouteRow;
 use crate::gate::admission::admit;
@@ -15,7 +18,6 @@
 use crate::kernel::time::{Clock, Span, Time};
 use crate::protocol::Protocols;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Request, Response};
@@ -43,6 +45,8 @@
     pub recent: super::recent_requests::RecentRequests,
     /// The connections of clients.
     pub clients: Arc<ClientConnections>,
+    /// The memory that the bodies of all clients may take together.
+    pub memory: Arc<MemoryAccount>,
     /// The protocols of clients and runners.
     pub protocols: Protocols,
 }
@@ -59,17 +63,6 @@
     }
 }
 
-/// The size of a request head as it was received, in bytes, without optional white space around values.
-fn head_bytes(request: &Request<Incoming>) -> u64 {
-    const LINE: usize = "  HTTP/1.1\r\n".len();
-    const HEADER: usize = ": \r\n".len();
-    const END: usize = "\r\n".len();
-    let target = request.uri().path_and_query().map_or(0, |p| p.as_str().len());
-    let first = request.method().as_str().len() + target + LINE;
-    let rows = request.headers().iter().map(|(k, v)| k.as_str().len() + v.len() + HEADER);
-    (first + rows.sum::<usize>() + END) as u64
-}
-
 impl RequestService {
     /// Applies the newest limits to the connections of clients and expires those that are over them.
     pub fn sweep(&self) {
@@ -119,27 +112,19 @@
             Ok(admission) => admission,
             Err(_) => return self.unknown_key(row),
         };
-        let limited = Limited::new(body, (row.route.body_kb as usize) << 10).collect();
-        let body = match tokio::time::timeout(Span::ms(row.route.due_ms).as_std(), limited).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-                let text = format!("the body is over {} KB; send a smaller one", row.route.body_kb);
-                return coded_answer(413, "body-too-large", &text, 0, "refused");
-            }
-            Err(_) => return timeout_answer(),
-            Ok(Err(_)) => {
-                return coded_answer(
-                    400,
-                    "body-unread",
-                    "the body did not arrive whole; send it again",
-                    0,
-                    "refused",
-                );
-            }
+        let limits = ReceiveLimits {
+            max_bytes: (row.route.body_kb as usize) << 10,
+            time: Span::ms(row.route.due_ms).as_std(),
+            copies: 1,
+        };
+        let received = match receive(body, limits, &self.memory).await {
+            Ok(received) => received,
+            Err(why) => return self.unreceived(row, why),
         };
+        let body = &received.bytes;
         let mut headers = end_to_end(&parts.headers);
         headers.remove("x-target-instance");
-        let order = match self.build_order(row, now, &headers, &body) {
+        let order = match self.build_order(row, now, &headers, body) {
             Ok(order) => RequestSpec {
                 host: host.as_str().into(),
                 path: parts.uri.path().into(),
@@ -161,7 +146,7 @@
         };
         self.recent.add(&order, &host, parts.uri.path(), body.len());
         let uri = parts.uri.path_and_query().map_or("/", |p| p.as_str()).parse().unwrap_or_default();
-        let forwarded = Arc::new(ForwardedRequest { method: parts.method, uri, headers, body });
+        let forwarded = Arc::new(ForwardedRequest { method: parts.method, uri, headers, body: received });
         let (tx, rx) = oneshot::channel();
         let work = forward(
             balancer,
@@ -184,6 +169,24 @@
         }
     }
 
+    /// The refusal of a request whose body was not received.
+    fn unreceived(&self, row: &RouteRow, why: ReceiveError) -> Response<AnswerBody> {
+        match why {
+            ReceiveError::TooLarge => {
+                let text = format!("the body is over {} KB; send a smaller one", row.route.body_kb);
+                coded_answer(413, "body-too-large", &text, 0, "refused")
+            }
+            ReceiveError::TooSlow => timeout_answer(),
+            ReceiveError::NoRoom => {
+                refusal_answer(&*self.protocols.caller, &Refusal::new(RefusalReason::MemoryFull, 1))
+            }
+            ReceiveError::Broken => {
+                let text = "the body did not arrive whole; send it again";
+                coded_answer(400, "body-unread", text, 0, "refused")
+            }
+        }
+    }
+
     /// The refusal of a request whose key is unknown or missing. It does not contain the key.
     fn unknown_key(&self, row: &RouteRow) -> Response<AnswerBody> {
         if let Some(balancer) = self.table.get(&row.service) {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -6,6 +6,7 @@
 use super::runner::PlatformRunner;
 use crate::constraints::QuotaSettings;
 use crate::daemon::config::NodeConfig;
+use crate::daemon::machine_limits::MachineLimits;
 use crate::fleet::config::Budget;
 use crate::kernel::fault::{Fault, Kind};
 use crate::kernel::ids::Name;
@@ -102,6 +103,15 @@
     }
 }
 
+/// The limits of the machine; what the settings don't say is asked of the system.
+fn machine(reader: &SettingsReader) -> MachineLimits {
+    let found = MachineLimits::detect();
+    MachineLimits {
+        memory_mb: reader.num("Limits.MemoryMb", found.memory_mb as f64) as u64,
+        max_descriptors: reader.num("Limits.MaxFds", found.max_descriptors as f64) as u64,
+    }
+}
+
 /// Reads the text of a settings file. Fails with all faults found.
 pub fn read(role: Role, text: &str) -> Result<NodeConfig, Vec<Fault>> {
     let docs = YamlLoader::load_from_str(text)
@@ -149,6 +159,7 @@
         tolerance: reader.num("Timers.OriginTolerance", LoadRateLimit::default().tolerance),
     };
     let quota = quota(&reader);
+    let machine = machine(&reader);
     let grace_ms = reader.num("Timers.GraceS", 8.0) * 1000.0;
     let freshness_limit_ms = reader.num("Timers.ConvergenceMs", 2000.0).max(1000.0) as u64;
     let ack_timeout_ms = reader.num("Timers.AckTimeoutMs", 4000.0) as u64;
@@ -186,6 +197,7 @@
         lame_ms: if role == Role::Router { ROUTER_LAME_MS } else { 0 },
         protocols,
         quota,
+        machine,
         is_single_threaded: true,
     })
 }
--- a/tests/platform_given/test_router.rs
+++ b/tests/platform_given/test_router.rs
@@ -11,6 +11,7 @@
 use spindledock::fleet::state::Scope;
 use spindledock::gate::BalancerTable;
 use spindledock::http::client::ClientConnections;
+use spindledock::http::memory_account::MemoryAccount;
 use spindledock::http::request_service::RequestService;
 use spindledock::kernel::ids::{Name, Version};
 use spindledock::kernel::time::{Clock, Span, Time};
@@ -27,6 +28,8 @@
 
 pub use http_client::*;
 
+/// The memory that the bodies of all clients may take together.
+const BODY_MEMORY_BYTES: usize = 64 << 20;
 /// The time limit of any wait.
 pub const LONG: Duration = Duration::from_secs(30);
 
@@ -94,6 +97,7 @@
             open_requests: AtomicU64::new(0),
             recent: Default::default(),
             clients: ClientConnections::new(clock.clone()),
+            memory: MemoryAccount::new(clock.clone(), BODY_MEMORY_BYTES),
             protocols: Protocols { caller, runner: runner_protocol, list: None, operator: None },
         });
         let socket = TcpListener::bind((own_loopback(), 0)).await.expect("a free port");
