A length over the limit is refused at the head

Cause: the announced length was not looked at: the whole limit (64 MiB by default) was read before the 413, and a client that sent nothing waited for the route's time. tests/platform_refused_body: 408 after the route's 8 s before, 413 at once now.

--- a/src/http/receive.rs
+++ b/src/http/receive.rs
@@ -62,6 +62,9 @@
     if body.is_end_stream() {
         return Ok(ReceivedBody { bytes: Bytes::new(), reservation: None });
     }
+    if body.size_hint().lower() > limits.max_bytes as u64 {
+        return Err(ReceiveError::TooLarge);
+    }
     let reservation = account.open();
     let buffer = BodyBuffer { bytes: Vec::new(), limits, reservation: &reservation };
     let bytes = tokio::select! {
--- /dev/null
+++ b/tests/platform_refused_body.rs
@@ -0,0 +1,30 @@
+//! Requests whose bodies are refused before they have arrived: the client gets the answer all the same.
+
+mod platform_given;
+#[path = "platform_given/test_router.rs"]
+mod test_router;
+
+use std::sync::Arc;
+use test_router::{TestRouter, read_answer, sealed_answer, status};
+use tokio::io::AsyncWriteExt;
+
+/// The limit that the default configuration sets to a body.
+const LIMIT_BYTES: usize = 64 << 20;
+
+async fn open() -> TestRouter {
+    TestRouter::open(1, 3, 1, Arc::new(|_, h| vec![sealed_answer(h, "mine")])).await
+}
+
+fn head(path: &str, announced: usize) -> String {
+    format!("POST {path} HTTP/1.1\r\nhost: a.example\r\nx-request-id: q1\r\ncontent-length: {announced}\r\n\r\n")
+}
+
+#[tokio::test]
+async fn given_an_announced_length_over_the_limit_then_it_is_refused_before_any_of_it_arrives() {
+    let router = open().await;
+    let mut link = router.connect().await;
+    link.write_all(head("/once/x", LIMIT_BYTES + 1).as_bytes()).await.expect("sent");
+    let got = read_answer(&mut link).await;
+    assert_eq!(status(&got), 413, "{got}");
+    assert!(router.received().is_empty());
+}
