A client that is refused before its body has arrived gets the whole refusal

Cause: hyper closes a connection whose request was not read; the unread bytes make that close a reset, so a client that was still sending lost the 413, 404, 401 or 431 and saw a closed connection, which promises nothing. The rest is read and discarded for up to 2 s now, after the answer and the end of the stream have been sent; an answer that ends its connection says so.

--- a/src/daemon/listener.rs
+++ b/src/daemon/listener.rs
@@ -1,8 +1,10 @@
 //! HTTP/1.1 listeners: one for the admin address, and one for clients with the configured limits.
 
+use crate::fleet::config::Limits;
 use crate::http::answer::{AnswerBody, timeout_answer};
 use crate::http::client::{ClientConnection, ClientConnections};
 use crate::http::client_stream::ClientStream;
+use crate::http::request_body::RequestBody;
 use crate::http::served_body::ServedBody;
 use crate::kernel::fault::{Fault, Kind};
 use error_stack::Report;
@@ -11,7 +13,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, Version};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -23,10 +25,13 @@
 /// The future that answers one request.
 pub type AnswerFuture = Pin<Box<dyn Future<Output = Response<AnswerBody>> + Send>>;
 /// Answers the requests of a listener.
-pub type RequestHandler = Arc<dyn Fn(Request<Incoming>) -> AnswerFuture + Send + Sync>;
+pub type RequestHandler = Arc<dyn Fn(Request<RequestBody>) -> AnswerFuture + Send + Sync>;
 
-/// The time limit of a request head at the admin address.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+/// The limits on the connections of operators and of the platform.
+const ADMIN_LIMITS: Limits =
+    Limits { head_bytes: 64 << 10, body_bytes: 8 << 20, head_ms: 15_000, idle_ms: 15_000 };
+/// How often the limits on these connections are applied.
+const ADMIN_SWEEP_PERIOD: Duration = Duration::from_millis(500);
 /// The pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -48,20 +53,16 @@
     }
 }
 
-/// Serves the admin address.
-pub async fn serve_admin(socket: TcpListener, handler: RequestHandler) {
+/// Serves the admin address; expires connections that are over the limits in `connections`.
+pub async fn serve_admin(socket: TcpListener, handler: RequestHandler, connections: Arc<ClientConnections>) {
+    let mut sweep = tokio::time::interval(ADMIN_SWEEP_PERIOD);
+    let serving = serve_clients(socket, handler, connections.clone());
+    tokio::pin!(serving);
     loop {
-        let tcp = accept(&socket).await;
-        let handler = handler.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let handler = handler(request);
-                async move { Ok::<_, Infallible>(handler.await) }
-            });
-            let mut http = http1::Builder::new();
-            http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
-            let _ = http.serve_connection(TokioIo::new(tcp), service).await;
-        });
+        tokio::select! {
+            _ = &mut serving => return,
+            _ = sweep.tick() => connections.sweep(ADMIN_LIMITS),
+        }
     }
 }
 
@@ -89,11 +90,13 @@
     if request.version() == Version::HTTP_10 {
         connection.set_ended_by_close();
     }
-    let mut response = match connection.begin_request() {
+    let may_serve = connection.begin_request();
+    let request = request.map(|incoming| RequestBody::new(incoming, connection.clone()));
+    let mut response = match may_serve {
         true => handler(request).await,
         false => timeout_answer(),
     };
-    if connection.is_outgrown() {
+    if connection.is_outgrown() || connection.closes_after_answer() {
         response.headers_mut().insert("connection", HeaderValue::from_static("close"));
     }
     Ok(response.map(|body| ServedBody::new(body, connection)))
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -3,9 +3,10 @@
 use super::config::NodeConfig;
 use super::input::NodeHandle;
 use super::links::Links;
-use super::listener::serve_admin;
+use super::listener::{AnswerFuture, serve_admin};
 use crate::gate::BalancerTable;
 use crate::http::admin::AdminApi;
+use crate::http::client::ClientConnections;
 use crate::http::request_service::RequestService;
 use crate::kernel::time::Time;
 use crate::msg::Role;
@@ -55,7 +56,9 @@
         metrics: Box::new(metrics),
         operator: config.protocols.operator.clone(),
     });
-    tokio::spawn(serve_admin(socket, Arc::new(move |order| Box::pin(api.clone().answer(order)))));
+    let connections = ClientConnections::new(front.clock.clone());
+    let handler = Arc::new(move |order| Box::pin(api.clone().answer(order)) as AnswerFuture);
+    tokio::spawn(serve_admin(socket, handler, connections));
 }
 
 /// The metrics of quotas.
--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -2,6 +2,7 @@
 //! it; the paths are listed in `docs/interface.md`.
 
 use super::answer::{AnswerBody, coded_answer, full_body, operator_answer};
+use super::request_body::RequestBody;
 use crate::daemon::input::NodeHandle;
 use crate::fleet::runner::Runner;
 use crate::json::Tree;
@@ -10,7 +11,6 @@
 use crate::msg::{Answer, Event, OperatorCall};
 use crate::protocol::{OperatorProtocol, ParsedCall};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use hyper::header::{HeaderMap, LOCATION};
 use hyper::{Method, Request, Response, StatusCode};
 use std::sync::Arc;
@@ -113,7 +113,7 @@
     }
 
     /// Answers one call.
-    pub async fn answer(self: Arc<AdminApi>, order: Request<Incoming>) -> Response<AnswerBody> {
+    pub async fn answer(self: Arc<AdminApi>, order: Request<RequestBody>) -> Response<AnswerBody> {
         let path = order.uri().path().trim_matches('/').to_string();
         let base = if_match_value(order.headers());
         let Some(name) = change_name(order.headers()) else {
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -15,6 +15,9 @@
 /// Buffer space beyond the longest head, so that the exact limit is checked on the parsed head.
 const HEAD_BUFFER_SLACK: usize = 4096;
 
+/// The longest rest of a refused body after which a connection may still serve another request.
+const MAX_SKIPPED_BODY_BYTES: u64 = 64 << 10;
+
 /// What a client's connection is doing.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Phase {
@@ -43,6 +46,10 @@
     socket: Mutex<Option<RawFd>>,
     ended_by_close: AtomicBool,
     is_broken: AtomicBool,
+    /// Part of the body of the last request was left unread.
+    has_unread_body: AtomicBool,
+    /// That part is too long to be skipped, so that the connection can't serve another request.
+    closes_after_answer: AtomicBool,
 }
 
 /// All client connections and the limits in force.
@@ -102,6 +109,8 @@
             socket,
             ended_by_close,
             is_broken,
+            has_unread_body: AtomicBool::new(false),
+            closes_after_answer: AtomicBool::new(false),
         });
         self.open.lock().unwrap().push(Arc::downgrade(&connection));
         connection
@@ -138,9 +147,28 @@
             return false;
         }
         state.phase = Phase::Serving;
+        self.has_unread_body.store(false, Ordering::SeqCst);
         true
     }
 
+    /// Records that the body of the request is left unread, of which at least `announced` bytes are to come.
+    pub(super) fn leave_unread(&self, announced: u64) {
+        self.has_unread_body.store(true, Ordering::SeqCst);
+        if announced > MAX_SKIPPED_BODY_BYTES {
+            self.closes_after_answer.store(true, Ordering::SeqCst);
+        }
+    }
+
+    /// Whether part of the body of the last request was left unread.
+    pub(super) fn has_unread_body(&self) -> bool {
+        self.has_unread_body.load(Ordering::SeqCst)
+    }
+
+    /// Whether the connection can't serve another request.
+    pub fn closes_after_answer(&self) -> bool {
+        self.closes_after_answer.load(Ordering::SeqCst)
+    }
+
     /// Records that the client takes the close of the connection as the end of an answer (HTTP/1.0).
     pub fn set_ended_by_close(&self) {
         self.ended_by_close.store(true, Ordering::SeqCst);
--- a/src/http/client_stream.rs
+++ b/src/http/client_stream.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Sleep, sleep};
+use tokio::time::{Instant, Sleep, sleep};
 
 /// The socket of a client connection.
 pub struct ClientStream {
@@ -23,8 +23,14 @@
     resets_on_close: bool,
     /// The timer until the next check whether the client has all of its answer.
     next_poll: Option<Pin<Box<Sleep>>>,
+    /// Until when a client that still sends a refused body may read its answer.
+    linger_until: Option<Instant>,
 }
 
+/// How long the rest of a refused body is read and discarded, so that the client can read the refusal.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+/// How much is read at a time of what is discarded.
+const DISCARD_BYTES: usize = 16 << 10;
 /// How often a closing connection checks whether its client has all of its answer.
 const ACKNOWLEDGEMENT_POLL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -32,7 +38,7 @@
     /// Wraps `tcp`, subject to the limits of `connection`.
     pub fn new(tcp: TcpStream, connection: Arc<ClientConnection>) -> ClientStream {
         connection.set_socket(Some(tcp.as_raw_fd()));
-        ClientStream { tcp, connection, resets_on_close: false, next_poll: None }
+        ClientStream { tcp, connection, resets_on_close: false, next_poll: None, linger_until: None }
     }
 
     /// For a client that takes the close of the connection as the end of its answer: makes any close a reset until the
@@ -43,10 +49,19 @@
         }
     }
 
+    /// Whether the client may still be sending a body that was refused.
+    fn must_discard_body(&mut self, cx: &Context) -> bool {
+        if !self.connection.has_unread_body() || self.connection.poll_expired(cx) {
+            return false;
+        }
+        let now = Instant::now();
+        now < *self.linger_until.get_or_insert(now + LINGER_TIMEOUT)
+    }
+
     /// Reads and discards what the client still sends until it has all of its answer or has closed the connection.
     fn poll_linger(&mut self, cx: &mut Context) -> Poll<()> {
-        let mut discarded = [0; 1024];
-        while self.connection.must_linger() {
+        let mut discarded = [0; DISCARD_BYTES];
+        while self.connection.must_linger() || self.must_discard_body(cx) {
             let mut buf = ReadBuf::new(&mut discarded);
             match Pin::new(&mut self.tcp).poll_read(cx, &mut buf) {
                 Poll::Ready(Ok(())) if !buf.filled().is_empty() => continue,
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -22,6 +22,7 @@
 pub mod quota;
 pub mod receive;
 pub mod recent_requests;
+pub mod request_body;
 mod request_head;
 pub mod request_service;
 pub mod served_body;
--- a/src/http/receive.rs
+++ b/src/http/receive.rs
@@ -2,9 +2,10 @@
 //! memory of the process.
 
 use super::memory_account::{MemoryAccount, NoRoom, Reservation};
+use super::request_body::RequestBody;
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -55,7 +56,7 @@
 
 /// Receives a body as a whole.
 pub async fn receive(
-    body: Incoming,
+    body: RequestBody,
     limits: ReceiveLimits,
     account: &Arc<MemoryAccount>,
 ) -> Result<ReceivedBody, ReceiveError> {
@@ -86,7 +87,7 @@
 
 impl BodyBuffer<'_> {
     /// Reads a body to its end.
-    async fn fill(mut self, mut body: Incoming) -> Result<Vec<u8>, ReceiveError> {
+    async fn fill(mut self, mut body: RequestBody) -> Result<Vec<u8>, ReceiveError> {
         loop {
             let frame = tokio::time::timeout(IDLE_TIMEOUT, body.frame()).await;
             let Some(frame) = frame.map_err(|_| ReceiveError::TooSlow)? else { return Ok(self.bytes) };
--- a/src/http/request_service.rs
+++ b/src/http/request_service.rs
@@ -9,6 +9,7 @@
 use super::pool::Pool;
 use super::quota::take_token;
 use super::receive::{ReceiveError, ReceiveLimits, receive};
+use super::request_body::RequestBody;
 use super::request_head::head_bytes;
 use crate::fleet::config::ServiceKind;
 use crate::fleet::slice::RouteRow;
@@ -18,7 +19,6 @@
 use crate::kernel::time::{Clock, Span, Time};
 use crate::protocol::Protocols;
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Request, Response};
 use std::sync::Arc;
@@ -70,7 +70,7 @@
     }
 
     /// Answers one request of a client.
-    pub async fn answer(self: Arc<RequestService>, request: Request<Incoming>) -> Response<AnswerBody> {
+    pub async fn answer(self: Arc<RequestService>, request: Request<RequestBody>) -> Response<AnswerBody> {
         let me = self.clone();
         let mut out = self.handle(request).await;
         if me.is_leaving.load(Ordering::SeqCst) {
@@ -79,7 +79,7 @@
         out
     }
 
-    async fn handle(self: Arc<RequestService>, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(self: Arc<RequestService>, request: Request<RequestBody>) -> Response<AnswerBody> {
         self.open_requests.fetch_add(1, Ordering::SeqCst);
         let _count = OpenRequestCount(&self.open_requests);
         if self.is_stopping.load(Ordering::SeqCst) {
--- a/src/standin/control.rs
+++ b/src/standin/control.rs
@@ -1,8 +1,11 @@
 use super::runner::Runner;
 use super::stock::Stock;
+use crate::daemon::listener::serve_clients;
 use crate::fleet::read::read_text;
 use crate::http::answer::{AnswerBody, full_body};
+use crate::http::client::ClientConnections;
 use crate::kernel::ids::Name;
+use crate::kernel::time::BootClock;
 use hyper::Response;
 use pico_args::Arguments;
 use std::net::SocketAddr;
@@ -120,7 +123,7 @@
         tokio::net::TcpListener::bind(addr).await.map_err(|e| format!("{addr}: {e}; free the port"))?;
     runner.note("started");
     let me = runner.clone();
-    crate::daemon::listener::serve_admin(socket, Arc::new(move |order| Box::pin(me.clone().answer(order))))
-        .await;
+    let connections = ClientConnections::new(Arc::new(BootClock));
+    serve_clients(socket, Arc::new(move |order| Box::pin(me.clone().answer(order))), connections).await;
     Ok(())
 }
--- a/src/standin/runner.rs
+++ b/src/standin/runner.rs
@@ -3,13 +3,13 @@
 use super::stock::Stock;
 use crate::http::answer::{AnswerBody, full_body};
 use crate::http::body::{BodyWriter, streamed};
+use crate::http::request_body::RequestBody;
 use crate::json::Tree;
 use crate::json::tree::map;
 use crate::kernel::ids::Name;
 use crate::kernel::time::{BootClock, Clock};
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use hyper::{Request, Response};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -105,7 +105,7 @@
         }
     }
 
-    pub async fn answer(self: Arc<Runner>, order: Request<Incoming>) -> Response<AnswerBody> {
+    pub async fn answer(self: Arc<Runner>, order: Request<RequestBody>) -> Response<AnswerBody> {
         let fault = self.knobs.lock().unwrap().fault.clone();
         let path = order.uri().path().to_string();
         if path == "/fault" {
@@ -163,7 +163,7 @@
         text(status, why)
     }
 
-    async fn run(self: Arc<Runner>, order: Request<Incoming>) -> Response<AnswerBody> {
+    async fn run(self: Arc<Runner>, order: Request<RequestBody>) -> Response<AnswerBody> {
         let head = |k: &str| order.headers().get(k).and_then(|v| v.to_str().ok()).unwrap_or("").to_string();
         let (call, last) = (head("x-call-id"), head("last-event-id"));
         let (method, path) = (order.method().clone(), order.uri().path().to_string());
