Calls at the admin address are bounded in memory and in time

Cause: a call's body had a limit of 8 MB for itself, no limit on its time, and none on how many there were; a body that broke off was answered with 413. Bodies of calls go through the same receiver and account as clients' ones now, charged four times their size until the answer, since the text is kept again as it is read, digested and passed on. A body that breaks off gets 400.

--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -54,6 +54,7 @@
         node: node.clone(),
         ready: Box::new(ready),
         metrics: Box::new(metrics),
+        memory: front.memory.clone(),
         operator: config.protocols.operator.clone(),
     });
     let connections = ClientConnections::new(front.clock.clone());
--- a/src/gate/order.rs
+++ b/src/gate/order.rs
@@ -139,7 +139,6 @@
     OverQuota,
     QuotaUnknown,
     RunnersFull,
-    MemoryFull,
 }
 
 /// A refusal as the client sees it.
@@ -200,7 +199,6 @@
             RefusalReason::OverQuota => "over-quota",
             RefusalReason::QuotaUnknown => "quota-unknown",
             RefusalReason::RunnersFull => "runners-full",
-            RefusalReason::MemoryFull => "memory-full",
         }
     }
 
@@ -236,9 +234,6 @@
             RefusalReason::QuotaUnknown => {
                 "the controller that counts its tenant's quota did not answer; ask again"
             }
-            RefusalReason::MemoryFull => {
-                "the bodies of other requests fill this router's memory; ask again after Retry-After"
-            }
             RefusalReason::RunnersFull => "the runners tried turned it away; ask again after Retry-After",
             RefusalReason::ServiceWithdrawn => "the service was withdrawn; see the current configuration",
             RefusalReason::DisplacedByHigherClass => {
--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -1,7 +1,9 @@
 //! The admin API: calls by which operators read the state of the fleet and change its configuration. Every node answers
 //! it; the paths are listed in `docs/interface.md`.
 
-use super::answer::{AnswerBody, coded_answer, full_body, operator_answer};
+use super::answer::{AnswerBody, coded_answer, full_body, operator_answer, unreceived_answer};
+use super::memory_account::MemoryAccount;
+use super::receive::{ReceiveLimits, receive};
 use super::request_body::RequestBody;
 use crate::daemon::input::NodeHandle;
 use crate::fleet::runner::Runner;
@@ -10,13 +12,14 @@
 use crate::kernel::rand::OsRandom;
 use crate::msg::{Answer, Event, OperatorCall};
 use crate::protocol::{OperatorProtocol, ParsedCall};
-use http_body_util::{BodyExt, Limited};
 use hyper::header::{HeaderMap, LOCATION};
 use hyper::{Method, Request, Response, StatusCode};
 use std::sync::Arc;
+use std::time::Duration;
 
-/// The largest body of a call.
-const MAX_BODY_BYTES: usize = 8 << 20;
+/// The limits on the body of a call. Its text is held several times while the call is read and carried out.
+const BODY_LIMITS: ReceiveLimits =
+    ReceiveLimits { max_bytes: 8 << 20, time: Duration::from_secs(30), copies: 4 };
 
 /// The admin API of a node.
 pub struct AdminApi {
@@ -26,6 +29,8 @@
     pub ready: Box<dyn Fn() -> Result<(), String> + Send + Sync>,
     /// The metrics in the Prometheus text format.
     pub metrics: Box<dyn Fn() -> String + Send + Sync>,
+    /// The memory that the bodies of all calls may take together.
+    pub memory: Arc<MemoryAccount>,
     /// The operators' own protocol, if the settings name one; its paths come before the native ones.
     pub operator: Option<Arc<dyn OperatorProtocol>>,
 }
@@ -127,19 +132,15 @@
             (&Method::GET, "v1/local") => return Response::new(full_body(self.node.status().await)),
             _ => {}
         }
-        let body = match Limited::new(order.into_body(), MAX_BODY_BYTES).collect().await {
-            Ok(body) => body.to_bytes().to_vec(),
-            Err(_) => {
-                return coded_answer(
-                    413,
-                    "body-too-large",
-                    "the body is over 8 MB; send a partial change",
-                    0,
-                    "refused",
-                );
+        let received = match receive(order.into_body(), BODY_LIMITS, &self.memory).await {
+            Ok(received) => received,
+            Err(why) => {
+                return unreceived_answer(why, "the body is over 8 MB; send a partial change");
             }
         };
-        let Ok(text) = String::from_utf8(body) else {
+        // Charged until the call has its answer.
+        let _reservation = received.reservation;
+        let Ok(text) = String::from_utf8(received.bytes.into()) else {
             return coded_answer(
                 400,
                 "bad-order",
--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -1,5 +1,6 @@
 //! Answers that a node produces itself: refusals and errors for clients, and answers to operators.
 
+use super::receive::ReceiveError;
 use crate::gate::Refusal;
 use crate::json::tree::map;
 use crate::msg::Answer;
@@ -44,6 +45,23 @@
     coded_answer(408, "too-slow", "the request did not arrive within its time; send it again", 0, "refused")
 }
 
+/// The answer to a request whose body was not received; no runner has seen it. `too_large` is the text for a body over
+/// its limit.
+pub fn unreceived_answer(why: ReceiveError, too_large: &str) -> Response<AnswerBody> {
+    match why {
+        ReceiveError::TooLarge => coded_answer(413, "body-too-large", too_large, 0, "refused"),
+        ReceiveError::TooSlow => timeout_answer(),
+        ReceiveError::NoRoom => {
+            let text = "the bodies of other requests fill this node's memory; ask again after Retry-After";
+            coded_answer(503, "memory-full", text, 1, "refused")
+        }
+        ReceiveError::Broken => {
+            let text = "the body did not arrive whole; send it again";
+            coded_answer(400, "body-unread", text, 0, "refused")
+        }
+    }
+}
+
 /// The answer to a request that the balancer refused, with `Retry-After` in the form of the client's protocol.
 pub fn refusal_answer(side: &dyn CallerProtocol, r: &Refusal) -> Response<AnswerBody> {
     let mut out =
--- a/src/http/request_service.rs
+++ b/src/http/request_service.rs
@@ -1,14 +1,14 @@
 //! Serves one request of a client: checks the limits, finds the route, admits the tenant, reads the body, takes a quota
 //! token, and forwards the request through the balancer of its service ([`super::forward`]).
 
-use super::answer::{AnswerBody, coded_answer, refusal_answer, timeout_answer};
+use super::answer::{AnswerBody, coded_answer, refusal_answer, unreceived_answer};
 use super::attempt::{ForwardedRequest, end_to_end};
 use super::client::ClientConnections;
 use super::forward::{ForwardJob, forward};
 use super::memory_account::MemoryAccount;
 use super::pool::Pool;
 use super::quota::take_token;
-use super::receive::{ReceiveError, ReceiveLimits, receive};
+use super::receive::{ReceiveLimits, receive};
 use super::request_body::RequestBody;
 use super::request_head::head_bytes;
 use crate::fleet::config::ServiceKind;
@@ -119,7 +119,10 @@
         };
         let received = match receive(body, limits, &self.memory).await {
             Ok(received) => received,
-            Err(why) => return self.unreceived(row, why),
+            Err(why) => {
+                let too_large = format!("the body is over {} KB; send a smaller one", row.route.body_kb);
+                return unreceived_answer(why, &too_large);
+            }
         };
         let body = &received.bytes;
         let mut headers = end_to_end(&parts.headers);
@@ -169,24 +172,6 @@
         }
     }
 
-    /// The refusal of a request whose body was not received.
-    fn unreceived(&self, row: &RouteRow, why: ReceiveError) -> Response<AnswerBody> {
-        match why {
-            ReceiveError::TooLarge => {
-                let text = format!("the body is over {} KB; send a smaller one", row.route.body_kb);
-                coded_answer(413, "body-too-large", &text, 0, "refused")
-            }
-            ReceiveError::TooSlow => timeout_answer(),
-            ReceiveError::NoRoom => {
-                refusal_answer(&*self.protocols.caller, &Refusal::new(RefusalReason::MemoryFull, 1))
-            }
-            ReceiveError::Broken => {
-                let text = "the body did not arrive whole; send it again";
-                coded_answer(400, "body-unread", text, 0, "refused")
-            }
-        }
-    }
-
     /// The refusal of a request whose key is unknown or missing. It does not contain the key.
     fn unknown_key(&self, row: &RouteRow) -> Response<AnswerBody> {
         if let Some(balancer) = self.table.get(&row.service) {
--- a/tests/crowd/clients.rs
+++ b/tests/crowd/clients.rs
@@ -23,6 +23,8 @@
     Length { announced: u64, sent: usize },
     /// Sends `count` chunks of `size` bytes, and the last chunk if it is to be `whole`.
     Chunks { size: usize, count: usize, whole: bool },
+    /// Sends all of a JSON list of `bytes` bytes that repeats `item`.
+    List { item: &'static str, bytes: usize },
 }
 
 /// What every client of a crowd sends.
@@ -38,6 +40,7 @@
     fn head(&self, number: usize) -> String {
         let framing = match self.body {
             Body::Length { announced, .. } => format!("content-length: {announced}"),
+            Body::List { .. } => format!("content-length: {}", self.pieces().1),
             Body::Chunks { .. } => "transfer-encoding: chunked".to_string(),
         };
         let line = self.line;
@@ -51,6 +54,12 @@
     fn pieces(&self) -> (Vec<u8>, usize) {
         match self.body {
             Body::Length { sent, .. } => (vec![b'a'; WRITE_BYTES], sent),
+            Body::List { item, bytes } => {
+                let items = vec![item; bytes / (item.len() + 1)].join(",");
+                let text = format!("[{items}]").into_bytes();
+                let length = text.len();
+                (text, length)
+            }
             Body::Chunks { size, count, .. } => {
                 let chunk = format!("{size:x}\r\n{}\r\n", "a".repeat(size));
                 let per_write = (WRITE_BYTES / chunk.len()).max(1);
