A JSON document holds at most 500,000 values

Cause: the tree of a document of 7 MB may take twenty times its text: [1,1,...]. The limit is above a configuration of 86,000 adapters as objects of four members.

--- a/src/json/parse.rs
+++ b/src/json/parse.rs
@@ -4,6 +4,8 @@
 
 /// How deep values may be nested, which bounds the parser's recursion.
 const MAX_DEPTH: usize = 32;
+/// How many values a document may hold, which bounds the memory of its tree.
+const MAX_VALUES: usize = 500_000;
 
 /// Why a text is no JSON document.
 #[derive(Clone, PartialEq, Eq, Debug)]
@@ -25,11 +27,12 @@
 struct Parser<'a> {
     text: &'a str,
     at: usize,
+    values: usize,
 }
 
 /// Parses one document. Fails at the first error.
 pub fn parse(text: &str) -> Parsed<Tree> {
-    let mut parser = Parser { text, at: 0 };
+    let mut parser = Parser { text, at: 0, values: 0 };
     let tree = parser.value(0)?;
     match parser.peek() {
         None => Ok(tree),
@@ -66,6 +69,10 @@
         if depth > MAX_DEPTH {
             return Err(self.error("nested deeper than 32"));
         }
+        self.values += 1;
+        if self.values > MAX_VALUES {
+            return Err(self.error("more than 500000 values"));
+        }
         match self.peek() {
             Some(b'{') => self.object(depth),
             Some(b'[') => self.list(depth),
