Connections are bounded at both doors; those still for longest give way

Cause: neither door bounded how many connections were open. With all descriptors taken nobody was accepted, and neither runners nor other nodes could be reached. Clients have five eighths of the descriptors and the admin address one eighth now, each also bounded by memory; a new connection closes those whose clients have been still for longest.

--- a/src/daemon/listener.rs
+++ b/src/daemon/listener.rs
@@ -2,7 +2,8 @@
 
 use crate::fleet::config::Limits;
 use crate::http::answer::{AnswerBody, timeout_answer};
-use crate::http::client::{ClientConnection, ClientConnections};
+use crate::http::client::ClientConnection;
+use crate::http::client_connections::ClientConnections;
 use crate::http::client_stream::ClientStream;
 use crate::http::request_body::RequestBody;
 use crate::http::served_body::ServedBody;
@@ -70,7 +71,9 @@
 pub async fn serve_clients(socket: TcpListener, handler: RequestHandler, clients: Arc<ClientConnections>) {
     loop {
         let tcp = accept(&socket).await;
-        tokio::spawn(serve_client(tcp, handler.clone(), clients.add()));
+        if let Some(connection) = clients.admit().await {
+            tokio::spawn(serve_client(tcp, handler.clone(), connection));
+        }
     }
 }
 
@@ -96,6 +99,9 @@
         true => handler(request).await,
         false => timeout_answer(),
     };
+    if connection.is_cut() {
+        response = timeout_answer();
+    }
     if connection.is_outgrown() || connection.closes_after_answer() {
         response.headers_mut().insert("connection", HeaderValue::from_static("close"));
     }
--- a/src/daemon/machine_limits.rs
+++ b/src/daemon/machine_limits.rs
@@ -1,9 +1,19 @@
 //! What the machine gives to this process, and how much of it clients may take.
 
+use crate::http::client_connections::ConnectionLimit;
+
 /// The part of the memory that bodies of requests and answers may take: one in this many bytes.
 const BODY_MEMORY_SHARE: u64 = 4;
+/// The part of the memory that connections of clients may take: one in this many bytes.
+const CONNECTION_MEMORY_SHARE: u64 = 2;
+/// The part of the memory that connections at the admin address may take: one in this many bytes.
+const ADMIN_MEMORY_SHARE: u64 = 8;
 /// The descriptors that are kept for files.
 const FILE_DESCRIPTORS: u64 = 200;
+/// How many eighths of the other descriptors clients may take; the rest is kept for runners, nodes and operators.
+const CLIENT_EIGHTHS: u64 = 5;
+/// How many eighths of the other descriptors connections at the admin address may take.
+const ADMIN_EIGHTHS: u64 = 1;
 
 /// The memory and the descriptors of this process.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -26,6 +36,23 @@
     }
 }
 
+impl MachineLimits {
+    /// The limit on the connections of clients.
+    pub fn client_connections(&self) -> ConnectionLimit {
+        self.connections(CLIENT_EIGHTHS, CONNECTION_MEMORY_SHARE)
+    }
+
+    /// The limit on the connections at the admin address.
+    pub fn admin_connections(&self) -> ConnectionLimit {
+        self.connections(ADMIN_EIGHTHS, ADMIN_MEMORY_SHARE)
+    }
+
+    fn connections(&self, eighths: u64, memory_share: u64) -> ConnectionLimit {
+        let max = self.max_descriptors.saturating_sub(FILE_DESCRIPTORS) / 8 * eighths;
+        ConnectionLimit { max: max as usize, memory: ((self.memory_mb << 20) / memory_share) as usize }
+    }
+}
+
 /// The memory of the machine in MB, as the kernel tells it.
 fn machine_memory_mb() -> u64 {
     let pages = unsafe { libc::sysconf(libc::_SC_PHYS_PAGES) }.max(0) as u64;
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -15,7 +15,7 @@
 use super::signals::Signals;
 use crate::chain::leaving::Departure;
 use crate::gate::BalancerTable;
-use crate::http::client::ClientConnections;
+use crate::http::client_connections::ClientConnections;
 use crate::http::memory_account::MemoryAccount;
 use crate::http::pool::Pool;
 use crate::http::request_service::RequestService;
@@ -155,7 +155,7 @@
         next_id: AtomicU64::new(1),
         open_requests: AtomicU64::new(0),
         recent: Default::default(),
-        clients: ClientConnections::new(clock.clone()),
+        clients: ClientConnections::with_limit(clock.clone(), config.machine.client_connections()),
         memory: MemoryAccount::new(clock.clone(), config.machine.body_bytes()),
         protocols: config.protocols.clone(),
     });
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -6,7 +6,7 @@
 use super::listener::{AnswerFuture, serve_admin};
 use crate::gate::BalancerTable;
 use crate::http::admin::AdminApi;
-use crate::http::client::ClientConnections;
+use crate::http::client_connections::ClientConnections;
 use crate::http::request_service::RequestService;
 use crate::kernel::time::Time;
 use crate::msg::Role;
@@ -57,7 +57,8 @@
         memory: front.memory.clone(),
         operator: config.protocols.operator.clone(),
     });
-    let connections = ClientConnections::new(front.clock.clone());
+    let limit = config.machine.admin_connections();
+    let connections = ClientConnections::with_limit(front.clock.clone(), limit);
     let handler = Arc::new(move |order| Box::pin(api.clone().answer(order)) as AnswerFuture);
     tokio::spawn(serve_admin(socket, handler, connections));
 }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,46 +1,27 @@
-//! The state of client connections and the limits on them: how long a request head may take after its first byte, and
-//! how long a connection may stay idle between requests. A connection over a limit reads as end of file, so that a
-//! request already in progress on it is never cut.
+//! The state of a client connection: what it is doing and since when. A connection over a limit reads as end of file, so
+//! that a request already in progress on it is never cut.
 
+use super::client_connections::ClientConnections;
+use super::connection_state::{ConnectionState, Phase};
 use super::guard::unacknowledged_bytes;
 use crate::fleet::config::Limits;
-use crate::kernel::time::{Clock, Span, Time};
+use crate::kernel::time::{Span, Time};
 use std::os::fd::RawFd;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, Weak};
-use std::task::{Context, Waker};
+use std::sync::{Arc, Mutex};
+use std::task::Context;
 
 /// The smallest read buffer that hyper accepts.
-const MIN_HEAD_BUFFER: usize = 8192;
+pub(super) const MIN_HEAD_BUFFER: usize = 8192;
 /// Buffer space beyond the longest head, so that the exact limit is checked on the parsed head.
 const HEAD_BUFFER_SLACK: usize = 4096;
 
 /// The longest rest of a refused body after which a connection may still serve another request.
 const MAX_SKIPPED_BODY_BYTES: u64 = 64 << 10;
 
-/// What a client's connection is doing.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum Phase {
-    /// Between requests; may stay idle for `limit`.
-    Idle { since: Time, limit: Span },
-    /// Part of a request head has arrived.
-    ReadingHead { since: Time },
-    /// A request is being served.
-    Serving,
-    /// The answer is complete; part of it is not yet written to the socket.
-    Flushing,
-    /// Over a limit: nothing more is read.
-    Expired,
-}
-
-struct State {
-    phase: Phase,
-    reader: Option<Waker>,
-}
-
 /// The connection of one client.
 pub struct ClientConnection {
-    state: Mutex<State>,
+    state: Mutex<ConnectionState>,
     connections: Arc<ClientConnections>,
     max_head_bytes: u64,
     socket: Mutex<Option<RawFd>>,
@@ -52,84 +33,79 @@
     closes_after_answer: AtomicBool,
 }
 
-/// All client connections and the limits in force.
-pub struct ClientConnections {
-    clock: Arc<dyn Clock>,
-    limits: Mutex<Limits>,
-    open: Mutex<Vec<Weak<ClientConnection>>>,
-    /// The process is shutting down: a connection closes only once its client has all of its answer.
-    stopping: AtomicBool,
+impl Drop for ClientConnection {
+    fn drop(&mut self) {
+        self.connections.connection_closed();
+    }
 }
 
-impl ClientConnections {
-    /// Creates an empty set with the default limits, which hold until a configuration is known.
-    pub fn new(clock: Arc<dyn Clock>) -> Arc<ClientConnections> {
-        let (limits, open) = (Mutex::new(Limits::default()), Mutex::default());
-        Arc::new(ClientConnections { clock, limits, open, stopping: AtomicBool::new(false) })
+impl ClientConnection {
+    /// A connection that is idle as of `since`, under the limits in force.
+    pub(super) fn new(connections: Arc<ClientConnections>, since: Time, limits: &Limits) -> ClientConnection {
+        let state = ConnectionState::idle(since, Span::ms(limits.idle_ms));
+        ClientConnection {
+            state: Mutex::new(state),
+            connections,
+            max_head_bytes: limits.head_bytes,
+            socket: Mutex::default(),
+            ended_by_close: AtomicBool::new(false),
+            is_broken: AtomicBool::new(false),
+            has_unread_body: AtomicBool::new(false),
+            closes_after_answer: AtomicBool::new(false),
+        }
     }
 
-    /// Starts the shutdown: from now on a connection closes only once its client has all of its answer.
-    pub fn stop(&self) {
-        self.stopping.store(true, Ordering::SeqCst);
+    /// Whether the connection has sent an incomplete request head.
+    pub(super) fn is_reading_head(&self) -> bool {
+        matches!(self.state.lock().unwrap().phase, Phase::ReadingHead { .. })
     }
 
-    /// The limits in force.
-    pub fn limits(&self) -> Limits {
-        self.limits.lock().unwrap().clone()
+    /// Whether it is serving a request or has an answer that the client has not fully acknowledged.
+    pub(super) fn is_serving(&self) -> bool {
+        let phase = self.state.lock().unwrap().phase;
+        let serving = matches!(phase, Phase::ReceivingBody { .. } | Phase::Serving | Phase::Flushing);
+        serving || self.unacknowledged_bytes() > 0
     }
 
-    /// How many connections are serving a request or have an answer that the client has not fully acknowledged.
-    pub fn count_serving(&self) -> usize {
-        self.count(|c| matches!(c.phase(), Phase::Serving | Phase::Flushing) || c.unacknowledged_bytes() > 0)
+    /// Since when the client has sent nothing that is due from it, or taken nothing that is due to it.
+    pub(super) fn stalled_since(&self) -> Option<Time> {
+        self.state.lock().unwrap().stalled_since()
     }
 
-    /// How many connections have sent an incomplete request head.
-    pub fn count_reading_head(&self) -> usize {
-        self.count(|c| matches!(c.phase(), Phase::ReadingHead { .. }))
+    /// Closes the connection: nothing more is read or written.
+    pub(super) fn cut(&self) {
+        self.state.lock().unwrap().cut();
     }
 
-    fn count(&self, holds: impl Fn(&ClientConnection) -> bool) -> usize {
-        let open = self.open.lock().unwrap();
-        open.iter().filter_map(Weak::upgrade).filter(|c| holds(c)).count()
+    /// Whether the connection was closed for its limits in the midst of a request.
+    pub fn is_cut(&self) -> bool {
+        self.state.lock().unwrap().is_cut
     }
 
-    /// Registers a new connection.
-    pub fn add(self: &Arc<ClientConnections>) -> Arc<ClientConnection> {
-        let limits = self.limits();
-        let phase = Phase::Idle { since: self.clock.now(), limit: Span::ms(limits.idle_ms) };
-        let state = Mutex::new(State { phase, reader: None });
-        let max_head_bytes = limits.head_bytes;
-        let (ended_by_close, is_broken) = (AtomicBool::new(false), AtomicBool::new(false));
-        let connections = self.clone();
-        let socket = Mutex::default();
-        let connection = Arc::new(ClientConnection {
-            state,
-            connections,
-            max_head_bytes,
-            socket,
-            ended_by_close,
-            is_broken,
-            has_unread_body: AtomicBool::new(false),
-            closes_after_answer: AtomicBool::new(false),
-        });
-        self.open.lock().unwrap().push(Arc::downgrade(&connection));
-        connection
+    /// Records that the body of a request has begun to arrive, or that more of it has arrived.
+    pub(super) fn body_received(&self) {
+        let now = self.connections.now();
+        let mut state = self.state.lock().unwrap();
+        if matches!(state.phase, Phase::Serving | Phase::ReceivingBody { .. }) {
+            state.phase = Phase::ReceivingBody { since: now };
+        }
     }
 
-    /// Sets the limits in force and expires the connections that are over them.
-    pub fn sweep(&self, limits: Limits) {
-        *self.limits.lock().unwrap() = limits.clone();
-        let now = self.clock.now();
-        let mut open = self.open.lock().unwrap();
-        open.retain(|row| {
-            let Some(connection) = row.upgrade() else { return false };
-            connection.expire_if_over(now, &limits);
-            true
-        });
+    /// Records that the body of a request has arrived or is not wanted any more.
+    pub(super) fn body_ended(&self) {
+        let mut state = self.state.lock().unwrap();
+        if matches!(state.phase, Phase::ReceivingBody { .. }) {
+            state.phase = Phase::Serving;
+        }
+    }
+
+    /// True if nothing may be written because the connection was cut while its client took nothing; otherwise records
+    /// whether it `is_blocked` and, if so, wakes `cx` when it is cut.
+    pub(super) fn poll_cut_while_writing(&self, cx: &Context, is_blocked: bool) -> bool {
+        let now = self.connections.now();
+        self.state.lock().unwrap().poll_cut_while_writing(cx, now, is_blocked)
     }
-}
 
-impl ClientConnection {
     /// The size of the read buffer for a request head on this connection, in bytes.
     pub fn head_buffer(&self) -> usize {
         (self.max_head_bytes as usize).max(MIN_HEAD_BUFFER) + HEAD_BUFFER_SLACK
@@ -137,7 +113,7 @@
 
     /// Whether the limit on heads has grown beyond this connection's read buffer.
     pub fn is_outgrown(&self) -> bool {
-        self.connections.limits.lock().unwrap().head_bytes > self.max_head_bytes
+        self.connections.limits().head_bytes > self.max_head_bytes
     }
 
     /// Records that a request head was read. False if the connection is over a limit and must not serve it.
@@ -199,8 +175,8 @@
 
     /// Records that all written bytes have reached the socket. After an answer, the connection becomes idle.
     pub(super) fn socket_flushed(&self) {
-        let limit = Span::ms(self.connections.limits.lock().unwrap().idle_ms);
-        let since = self.connections.clock.now();
+        let limit = Span::ms(self.connections.limits().idle_ms);
+        let since = self.connections.now();
         let mut state = self.state.lock().unwrap();
         if state.phase == Phase::Flushing {
             state.phase = Phase::Idle { since, limit };
@@ -212,16 +188,10 @@
         *self.socket.lock().unwrap() = socket;
     }
 
-    fn phase(&self) -> Phase {
-        self.state.lock().unwrap().phase
-    }
-
     /// Whether the close has to wait for the client's acknowledgement: if a socket is closed with unread input, the
     /// kernel resets the connection and the client loses the bytes it has not received yet.
     pub(super) fn must_linger(&self) -> bool {
-        self.connections.stopping.load(Ordering::SeqCst)
-            && !self.is_broken_off()
-            && self.unacknowledged_bytes() > 0
+        self.connections.is_stopping() && !self.is_broken_off() && self.unacknowledged_bytes() > 0
     }
 
     /// How many bytes written to the socket the client has not acknowledged.
@@ -234,35 +204,17 @@
     pub(super) fn bytes_received(&self) {
         let mut state = self.state.lock().unwrap();
         if let Phase::Idle { .. } = state.phase {
-            state.phase = Phase::ReadingHead { since: self.connections.clock.now() };
+            state.phase = Phase::ReadingHead { since: self.connections.now() };
         }
     }
 
-    fn expire_if_over(&self, now: Time, limits: &Limits) {
-        let mut state = self.state.lock().unwrap();
-        let over = match state.phase {
-            // The longer of the limits that held while it was idle: the client may know only the older one.
-            Phase::Idle { since, limit } => now.since(since) > limit.max(Span::ms(limits.idle_ms)),
-            Phase::ReadingHead { since } => now.since(since) > Span::ms(limits.head_ms),
-            Phase::Serving | Phase::Flushing | Phase::Expired => false,
-        };
-        if over {
-            state.phase = Phase::Expired;
-            if let Some(reader) = state.reader.take() {
-                reader.wake();
-            }
-        }
+    /// Expires the connection if it is over a limit.
+    pub(super) fn expire_if_over(&self, now: Time, limits: &Limits) {
+        self.state.lock().unwrap().expire_if_over(now, limits);
     }
 
     /// True if the connection is over a limit and nothing more may be read; otherwise `cx` is woken when that changes.
     pub(super) fn poll_expired(&self, cx: &Context) -> bool {
-        let mut state = self.state.lock().unwrap();
-        if state.phase == Phase::Expired {
-            return true;
-        }
-        if state.reader.as_ref().is_none_or(|w| !w.will_wake(cx.waker())) {
-            state.reader = Some(cx.waker().clone());
-        }
-        false
+        self.state.lock().unwrap().poll_expired(cx)
     }
 }
--- a/src/http/client_stream.rs
+++ b/src/http/client_stream.rs
@@ -49,6 +49,14 @@
         }
     }
 
+    /// The result of a write, or an error if the connection was cut while its client took nothing.
+    fn unless_cut(&self, cx: &Context, done: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        match self.connection.poll_cut_while_writing(cx, done.is_pending()) {
+            true => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            false => done,
+        }
+    }
+
     /// Whether the client may still be sending a body that was refused.
     fn must_discard_body(&mut self, cx: &Context) -> bool {
         if !self.connection.has_unread_body() || self.connection.poll_expired(cx) {
@@ -111,7 +119,8 @@
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
         let stream = self.get_mut();
         stream.prepare_reset_on_close();
-        Pin::new(&mut stream.tcp).poll_write(cx, buf)
+        let done = Pin::new(&mut stream.tcp).poll_write(cx, buf);
+        stream.unless_cut(cx, done)
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
@@ -139,7 +148,8 @@
     ) -> Poll<io::Result<usize>> {
         let stream = self.get_mut();
         stream.prepare_reset_on_close();
-        Pin::new(&mut stream.tcp).poll_write_vectored(cx, rows)
+        let done = Pin::new(&mut stream.tcp).poll_write_vectored(cx, rows);
+        stream.unless_cut(cx, done)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/http/request_body.rs
+++ b/src/http/request_body.rs
@@ -17,13 +17,18 @@
 impl RequestBody {
     /// The body that arrives on `connection`.
     pub fn new(incoming: Incoming, connection: Arc<ClientConnection>) -> RequestBody {
-        RequestBody { is_read_to_end: incoming.is_end_stream(), incoming, connection }
+        let is_read_to_end = incoming.is_end_stream();
+        if !is_read_to_end {
+            connection.body_received();
+        }
+        RequestBody { is_read_to_end, incoming, connection }
     }
 }
 
 impl Drop for RequestBody {
     fn drop(&mut self) {
         if !self.is_read_to_end {
+            self.connection.body_ended();
             self.connection.leave_unread(self.incoming.size_hint().lower());
         }
     }
@@ -39,6 +44,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let frame = Pin::new(&mut self.incoming).poll_frame(cx);
         self.is_read_to_end |= matches!(frame, Poll::Ready(None)) || self.incoming.is_end_stream();
+        match &frame {
+            Poll::Ready(_) if self.is_read_to_end => self.connection.body_ended(),
+            Poll::Ready(_) => self.connection.body_received(),
+            Poll::Pending => {}
+        }
         frame
     }
 
--- a/src/http/request_service.rs
+++ b/src/http/request_service.rs
@@ -3,7 +3,7 @@
 
 use super::answer::{AnswerBody, coded_answer, refusal_answer, unreceived_answer};
 use super::attempt::{ForwardedRequest, end_to_end};
-use super::client::ClientConnections;
+use super::client_connections::ClientConnections;
 use super::forward::{ForwardJob, forward};
 use super::memory_account::MemoryAccount;
 use super::pool::Pool;
--- a/src/standin/control.rs
+++ b/src/standin/control.rs
@@ -3,7 +3,7 @@
 use crate::daemon::listener::serve_clients;
 use crate::fleet::read::read_text;
 use crate::http::answer::{AnswerBody, full_body};
-use crate::http::client::ClientConnections;
+use crate::http::client_connections::ClientConnections;
 use crate::kernel::ids::Name;
 use crate::kernel::time::BootClock;
 use hyper::Response;
--- /dev/null
+++ b/tests/crowd_connections.rs
@@ -0,0 +1,53 @@
+//! Crowds that only hold connections open, on real processes within the descriptors of their machines.
+
+mod crowd;
+
+use crowd::clients::Holders;
+use crowd::fleet::CrowdFleet;
+use crowd::{MAX_DESCRIPTORS, alone};
+
+/// How many connections a crowd opens: more than the machine has descriptors.
+const CONNECTIONS: usize = MAX_DESCRIPTORS as usize + 100;
+const SHORT_BODY: &str =
+    "POST /once/x HTTP/1.1\r\nhost: a.example\r\nx-request-id: 5\r\ncontent-length: 2000\r\n\r\n";
+
+#[tokio::test]
+async fn given_idle_connections_at_a_router_then_others_are_served() {
+    let _alone = alone().await;
+    let mut fleet = CrowdFleet::start("idle").await;
+    let crowd = Holders::start(fleet.front(), CONNECTIONS, b"").await;
+    fleet.expect_unharmed().await;
+    drop(crowd);
+}
+
+#[tokio::test]
+async fn given_bodies_that_stop_one_byte_short_on_all_connections_of_a_router_then_others_are_served() {
+    let _alone = alone().await;
+    let mut fleet = CrowdFleet::start("held").await;
+    let bytes = format!("{SHORT_BODY}{}", "a".repeat(1999));
+    let crowd = Holders::start(fleet.front(), CONNECTIONS, bytes.as_bytes()).await;
+    fleet.expect_unharmed().await;
+    drop(crowd);
+}
+
+#[tokio::test]
+async fn given_idle_connections_at_the_control_and_readiness_doors_then_others_are_served() {
+    let _alone = alone().await;
+    let mut fleet = CrowdFleet::start("idle-control").await;
+    let at_controller = Holders::start(fleet.control(0), CONNECTIONS, b"").await;
+    let at_router = Holders::start(fleet.readiness(), CONNECTIONS, b"").await;
+    fleet.expect_unharmed().await;
+    drop((at_controller, at_router));
+}
+
+#[tokio::test]
+async fn given_calls_that_stop_one_byte_short_on_all_connections_then_others_are_served() {
+    let _alone = alone().await;
+    let mut fleet = CrowdFleet::start("held-control").await;
+    let bytes =
+        format!("{}{}", SHORT_BODY.replace("POST /once/x", "PUT /spindledock/config"), "a".repeat(1999));
+    let at_controller = Holders::start(fleet.control(0), CONNECTIONS, bytes.as_bytes()).await;
+    let at_router = Holders::start(fleet.readiness(), CONNECTIONS, bytes.as_bytes()).await;
+    fleet.expect_unharmed().await;
+    drop((at_controller, at_router));
+}
--- a/tests/platform_given/test_router.rs
+++ b/tests/platform_given/test_router.rs
@@ -10,7 +10,7 @@
 use spindledock::fleet::slice::{RoutesSlice, Slice, service_slice};
 use spindledock::fleet::state::Scope;
 use spindledock::gate::BalancerTable;
-use spindledock::http::client::ClientConnections;
+use spindledock::http::client_connections::ClientConnections;
 use spindledock::http::memory_account::MemoryAccount;
 use spindledock::http::request_service::RequestService;
 use spindledock::kernel::ids::{Name, Version};
