Answers that nobody reads are bounded for each client and for the process

Cause: up to 33 pieces of up to 400 KB queued for each client and 16 more behind them, and the answer to an idempotent request was buffered whole, up to 64 MB, whoever read it.

--- a/src/daemon/machine_limits.rs
+++ b/src/daemon/machine_limits.rs
@@ -2,8 +2,10 @@
 
 use crate::http::client_connections::ConnectionLimit;
 
-/// The part of the memory that bodies of requests and answers may take: one in this many bytes.
+/// The part of the memory that bodies of requests may take: one in this many bytes.
 const BODY_MEMORY_SHARE: u64 = 4;
+/// The part of the memory that buffered answers may take: one in this many bytes.
+const ANSWER_MEMORY_SHARE: u64 = 8;
 /// The part of the memory that connections of clients may take: one in this many bytes.
 const CONNECTION_MEMORY_SHARE: u64 = 2;
 /// The part of the memory that connections at the admin address may take: one in this many bytes.
@@ -34,6 +36,11 @@
     pub fn body_bytes(&self) -> usize {
         ((self.memory_mb << 20) / BODY_MEMORY_SHARE) as usize
     }
+
+    /// How many bytes buffered answers may take together.
+    pub fn answer_bytes(&self) -> usize {
+        ((self.memory_mb << 20) / ANSWER_MEMORY_SHARE) as usize
+    }
 }
 
 impl MachineLimits {
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -157,6 +157,7 @@
         recent: Default::default(),
         clients: ClientConnections::with_limit(clock.clone(), config.machine.client_connections()),
         memory: MemoryAccount::new(clock.clone(), config.machine.body_bytes()),
+        answer_memory: MemoryAccount::new(clock.clone(), config.machine.answer_bytes()),
         protocols: config.protocols.clone(),
     });
     super::status::serve_admin_api(
--- a/src/http/attempt.rs
+++ b/src/http/attempt.rs
@@ -1,9 +1,11 @@
 //! One attempt to have a request run by one runner: builds the request, sends it, and reports each step to the
 //! forwarding of the request ([`super::forward`]).
 
+use super::answer_buffer::{BufferedAnswer, buffer_answer};
 use super::connection::SendError;
 use super::exchange::{BodyBroken, Classified, Exchange, RunnerAnswer};
 use super::guard::Check;
+use super::memory_account::MemoryAccount;
 use super::pool::Pool;
 use super::receive::ReceivedBody;
 use crate::fleet::config::RouteKind;
@@ -20,9 +22,6 @@
 use std::sync::Arc;
 use tokio::sync::mpsc;
 
-/// The largest answer that is buffered as a whole before it is passed on.
-const MAX_BUFFERED_ANSWER_BYTES: usize = 64 << 20;
-
 /// Headers that concern one connection only (RFC 9110, section 7.6.1).
 const HOP_BY_HOP: [&str; 9] = [
     "connection",
@@ -115,6 +114,8 @@
     pub request: Arc<ForwardedRequest>,
     /// The connections to runners.
     pub pool: Arc<Pool>,
+    /// The memory that buffered answers may take together.
+    pub answer_memory: Arc<MemoryAccount>,
     /// Whether the request may still be sent; asked right before its first byte is written.
     pub check: Check,
     /// Why the check refuses the request, evaluated anew.
@@ -175,8 +176,8 @@
         .await;
 }
 
-/// Passes the runner's answer on. The answer to an idempotent request is buffered first, unless it is an event stream,
-/// so that another runner can still answer if this one fails half way.
+/// Passes the runner's answer on. The answer to an idempotent request is buffered first, as far as there is memory and
+/// unless it is an event stream, so that another runner can still answer if this one fails half way.
 async fn relay_answer(job: &Attempt, mut answer: RunnerAnswer) {
     let attempt = job.number;
     let report = |ev: FlowEvent| job.events.send(AttemptEvent::Step(ev));
@@ -185,10 +186,10 @@
     let kind = headers.get("content-type").and_then(|v| v.to_str().ok()).unwrap_or("");
     let stream = kind.starts_with("text/event-stream");
     let end = answer.end();
-    let mut whole = None;
+    let mut buffered = None;
     if job.order.route_kind == RouteKind::Idempotent && !stream {
-        match answer.collect(MAX_BUFFERED_ANSWER_BYTES).await {
-            Ok(body) => whole = Some(body),
+        match buffer_answer(&mut answer, &job.answer_memory).await {
+            Ok(part) => buffered = Some(part),
             Err(BodyBroken) => return drop(report(FlowEvent::Lost { attempt }).await),
         }
     }
@@ -197,10 +198,15 @@
     {
         return;
     }
-    if let Some(raw) = whole {
-        job.pool.keep_connection_of(job.runner.addr, answer);
-        let _ = report(FlowEvent::Chunk { attempt, raw }).await;
-        return drop(report(FlowEvent::End { attempt, end }).await);
+    if let Some(BufferedAnswer { bytes: raw, is_whole }) = buffered {
+        if is_whole {
+            job.pool.keep_connection_of(job.runner.addr, answer);
+            let _ = report(FlowEvent::Chunk { attempt, raw }).await;
+            return drop(report(FlowEvent::End { attempt, end }).await);
+        }
+        if report(FlowEvent::Chunk { attempt, raw }).await.is_err() {
+            return;
+        }
     }
     loop {
         match answer.next().await {
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -8,12 +8,16 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame};
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 
 /// The most pieces that may be queued for the client's connection.
 const MAX_PIECES: usize = 32;
 
+/// The most bytes that may be queued; a larger piece is queued alone.
+const MAX_QUEUED_BYTES: usize = 32 << 10;
+
 enum Piece {
     Data(Bytes),
     End,
@@ -24,11 +28,14 @@
     pieces: mpsc::Sender<Piece>,
     /// A slot reserved from the start, so that the end can be marked even when the channel is full.
     end: mpsc::OwnedPermit<Piece>,
+    /// One permit for each byte that may be queued.
+    room: Arc<Semaphore>,
 }
 
 /// The reading end of a body, held by the client's connection.
 pub struct StreamedBody {
     pieces: mpsc::Receiver<Piece>,
+    room: Arc<Semaphore>,
     ended: bool,
 }
 
@@ -40,12 +47,21 @@
 pub fn streamed() -> (BodyWriter, StreamedBody) {
     let (pieces, received) = mpsc::channel(MAX_PIECES + 1);
     let end = pieces.clone().try_reserve_owned().unwrap_or_else(|_| unreachable!("a new channel has room"));
-    (BodyWriter { pieces, end }, StreamedBody { pieces: received, ended: false })
+    let room = Arc::new(Semaphore::new(MAX_QUEUED_BYTES));
+    let reader = StreamedBody { pieces: received, room: room.clone(), ended: false };
+    (BodyWriter { pieces, end, room }, reader)
+}
+
+/// How many permits a piece takes.
+fn permits(bytes: &Bytes) -> usize {
+    bytes.len().min(MAX_QUEUED_BYTES)
 }
 
 impl BodyWriter {
     /// Queues bytes, waiting until there is room. Fails once the reading end is gone.
     pub async fn send(&self, bytes: Bytes) -> Result<(), ReaderGone> {
+        let room = self.room.acquire_many(permits(&bytes) as u32).await.map_err(|_| ReaderGone)?;
+        room.forget();
         self.pieces.send(Piece::Data(bytes)).await.map_err(|_| ReaderGone)
     }
 
@@ -60,6 +76,12 @@
     }
 }
 
+impl Drop for StreamedBody {
+    fn drop(&mut self) {
+        self.room.close();
+    }
+}
+
 impl Body for StreamedBody {
     type Data = Bytes;
     type Error = BodyError;
@@ -73,7 +95,10 @@
         }
         let Poll::Ready(piece) = self.pieces.poll_recv(cx) else { return Poll::Pending };
         Poll::Ready(match piece {
-            Some(Piece::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+            Some(Piece::Data(bytes)) => {
+                self.room.add_permits(permits(&bytes));
+                Some(Ok(Frame::data(bytes)))
+            }
             Some(Piece::End) => {
                 self.ended = true;
                 None
--- a/src/http/client_connections.rs
+++ b/src/http/client_connections.rs
@@ -41,7 +41,7 @@
 }
 
 /// The bytes of an answer that wait for a client that does not read.
-const ANSWER_BYTES: usize = 48 << 10;
+const ANSWER_BYTES: usize = 80 << 10;
 
 /// All connections of a listener and the limits in force.
 pub struct ClientConnections {
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -22,6 +22,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 /// A connection is dropped if written bytes stay unacknowledged for this long.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
+/// The read buffer of a connection in bytes, which bounds the head of an answer and each piece of its body.
+const READ_BUFFER_BYTES: usize = 16 << 10;
 /// How long a connection may stay idle if the peer names no time.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 /// How much earlier than the peer an idle connection is given up, so that no request meets the peer's close.
@@ -87,7 +89,9 @@
         crate::daemon::links::limit_unacknowledged_time(&tcp, UNACKNOWLEDGED_TIMEOUT);
         let guard = Arc::new(Guard::default());
         let io = TokioIo::new(GuardedStream::new(tcp, guard.clone()));
-        let (mut sender, connection) = http1::handshake(io).await.ok()?;
+        let mut http = http1::Builder::new();
+        http.max_buf_size(READ_BUFFER_BYTES);
+        let (mut sender, connection) = http.handshake(io).await.ok()?;
         let task = tokio::spawn(async move {
             let _ = connection.await;
         });
--- a/src/http/forward.rs
+++ b/src/http/forward.rs
@@ -3,6 +3,7 @@
 use super::answer::AnswerBody;
 use super::attempt::{AttemptEvent, ForwardedRequest};
 use super::body::BodyWriter;
+use super::memory_account::MemoryAccount;
 use super::pool::Pool;
 use crate::forwarding::request::AttemptNo;
 use crate::forwarding::{FlowEvent, RequestFlow};
@@ -22,6 +23,9 @@
 
 /// How often the state machine is given the time.
 const TICK_PERIOD: Duration = Duration::from_millis(50);
+/// How many events of attempts may be queued; each may hold a piece of an answer.
+const MAX_QUEUED_EVENTS: usize = 2;
+
 /// One request being forwarded. Dropping it cancels the request.
 pub struct Forwarder {
     /// The balancer of the request's service.
@@ -32,6 +36,8 @@
     pub clock: Arc<dyn Clock>,
     /// The request as each attempt sends it.
     pub forwarded: Arc<ForwardedRequest>,
+    /// The memory that buffered answers may take together.
+    pub answer_memory: Arc<MemoryAccount>,
     /// The protocol of the runners.
     pub side: Arc<dyn RunnerProtocol>,
     /// The protocol of the client.
@@ -54,6 +60,8 @@
     pub order: RequestSpec,
     /// The request as each attempt sends it.
     pub forwarded: Arc<ForwardedRequest>,
+    /// The memory that buffered answers may take together.
+    pub answer_memory: Arc<MemoryAccount>,
     /// The protocols of the client and of the runners.
     pub protocols: Protocols,
 }
@@ -67,13 +75,14 @@
     job: ForwardJob,
     response_tx: oneshot::Sender<Response<AnswerBody>>,
 ) {
-    let (event_tx, mut event_rx) = mpsc::channel(16);
+    let (event_tx, mut event_rx) = mpsc::channel(MAX_QUEUED_EVENTS);
     let (wake_tx, mut wake_rx) = mpsc::unbounded_channel();
     let mut forwarder = Forwarder {
         balancer,
         pool,
         clock,
         forwarded: job.forwarded,
+        answer_memory: job.answer_memory,
         side: job.protocols.runner,
         caller: job.protocols.caller,
         request: RequestFlow::new(job.order),
--- a/src/http/forward/effects.rs
+++ b/src/http/forward/effects.rs
@@ -85,6 +85,7 @@
             clock: self.clock.clone(),
             request: self.forwarded.clone(),
             pool: self.pool.clone(),
+            answer_memory: self.answer_memory.clone(),
             check: Arc::new(move || check().is_none()),
             refusal_cause: Box::new(cause),
             events: self.event_tx.clone(),
--- a/src/http/memory_account.rs
+++ b/src/http/memory_account.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Charges `total` bytes in all if there is room now; returns whether there is.
+    pub fn charge_now(&self, total: usize) -> bool {
+        self.account.ledger.lock().unwrap().charge_now(self.id, total)
+    }
+
     /// Records that `bytes` of the body have arrived.
     pub fn progress(&self, bytes: usize) {
         self.account.ledger.lock().unwrap().progress(self.account.clock.now(), self.id, bytes);
--- a/src/http/memory_ledger.rs
+++ b/src/http/memory_ledger.rs
@@ -126,6 +126,18 @@
         if victim == id { Charge::Evicted } else { Charge::Wait { evicted: Some(victim) } }
     }
 
+    /// Charges a holder so that it has `total` bytes if there is room now; returns whether there is.
+    pub fn charge_now(&mut self, id: HolderId, total: usize) -> bool {
+        let Some(holder) = self.holders.get_mut(&id) else { return false };
+        let others = self.used - holder.bytes;
+        let has_room = others + total <= self.capacity;
+        if has_room {
+            self.used = others + total;
+            holder.bytes = total;
+        }
+        has_room
+    }
+
     /// When the next body may have stalled, at most `STALL_TIME` from now.
     fn next_stall(&self, now: Time) -> Time {
         let receiving = self.holders.values().filter(|holder| holder.is_evictable() && !holder.is_blocked);
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 pub mod answer;
+mod answer_buffer;
 pub mod attempt;
 pub mod body;
 pub mod client;
--- a/src/http/request_service.rs
+++ b/src/http/request_service.rs
@@ -47,6 +47,8 @@
     pub clients: Arc<ClientConnections>,
     /// The memory that the bodies of all clients may take together.
     pub memory: Arc<MemoryAccount>,
+    /// The memory that buffered answers may take together.
+    pub answer_memory: Arc<MemoryAccount>,
     /// The protocols of clients and runners.
     pub protocols: Protocols,
 }
@@ -155,7 +157,12 @@
             balancer,
             self.pool.clone(),
             self.clock.clone(),
-            ForwardJob { order, forwarded, protocols: self.protocols.clone() },
+            ForwardJob {
+                order,
+                forwarded,
+                answer_memory: self.answer_memory.clone(),
+                protocols: self.protocols.clone(),
+            },
             tx,
         );
         let me = self.clone();
--- a/tests/crowd_connections.rs
+++ b/tests/crowd_connections.rs
@@ -2,15 +2,22 @@
 
 mod crowd;
 
-use crowd::clients::Holders;
+use crowd::clients::{Crowd, Holders};
 use crowd::fleet::CrowdFleet;
+use crowd::runner::{LARGE_IDEMPOTENT_PATH, LARGE_PATH};
 use crowd::{MAX_DESCRIPTORS, alone};
 
 /// How many connections a crowd opens: more than the machine has descriptors.
 const CONNECTIONS: usize = MAX_DESCRIPTORS as usize + 100;
+/// How many clients ask for large answers and read none.
+const NON_READERS: usize = 60;
 const SHORT_BODY: &str =
     "POST /once/x HTTP/1.1\r\nhost: a.example\r\nx-request-id: 5\r\ncontent-length: 2000\r\n\r\n";
 
+fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: a.example\r\nx-request-id: 5\r\nx-deadline-ms: 60000\r\n\r\n")
+}
+
 #[tokio::test]
 async fn given_idle_connections_at_a_router_then_others_are_served() {
     let _alone = alone().await;
@@ -51,3 +58,21 @@
     fleet.expect_unharmed().await;
     drop((at_controller, at_router));
 }
+
+#[tokio::test]
+async fn given_large_answers_that_nobody_reads_then_the_router_stays_within_its_memory() {
+    let _alone = alone().await;
+    let mut fleet = CrowdFleet::start("unread").await;
+    let crowd = Crowd::ask(fleet.front(), NON_READERS, get(LARGE_PATH).as_bytes()).await;
+    fleet.expect_unharmed().await;
+    drop(crowd);
+}
+
+#[tokio::test]
+async fn given_large_buffered_answers_that_nobody_reads_then_the_router_stays_within_its_memory() {
+    let _alone = alone().await;
+    let mut fleet = CrowdFleet::start("unread-buffered").await;
+    let crowd = Crowd::ask(fleet.front(), NON_READERS, get(LARGE_IDEMPOTENT_PATH).as_bytes()).await;
+    fleet.expect_unharmed().await;
+    drop(crowd);
+}
--- a/tests/platform_given/test_router.rs
+++ b/tests/platform_given/test_router.rs
@@ -98,6 +98,7 @@
             recent: Default::default(),
             clients: ClientConnections::new(clock.clone()),
             memory: MemoryAccount::new(clock.clone(), BODY_MEMORY_BYTES),
+            answer_memory: MemoryAccount::new(clock.clone(), BODY_MEMORY_BYTES),
             protocols: Protocols { caller, runner: runner_protocol, list: None, operator: None },
         });
         let socket = TcpListener::bind((own_loopback(), 0)).await.expect("a free port");
