--- a/src/http/guard.rs
+++ b/src/http/guard.rs
@@ -2,7 +2,7 @@
 //! tracks whether bytes were written and flushed and whether the peer has sent any since.
 
 use super::linger::reset_on_close;
-use std::io;
+use std::io::{self, IoSlice};
 use std::os::fd::{AsRawFd, RawFd};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -118,12 +118,21 @@
 
 impl AsyncWrite for GuardedStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[IoSlice::new(buf)])
+    }
+
+    /// Writes the head and the body of a request from where they stand, so that no copy of a body is made.
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context,
+        slices: &[IoSlice],
+    ) -> Poll<io::Result<usize>> {
         let me = self.get_mut();
         if !me.guard.admit() {
             return Poll::Ready(Err(io::Error::other("the request may no longer be sent")));
         }
         me.guard.has_unflushed.store(true, Ordering::SeqCst);
-        let done = Pin::new(&mut me.tcp).poll_write(cx, buf);
+        let done = Pin::new(&mut me.tcp).poll_write_vectored(cx, slices);
         if let Poll::Ready(Ok(n)) = &done
             && *n > 0
         {
@@ -132,6 +141,10 @@
         done
     }
 
+    fn is_write_vectored(&self) -> bool {
+        self.tcp.is_write_vectored()
+    }
+
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
         let me = self.get_mut();
         let done = Pin::new(&mut me.tcp).poll_flush(cx);
