Answers to operators that nobody reads are bounded, and so are reads under way

Cause: each read of the configuration carried a copy of it from the chain's tail, as many at a time as were asked for, and an answer that its caller did not read stayed for ever.

--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -5,8 +5,10 @@
 use super::links::Links;
 use super::listener::{AnswerFuture, serve_admin};
 use crate::gate::BalancerTable;
-use crate::http::admin::AdminApi;
+use crate::http::admin::{AdminApi, MAX_CONCURRENT_READS};
+use crate::http::admin_answers::AdminAnswers;
 use crate::http::client_connections::ClientConnections;
+use crate::http::memory_account::MemoryAccount;
 use crate::http::request_service::RequestService;
 use crate::kernel::time::Time;
 use crate::msg::Role;
@@ -14,6 +16,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 
 /// Serves the admin API on `socket`. `flags` are whether the process is stopping and whether a controller is ready.
 pub fn serve_admin_api(
@@ -50,15 +53,20 @@
             writeln!(out, "spindledock_dropped_letters {}", links.dropped_messages.load(Ordering::Relaxed));
         out
     };
+    let limit = config.machine.admin_connections();
+    let connections = ClientConnections::with_limit(front.clock.clone(), limit);
     let api = Arc::new(AdminApi {
         node: node.clone(),
         ready: Box::new(ready),
         metrics: Box::new(metrics),
         memory: front.memory.clone(),
+        reads: Semaphore::new(MAX_CONCURRENT_READS),
+        answers: AdminAnswers {
+            memory: MemoryAccount::new(front.clock.clone(), config.machine.answer_bytes()),
+            connections: connections.clone(),
+        },
         operator: config.protocols.operator.clone(),
     });
-    let limit = config.machine.admin_connections();
-    let connections = ClientConnections::with_limit(front.clock.clone(), limit);
     let handler = Arc::new(move |order| Box::pin(api.clone().answer(order)) as AnswerFuture);
     tokio::spawn(serve_admin(socket, handler, connections));
 }
--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -1,6 +1,8 @@
 //! The admin API: calls by which operators read the state of the fleet and change its configuration. Every node answers
 //! it; the paths are listed in `docs/interface.md`.
 
+use super::admin_answers::AdminAnswers;
+use super::admin_call::{AdminCall, change_name, if_match_value};
 use super::answer::{AnswerBody, coded_answer, full_body, operator_answer, unreceived_answer};
 use super::memory_account::MemoryAccount;
 use super::receive::{ReceiveLimits, receive};
@@ -12,15 +14,19 @@
 use crate::kernel::rand::OsRandom;
 use crate::msg::{Answer, Event, OperatorCall};
 use crate::protocol::{OperatorProtocol, ParsedCall};
-use hyper::header::{HeaderMap, LOCATION};
+use hyper::header::LOCATION;
 use hyper::{Method, Request, Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Semaphore;
 
 /// The limits on the body of a call. Its text is held several times while the call is read and carried out.
 const BODY_LIMITS: ReceiveLimits =
     ReceiveLimits { max_bytes: 8 << 20, time: Duration::from_secs(30), copies: 4 };
 
+/// How many reads may be under way at a time.
+pub const MAX_CONCURRENT_READS: usize = 4;
+
 /// The admin API of a node.
 pub struct AdminApi {
     /// The node that answers.
@@ -31,57 +37,29 @@
     pub metrics: Box<dyn Fn() -> String + Send + Sync>,
     /// The memory that the bodies of all calls may take together.
     pub memory: Arc<MemoryAccount>,
+    /// The reads that may be under way at a time.
+    pub reads: Semaphore,
+    /// The answers that wait to be read.
+    pub answers: AdminAnswers,
     /// The operators' own protocol, if the settings name one; its paths come before the native ones.
     pub operator: Option<Arc<dyn OperatorProtocol>>,
 }
 
-/// One call of an operator.
-struct AdminCall {
-    method: String,
-    path: String,
-    base: Option<String>,
-    text: String,
-}
-
-impl AdminCall {
-    /// The digest of the whole call: method, path, base version and body.
-    fn digest(&self) -> DocumentDigest {
-        let stated: &[u8] = if self.base.is_some() { b"on" } else { b"any" };
-        let base = self.base.as_deref().unwrap_or("").as_bytes();
-        DocumentDigest::of(&[
-            self.method.as_bytes(),
-            self.path.as_bytes(),
-            stated,
-            base,
-            self.text.as_bytes(),
-        ])
-    }
-}
-
-/// The value of `If-Match`. Repeated headers are joined to a list and invalid UTF-8 is replaced, so that neither is
-/// mistaken for a call without a base version.
-fn if_match_value(headers: &HeaderMap) -> Option<String> {
-    let values: Vec<String> = headers
-        .get_all("if-match")
-        .iter()
-        .map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned())
-        .collect();
-    (!values.is_empty()).then(|| values.join(","))
-}
-
-/// The name of the change from `X-Change-Id`, or a random one if the caller gives none; `None` if it is malformed.
-fn change_name(headers: &HeaderMap) -> Option<u128> {
-    match headers.get("x-change-id") {
-        Some(name) => name.to_str().ok().and_then(ChangeId::parse_name),
-        None => Some(ChangeId::random(&mut OsRandom).name),
-    }
-}
-
 fn bad_request(text: &str) -> Answer {
     Answer::new(400, "bad-order", text, 0)
 }
 
 impl AdminApi {
+    /// Has the node carry out a call. Only few reads are under way at a time: each may bring a large answer from another
+    /// node.
+    async fn ask(&self, id: ChangeId, event: Event) -> Answer {
+        let _permit = match event {
+            Event::ReadCall { .. } => self.reads.acquire().await.ok(),
+            _ => None,
+        };
+        self.node.ask(id, event).await
+    }
+
     /// The answer to `GET /ready`.
     fn ready_answer(&self) -> Response<AnswerBody> {
         match (self.ready)() {
@@ -101,12 +79,13 @@
             "GET" => ChangeId::random(&mut OsRandom),
             _ => side.id(&call.method, base, &call.text),
         };
-        let answer = match side.read_request(id, &call.method, &call.path, base, &call.text)? {
+        let mut answer = match side.read_request(id, &call.method, &call.path, base, &call.text)? {
             ParsedCall::Ready => return Some(self.ready_answer()),
-            ParsedCall::Event(ev) => self.node.ask(id, *ev).await,
+            ParsedCall::Event(ev) => self.ask(id, *ev).await,
             ParsedCall::Bad(answer) => answer,
         };
-        let mut response = operator_answer(&answer);
+        let body = self.answers.reserve(&mut answer).await;
+        let mut response = operator_answer(&answer, body);
         *response.status_mut() = StatusCode::from_u16(side.status(&answer)).unwrap_or_default();
         if response.status().is_redirection()
             && let Some(address) = answer.redirect
@@ -156,11 +135,12 @@
         {
             return response;
         }
-        let answer = match event_of(&method, &path, id, call.base, call.text) {
-            Ok(ev) => self.node.ask(id, ev).await,
+        let mut answer = match event_of(&method, &path, id, call.base, call.text) {
+            Ok(ev) => self.ask(id, ev).await,
             Err(answer) => answer,
         };
-        let mut response = operator_answer(&answer);
+        let body = self.answers.reserve(&mut answer).await;
+        let mut response = operator_answer(&answer, body);
         if let Ok(v) = id.to_string().parse() {
             response.headers_mut().insert("x-change-id", v);
         }
--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -74,11 +74,11 @@
     out
 }
 
-/// The node's answer to an operator as an HTTP answer.
-pub fn operator_answer(a: &Answer) -> Response<AnswerBody> {
-    let mut b = Response::builder().status(a.status).header("content-type", "application/json");
-    if a.retry_s > 0 {
-        b = b.header("retry-after", a.retry_s.to_string());
+/// The node's answer to an operator as an HTTP answer with this body.
+pub fn operator_answer(answer: &Answer, body: Bytes) -> Response<AnswerBody> {
+    let mut builder = Response::builder().status(answer.status).header("content-type", "application/json");
+    if answer.retry_s > 0 {
+        builder = builder.header("retry-after", answer.retry_s.to_string());
     }
-    b.body(full_body(a.body.clone())).expect("a valid answer")
+    builder.body(full_body(body)).expect("a valid answer")
 }
--- a/src/http/answer_buffer.rs
+++ b/src/http/answer_buffer.rs
@@ -1,7 +1,7 @@
 //! Buffers the answer to an idempotent request until it is whole, as far as there is memory for it.
 
 use super::exchange::{BodyBroken, RunnerAnswer};
-use super::memory_account::{MemoryAccount, Reservation};
+use super::memory_account::MemoryAccount;
 use bytes::Bytes;
 use std::sync::Arc;
 
@@ -18,18 +18,6 @@
     pub is_whole: bool,
 }
 
-/// Bytes and the memory reserved for them.
-struct ReservedBytes {
-    bytes: Vec<u8>,
-    _reservation: Reservation,
-}
-
-impl AsRef<[u8]> for ReservedBytes {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 /// Reads an answer until it is whole, too large to be buffered, or the account has no room for more of it.
 pub async fn buffer_answer(
     answer: &mut RunnerAnswer,
@@ -55,6 +43,6 @@
             break;
         }
     }
-    let bytes = Bytes::from_owner(ReservedBytes { bytes, _reservation: reservation });
+    let bytes = reservation.hold(bytes);
     Ok(BufferedAnswer { bytes, is_whole })
 }
--- a/src/http/client_connections.rs
+++ b/src/http/client_connections.rs
@@ -136,7 +136,7 @@
     }
 
     /// Cuts the connections whose clients have been still for longest.
-    fn cut_stalled(&self) {
+    pub(super) fn cut_stalled(&self) {
         let now = self.now();
         let open: Vec<_> = self.open.lock().unwrap().iter().filter_map(Weak::upgrade).collect();
         let mut stalled: Vec<(Time, Arc<ClientConnection>)> = open
--- a/src/http/memory_account.rs
+++ b/src/http/memory_account.rs
@@ -6,6 +6,7 @@
 
 use super::memory_ledger::{Charge, HolderId, MemoryLedger};
 use crate::kernel::time::{Clock, Span};
+use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -105,12 +106,29 @@
         }
     }
 
+    /// Ties the reservation to the bytes that it was made for: it is released with the last copy of them.
+    pub fn hold(self, bytes: Vec<u8>) -> Bytes {
+        Bytes::from_owner(ReservedBytes { bytes, _reservation: self })
+    }
+
     /// Returns once the body has to give way.
     pub async fn evicted(&self) {
         self.evicted.notified().await;
     }
 }
 
+/// Bytes and the memory reserved for them.
+struct ReservedBytes {
+    bytes: Vec<u8>,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for ReservedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.account.evictions.lock().unwrap().remove(&self.id);
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -5,6 +5,8 @@
 //! request is in [`crate::forwarding`].
 
 pub mod admin;
+pub mod admin_answers;
+mod admin_call;
 pub mod answer;
 mod answer_buffer;
 pub mod attempt;
--- a/tests/crowd/fleet.rs
+++ b/tests/crowd/fleet.rs
@@ -97,14 +97,18 @@
         std::fs::write(&file, settings("router", at, base, list_addr, "null", &seeds)).expect("written");
         let router = start(env!("CARGO_BIN_EXE_spindledock-router"), "router", at, &file);
         let fleet = CrowdFleet { router, controllers, runners, release, base, dir };
-        let document = configuration();
+        fleet.configure(0, &configuration()).await;
+        fleet.expect_ordinary_request_served().await;
+        fleet
+    }
+
+    /// Brings a configuration that follows the revision `base`.
+    pub async fn configure(&self, base: u64, document: &str) {
         let put = format!(
-            "PUT /spindledock/config HTTP/1.1\r\nhost: c\r\nif-match: 0\r\ncontent-length: {}\r\n\r\n{document}",
+            "PUT /spindledock/config HTTP/1.1\r\nhost: c\r\nif-match: {base}\r\ncontent-length: {}\r\n\r\n{document}",
             document.len()
         );
-        fleet.until_answered(fleet.control(0), put.as_bytes(), 200).await;
-        fleet.expect_ordinary_request_served().await;
-        fleet
+        self.until_answered(self.control(0), put.as_bytes(), 200).await;
     }
 
     /// Where clients reach the router.
--- a/tests/crowd/mod.rs
+++ b/tests/crowd/mod.rs
@@ -4,7 +4,7 @@
 
 pub mod clients;
 pub mod fleet;
-mod platform;
+pub mod platform;
 pub mod runner;
 mod sockets;
 
--- a/tests/crowd_connections.rs
+++ b/tests/crowd_connections.rs
@@ -4,6 +4,7 @@
 
 use crowd::clients::{Crowd, Holders};
 use crowd::fleet::CrowdFleet;
+use crowd::platform::configuration;
 use crowd::runner::{LARGE_IDEMPOTENT_PATH, LARGE_PATH};
 use crowd::{MAX_DESCRIPTORS, alone};
 
@@ -11,6 +12,8 @@
 const CONNECTIONS: usize = MAX_DESCRIPTORS as usize + 100;
 /// How many clients ask for large answers and read none.
 const NON_READERS: usize = 60;
+/// The size of a large configuration.
+const CONFIGURATION_BYTES: usize = 3 << 20;
 const SHORT_BODY: &str =
     "POST /once/x HTTP/1.1\r\nhost: a.example\r\nx-request-id: 5\r\ncontent-length: 2000\r\n\r\n";
 
@@ -76,3 +79,17 @@
     fleet.expect_unharmed().await;
     drop(crowd);
 }
+
+#[tokio::test]
+async fn given_a_large_configuration_that_callers_ask_for_and_do_not_read_then_nodes_stay_within_their_memory()
+ {
+    let _alone = alone().await;
+    let mut fleet = CrowdFleet::start("unread-control").await;
+    let note = format!(r#"{{"Revision":2,"Note":"{}","#, "a".repeat(CONFIGURATION_BYTES));
+    fleet.configure(1, &configuration().replacen(r#"{"Revision":1,"#, &note, 1)).await;
+    let read = "GET /spindledock/config HTTP/1.1\r\nhost: c\r\n\r\n";
+    let at_controller = Crowd::ask(fleet.control(0), NON_READERS, read.as_bytes()).await;
+    let at_router = Crowd::ask(fleet.readiness(), NON_READERS, read.as_bytes()).await;
+    fleet.expect_unharmed().await;
+    drop((at_controller, at_router));
+}
