--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -50,8 +50,8 @@
 unplaced|src/forwarding/resume.rs|\(self.spec.is_resumable && !self.has_event_without_id\)|(self.spec.is_resumable)|platform_stream_end without_ids
 withdrawn-room|src/placement/load_backoff.rs|let known: Option<u64> = names.map\(\|name\| config.max_mb\(name\)\).sum\(\);\s+known.unwrap_or\(report.room_mb\)|names.filter_map(\|name\| config.weight(name)).sum()|withdrawn over_its_room
 withdrawn-unload|src/placement/move_execution.rs|self.unload_withdrawn\(&slice, ctx\);||withdrawn over_its_room
-stop-delivered|src/http/client.rs|matches!\(c.phase\(\), Phase::Serving \| Phase::Flushing\) \|\| c.unacknowledged_bytes\(\) > 0|matches!(c.phase(), Phase::Serving)|platform_stop handed_over
-stop-lingers|src/http/client.rs|self.connections.stopping.load\(Ordering::SeqCst\)\s+&& |false && |platform_stop handed_over
+stop-delivered|src/http/client.rs|Phase::Serving \| Phase::Flushing\);\s+serving \|\| self.unacknowledged_bytes\(\) > 0|Phase::Serving);\n        serving|platform_stop handed_over
+stop-lingers|src/http/client.rs|self.connections.is_stopping\(\)\s*&& |false && |platform_stop handed_over
 order-sequence|src/sim/runner_orders.rs|Some\(o.expected\)|None|room held_up
 foreign-order|src/placement/pending_orders.rs|busy && !self.table|false && !self.table|room predecessor
 overdue-room|src/placement/pending_orders.rs|f.is_overdue \|= !f.is_accepted|f.is_finished \|= !f.is_accepted|placement in_flight
@@ -119,9 +119,15 @@
 whole-by|src/forwarding/tick.rs|self.spec.completion_deadline.is_some_and|None::<Time>.is_some_and|platform_gone answer_that_has_begun
 late-answer|src/forwarding/tick.rs|if !self.is_answer_started && now >= self.spec.answer_deadline|if false|platform_gone late_answer
 head-size|src/http/request_service.rs|if head_bytes\(&request\) > |if false && 0 > |platform_limits limit_on_heads
-head-time|src/http/client.rs|now.since\(since\) > Span::ms\(limits.head_ms\)|false|platform_limits comes_slowly
-rest-time|src/http/client.rs|now.since\(since\) > limit.max|false && now.since(since) > limit.max|platform_limits at_rest
-rest-longer|src/http/client.rs|limit.max\(Span::ms\(limits.idle_ms\)\)|Span::ms(limits.idle_ms)|platform_limits limit_shrinks
+head-time|src/http/connection_state.rs|now.since\(since\) > Span::ms\(limits.head_ms\)|false|platform_limits comes_slowly
+rest-time|src/http/connection_state.rs|now.since\(since\) > limit.max|false && now.since(since) > limit.max|platform_limits at_rest
+rest-longer|src/http/connection_state.rs|limit.max\(Span::ms\(limits.idle_ms\)\)|Span::ms(limits.idle_ms)|platform_limits limit_shrinks
+body-memory|src/http/memory_ledger.rs|others == 0 \|\| others \+ total <= capacity|true|memory_ledger never_exceed
+stalled-first|src/http/memory_ledger.rs|!self.is_blocked && now.since\(self.progressed_at\) >= STALL_TIME|false|memory_ledger stalled_for_longest
+announced-length|src/http/receive.rs|body.size_hint\(\).lower\(\) > limits.max_bytes as u64|false|platform_refused_body announced_length
+refused-linger|src/http/client_stream.rs|\|\| self.must_discard_body\(cx\)||platform_refused_body whole_refusal
+client-connections|src/http/client_connections.rs|self.count\(\) >= self.limit.max_connections\(self.limits.lock\(\).unwrap\(\).head_bytes\)|false|crowd_connections idle_connections_at_a_router
+answer-queue|src/http/body.rs|bytes.len\(\).min\(MAX_QUEUED_BYTES\)|0|crowd_connections answers_that_nobody_reads
 dark-once|src/forwarding/tick.rs|self.may_run_again\(\) && balancer.is_report_stale|balancer.is_report_stale|forwarding that_is_dark
 move-runners|src/forwarding/move_start.rs|if self.attempts_opened >= self.spec.max_attempts \{\s+return;|if false { return;|forwarding most_runners
 order-digest|src/kernel/change_id.rs|hasher.update\(part\);|hasher.update(&part[..part.len().min(2)]);|order_identity digests_differ
