--- a/tests/crowd/clients.rs
+++ b/tests/crowd/clients.rs
@@ -130,6 +130,11 @@
 }
 
 impl Holders {
+    /// How many clients there are.
+    pub fn count(&self) -> usize {
+        self.clients.len()
+    }
+
     /// Starts `count` clients that send `bytes` on each connection; returns once `count` connections were opened or, if
     /// no more are accepted, after `LONG / 10`.
     pub async fn start(addr: SocketAddr, count: usize, bytes: &[u8]) -> Holders {
--- a/tests/crowd/fleet.rs
+++ b/tests/crowd/fleet.rs
@@ -1,49 +1,20 @@
 //! Three controllers and a router as real processes, a list of runners, and one scripted runner.
 
-use super::platform::{configuration, serve_list, settings};
+use super::platform::{configuration, serve_list};
+use super::process::{CONTROLLERS, Place, Process};
 use super::runner::script;
 use super::sockets::has_unread_bytes;
 use super::{LONG, MAX_BODY_BYTES, MAX_DESCRIPTORS, MEMORY_MB};
 use spindledock::launch::ports::free_base;
-use spindledock::platform::settings::PATH_VARIABLE;
 use spindledock::standin::raw::RawRunners;
-use std::net::{Ipv4Addr, SocketAddr};
-use std::os::unix::process::CommandExt;
+use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
-/// How many controllers there are.
-const CONTROLLERS: usize = 3;
-/// A process and where it is reached.
-pub struct Process {
-    pub name: String,
-    pub ip: Ipv4Addr,
-    child: Child,
-}
-
-impl Process {
-    fn status_kb(&self, key: &str) -> u64 {
-        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
-        let line = text.lines().find_map(|l| l.strip_prefix(key));
-        line.and_then(|l| l.trim_matches([':', ' ', '\t', 'k', 'B']).parse().ok()).unwrap_or(0)
-    }
-
-    /// The most memory that was resident at any time, in MB.
-    pub fn peak_memory_mb(&self) -> u64 {
-        self.status_kb("VmHWM") / 1024
-    }
-
-    /// How many descriptors are open.
-    pub fn open_descriptors(&self) -> u64 {
-        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, |rows| rows.count() as u64)
-    }
-}
-
 /// The processes of a test. They end with it.
 pub struct CrowdFleet {
     pub router: Process,
@@ -53,21 +24,7 @@
     pub release: Arc<Notify>,
     base: u16,
     dir: PathBuf,
-}
-
-fn start(program: &str, name: &str, ip: Ipv4Addr, file: &std::path::Path) -> Process {
-    let log = std::fs::File::create(file.with_extension("log")).expect("a log file");
-    let mut command = Command::new(program);
-    command.arg("--platform").env(PATH_VARIABLE, file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-    let limit_descriptors = || {
-        let limit = libc::rlimit { rlim_cur: MAX_DESCRIPTORS, rlim_max: MAX_DESCRIPTORS };
-        match unsafe { libc::setrlimit(libc::RLIMIT_NOFILE, &limit) } {
-            0 => Ok(()),
-            _ => Err(std::io::Error::last_os_error()),
-        }
-    };
-    unsafe { command.pre_exec(limit_descriptors) };
-    Process { name: name.to_string(), ip, child: command.spawn().expect("it starts") }
+    list: SocketAddr,
 }
 
 impl CrowdFleet {
@@ -81,22 +38,10 @@
         let dir = std::env::temp_dir().join(format!("spindledock-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a folder");
         let base = free_base();
-        let [_, _, high, low] = std::process::id().to_be_bytes();
-        let ip = |n: usize| Ipv4Addr::new(127, high.max(1), low, n as u8 + 1);
-        let seeds: Vec<Ipv4Addr> = (0..CONTROLLERS).map(ip).collect();
-        let controllers = (0..CONTROLLERS).map(|n| {
-            let data = format!("\"{}\"", dir.join(format!("c{n}")).display());
-            let file = dir.join(format!("c{n}.yaml"));
-            std::fs::write(&file, settings("controller", ip(n), base, list_addr, &data, &seeds))
-                .expect("written");
-            start(env!("CARGO_BIN_EXE_spindledock-controller"), &format!("controller {n}"), ip(n), &file)
-        });
-        let controllers: Vec<Process> = controllers.collect();
-        let file = dir.join("r.yaml");
-        let at = ip(CONTROLLERS);
-        std::fs::write(&file, settings("router", at, base, list_addr, "null", &seeds)).expect("written");
-        let router = start(env!("CARGO_BIN_EXE_spindledock-router"), "router", at, &file);
-        let fleet = CrowdFleet { router, controllers, runners, release, base, dir };
+        let place = Place { base, list: list_addr, dir: &dir, is_first_start: true };
+        let controllers = (0..CONTROLLERS).map(|n| place.start_controller(n)).collect();
+        let router = place.start_router();
+        let fleet = CrowdFleet { router, controllers, runners, release, base, dir, list: list_addr };
         fleet.configure(0, &configuration()).await;
         fleet.expect_ordinary_request_served().await;
         fleet
@@ -189,6 +134,27 @@
         self.until_answered(self.readiness(), ready, 200).await;
     }
 
+    /// Ends a process by a signal and starts it again: the router, or a controller by its number.
+    pub fn restart(&mut self, controller: Option<usize>, signal: i32) {
+        self.expect_within_machine();
+        let place = Place { base: self.base, list: self.list, dir: &self.dir, is_first_start: false };
+        let process = match controller {
+            Some(n) => &mut self.controllers[n],
+            None => &mut self.router,
+        };
+        unsafe { libc::kill(process.child.id() as i32, signal) };
+        let _ = process.child.wait();
+        *process = match controller {
+            Some(n) => place.start_controller(n),
+            None => place.start_router(),
+        };
+    }
+
+    /// Tells the router that its settings have changed.
+    pub fn hang_up(&self) {
+        unsafe { libc::kill(self.router.child.id() as i32, libc::SIGHUP) };
+    }
+
     /// Fails unless every process lives, within the memory and the descriptors of its machine.
     pub fn expect_within_machine(&mut self) {
         let dir = self.dir.display().to_string();
--- a/tests/crowd/mod.rs
+++ b/tests/crowd/mod.rs
@@ -5,6 +5,7 @@
 pub mod clients;
 pub mod fleet;
 pub mod platform;
+mod process;
 pub mod runner;
 mod sockets;
 
