--- a/tests/crowd_bodies.rs
+++ b/tests/platform_crowd_bodies.rs
@@ -1,10 +1,10 @@
 //! Crowds of clients whose bodies fill a router, on real processes within the memory of their machines.
 
-mod crowd;
+mod platform_crowd;
 
-use crowd::clients::{Body, Crowd, Request};
-use crowd::fleet::CrowdFleet;
-use crowd::{MAX_BODY_BYTES, alone};
+use platform_crowd::clients::{Body, Crowd, Request};
+use platform_crowd::fleet::CrowdFleet;
+use platform_crowd::{MAX_BODY_BYTES, alone};
 
 /// How many clients send large bodies at once: two and a half times what the machine's memory holds.
 const CLIENTS: usize = 80;
--- a/tests/crowd_connections.rs
+++ b/tests/platform_crowd_connections.rs
@@ -1,12 +1,12 @@
 //! Crowds that only hold connections open, on real processes within the descriptors of their machines.
 
-mod crowd;
+mod platform_crowd;
 
-use crowd::clients::{Crowd, Holders};
-use crowd::fleet::CrowdFleet;
-use crowd::platform::configuration;
-use crowd::runner::{LARGE_IDEMPOTENT_PATH, LARGE_PATH};
-use crowd::{MAX_DESCRIPTORS, alone};
+use platform_crowd::clients::{Crowd, Holders};
+use platform_crowd::fleet::CrowdFleet;
+use platform_crowd::platform::configuration;
+use platform_crowd::runner::{LARGE_IDEMPOTENT_PATH, LARGE_PATH};
+use platform_crowd::{MAX_DESCRIPTORS, alone};
 
 /// How many connections a crowd opens: more than the machine has descriptors.
 const CONNECTIONS: usize = MAX_DESCRIPTORS as usize + 100;
--- a/tests/crowd_control.rs
+++ b/tests/platform_crowd_control.rs
@@ -1,10 +1,10 @@
 //! Crowds at the doors of operators and runners, on real processes within the memory of their machines.
 
-mod crowd;
+mod platform_crowd;
 
-use crowd::alone;
-use crowd::clients::{Body, Crowd, Request};
-use crowd::fleet::CrowdFleet;
+use platform_crowd::alone;
+use platform_crowd::clients::{Body, Crowd, Request};
+use platform_crowd::fleet::CrowdFleet;
 
 /// How many callers send large calls at once.
 const CALLERS: usize = 40;
--- a/tests/crowd_soak.rs
+++ b/tests/platform_crowd_soak.rs
@@ -1,12 +1,12 @@
 //! Crowds of all kinds on real processes, in an order drawn from a seed, overlapping with restarts and signals.
-//! More seeds: `SPINDLEDOCK_SEEDS=1..50 cargo test --release --test crowd_soak`.
+//! More seeds: `SPINDLEDOCK_SEEDS=1..50 cargo test --release --test platform_crowd_soak`.
 
-mod crowd;
+mod platform_crowd;
 
-use crowd::clients::{Body, Crowd, Holders, Request};
-use crowd::fleet::CrowdFleet;
-use crowd::runner::{LARGE_IDEMPOTENT_PATH, LARGE_PATH};
-use crowd::{MAX_BODY_BYTES, alone};
+use platform_crowd::clients::{Body, Crowd, Holders, Request};
+use platform_crowd::fleet::CrowdFleet;
+use platform_crowd::runner::{LARGE_IDEMPOTENT_PATH, LARGE_PATH};
+use platform_crowd::{MAX_BODY_BYTES, alone};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::ops::Range;
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -126,8 +126,8 @@
 stalled-first|src/http/memory_ledger.rs|!self.is_blocked && now.since\(self.progressed_at\) >= STALL_TIME|false|memory_ledger stalled_for_longest
 announced-length|src/http/receive.rs|body.size_hint\(\).lower\(\) > limits.max_bytes as u64|false|platform_refused_body announced_length
 refused-linger|src/http/client_stream.rs|\|\| self.must_discard_body\(cx\)||platform_refused_body whole_refusal
-client-connections|src/http/client_connections.rs|self.count\(\) >= self.limit.max_connections\(self.limits.lock\(\).unwrap\(\).head_bytes\)|false|crowd_connections idle_connections_at_a_router
-answer-queue|src/http/body.rs|bytes.len\(\).min\(MAX_QUEUED_BYTES\)|0|crowd_connections answers_that_nobody_reads
+client-connections|src/http/client_connections.rs|self.count\(\) >= self.limit.max_connections\(self.limits.lock\(\).unwrap\(\).head_bytes\)|false|platform_crowd_connections idle_connections_at_a_router
+answer-queue|src/http/body.rs|bytes.len\(\).min\(MAX_QUEUED_BYTES\)|0|platform_crowd_connections answers_that_nobody_reads
 dark-once|src/forwarding/tick.rs|self.may_run_again\(\) && balancer.is_report_stale|balancer.is_report_stale|forwarding that_is_dark
 move-runners|src/forwarding/move_start.rs|if self.attempts_opened >= self.spec.max_attempts \{\s+return;|if false { return;|forwarding most_runners
 order-digest|src/kernel/change_id.rs|hasher.update\(part\);|hasher.update(&part[..part.len().min(2)]);|order_identity digests_differ
