--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -50,7 +50,7 @@
 unplaced|src/forwarding/resume.rs|\(self.spec.is_resumable && !self.has_event_without_id\)|(self.spec.is_resumable)|platform_stream_end without_ids
 withdrawn-room|src/placement/load_backoff.rs|let known: Option<u64> = names.map\(\|name\| config.max_mb\(name\)\).sum\(\);\s+known.unwrap_or\(report.room_mb\)|names.filter_map(\|name\| config.weight(name)).sum()|withdrawn over_its_room
 withdrawn-unload|src/placement/move_execution.rs|self.unload_withdrawn\(&slice, ctx\);||withdrawn over_its_room
-stop-delivered|src/http/client.rs|Phase::Serving \| Phase::Flushing\);\s+serving \|\| self.unacknowledged_bytes\(\) > 0|Phase::Serving);\n        serving|platform_stop handed_over
+stop-delivered|src/http/client.rs|Phase::Serving \| Phase::Flushing\);\s+serving \|\| self.unacknowledged_bytes\(\) > 0|Phase::Serving); serving|platform_stop handed_over
 stop-lingers|src/http/client.rs|self.connections.is_stopping\(\)\s*&& |false && |platform_stop handed_over
 order-sequence|src/sim/runner_orders.rs|Some\(o.expected\)|None|room held_up
 foreign-order|src/placement/pending_orders.rs|busy && !self.table|false && !self.table|room predecessor
