--- a/src/http/memory_account.rs
+++ b/src/http/memory_account.rs
@@ -36,11 +36,6 @@
         Arc::new(MemoryAccount { clock, ledger, evictions: Mutex::default(), released: Notify::new() })
     }
 
-    /// How many bytes are charged.
-    pub fn used(&self) -> usize {
-        self.ledger.lock().unwrap().used()
-    }
-
     /// A reservation without bytes.
     pub fn open(self: &Arc<MemoryAccount>) -> Reservation {
         let id = self.ledger.lock().unwrap().open(self.clock.now());
