A configuration is bounded in what it describes

What operators saw: one valid call of a few KB (1,000 models of 10,000 adapters each) took a controller to 1,784 MB on a machine of 128 MB; a change of 25,000 services and routes (legal in size) left the router and then the controllers without an answer for over a minute; partial changes added up without end (24 of 1 MB each: 383 MB).

Cause: only the call was bounded, at 8 MB. An item stands for up to 10,000 adapters, the whole after a partial change had no bound, and each route looked for its service among all services.

Change: fleet/size_limits.rs bounds the document and the counts of services, routes, models, adapters and tenants; they are taken before anything is read. Routes find their service in an index.

Tests: platform_crowd_changes, three of them failed on with the figures above (memory of the process; no answer within 60 s; 383 MB).

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 pub mod service;
 pub mod serving;
 pub mod show;
+pub mod size_limits;
 pub mod slice;
 pub mod state;
 pub mod tenant_format;
--- a/src/fleet/read.rs
+++ b/src/fleet/read.rs
@@ -1,6 +1,7 @@
 //! Reads a configuration in the product's own format. Ranges and defaults of its fields are given here.
 
 use super::config::*;
+use super::size_limits::ConfigSize;
 use super::tenant_format;
 use crate::json::{Reader, Tree};
 use crate::kernel::fault::{Fault, Kind};
@@ -28,7 +29,10 @@
 ///
 /// All faults of the document, each with its place.
 pub fn read(tree: &Tree) -> Result<FleetConfig, Vec<Fault>> {
-    let mut faults = Vec::new();
+    let mut faults = size(tree).check();
+    if !faults.is_empty() {
+        return Err(faults);
+    }
     let mut reader = Reader::new("", tree);
     let revision = reader.num("revision", Some(0), 0, 1 << 52);
     let source = reader.text("source", Some(""));
@@ -131,6 +135,18 @@
     if faults.is_empty() { Ok(config) } else { Err(faults) }
 }
 
+/// The size of a configuration, taken before the rest of it is read.
+fn size(tree: &Tree) -> ConfigSize {
+    ConfigSize {
+        bytes: tree.to_string().len(),
+        services: tree.list("services").len(),
+        routes: tree.list("services").iter().map(|s| s.list("routes").len()).sum(),
+        models: tree.list("models").len(),
+        adapters: tree.list("adapters").len(),
+        tenants: tree.list("tenants").len(),
+    }
+}
+
 fn allowance(value: Option<&Tree>, path: &str, defaults: Allowance, faults: &mut Vec<Fault>) -> Allowance {
     let Some(value) = value else { return defaults };
     let mut reader = Reader::new(path, value);
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -1,5 +1,6 @@
 //! Reads the configuration as the platform's users write it.
 
+use super::config_size;
 use super::merge::{REQUIRED_LISTS, merge, parse};
 use super::operator::SettingsFigures;
 use super::tenants;
@@ -9,7 +10,7 @@
 use crate::kernel::fault::{Fault, Kind};
 use crate::kernel::ids::Name;
 use crate::protocol::adapter_name;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The class of a route by its priority, the most urgent first.
 const CLASS_BY_PRIORITY: [Class; 4] = [Class::Counter, Class::Chat, Class::Normal, Class::Bulk];
@@ -50,7 +51,10 @@
         tree = merge(parse(old)?, &tree)?;
         source = tree.to_string();
     }
-    let mut faults = Vec::new();
+    let mut faults = config_size::of(&tree, source.len()).check();
+    if !faults.is_empty() {
+        return Err(faults);
+    }
     let mut c = read_document(figures, &tree, &mut faults);
     c.source = source;
     if faults.is_empty() { Ok(c) } else { Err(faults) }
@@ -90,17 +94,19 @@
     for t in tree.list("Backends") {
         read_service(figures, t, &mut c, faults);
     }
+    let mut places = BTreeMap::new();
+    for (place, service) in c.services.iter().enumerate() {
+        places.entry(service.name.clone()).or_insert(place);
+    }
     let mut seen = BTreeSet::new();
     for (n, t) in tree.list("RouteMap").iter().enumerate() {
         let at = format!("RouteMap[{n}]");
-        let Some((service, route)) = read_route(&at, t, &c, faults) else { continue };
+        let Some((service, route)) = read_route(&at, t, &c.limits, &places, faults) else { continue };
         if !seen.insert((route.host.clone(), route.prefix.clone())) {
             faults.push(fault(at, "shares host and prefix with another", "drop one of the two"));
             continue;
         }
-        if let Some(s) = c.services.iter_mut().find(|s| s.name == service) {
-            s.routes.push(route);
-        }
+        c.services[places[&service]].routes.push(route);
     }
     c.tenants = tenants::read(tree, faults).into();
     c
@@ -171,7 +177,13 @@
 
 /// Reads one route and the service that it belongs to: the named one or, for a split, the one with the greatest weight.
 /// `None` if it is faulty.
-fn read_route(at: &str, t: &Tree, c: &FleetConfig, faults: &mut Vec<Fault>) -> Option<(Name, Route)> {
+fn read_route(
+    at: &str,
+    t: &Tree,
+    limits: &Limits,
+    services: &BTreeMap<Name, usize>,
+    faults: &mut Vec<Fault>,
+) -> Option<(Name, Route)> {
     let before = faults.len();
     let mut split: Vec<Share> = Vec::new();
     let rows = t.list("WeightedBackends");
@@ -190,7 +202,7 @@
         (None, None) => Name::default(),
     };
     for name in split.iter().map(|w| &w.service).chain([&of]) {
-        if c.service(name).is_none() {
+        if !services.contains_key(name) {
             faults.push(fault(at, format!("names the unknown service \"{name}\""), "name one of Backends"));
         }
     }
@@ -212,7 +224,7 @@
         class: CLASS_BY_PRIORITY[(milliseconds(t, "Priority") as usize).min(3)],
         resumable: kind == RouteKind::Stream && t.flag("Resumable").unwrap_or(false),
         due_ms: milliseconds(t, "TimeoutMs"),
-        body_kb: c.limits.body_bytes.div_ceil(1024),
+        body_kb: limits.body_bytes.div_ceil(1024),
         kind,
         tries: t.num("MaxRetries").unwrap_or(1).max(1),
         aim_ms: milliseconds(t, "TargetLatencyMs"),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod config;
+pub mod config_size;
 pub mod list;
 pub mod merge;
 pub mod operator;
--- a/tests/platform_crowd/fleet.rs
+++ b/tests/platform_crowd/fleet.rs
@@ -56,6 +56,29 @@
         self.until_answered(self.control(0), put.as_bytes(), 200).await;
     }
 
+    /// Brings a change that may be refused, and waits for whatever becomes of it.
+    pub async fn change(&self, method: &str, base: u64, document: &str) {
+        let head = format!("{method} /spindledock/config HTTP/1.1\r\nif-match: {base}");
+        self.exchange(self.control(0), &head, document).await;
+    }
+
+    /// Makes a call that may be refused, and waits for whatever becomes of it.
+    pub async fn call(&self, door: SocketAddr, line: &str, text: &str) {
+        self.exchange(door, &format!("{line} HTTP/1.1"), text).await;
+    }
+
+    async fn exchange(&self, door: SocketAddr, head: &str, text: &str) {
+        let call = format!("{head}\r\nhost: c\r\ncontent-length: {}\r\n\r\n{text}", text.len());
+        let exchange = async {
+            let mut tcp = TcpStream::connect(door).await?;
+            tcp.write_all(call.as_bytes()).await?;
+            let mut status = [0; 12];
+            tcp.read_exact(&mut status).await?;
+            std::io::Result::Ok(String::from_utf8_lossy(&status).into_owned())
+        };
+        println!("{head:.30}: {:?}", tokio::time::timeout(LONG, exchange).await);
+    }
+
     /// Where clients reach the router.
     pub fn front(&self) -> SocketAddr {
         SocketAddr::from((self.router.ip, self.base + 2))
