A query is at most 4 KB long

What operators saw: one call POST /v1/query with 1 MB of "1=2 OR 1=2 ..." ended a controller: its connection broke off, and the next connection was refused. One of a million parentheses or signs took a node to 189 MB on a machine of 128 MB.

Cause: the depth of an expression follows from the length of the query, and expressions are read, worked off and freed recursively, on the stack of a thread. Only the call was bounded, at 8 MB.

Tests: platform_crowd_calls, three of them failed before as above; now 400, and 15 MB at most.

--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -27,6 +27,9 @@
 /// How many reads may be under way at a time.
 pub const MAX_CONCURRENT_READS: usize = 4;
 
+/// The longest query in bytes. The depth of its expressions, which are worked off recursively, follows from its length.
+const MAX_QUERY_BYTES: usize = 4 << 10;
+
 /// The admin API of a node.
 pub struct AdminApi {
     /// The node that answers.
@@ -170,6 +173,9 @@
         (&Method::GET, ["v1", "changes", id]) => {
             return Ok(Event::ReadCall { id: ask, path: format!("change/{id}") });
         }
+        (&Method::POST, ["v1", "query"]) if text.len() > MAX_QUERY_BYTES => {
+            return Err(bad_request("the query is over 4 KB; write a shorter one"));
+        }
         (&Method::POST, ["v1", "query"]) => return Ok(Event::ReadCall { id, path: format!("query/{text}") }),
         (&Method::GET, ["v1", what]) => return Ok(Event::ReadCall { id, path: what.to_string() }),
         (&Method::PUT, ["v1", "config"]) => match crate::fleet::read::read_text(&text) {
