What the replicated state keeps of earlier changes is bounded in bytes

What operators saw: after 23 valid changes that replaced one another, of 3 MB each, the controllers gave no answer any more and the router refused with not-fresh, for good.

Cause: FleetState::touched keeps the name of every service that was ever configured, and names had no limit on the platform. Texts of outcomes and faults quote documents whole and are kept too (512 outcomes).

Change: names of services and models take 256 bytes at most; services that are no longer configured are forgotten beyond the last 1,024; texts of faults and outcomes are cut at 1 KB, and an answer lists 100 faults.

--- a/src/chain/reply.rs
+++ b/src/chain/reply.rs
@@ -7,9 +7,12 @@
 use crate::kernel::fault::Fault;
 use crate::msg::Answer;
 
-/// The refusal of a document, listing every fault found in it.
+/// How many faults of a document are listed.
+const MAX_LISTED_FAULTS: usize = 100;
+
+/// The refusal of a document, listing the faults found in it, but not more than `MAX_LISTED_FAULTS`.
 pub fn faults(bad: &[Fault]) -> Answer {
-    let rows = bad.iter().map(|f| {
+    let rows = bad.iter().take(MAX_LISTED_FAULTS).map(|f| {
         map(&[
             ("at", f.place.as_str().into()),
             ("fault", f.what.as_str().into()),
--- a/src/fleet/fold.rs
+++ b/src/fleet/fold.rs
@@ -5,6 +5,7 @@
 use super::ledger::{RefusedChange, TakenChange};
 use super::state::*;
 use crate::kernel::ids::*;
+use std::collections::BTreeSet;
 
 impl FleetState {
     /// Applies the change that was committed as version `at`.
@@ -70,11 +71,27 @@
         for name in all {
             self.touch(Scope::Service(name));
         }
+        self.forget_withdrawn_services();
         self.drop_plans();
         self.touch(Scope::Routes);
         self.touch(Scope::Duty);
     }
 
+    /// Forgets when services changed that are no longer configured, except the last `MAX_WITHDRAWN_SERVICES`.
+    fn forget_withdrawn_services(&mut self) {
+        let configured: BTreeSet<&Name> = self.config.services.iter().map(|s| &s.name).collect();
+        let withdrawn_at = |(scope, at): (&Scope, &Version)| match scope {
+            Scope::Service(name) if !configured.contains(name) => Some((*at, scope.clone())),
+            _ => None,
+        };
+        let mut withdrawn: Vec<(Version, Scope)> = self.touched.iter().filter_map(withdrawn_at).collect();
+        withdrawn.sort();
+        let surplus = withdrawn.len().saturating_sub(MAX_WITHDRAWN_SERVICES);
+        for (_, scope) in &withdrawn[..surplus] {
+            self.touched.remove(scope);
+        }
+    }
+
     fn adopt(&mut self, id: ChangeId, base: u64, config: &super::FleetConfig, stages: &[StageFigure]) {
         if self.decision(id).is_some() {
             return;
@@ -113,6 +130,7 @@
             self.touched.insert(Scope::Service(r.service.clone()), self.at);
         }
         self.runners = list;
+        self.forget_withdrawn_services();
         self.touch(Scope::Duty);
         self.end(id, OutcomeCode::Ok, "runner list taken".into(), vec![]);
     }
@@ -206,7 +224,8 @@
 
     /// Keeps an outcome for later questions. Operators' changes and the fleet's own are kept apart, so that
     /// neither displaces the other.
-    fn keep_outcome(&mut self, id: ChangeId, code: OutcomeCode, text: String, stages: Vec<StageFigure>) {
+    fn keep_outcome(&mut self, id: ChangeId, code: OutcomeCode, mut text: String, stages: Vec<StageFigure>) {
+        text.truncate(text.floor_char_boundary(MAX_OUTCOME_TEXT_BYTES));
         let (rows, most) = match id.is_operators() {
             true => (&mut self.outcomes, MAX_OUTCOMES),
             false => (&mut self.internal_outcomes, MAX_INTERNAL_OUTCOMES),
--- a/src/fleet/size_limits.rs
+++ b/src/fleet/size_limits.rs
@@ -30,6 +30,9 @@
     tenants: 20_000,
 };
 
+/// The longest name of a service or a model in bytes. Names outlive their configuration in the replicated state.
+pub const MAX_NAME_BYTES: usize = 256;
+
 impl ConfigSize {
     /// A fault for each figure that is over its limit.
     pub fn check(&self) -> Vec<Fault> {
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -128,14 +128,18 @@
     pub internal_outcomes: Vec<Outcome>,
     /// Operators' changes that were taken or refused.
     pub ledger: ChangeLedger,
-    /// The version at which each scope last changed.
+    /// The version at which each scope last changed, services that were withdrawn lately included.
     pub touched: BTreeMap<Scope, Version>,
 }
 
 /// How many outcomes of operators' changes are kept.
 pub const MAX_OUTCOMES: usize = 512;
+/// The longest text of an outcome in bytes. It may quote names that a client sent.
+pub const MAX_OUTCOME_TEXT_BYTES: usize = 1024;
 /// How many outcomes of the fleet's own changes are kept.
 pub const MAX_INTERNAL_OUTCOMES: usize = 256;
+/// How many services that are no longer configured are kept in [`FleetState::touched`].
+pub const MAX_WITHDRAWN_SERVICES: usize = 1024;
 /// How many moves are kept.
 pub const MAX_MOVES: usize = 64;
 
--- a/src/kernel/fault.rs
+++ b/src/kernel/fault.rs
@@ -34,15 +34,24 @@
     pub remedy: String,
 }
 
+/// The longest place or description in bytes. Both may quote a document that a client sent.
+const MAX_TEXT_BYTES: usize = 1024;
+
+/// A text, cut to `MAX_TEXT_BYTES`.
+fn bounded(mut text: String) -> String {
+    text.truncate(text.floor_char_boundary(MAX_TEXT_BYTES));
+    text
+}
+
 impl Fault {
-    /// A fault of this kind.
+    /// A fault of this kind. Long texts are cut.
     pub fn new(
         kind: Kind,
         place: impl Into<String>,
         what: impl Into<String>,
         remedy: impl Into<String>,
     ) -> Fault {
-        Fault { kind, place: place.into(), what: what.into(), remedy: remedy.into() }
+        Fault { kind, place: bounded(place.into()), what: bounded(what.into()), remedy: remedy.into() }
     }
 }
 
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -114,8 +114,8 @@
 
 /// Reads one service with its models and adapters, and the load rate of the store.
 fn read_service(figures: &SettingsFigures, t: &Tree, c: &mut FleetConfig, faults: &mut Vec<Fault>) {
-    let Some(name) = t.text("Name") else {
-        return faults.push(fault("Backends", "one has no Name", "name it"));
+    let Some(name) = config_size::name(t, "Backends", faults) else {
+        return faults.push(fault("Backends", "one has no valid Name", "name it"));
     };
     let mut s = Service {
         name: Name::from(name),
@@ -144,7 +144,7 @@
             c.store.burst = figures.load_rate_limit.burst(rate);
         }
         for m in e.list("Models") {
-            let Some(name) = m.text("Name") else { continue };
+            let Some(name) = config_size::name(m, "Models", faults) else { continue };
             let num = |k: &str| m.float(k).unwrap_or(0.0);
             let load_ms = (num("LoadTimeS") * 1000.0) as u64;
             if num("Adapters") > MAX_ADAPTERS {
--- a/src/platform/config_size.rs
+++ b/src/platform/config_size.rs
@@ -2,8 +2,9 @@
 #![deny(missing_docs)]
 
 use super::merge::TENANTS;
-use crate::fleet::size_limits::ConfigSize;
+use crate::fleet::size_limits::{ConfigSize, MAX_NAME_BYTES};
 use crate::json::Tree;
+use crate::kernel::fault::{Fault, Kind};
 
 /// The size of the configuration that a document of so many bytes describes.
 pub fn of(tree: &Tree, bytes: usize) -> ConfigSize {
@@ -19,3 +20,15 @@
         tenants: tree.list(TENANTS).len(),
     }
 }
+
+/// The name of an item; `None` if it has none or one that is too long, which is a fault.
+pub fn name<'a>(item: &'a Tree, place: &str, faults: &mut Vec<Fault>) -> Option<&'a str> {
+    let name = item.text("Name")?;
+    if name.len() <= MAX_NAME_BYTES {
+        return Some(name);
+    }
+    let what = format!("a name is {} bytes long", name.len());
+    let remedy = format!("shorten it to {MAX_NAME_BYTES} bytes");
+    faults.push(Fault::new(Kind::Config, place, what, remedy));
+    None
+}
--- a/tests/platform_config_size.rs
+++ b/tests/platform_config_size.rs
@@ -3,7 +3,7 @@
 mod platform_given;
 
 use platform_given::{assert_faults_complete, read_document};
-use spindledock::fleet::size_limits::MAX_CONFIG_SIZE;
+use spindledock::fleet::size_limits::{MAX_CONFIG_SIZE, MAX_NAME_BYTES};
 
 fn repeated(count: usize, item: impl Fn(usize) -> String) -> String {
     (0..count).map(item).collect::<Vec<_>>().join(",")
@@ -73,3 +73,22 @@
     taken(&whole);
     refused(&(whole + " "), "bytes");
 }
+
+#[test]
+fn given_names_as_long_as_allowed_when_read_then_taken_and_longer_ones_refused() {
+    let named = |bytes| {
+        let name = "n".repeat(bytes);
+        let service = format!(r#"{{"Name":"{name}","Engine":{{"Models":[{{"Name":"m{}"}}]}}}}"#, &name[1..]);
+        document("", &service, "")
+    };
+    taken(&named(MAX_NAME_BYTES));
+    refused(&named(MAX_NAME_BYTES + 1), "long");
+}
+
+#[test]
+fn given_a_fault_that_quotes_the_document_when_told_then_its_text_is_short() {
+    let route = r#"{"Name":"r","Vhost":"h","PathPrefix":"/","TimeoutMs":1,"Backend":"B"}"#;
+    let faults = read_document(&document(&route.replace('B', &"ü".repeat(1 << 20)), &services(1), ""));
+    let faults = faults.expect_err("an unknown service");
+    assert!(faults.iter().all(|fault| fault.to_string().len() < 4096), "the document is quoted whole");
+}
--- a/tests/platform_crowd_changes.rs
+++ b/tests/platform_crowd_changes.rs
@@ -12,6 +12,8 @@
 const CHANGES: u64 = 24;
 /// How many bytes of names one such change adds.
 const ADDED_BYTES: usize = 1 << 20;
+/// How many bytes of names a change holds that replaces the one before.
+const REPLACED_BYTES: usize = 3 << 20;
 /// How many models are named where each has as many adapters as one model may have.
 const MODELS: usize = 1_000;
 const ADAPTERS_OF_ONE_MODEL: usize = 10_000;
@@ -75,6 +77,34 @@
     fleet.expect_unharmed().await;
 }
 
+#[tokio::test]
+async fn given_large_changes_that_replace_one_another_then_nodes_stay_within_their_memory() {
+    let _alone = alone().await;
+    let mut fleet = CrowdFleet::start("changes-replace").await;
+    for n in 0..CHANGES {
+        let note = "n".repeat(REPLACED_BYTES);
+        let service = format!(r#"{{"Name":"t{n}","Note":"{note}","MaxConnections":1}}"#);
+        let revision = format!(r#""Revision":{}"#, n + 2);
+        let document = with_services(&service).replace(r#""Revision":2"#, &revision);
+        fleet.change("PUT", n + 1, &document).await;
+    }
+    fleet.expect_unharmed().await;
+}
+
+#[tokio::test]
+async fn given_changes_of_ever_new_long_names_then_nodes_stay_within_their_memory() {
+    let _alone = alone().await;
+    let mut fleet = CrowdFleet::start("changes-names").await;
+    for n in 0..CHANGES {
+        let name = "n".repeat(REPLACED_BYTES);
+        let service = format!(r#"{{"Name":"{n}{name}","HealthCheck":"/health","MaxConnections":1}}"#);
+        let revision = format!(r#""Revision":{}"#, n + 2);
+        let document = with_services(&service).replace(r#""Revision":2"#, &revision);
+        fleet.change("PUT", n + 1, &document).await;
+    }
+    fleet.expect_unharmed().await;
+}
+
 #[tokio::test]
 async fn given_a_change_of_very_many_services_and_routes_then_nodes_stay_within_their_memory() {
     let _alone = alone().await;
