A list of runners is bounded at the admin address

What operators saw: PUT /v1/runners with 50,000 runners took a controller to 133 MB on a machine of 128 MB, and three of four such calls got 503 after a long wait.

Cause: only the call was bounded, at 8 MB; each runner was compared with all before it, and names had no limit.

Change: 5,000 runners at most, names of 256 bytes, duplicates found through a set.

--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -9,6 +9,7 @@
 use super::request_body::RequestBody;
 use crate::daemon::input::NodeHandle;
 use crate::fleet::runner::Runner;
+use crate::fleet::size_limits::MAX_NAME_BYTES;
 use crate::json::Tree;
 use crate::kernel::ids::*;
 use crate::kernel::rand::OsRandom;
@@ -16,6 +17,7 @@
 use crate::protocol::{OperatorProtocol, ParsedCall};
 use hyper::header::LOCATION;
 use hyper::{Method, Request, Response, StatusCode};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Semaphore;
@@ -27,6 +29,8 @@
 /// How many reads may be under way at a time.
 pub const MAX_CONCURRENT_READS: usize = 4;
 
+/// The most runners in a list.
+const MAX_RUNNERS: usize = 5_000;
 /// The longest query in bytes. The depth of its expressions, which are worked off recursively, follows from its length.
 const MAX_QUERY_BYTES: usize = 4 << 10;
 
@@ -186,16 +190,7 @@
         (&Method::PUT, ["v1", "runners"]) => {
             let tree = tree()?;
             let rows = if let Tree::List(rows) = &tree { &rows[..] } else { tree.list("runners") };
-            let mut list = Vec::new();
-            for tree in rows {
-                list.push(Runner::read(tree).map_err(|why| bad_request(&why))?);
-            }
-            for (n, r) in list.iter().enumerate() {
-                if list[..n].iter().any(|o| o.instance == r.instance) {
-                    return Err(bad_request(&format!("runner {} is given twice; keep one", r.instance)));
-                }
-            }
-            OperatorCall::SetRunners(list)
+            OperatorCall::SetRunners(read_runners(rows).map_err(|why| bad_request(&why))?)
         }
         (&Method::POST, ["v1", "runners", name, "leaving"]) => OperatorCall::MarkLeaving(Name::from(*name)),
         (&Method::POST, ["v1", "plan", "propose"]) => OperatorCall::ProposePlan,
@@ -218,3 +213,23 @@
     };
     Ok(Event::OperatorCall { id, op })
 }
+
+/// Reads a list of runners. Fails with a text for the operator.
+fn read_runners(rows: &[Tree]) -> Result<Vec<Runner>, String> {
+    if rows.len() > MAX_RUNNERS {
+        return Err(format!("the list has {} runners; give at most {MAX_RUNNERS}", rows.len()));
+    }
+    let runners = rows.iter().map(Runner::read).collect::<Result<Vec<Runner>, String>>()?;
+    let is_long = |name: &Name| name.0.len() > MAX_NAME_BYTES;
+    if runners
+        .iter()
+        .any(|runner| is_long(&runner.instance) || is_long(&runner.service) || is_long(&runner.domain))
+    {
+        return Err(format!("a name is too long; use at most {MAX_NAME_BYTES} bytes"));
+    }
+    let mut instances = BTreeSet::new();
+    if let Some(runner) = runners.iter().find(|runner| !instances.insert(&runner.instance)) {
+        return Err(format!("runner {} is given twice; keep one", runner.instance));
+    }
+    Ok(runners)
+}
