Three tests of replaced configurations share their loop; MachineLimits has one impl block

Each brought changes one after the other with the revision written in; the three differ in the further service alone. What is sent, how often, and what is checked afterwards are as they were.

--- a/src/daemon/machine_limits.rs
+++ b/src/daemon/machine_limits.rs
@@ -41,9 +41,7 @@
     pub fn answer_bytes(&self) -> usize {
         ((self.memory_mb << 20) / ANSWER_MEMORY_SHARE) as usize
     }
-}
 
-impl MachineLimits {
     /// The limit on the connections of clients.
     pub fn client_connections(&self) -> ConnectionLimit {
         self.connections(CLIENT_EIGHTHS, CONNECTION_MEMORY_SHARE)
--- a/tests/platform_crowd_changes.rs
+++ b/tests/platform_crowd_changes.rs
@@ -54,6 +54,18 @@
     document.replace(r#""RouteMap":["#, &format!(r#""RouteMap":[{routes},"#))
 }
 
+/// Brings as many changes, each of which replaces the one before and has a further service of its own.
+async fn expect_unharmed_by_replacing(name: &str, changes: u64, service: impl Fn(u64) -> String) {
+    let _alone = alone().await;
+    let mut fleet = CrowdFleet::start(name).await;
+    for n in 0..changes {
+        let revision = format!(r#""Revision":{}"#, n + 2);
+        let document = with_services(&service(n)).replace(r#""Revision":2"#, &revision);
+        fleet.change("PUT", n + 1, &document).await;
+    }
+    fleet.expect_unharmed().await;
+}
+
 #[tokio::test]
 async fn given_a_small_change_with_very_many_adapters_then_nodes_stay_within_their_memory() {
     let _alone = alone().await;
@@ -79,30 +91,16 @@
 
 #[tokio::test]
 async fn given_large_changes_that_replace_one_another_then_nodes_stay_within_their_memory() {
-    let _alone = alone().await;
-    let mut fleet = CrowdFleet::start("changes-replace").await;
-    for n in 0..CHANGES {
-        let note = "n".repeat(REPLACED_BYTES);
-        let service = format!(r#"{{"Name":"t{n}","Note":"{note}","MaxConnections":1}}"#);
-        let revision = format!(r#""Revision":{}"#, n + 2);
-        let document = with_services(&service).replace(r#""Revision":2"#, &revision);
-        fleet.change("PUT", n + 1, &document).await;
-    }
-    fleet.expect_unharmed().await;
+    let note = "n".repeat(REPLACED_BYTES);
+    let service = |n| format!(r#"{{"Name":"t{n}","Note":"{note}","MaxConnections":1}}"#);
+    expect_unharmed_by_replacing("changes-replace", CHANGES, service).await;
 }
 
 #[tokio::test]
 async fn given_changes_of_ever_new_long_names_then_nodes_stay_within_their_memory() {
-    let _alone = alone().await;
-    let mut fleet = CrowdFleet::start("changes-names").await;
-    for n in 0..CHANGES {
-        let name = "n".repeat(REPLACED_BYTES);
-        let service = format!(r#"{{"Name":"{n}{name}","HealthCheck":"/health","MaxConnections":1}}"#);
-        let revision = format!(r#""Revision":{}"#, n + 2);
-        let document = with_services(&service).replace(r#""Revision":2"#, &revision);
-        fleet.change("PUT", n + 1, &document).await;
-    }
-    fleet.expect_unharmed().await;
+    let name = "n".repeat(REPLACED_BYTES);
+    let service = |n| format!(r#"{{"Name":"{n}{name}","HealthCheck":"/health","MaxConnections":1}}"#);
+    expect_unharmed_by_replacing("changes-names", CHANGES, service).await;
 }
 
 #[tokio::test]
@@ -140,13 +138,6 @@
 
 #[tokio::test]
 async fn given_as_many_adapters_as_allowed_twice_then_nodes_stay_within_their_memory() {
-    let _alone = alone().await;
-    let mut fleet = CrowdFleet::start("changes-most-adapters").await;
-    for n in 0..2 {
-        let services = service_of_models(n, MAX_CONFIG_SIZE.adapters / ADAPTERS_OF_ONE_MODEL);
-        let revision = format!(r#""Revision":{}"#, n + 2);
-        let document = with_services(&services).replace(r#""Revision":2"#, &revision);
-        fleet.change("PUT", n + 1, &document).await;
-    }
-    fleet.expect_unharmed().await;
+    let service = |n| service_of_models(n, MAX_CONFIG_SIZE.adapters / ADAPTERS_OF_ONE_MODEL);
+    expect_unharmed_by_replacing("changes-most-adapters", 2, service).await;
 }
