--- /dev/null
+++ b/review/stand2/cases.rs
@@ -0,0 +1,141 @@
+// The cases; included by stage.rs.
+
+const HOST: &str = "viewer.example";
+
+fn models(names: &[&str]) -> String {
+    let rows: Vec<String> = names
+        .iter()
+        .map(|n| format!("{{\"Name\":\"{n}\",\"WeightsMb\":72700.0,\"LoadTimeS\":1.6,\"Adapters\":0,\"AdapterSizeMb\":66.0}}"))
+        .collect();
+    rows.join(",")
+}
+
+fn engine(name: &str, slots: u64) -> String {
+    format!(
+        "{{\"Name\":\"{name}\",\"HealthCheck\":\"/health\",\"MaxConnections\":360,\"Protocol\":\"h1\",\"Tls\":false,\"Engine\":{{\"CapacitySlots\":{slots},\"KvCapacity\":135472,\"KvTokenBytes\":163840,\"LinkMbps\":1100000.0,\"Stride\":5,\"Models\":[{}],\"WeightsMb\":230000.0,\"AdapterCapacity\":8,\"LoadRateS\":3.6}}}}",
+        models(&["m0", "m1", "m2", "m3"])
+    )
+}
+
+fn plain(name: &str) -> String {
+    format!("{{\"Name\":\"{name}\",\"HealthCheck\":\"/health\",\"MaxConnections\":96,\"Protocol\":\"h1\",\"Tls\":false}}")
+}
+
+fn stream_route(name: &str, prefix: &str, to: &str) -> String {
+    format!(
+        "{{\"Name\":\"{name}\",\"Vhost\":\"{HOST}\",\"PathPrefix\":\"{prefix}\",\"RouteType\":\"streaming\",\"TimeoutMs\":20000,\"TargetLatencyMs\":2500,\"Priority\":0,\"Backend\":\"{to}\",\"MaxRetries\":1,\"SessionAffinity\":true,\"Resumable\":false,\"TargetGapMs\":300}}"
+    )
+}
+
+fn config(revision: u64, routes: &[String], services: &[String]) -> String {
+    format!(
+        "{{\"Revision\":{revision},\"RouteMap\":[{}],\"Backends\":[{}],\"Limits\":{{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}}}",
+        routes.join(","),
+        services.join(",")
+    )
+}
+
+fn patch(revision: u64, upsert_routes: &[String]) -> String {
+    format!("{{\"Revision\":{revision},\"Upsert\":{{\"RouteMap\":[{}]}}}}", upsert_routes.join(","))
+}
+
+#[allow(clippy::too_many_arguments)]
+fn runner(site: &Site, n: usize, service: &str, is_engine: bool, slots: u64, holds: &[&str], work: u64, events: u64, runs: &Arc<Runs>) -> Arc<Runner> {
+    let stock = Stock { holds: holds.iter().map(|h| h.to_string()).collect(), ..Stock::default() };
+    let runner = Arc::new(Runner {
+        id: format!("i-{:04x}{n:04x}", std::process::id() & 0xffff),
+        service: service.into(),
+        zone: ZONES[n % 3].into(),
+        addr: site.runner_addr(n),
+        is_engine,
+        slots,
+        load: ms(1600),
+        work: Mutex::new(ms(work)),
+        events,
+        stock: Mutex::new(stock),
+        active: AtomicU64::new(0),
+        draining: AtomicBool::new(false),
+        runs: runs.clone(),
+        log: site.log.clone(),
+    });
+    runner.start();
+    runner
+}
+
+/// Starts three controllers and `routers` routers, sets the first configuration, and waits until all are ready.
+fn begin(site: &mut Site, routers: usize, first: &str) {
+    for n in 0..3 {
+        site.start_controller(n);
+    }
+    for n in 0..routers {
+        site.start_router(n);
+    }
+    if site.operate("PUT", 0, first) != 200 {
+        cannot_run("the first configuration was not taken");
+    }
+    for n in 0..routers {
+        if !site.wait_ready(n, Duration::from_secs(15)) {
+            cannot_run("a router isn't ready");
+        }
+    }
+}
+
+/// A route moves to another service while requests on it wait for a model.
+fn moved_route(site: &mut Site, trouble: bool) -> bool {
+    let runs = Arc::new(Runs::default());
+    let list = vec![
+        runner(site, 0, "alpha", true, 64, &["m0", "m2", "m3"], 20, 10, &runs),
+        runner(site, 1, "beta", false, 6, &[], 30, 0, &runs),
+    ];
+    start_platform(site.platform, Arc::new(Mutex::new(list)));
+    let services = [engine("alpha", 64), plain("beta")];
+    begin(site, 1, &config(3, &[stream_route("r-chat", "/chat/", "alpha"), stream_route("r-other", "/other/", "beta")], &services));
+    thread::sleep(ms(8000));
+    let to = site.front_of(0);
+    let extra = |m: &str| format!("X-Model: {m}\r\nX-Token-Count: 826,58\r\nX-Prompt-Prefix: 5c1e07a2:198,91bd3f06:628\r\n");
+    let warm = request(&site.log, to, HOST, "/chat/0", &extra("m0"), "{}", 20_000);
+    if warm.status != 200 {
+        cannot_run("a first request isn't served");
+    }
+    let mut clients = Vec::new();
+    for n in 0..40u64 {
+        let (log, extra) = (site.log.clone(), extra("m1"));
+        clients.push(thread::spawn(move || {
+            thread::sleep(ms(n * 20));
+            request(&log, to, HOST, &format!("/chat/{n}"), &extra, "{}", 20_000)
+        }));
+    }
+    thread::sleep(ms(900));
+    let change = match trouble {
+        true => patch(5, &[stream_route("r-chat", "/chat/", "beta")]),
+        false => patch(5, &[stream_route("r-more", "/more/", "beta")]),
+    };
+    if site.operate("PATCH", 3, &change) != 200 {
+        cannot_run("the change was not taken");
+    }
+    let ended: Vec<Ended> = clients.into_iter().map(|c| c.join().expect("a client")).collect();
+    let after = request(&site.log, to, HOST, "/chat/after", &extra("m0"), "{}", 20_000);
+    site.log.line(&format!("a request on the same route right after the change: {}", after.status));
+    let denied = ended.iter().filter(|e| e.status == 404).count();
+    let good = ended.iter().filter(|e| e.status == 200 && e.whole).count();
+    let all = ended.len() + 2;
+    site.log.line(&format!("of {all} proper requests {good} were served and {denied} got 404; allowed are 5 + {all}/500"));
+    denied * 500 > 5 * 500 + all
+}
+
+fn main() {
+    let case = std::env::args().nth(1).unwrap_or_default();
+    let record = PathBuf::from(std::env::args().nth(2).unwrap_or("record.txt".into()));
+    let dir = PathBuf::from(std::env::args().nth(3).unwrap_or_else(|| cannot_run("no temporary folder")));
+    let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
+    let log = Log::new(&record);
+    let mut site = Site::new(&dir, log.clone());
+    log.line(&format!("case {case} trouble={trouble}"));
+    let broken = match case.as_str() {
+        "moved-route" => moved_route(&mut site, trouble),
+        _ => cannot_run("no such case"),
+    };
+    log.line(if broken { "the rule was broken" } else { "the rule held" });
+    site.stop_all();
+    std::process::exit(i32::from(broken));
+}
