--- a/review/stand2/cases.rs
+++ b/review/stand2/cases.rs
@@ -27,6 +27,12 @@
     )
 }
 
+fn plain_route(name: &str, prefix: &str, to: &str) -> String {
+    format!(
+        "{{\"Name\":\"{name}\",\"Vhost\":\"{HOST}\",\"PathPrefix\":\"{prefix}\",\"RouteType\":\"idempotent\",\"TimeoutMs\":2500,\"TargetLatencyMs\":150,\"Priority\":2,\"Backend\":\"{to}\",\"MaxRetries\":2}}"
+    )
+}
+
 fn config(revision: u64, routes: &[String], services: &[String]) -> String {
     format!(
         "{{\"Revision\":{revision},\"RouteMap\":[{}],\"Backends\":[{}],\"Limits\":{{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}}}",
@@ -123,6 +129,84 @@
     denied * 500 > 5 * 500 + all
 }
 
+/// Sends the first configuration for a minute, then 20 requests, and reads the configuration back. Returns whether the
+/// configuration was never acknowledged, no request was served and nothing could be read.
+fn never_serves(site: &mut Site) -> bool {
+    let first = config(3, &[plain_route("r-tile", "/tile/", "beta")], &[plain("beta")]);
+    let until = Instant::now() + Duration::from_secs(50);
+    let mut status = 0;
+    while status != 200 && Instant::now() < until {
+        status = site.operate("PUT", 0, &first);
+    }
+    site.log.line(&format!("the first configuration: {status} (0: never acknowledged)"));
+    thread::sleep(ms(3000));
+    let mut served = 0;
+    for n in 0..20 {
+        let got = request(&site.log, site.front_of(0), HOST, &format!("/tile/{n}"), "", "{}", 2500);
+        served += u32::from(got.status == 200 && got.whole);
+        thread::sleep(ms(50));
+    }
+    let read = format!("GET /spindledock/config HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", site.control_of(0));
+    let back = (0..3).filter_map(|n| call(site.control_of(n), &read, ms(2000))).map(|m| m.status()).collect::<Vec<_>>();
+    let running = (0..4).filter(|n| site.is_running(&format!("core-{n}"))).count();
+    site.log.line(&format!("{served} of 20 requests were served; reads of the configuration got {back:?}; {running} controllers run"));
+    status != 200 && served == 0 && !back.contains(&200)
+}
+
+/// All processes of the core are killed at once while the system starts for the first time, and return within a second.
+fn killed_at_start(site: &mut Site, trouble: bool) -> bool {
+    let runs = Arc::new(Runs::default());
+    let list = vec![runner(site, 1, "beta", false, 6, &[], 30, 0, &runs)];
+    start_platform(site.platform, Arc::new(Mutex::new(list)));
+    site.start_router(0);
+    for n in 0..3 {
+        site.start_controller(n);
+        thread::sleep(ms(100));
+    }
+    let extra = std::env::var("LATER_MS").ok().and_then(|n| n.parse().ok()).unwrap_or(0);
+    thread::sleep(ms(extra));
+    if trouble {
+        for n in 0..3 {
+            site.signal(&format!("core-{n}"), SIGKILL);
+        }
+        for n in 0..3 {
+            site.wait_end(&format!("core-{n}"));
+        }
+        thread::sleep(ms(500));
+        site.bootstrap = false;
+        for n in 0..3 {
+            let files = std::fs::read_dir(site.dir.join(format!("data-{n}"))).map_or(0, |rows| rows.count());
+            site.log.line(&format!("core-{n} comes back, its disk holds {files} files"));
+            site.start_controller(n);
+        }
+    }
+    never_serves(site)
+}
+
+/// One machine of the core is lost for good while the system starts for the first time; an empty one comes at another
+/// address.
+fn lost_at_start(site: &mut Site, trouble: bool) -> bool {
+    let runs = Arc::new(Runs::default());
+    let list = vec![runner(site, 1, "beta", false, 6, &[], 30, 0, &runs)];
+    start_platform(site.platform, Arc::new(Mutex::new(list)));
+    site.start_router(0);
+    for n in 0..3 {
+        site.start_controller(n);
+        thread::sleep(ms(100));
+    }
+    let extra = std::env::var("LATER_MS").ok().and_then(|n| n.parse().ok()).unwrap_or(0);
+    thread::sleep(ms(extra));
+    if trouble {
+        site.signal("core-2", SIGKILL);
+        site.wait_end("core-2");
+        site.log.line("core-2 is removed for good");
+        thread::sleep(ms(1000));
+        site.bootstrap = false;
+        site.start_controller(3);
+    }
+    never_serves(site)
+}
+
 fn main() {
     let case = std::env::args().nth(1).unwrap_or_default();
     let record = PathBuf::from(std::env::args().nth(2).unwrap_or("record.txt".into()));
@@ -133,6 +217,8 @@
     log.line(&format!("case {case} trouble={trouble}"));
     let broken = match case.as_str() {
         "moved-route" => moved_route(&mut site, trouble),
+        "killed-at-start" => killed_at_start(&mut site, trouble),
+        "lost-at-start" => lost_at_start(&mut site, trouble),
         _ => cannot_run("no such case"),
     };
     log.line(if broken { "the rule was broken" } else { "the rule held" });
--- a/review/stand2/stage.rs
+++ b/review/stand2/stage.rs
@@ -416,6 +416,8 @@
     pub children: BTreeMap<String, Child>,
     pub log: Arc<Log>,
     pub memory_mb: u64,
+    /// Whether the processes started next belong to the first start of the whole system.
+    pub bootstrap: bool,
 }
 
 impl Site {
@@ -435,6 +437,7 @@
             children: BTreeMap::new(),
             log,
             memory_mb: 260,
+            bootstrap: true,
         }
     }
     pub fn controller_ip(&self, n: usize) -> String {
@@ -461,9 +464,10 @@
         let serves = if class == "edge" { "edge" } else { "control" };
         let memory = if class == "edge" { self.memory_mb } else { 256 };
         format!(
-            "NodeName: \"{name}\"\nRole: \"{class}\"\nMachineClass: \"{class}\"\nServes:\n  - \"{serves}\"\nIp: \"{ip}\"\nZone: \"{zone}\"\nRegion: \"viti-levu\"\nZones:\n{zones}Bindings:\n{bindings}EphemeralPorts:\n  - {}\n  - {}\nSeedPeers:\n{seeds}Bootstrap: true\nQuorumMember: {quorum}\nLimits:\n  CpuShare: 0.25\n  CpuCores: 1\n  MemoryMb: {memory}\n  MaxFds: 4100\n  LinkMbps: 1000.0\n  DiskMb: 128\nDataDir: {data}\nDiscovery: \"cloud_api\"\nEntryMode: \"anycast_vip\"\nKeepaliveMs: 1200\nContracts:\n  - \"base\"\nFaultTolerance:\n  Machines: 1\n  Zones: 0\n  Regions: 0\nTimers:\n  SeedLagS: 3\n  AddressReuseS: 2\n  HoldTimeMs: 3000\n  AckTimeoutMs: 4000\n  SyncTimeS: 4\n  DrainTimeoutMs: 3000\n  GraceS: 8\n  DeadIntervalMs: 200\n  ConvergenceMs: 2000\n  RollbackSlackMs: 250\n  MaxStretchMs: 5000\n  RetryBudgetRatio: 0.2\n  RetryWindowS: 10\n  RetryMin: 52\n  RecoveryS: 12\n  PassIntervalMs: 120\n  RetryAfterS: 0\n  FenceEnforced: true\n  LeaseMs: 3000\n  ThawSlackMs: 300\n  OriginWindowS: 5\n  OriginTolerance: 1.1\nCloudApi:\n  Address: \"{}\"\n  RatePerS: 40.0\n  Duties: []\n  MaxLagMs: 800\n",
+            "NodeName: \"{name}\"\nRole: \"{class}\"\nMachineClass: \"{class}\"\nServes:\n  - \"{serves}\"\nIp: \"{ip}\"\nZone: \"{zone}\"\nRegion: \"viti-levu\"\nZones:\n{zones}Bindings:\n{bindings}EphemeralPorts:\n  - {}\n  - {}\nSeedPeers:\n{seeds}Bootstrap: {}\nQuorumMember: {quorum}\nLimits:\n  CpuShare: 0.25\n  CpuCores: 1\n  MemoryMb: {memory}\n  MaxFds: 4100\n  LinkMbps: 1000.0\n  DiskMb: 128\nDataDir: {data}\nDiscovery: \"cloud_api\"\nEntryMode: \"anycast_vip\"\nKeepaliveMs: 1200\nContracts:\n  - \"base\"\nFaultTolerance:\n  Machines: 1\n  Zones: 0\n  Regions: 0\nTimers:\n  SeedLagS: 3\n  AddressReuseS: 2\n  HoldTimeMs: 3000\n  AckTimeoutMs: 4000\n  SyncTimeS: 4\n  DrainTimeoutMs: 3000\n  GraceS: 8\n  DeadIntervalMs: 200\n  ConvergenceMs: 2000\n  RollbackSlackMs: 250\n  MaxStretchMs: 5000\n  RetryBudgetRatio: 0.2\n  RetryWindowS: 10\n  RetryMin: 52\n  RecoveryS: 12\n  PassIntervalMs: 120\n  RetryAfterS: 0\n  FenceEnforced: true\n  LeaseMs: 3000\n  ThawSlackMs: 300\n  OriginWindowS: 5\n  OriginTolerance: 1.1\nCloudApi:\n  Address: \"{}\"\n  RatePerS: 40.0\n  Duties: []\n  MaxLagMs: 800\n",
             self.ephemeral,
             self.ephemeral + 15,
+            self.bootstrap,
             self.platform
         )
     }
@@ -512,6 +516,11 @@
         let done = unsafe { kill(child.id() as i32, signal) };
         self.log.line(&format!("signal {signal} to {name}: {done}"));
     }
+    pub fn wait_end(&mut self, name: &str) {
+        if let Some(mut child) = self.children.remove(name) {
+            let _ = child.wait();
+        }
+    }
     pub fn is_running(&mut self, name: &str) -> bool {
         self.children.get_mut(name).is_some_and(|c| matches!(c.try_wait(), Ok(None)))
     }
