--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,5 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -o target/review-2/stage review/stand2/stage.rs
+rustc --edition 2024 -O -o target/review-2/stage.new review/stand2/stage.rs
+mv target/review-2/stage.new target/review-2/stage
--- a/review/stand2/cases.rs
+++ b/review/stand2/cases.rs
@@ -207,6 +207,58 @@
     never_serves(site)
 }
 
+/// The leader of the core freezes as the operator sends the first configuration, just before traffic starts.
+fn no_configuration_yet(site: &mut Site, trouble: bool) -> bool {
+    let runs = Arc::new(Runs::default());
+    let list = vec![
+        runner(site, 1, "beta", false, 6, &[], 30, 0, &runs),
+        runner(site, 2, "beta", false, 6, &[], 30, 0, &runs),
+    ];
+    start_platform(site.platform, Arc::new(Mutex::new(list)));
+    let began = Instant::now();
+    for n in 0..3 {
+        site.start_controller(n);
+    }
+    site.start_router(0);
+    site.start_router(1);
+    // Traffic starts 10 s after the machines do; the first configuration is sent before.
+    thread::sleep(ms(9750).saturating_sub(began.elapsed()));
+    let Some(head) = site.controller_at("head") else { cannot_run("no controller tells which is the head") };
+    site.log.line(&format!("core-{head} leads; ready: {} {}", site.wait_ready(0, ms(300)), site.wait_ready(1, ms(300))));
+    if trouble {
+        site.signal(&format!("core-{head}"), SIGSTOP);
+    }
+    let fronts = [site.front_of(0), site.front_of(1)];
+    let log = site.log.clone();
+    let traffic = thread::spawn(move || {
+        thread::sleep(ms(10_000).saturating_sub(began.elapsed()));
+        let mut clients = Vec::new();
+        for n in 0..160usize {
+            let (log, to) = (log.clone(), fronts[n % 2]);
+            clients.push(thread::spawn(move || request(&log, to, HOST, &format!("/tile/{n}"), "", "{}", 2500)));
+            thread::sleep(ms(25));
+        }
+        clients.into_iter().map(|c| c.join().expect("a client")).collect::<Vec<Ended>>()
+    });
+    let first = config(3, &[plain_route("r-tile", "/tile/", "beta")], &[plain("beta")]);
+    let thaw_at = Instant::now() + ms(4000);
+    let status = site.operate("PUT", 0, &first);
+    site.log.line(&format!("the first configuration: {status}"));
+    thread::sleep(thaw_at.saturating_duration_since(Instant::now()));
+    if trouble {
+        site.signal(&format!("core-{head}"), SIGCONT);
+    }
+    let ended = traffic.join().expect("the traffic");
+    if status != 200 {
+        cannot_run("the first configuration was not taken");
+    }
+    let count = |status: u16| ended.iter().filter(|e| e.status == status).count();
+    let (denied, served, refused) = (count(404), count(200), count(503));
+    let all = ended.len();
+    site.log.line(&format!("of {all} proper requests {served} got 200, {refused} got 503 and {denied} got 404; allowed are ten 404"));
+    denied > 10
+}
+
 fn main() {
     let case = std::env::args().nth(1).unwrap_or_default();
     let record = PathBuf::from(std::env::args().nth(2).unwrap_or("record.txt".into()));
@@ -219,6 +271,7 @@
         "moved-route" => moved_route(&mut site, trouble),
         "killed-at-start" => killed_at_start(&mut site, trouble),
         "lost-at-start" => lost_at_start(&mut site, trouble),
+        "no-configuration-yet" => no_configuration_yet(&mut site, trouble),
         _ => cannot_run("no such case"),
     };
     log.line(if broken { "the rule was broken" } else { "the rule held" });
--- a/review/stand2/stage.rs
+++ b/review/stand2/stage.rs
@@ -530,6 +530,20 @@
             let _ = child.wait();
         }
     }
+    /// The controller that has this place in the chain, as the nodes tell an operator.
+    pub fn controller_at(&self, place: &str) -> Option<usize> {
+        for n in 0..3 {
+            let addr = self.control_of(n);
+            let request = format!("GET /v1/nodes HTTP/1.1\r\nHost: {addr}\r\nConnection: close\r\n\r\n");
+            let Some(text) = call(addr, &request, ms(1000)).filter(|m| m.status() == 200).map(|m| m.text()) else { continue };
+            let row = text.split('}').find(|row| row.contains(&format!("\"place\":\"{place}\"")));
+            let found = row.and_then(|row| (0..3).find(|k| row.contains(&format!("\"{}\"", self.control_of(*k)))));
+            if found.is_some() {
+                return found;
+            }
+        }
+        None
+    }
     /// Sends an order of the operator until it has a clear answer, at most for 25 s.
     pub fn operate(&self, method: &str, base: u64, text: &str) -> u16 {
         let until = Instant::now() + Duration::from_secs(25);
@@ -542,7 +556,8 @@
                     "{method} /spindledock/config HTTP/1.1\r\nHost: {addr}\r\nIf-Match: {base}\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{text}",
                     text.len()
                 );
-                let Some(got) = call(addr, &request, ms(4000)) else { break };
+                // The operator goes on to another node after a second of silence.
+                let Some(got) = call(addr, &request, ms(1000)) else { break };
                 let status = got.status();
                 self.log.line(&format!("operator {method} base {base} at {addr}: {status}"));
                 if status == 307 {
