--- a/review/stand2/cases.rs
+++ b/review/stand2/cases.rs
@@ -222,7 +222,7 @@
     site.start_router(0);
     site.start_router(1);
     // Traffic starts 10 s after the machines do; the first configuration is sent before.
-    thread::sleep(ms(9750).saturating_sub(began.elapsed()));
+    thread::sleep(ms(9900).saturating_sub(began.elapsed()));
     let Some(head) = site.controller_at("head") else { cannot_run("no controller tells which is the head") };
     site.log.line(&format!("core-{head} leads; ready: {} {}", site.wait_ready(0, ms(300)), site.wait_ready(1, ms(300))));
     if trouble {
