--- a/review/stand2/cases.rs
+++ b/review/stand2/cases.rs
@@ -259,6 +259,57 @@
     denied > 10
 }
 
+/// The last tenant is withdrawn; requests with its key, with a key that never was, and without a key follow.
+fn last_tenant(site: &mut Site, trouble: bool) -> bool {
+    let runs = Arc::new(Runs::default());
+    let list = vec![
+        runner(site, 1, "beta", false, 6, &[], 30, 0, &runs),
+        runner(site, 2, "beta", false, 6, &[], 30, 0, &runs),
+    ];
+    start_platform(site.platform, Arc::new(Mutex::new(list)));
+    let routes = [plain_route("r-tile", "/tile/", "beta")];
+    let open = config(3, &routes, &[plain("beta")]);
+    let tenants = "\"Tenants\":[{\"Name\":\"coop\",\"ApiKeys\":[\"k-held-7f31\"],\"Priority\":0}]";
+    let first = format!("{},{tenants}}}", &open[..open.len() - 1]);
+    begin(site, 2, &first);
+    thread::sleep(ms(2000));
+    let round = |site: &Site, what: &str| {
+        let mut served = [0u32; 3];
+        for n in 0..20usize {
+            let keys = ["Api-Key: k-held-7f31\r\n", "Api-Key: k-never-held\r\n", ""];
+            for (k, key) in keys.iter().enumerate() {
+                let e = request(&site.log, site.front_of(n % 2), HOST, &format!("/tile/{n}"), key, "{}", 2500);
+                let ran = runs.began.lock().unwrap().contains_key(&e.id);
+                if e.status == 200 || ran {
+                    served[k] += 1;
+                }
+            }
+        }
+        let [held, never, none] = served;
+        site.log.line(&format!("{what}: run of 20 each: with the tenant's key {held}, with a key that no configuration held {never}, without a key {none}"));
+        served
+    };
+    let before = round(site, "before the change");
+    if before != [20, 0, 0] {
+        cannot_run("keys don't work before the change");
+    }
+    let change = match trouble {
+        true => "{\"Revision\":5,\"Withdraw\":{\"Tenants\":[\"coop\"]}}".to_string(),
+        false => patch(5, &[plain_route("r-more", "/more/", "beta")]),
+    };
+    if site.operate("PATCH", 3, &change) != 200 {
+        cannot_run("the change was not taken");
+    }
+    // ConvergenceMs is 2,000.
+    thread::sleep(ms(3000));
+    let read = format!("GET /spindledock/config HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", site.control_of(0));
+    let held = call(site.control_of(0), &read, ms(2000)).map(|m| m.text()).unwrap_or_default();
+    site.log.line(&format!("the configuration read back names Tenants: {}", held.contains("\"Tenants\":[")));
+    let after = round(site, "3 s after the acknowledgement");
+    let dropped = if trouble { after[0] } else { 0 };
+    dropped + after[1] + after[2] > 0
+}
+
 fn main() {
     let case = std::env::args().nth(1).unwrap_or_default();
     let record = PathBuf::from(std::env::args().nth(2).unwrap_or("record.txt".into()));
@@ -272,6 +323,7 @@
         "killed-at-start" => killed_at_start(&mut site, trouble),
         "lost-at-start" => lost_at_start(&mut site, trouble),
         "no-configuration-yet" => no_configuration_yet(&mut site, trouble),
+        "last-tenant" => last_tenant(&mut site, trouble),
         _ => cannot_run("no such case"),
     };
     log.line(if broken { "the rule was broken" } else { "the rule held" });
