--- a/review/stand2/cases.rs
+++ b/review/stand2/cases.rs
@@ -129,7 +129,12 @@
     denied * 500 > 5 * 500 + all
 }
 
-/// Sends the first configuration for a minute, then 20 requests, and reads the configuration back. Returns whether the
+/// How much later than 0.1 s after the last start the disruption comes, for trials by hand: LATER_MS, 0 if it isn't set.
+fn later() -> Duration {
+    ms(std::env::var("LATER_MS").ok().and_then(|n| n.parse().ok()).unwrap_or(0))
+}
+
+/// Sends the first configuration for 50 s, then 20 requests, and reads the configuration back. Returns whether the
 /// configuration was never acknowledged, no request was served and nothing could be read.
 fn never_serves(site: &mut Site) -> bool {
     let first = config(3, &[plain_route("r-tile", "/tile/", "beta")], &[plain("beta")]);
@@ -163,8 +168,7 @@
         site.start_controller(n);
         thread::sleep(ms(100));
     }
-    let extra = std::env::var("LATER_MS").ok().and_then(|n| n.parse().ok()).unwrap_or(0);
-    thread::sleep(ms(extra));
+    thread::sleep(later());
     if trouble {
         for n in 0..3 {
             site.signal(&format!("core-{n}"), SIGKILL);
@@ -194,8 +198,7 @@
         site.start_controller(n);
         thread::sleep(ms(100));
     }
-    let extra = std::env::var("LATER_MS").ok().and_then(|n| n.parse().ok()).unwrap_or(0);
-    thread::sleep(ms(extra));
+    thread::sleep(later());
     if trouble {
         site.signal("core-2", SIGKILL);
         site.wait_end("core-2");
