--- a/review/stand2/cases.rs
+++ b/review/stand2/cases.rs
@@ -313,6 +313,123 @@
     dropped + after[1] + after[2] > 0
 }
 
+/// A client of the crowd: what it has yet to send.
+struct Sender {
+    tcp: TcpStream,
+    data: Vec<u8>,
+    sent: usize,
+}
+
+/// One request inside the limits of the configuration: a head of up to 16,384 bytes with many headers, a body of 46,000.
+fn crowd_request(n: usize) -> Vec<u8> {
+    let body = 46_000;
+    let mut head = format!(
+        "POST /sheet/{n} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {}\r\nX-Deadline-Ms: 14000\r\nContent-Length: {body}\r\n",
+        new_id()
+    );
+    for k in 0..92 {
+        head.push_str(&format!("x{k:x}: {k}\r\n"));
+    }
+    let pad = 16_200 - head.len() - 20;
+    head.push_str(&format!("X-Pad: {}\r\n\r\n", "p".repeat(pad)));
+    let mut raw = head.into_bytes();
+    raw.resize(raw.len() + body, b'x');
+    raw
+}
+
+/// Many clients send requests of legal size to one router at once and stay open without reading. The platform's part is
+/// played as DEPLOY.md says: a process that goes over MemoryMb is killed, and started again after a short delay.
+fn crowd(site: &mut Site, trouble: bool) -> bool {
+    let (clients, waves) = (if trouble { 840 } else { 20 }, if trouble { 10 } else { 6 });
+    if raise_descriptors() < 4000 {
+        cannot_run("fewer than 4,000 descriptors");
+    }
+    // The edge machines of the grown and the shared fleets have 160 MB.
+    site.memory_mb = 160;
+    let runs = Arc::new(Runs::default());
+    let list = (1..10).map(|n| runner(site, n, "beta", false, 64, &[], 2500, 0, &runs)).collect();
+    start_platform(site.platform, Arc::new(Mutex::new(list)));
+    let route = plain_route("r-sheet", "/sheet/", "beta").replace("idempotent", "non_idempotent");
+    let route = route.replace("\"TimeoutMs\":2500,\"TargetLatencyMs\":150", "\"TimeoutMs\":15000,\"TargetLatencyMs\":5000");
+    let service = plain("beta").replace("\"MaxConnections\":96", "\"MaxConnections\":360");
+    begin(site, 2, &config(3, &[route], &[service]));
+    site.bootstrap = false;
+    thread::sleep(ms(2000));
+    let limit = site.memory_mb * 1024;
+    let mut ends = [0u32; 2];
+    let (mut cut, mut asked) = (0, 0);
+    for wave in 0..waves {
+        let router = wave % 2;
+        if ends[router] >= 3 {
+            continue;
+        }
+        let name = format!("edge-{router}");
+        let to = site.front_of(router);
+        let log = site.log.clone();
+        let ordinary = thread::spawn(move || {
+            let one = |n: u64| {
+                let log = log.clone();
+                thread::spawn(move || {
+                    thread::sleep(ms(n * 100));
+                    request(&log, to, HOST, "/sheet/ordinary", "", "{}", 10_000)
+                })
+            };
+            (0..10).map(one).collect::<Vec<_>>().into_iter().map(|c| c.join().expect("a client")).collect::<Vec<Ended>>()
+        });
+        let began = Instant::now();
+        let (mut senders, mut peak) = (Vec::new(), 0);
+        let mut killed = false;
+        while began.elapsed() < ms(7000) && !killed {
+            for _ in 0..50 {
+                if senders.len() < clients
+                    && let Ok(tcp) = TcpStream::connect_timeout(&to, ms(500))
+                {
+                    let _ = tcp.set_nonblocking(true);
+                    senders.push(Sender { tcp, data: crowd_request(senders.len()), sent: 0 });
+                }
+            }
+            for sender in senders.iter_mut().filter(|s| s.sent < s.data.len()) {
+                if let Ok(n) = sender.tcp.write(&sender.data[sender.sent..]) {
+                    sender.sent += n;
+                }
+            }
+            let now = site.memory_kb(&name);
+            peak = peak.max(now);
+            if now > limit {
+                site.log.line(&format!("{name} has {now} kB, over MemoryMb ({limit} kB): the platform kills it"));
+                site.signal(&name, SIGKILL);
+                killed = true;
+            }
+            thread::sleep(ms(if senders.len() < clients { 1 } else { 10 }));
+        }
+        let whole = senders.iter().filter(|s| s.sent == s.data.len()).count();
+        let open = senders.len();
+        drop(senders);
+        let lost = ordinary.join().expect("the ordinary clients").iter().filter(|e| !e.whole).count();
+        cut += lost;
+        asked += 10;
+        site.log.line(&format!(
+            "wave {wave} on {name}: {open} clients, {whole} whole requests sent, peak {peak} kB of {limit}, killed {killed}; {lost} of 10 ordinary requests got no whole answer"
+        ));
+        if killed {
+            ends[router] += 1;
+            site.wait_end(&name);
+            thread::sleep(ms(500));
+            site.start_router(router);
+        }
+        if !site.wait_ready(router, ms(8000)) {
+            site.log.line(&format!("{name} isn't ready"));
+        }
+        // The runners work off what they have.
+        thread::sleep(ms(if killed { 3500 } else { 2000 }));
+    }
+    site.log.line(&format!(
+        "ended by their memory: edge-0 {} times, edge-1 {} times; {cut} of {asked} ordinary requests got no whole answer",
+        ends[0], ends[1]
+    ));
+    ends.iter().all(|n| *n >= 3)
+}
+
 fn main() {
     let case = std::env::args().nth(1).unwrap_or_default();
     let record = PathBuf::from(std::env::args().nth(2).unwrap_or("record.txt".into()));
@@ -327,6 +444,7 @@
         "lost-at-start" => lost_at_start(&mut site, trouble),
         "no-configuration-yet" => no_configuration_yet(&mut site, trouble),
         "last-tenant" => last_tenant(&mut site, trouble),
+        "crowd" => crowd(&mut site, trouble),
         _ => cannot_run("no such case"),
     };
     log.line(if broken { "the rule was broken" } else { "the rule held" });
--- a/review/stand2/stage.rs
+++ b/review/stand2/stage.rs
@@ -17,6 +17,23 @@
 unsafe extern "C" {
     fn prctl(option: i32, value: u64) -> i32;
     fn kill(process: i32, signal: i32) -> i32;
+    fn getrlimit(what: i32, limit: *mut [u64; 2]) -> i32;
+    fn setrlimit(what: i32, limit: *const [u64; 2]) -> i32;
+}
+
+/// Raises the soft limit on descriptors to the hard one, for this process and those that it starts; returns it.
+pub fn raise_descriptors() -> u64 {
+    const RLIMIT_NOFILE: i32 = 7;
+    let mut limit = [0u64; 2];
+    unsafe {
+        if getrlimit(RLIMIT_NOFILE, &mut limit) != 0 {
+            return 0;
+        }
+        limit[0] = limit[1];
+        setrlimit(RLIMIT_NOFILE, &limit);
+        getrlimit(RLIMIT_NOFILE, &mut limit);
+    }
+    limit[0]
 }
 
 /// The signals that a case sends.
@@ -516,6 +533,13 @@
         let done = unsafe { kill(child.id() as i32, signal) };
         self.log.line(&format!("signal {signal} to {name}: {done}"));
     }
+    /// The resident memory of a process in kB, as the kernel tells it; 0 if it doesn't run.
+    pub fn memory_kb(&self, name: &str) -> u64 {
+        let Some(child) = self.children.get(name) else { return 0 };
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let row = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        row.and_then(|r| r.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+    }
     pub fn wait_end(&mut self, name: &str) {
         if let Some(mut child) = self.children.remove(name) {
             let _ = child.wait();
