--- a/review/stand2/cases.rs
+++ b/review/stand2/cases.rs
@@ -347,7 +347,7 @@
     // The edge machines of the grown and the shared fleets have 160 MB.
     site.memory_mb = 160;
     let runs = Arc::new(Runs::default());
-    let list = (1..10).map(|n| runner(site, n, "beta", false, 64, &[], 2500, 0, &runs)).collect();
+    let list = (1..15).map(|n| runner(site, n, "beta", false, 64, &[], 2500, 0, &runs)).collect();
     start_platform(site.platform, Arc::new(Mutex::new(list)));
     let route = plain_route("r-sheet", "/sheet/", "beta").replace("idempotent", "non_idempotent");
     let route = route.replace("\"TimeoutMs\":2500,\"TargetLatencyMs\":150", "\"TimeoutMs\":15000,\"TargetLatencyMs\":5000");
