A request that waits follows its route to another service, in place of a 404

Cause: the route was decided twice. request_service decided at the head; Balancer::admits compared the result with newer routes at each choice and send, and turned every difference into a final refusal, also one that only says where the request should go now. Nothing could act on such a difference: a forwarding is bound to one balancer.

Change: the difference is a decision of its own, RoutingDecision::Readmit. The state machine ends with FlowAction::Readmit, if nothing may have run; whoever drives it admits the request by the newest routes (gate/readmission.rs: key, tenant, service; body limit, contract and quota in http/readmission.rs) and begins a new flow with what is carried over: id, place by how long it has waited, attempts, avoided runners, earlier deadlines. A tenant's quota counts it once. A request that a runner of the former service turned away pays for its next attempt from the new service's budget and earns no credit there. A route that is gone still gives 404, an unknown key 401, and what may have run stays where it ran. Kinds of routes are compared too: a request admitted as idempotent is no longer repeated on a route that forbids it. Waiting requests are looked at one by one when routes change; those behind the first of their model were passed over before.

Also: the decisions of a balancer are applied in one place (forwarding/decision.rs; two copies differed in a flag that is set by then).

Test: tests/platform_moved.rs, requests with their body on the way, in the queue and turned away by a runner, times eleven changes.

--- a/src/fleet/routes.rs
+++ b/src/fleet/routes.rs
@@ -37,6 +37,11 @@
     /// The route with the longest prefix of `path` at `host`; at equal length one that names the host goes
     /// first.
     pub fn find(&self, host: &str, path: &str) -> Option<&RouteRow> {
+        self.position(host, path).map(|n| &self.rows[n])
+    }
+
+    /// The position among `rows` of the route that [`RouteTable::find`] finds.
+    pub fn position(&self, host: &str, path: &str) -> Option<usize> {
         let own = self.index.get(host);
         let any = if host.is_empty() { None } else { self.index.get("") };
         if own.is_none() && any.is_none() {
@@ -50,11 +55,10 @@
                 ends.push(n);
             }
         }
-        let found = ends.iter().find_map(|end| {
+        ends.iter().find_map(|end| {
             let part = &path[..*end];
-            own.and_then(|m| m.get(part)).or_else(|| any.and_then(|m| m.get(part)))
-        });
-        found.map(|n| &self.rows[*n])
+            own.and_then(|m| m.get(part)).or_else(|| any.and_then(|m| m.get(part))).copied()
+        })
     }
 }
 
--- a/src/forwarding/events.rs
+++ b/src/forwarding/events.rs
@@ -1,6 +1,7 @@
 //! The events that a request's state machine handles, and the actions it returns.
 
 use super::answer_end::AnswerEnd;
+use super::readmit::CarriedOver;
 use crate::fleet::runner::Runner;
 use crate::gate::order::RefusalReason;
 use crate::gate::{Refusal, RoutingDecision};
@@ -71,6 +72,8 @@
     Abort(&'static str),
     /// Refuse the request: it was not run.
     Refuse(Refusal),
+    /// Admit it anew by the newest routes, with what it carries over; nothing of it has run.
+    Readmit(Box<CarriedOver>),
     /// Answer with this status: whether the request ran is not known.
     OutcomeUnknown(u16, &'static str),
     /// Log an event of this name with a note.
--- a/src/forwarding/failure.rs
+++ b/src/forwarding/failure.rs
@@ -3,7 +3,7 @@
 use super::request::*;
 use crate::fleet::config::RouteKind;
 use crate::gate::order::RefusalReason;
-use crate::gate::{Balancer, Refusal, RoutingDecision};
+use crate::gate::{Balancer, Refusal};
 use crate::kernel::time::Time;
 
 impl RequestFlow {
@@ -29,7 +29,7 @@
             }
             Some(_) => {
                 let decision = balancer.route(now, &self.spec, &self.avoid);
-                self.apply_retry_decision(now, decision, balancer, out);
+                self.apply_decision(now, decision, balancer, out);
             }
             None => {
                 balancer.on_unreachable(now, &runner);
@@ -39,26 +39,11 @@
                     return self.refuse(now, Refusal::new(RefusalReason::RetryBudgetSpent, 1), balancer, out);
                 }
                 let decision = balancer.route(now, &self.spec, &self.avoid);
-                self.apply_retry_decision(now, decision, balancer, out);
+                self.apply_decision(now, decision, balancer, out);
             }
         }
     }
 
-    /// Applies a decision on a further attempt.
-    pub fn apply_retry_decision(
-        &mut self,
-        now: Time,
-        decision: RoutingDecision,
-        balancer: &mut Balancer,
-        out: &mut Vec<FlowAction>,
-    ) {
-        match decision {
-            RoutingDecision::Send(runner) => self.open_main(now, runner, out),
-            RoutingDecision::Wait(_) => self.wait_for_runner(out),
-            RoutingDecision::Refuse(r) => self.refuse(now, r, balancer, out),
-        }
-    }
-
     /// Handles the loss of the main attempt: continues elsewhere if the request may run again.
     pub fn on_main_lost(
         &mut self,
--- a/src/forwarding/mod.rs
+++ b/src/forwarding/mod.rs
@@ -7,10 +7,12 @@
 
 pub mod answer_end;
 pub mod attempt;
+pub mod decision;
 pub mod events;
 pub mod failure;
 pub mod migration;
 pub mod move_start;
+pub mod readmit;
 pub mod request;
 pub mod resume;
 pub mod role;
--- a/src/forwarding/request.rs
+++ b/src/forwarding/request.rs
@@ -2,7 +2,7 @@
 
 use super::attempt::RunnerAttempt;
 use crate::fleet::runner::Runner;
-use crate::gate::{Balancer, Refusal, RequestSpec, RoutingDecision};
+use crate::gate::{Balancer, Refusal, RequestSpec};
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
 use crate::transfer::Handover;
@@ -56,8 +56,12 @@
     pub last_handover: Option<(MoveId, Time, u64)>,
     /// Whether the request has ended.
     pub is_over: bool,
+    /// Whether its next attempt is yet to be paid from the retry budget.
+    pub(super) owes_retry: bool,
     /// Whether it waits for a runner.
-    is_waiting: bool,
+    pub(super) is_waiting: bool,
+    /// When it first waited for a runner.
+    pub(super) waiting_since: Option<Time>,
     /// When the main attempt last sent something.
     pub heard_at: Time,
     /// When the last tick came.
@@ -93,7 +97,9 @@
             reserved_attempts: 0,
             last_handover: None,
             is_over: false,
+            owes_retry: false,
             is_waiting: false,
+            waiting_since: None,
             heard_at: Time(0),
             ticked_at: Time(0),
             is_stream: false,
@@ -118,10 +124,7 @@
             handover.has_credit = balancer.retry_budget.credit() >= 1.0;
         }
         match ev {
-            FlowEvent::Start => {
-                let decision = balancer.route_new(now, &self.spec);
-                self.apply_decision(now, decision, balancer, &mut out);
-            }
+            FlowEvent::Start => self.start(now, balancer, &mut out),
             FlowEvent::Routed(decision) => self.apply_decision(now, decision, balancer, &mut out),
             FlowEvent::Load { attempt, load } => self.on_load(now, attempt, load, balancer),
             FlowEvent::ClientGone => {
@@ -139,45 +142,6 @@
         ev.attempt().is_some_and(|attempt| self.attempts.iter().all(|run| run.no != attempt))
     }
 
-    fn apply_decision(
-        &mut self,
-        now: Time,
-        decision: RoutingDecision,
-        balancer: &mut Balancer,
-        out: &mut Vec<FlowAction>,
-    ) {
-        match decision {
-            RoutingDecision::Send(runner) => {
-                if !self.is_counted {
-                    self.is_counted = true;
-                    balancer.retry_budget.record_first_send();
-                }
-                self.open_main(now, runner, out);
-            }
-            RoutingDecision::Wait(_) => self.wait_for_runner(out),
-            RoutingDecision::Refuse(r) => self.refuse(now, r, balancer, out),
-        }
-    }
-
-    /// Whether it waits for a runner.
-    pub fn is_waiting(&self) -> bool {
-        self.is_waiting
-    }
-
-    /// Queues the request.
-    pub fn wait_for_runner(&mut self, out: &mut Vec<FlowAction>) {
-        self.is_waiting = true;
-        out.push(FlowAction::Wait { avoid: self.avoid.clone() });
-    }
-
-    /// Frees the slot of a decision that came after the request stopped waiting.
-    fn return_unused_slot(&self, now: Time, decision: &RoutingDecision, balancer: &mut Balancer) {
-        if let RoutingDecision::Send(runner) = decision {
-            balancer.count("plan_untaken");
-            balancer.release_slot(now, &runner.instance, &self.spec.model, None);
-        }
-    }
-
     /// Ends the request without a complete answer: broken off, outcome unknown or refused, by what has happened so far.
     pub fn refuse(&mut self, now: Time, r: Refusal, balancer: &mut Balancer, out: &mut Vec<FlowAction>) {
         self.close_all(now, balancer, out);
--- a/src/forwarding/resume.rs
+++ b/src/forwarding/resume.rs
@@ -141,7 +141,7 @@
             );
         }
         let decision = balancer.route(now, &self.spec, &self.avoid);
-        self.apply_retry_decision(now, decision, balancer, out);
+        self.apply_decision(now, decision, balancer, out);
     }
 
     /// Applies the load that a runner told in its answer.
@@ -173,7 +173,7 @@
         balancer.count("resumed");
         self.mark_resumed(now);
         let decision = balancer.route(now, &self.spec, &self.avoid);
-        self.apply_retry_decision(now, decision, balancer, out);
+        self.apply_decision(now, decision, balancer, out);
     }
 
     /// The request was begun: it may now wait longer for a runner and is not refused early.
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -33,15 +33,20 @@
 }
 
 impl Balancer {
-    /// Whether the newest routes and tenants still allow a request that was admitted by earlier ones. A request may
-    /// also have been admitted by newer ones than this balancer was told of yet.
+    /// Whether the newest routes and tenants allow a request as earlier ones admitted it. `RouteChanged` says that they
+    /// have to be asked anew ([`super::readmission`]). A request may also have been admitted by newer ones than this
+    /// balancer was told of yet.
     pub fn admits(&self, spec: &RequestSpec) -> Result<(), RefusalReason> {
         if spec.routes_version >= self.routes.0 || spec.path.is_empty() {
             return Ok(());
         }
         let table = &self.routes.1;
         let row = table.find(&spec.host, &spec.path);
-        let same = |r: &&RouteRow| r.leads_to(&self.service) && r.route.resumable == spec.is_resumable;
+        let same = |r: &&RouteRow| {
+            r.leads_to(&self.service)
+                && r.route.resumable == spec.is_resumable
+                && r.route.kind == spec.route_kind
+        };
         let Some(row) = row.filter(same) else { return Err(RefusalReason::RouteChanged) };
         if row.route.open || table.tenants.is_empty() {
             return Ok(());
--- a/src/gate/core.rs
+++ b/src/gate/core.rs
@@ -114,9 +114,12 @@
     /// Whether service slice and routes may be served from: each by a recent proof or by a serving lease.
     pub fn is_fresh(&self, now: Time) -> bool {
         let service = now.since(self.proven_at) < self.freshness_limit || now < self.leased_until;
-        let routes =
-            now.since(self.routes_proven_at) < self.freshness_limit || now < self.routes_leased_until;
-        self.slice.is_some() && service && routes
+        self.slice.is_some() && service && self.are_routes_fresh(now)
+    }
+
+    /// Whether the routes may be served from, by a recent proof or by a serving lease.
+    pub fn are_routes_fresh(&self, now: Time) -> bool {
+        now.since(self.routes_proven_at) < self.freshness_limit || now < self.routes_leased_until
     }
 
     /// Increments a counter.
--- a/src/gate/inbox.rs
+++ b/src/gate/inbox.rs
@@ -1,6 +1,8 @@
 //! The queue of waiting requests, ordered by urgency and arrival.
 
 use super::order::{RequestSpec, RoutingDecision, Urgency};
+use crate::kernel::ids::{Name, Version};
+use crate::kernel::time::Time;
 use std::collections::BTreeMap;
 
 /// Hands a decision to the waiting request; returns it if that request is over. It runs under the lock of the balancer, on
@@ -12,17 +14,20 @@
     /// The request.
     pub spec: RequestSpec,
     /// Runners not to use.
-    pub avoid: Vec<crate::kernel::ids::Name>,
+    pub avoid: Vec<Name>,
     /// Receives the decision.
     pub wake: WakeFn,
     /// When it was queued.
-    pub queued_at: crate::kernel::time::Time,
+    pub queued_at: Time,
 }
 
-/// Waiting requests by urgency, then by arrival number.
+/// The place of a request in the queue: its urgency, when it began to wait, and a number that grows with each entry.
+pub type QueueKey = (Urgency, Time, u64);
+
+/// Waiting requests by urgency, then by how long they have waited.
 #[derive(Default)]
 pub struct WaitQueue {
-    rows: BTreeMap<(Urgency, u64), WaitingRequest>,
+    rows: BTreeMap<QueueKey, WaitingRequest>,
     last_number: u64,
 }
 
@@ -37,24 +42,32 @@
         self.rows.is_empty()
     }
 
-    /// Queues a request behind those of the same urgency.
+    /// Queues a request behind those of the same urgency that have waited longer.
     pub fn add(&mut self, waiter: WaitingRequest) {
         self.last_number += 1;
-        self.rows.insert((waiter.spec.urgency(), self.last_number), waiter);
+        let since = waiter.spec.waiting_since.unwrap_or(waiter.queued_at);
+        self.rows.insert((waiter.spec.urgency(), since, self.last_number), waiter);
     }
 
     /// Keys in the order of service.
-    pub fn keys(&self) -> Vec<(Urgency, u64)> {
+    pub fn keys(&self) -> Vec<QueueKey> {
         self.rows.keys().copied().collect()
     }
 
     /// The request with this key.
-    pub fn get(&self, key: &(Urgency, u64)) -> Option<&WaitingRequest> {
+    pub fn get(&self, key: &QueueKey) -> Option<&WaitingRequest> {
         self.rows.get(key)
     }
 
+    /// Records that the routes of version `at` allow the request with this key as it is.
+    pub fn confirm(&mut self, key: &QueueKey, at: Version) {
+        if let Some(waiter) = self.rows.get_mut(key) {
+            waiter.spec.routes_version = waiter.spec.routes_version.max(at);
+        }
+    }
+
     /// Removes the request with this key.
-    pub fn take(&mut self, key: &(Urgency, u64)) -> Option<WaitingRequest> {
+    pub fn take(&mut self, key: &QueueKey) -> Option<WaitingRequest> {
         self.rows.remove(key)
     }
 
@@ -78,7 +91,7 @@
     }
 
     /// Key of the last request, if it is less urgent than `than`.
-    pub fn last_less_urgent(&self, than: Urgency) -> Option<(Urgency, u64)> {
+    pub fn last_less_urgent(&self, than: Urgency) -> Option<QueueKey> {
         let key = self.rows.keys().next_back().copied()?;
         (key.0 > than).then_some(key)
     }
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -18,6 +18,7 @@
 pub mod order;
 pub mod pace;
 pub mod prompt_size;
+pub mod readmission;
 pub mod refusal;
 pub mod rehearse;
 pub mod sweep;
--- a/src/gate/nominate.rs
+++ b/src/gate/nominate.rs
@@ -45,13 +45,17 @@
 impl Balancer {
     /// Decides where a request goes, or why it can go nowhere now. Claims no slot.
     pub fn choose_runner(&mut self, now: Time, spec: &RequestSpec, avoid: &[Name]) -> RoutingDecision {
+        let admitted = self.admits(spec);
+        if admitted == Err(RefusalReason::RouteChanged) && self.are_routes_fresh(now) {
+            return RoutingDecision::Readmit;
+        }
         let Some(slice) = self.slice.clone() else {
             return RoutingDecision::Wait("service-not-known-yet");
         };
         if !self.is_fresh(now) {
             return RoutingDecision::Wait("not-fresh");
         }
-        if let Err(why) = self.admits(spec) {
+        if let Err(why) = admitted {
             return RoutingDecision::Refuse(Refusal::new(why, 0));
         }
         if self.is_withdrawn {
--- a/src/gate/order.rs
+++ b/src/gate/order.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet::config::{Class, RouteKind};
 use crate::fleet::runner::Runner;
-use crate::fleet::tenants::{Credential, TenantRank};
+use crate::fleet::tenants::{Credential, KeyDigest, TenantRank};
 use crate::kernel::ids::*;
 use crate::kernel::time::{Span, Time};
 use crate::transfer::continuation::RunContract;
@@ -22,6 +22,8 @@
     pub class: Class,
     /// Urgency of its tenant; compared before the class.
     pub rank: TenantRank,
+    /// The key that came with it, whether or not it belongs to a tenant.
+    pub key: Option<KeyDigest>,
     /// The key it was admitted with and the tenant of that key.
     pub credential: Option<Credential>,
     /// Model asked for; empty for plain services.
@@ -48,6 +50,8 @@
     pub path: CompactString,
     /// Version of the routes it was admitted by.
     pub routes_version: Version,
+    /// When it began to wait, if it waited before it was admitted anew; it keeps its place by that.
+    pub waiting_since: Option<Time>,
     /// How often its route allows it to run.
     pub route_kind: RouteKind,
     /// Most runners that may be tried.
@@ -71,6 +75,7 @@
             service: Name::default(),
             class: Class::Normal,
             rank: TenantRank::FIRST,
+            key: None,
             credential: None,
             model: "".into(),
             adapter: "".into(),
@@ -84,6 +89,7 @@
             host: "".into(),
             path: "".into(),
             routes_version: Version(0),
+            waiting_since: None,
             route_kind: RouteKind::Once,
             max_attempts: 16,
             target_latency: Span(0),
@@ -108,6 +114,18 @@
     pub fn urgency(&self) -> Urgency {
         Urgency { rank: self.rank, class: self.class }
     }
+
+    /// The request, admitted anew after `earlier`: it keeps how long it has waited, and no deadline becomes later.
+    pub fn after(mut self, earlier: &RequestSpec) -> RequestSpec {
+        self.waiting_since = earlier.waiting_since;
+        self.start_deadline = self.start_deadline.min(earlier.start_deadline);
+        self.answer_deadline = self.answer_deadline.min(earlier.answer_deadline);
+        self.completion_deadline = match (self.completion_deadline, earlier.completion_deadline) {
+            (Some(new), Some(old)) => Some(new.min(old)),
+            (new, old) => new.or(old),
+        };
+        self
+    }
 }
 
 /// What happens to a request.
@@ -117,6 +135,8 @@
     Send(Runner),
     /// It waits, for this reason (also a label in logs).
     Wait(&'static str),
+    /// Newer routes send it to another service or on other terms: it is to be admitted anew by them.
+    Readmit,
     /// It is refused.
     Refuse(Refusal),
 }
--- a/src/gate/waiters.rs
+++ b/src/gate/waiters.rs
@@ -1,7 +1,7 @@
 //! Requests that wait for a runner: queueing them, routing them again, and handing over the decisions.
 
 use super::core::{Balancer, NO_RUNNER_WAIT, STALE_CONFIG_WAIT};
-use super::inbox::{WaitingRequest, WakeFn};
+use super::inbox::{QueueKey, WaitingRequest, WakeFn};
 use super::order::{Refusal, RefusalReason, RequestSpec, RoutingDecision};
 use super::wait::retry_s;
 use crate::kernel::ids::Name;
@@ -58,15 +58,27 @@
         self.queue.add(waiter);
     }
 
+    /// Whether the newest routes allow the waiting request with this key as it was admitted. Each version is asked once.
+    fn confirm_admission(&mut self, key: &QueueKey) -> bool {
+        let Some(waiter) = self.queue.get(key) else { return false };
+        if self.admits(&waiter.spec).is_err() {
+            return false;
+        }
+        let newest = self.routes.0;
+        self.queue.confirm(key, newest);
+        true
+    }
+
     /// Decides again on all waiting requests, the most urgent first.
     pub fn route_waiting(&mut self, now: Time) {
         let mut busy: BTreeMap<(String, String), (u64, &'static str)> = BTreeMap::new();
         for key in self.queue.keys() {
+            let is_allowed = self.confirm_admission(&key);
             let Some(waiter) = self.queue.get(&key) else { continue };
             let (spec, avoid, since) = (waiter.spec.clone(), waiter.avoid.clone(), waiter.queued_at);
             let kind = (spec.model.to_string(), spec.adapter.to_string());
             let decision = match busy.get_mut(&kind) {
-                Some((ahead, why)) if now < spec.start_deadline => {
+                Some((ahead, why)) if is_allowed && now < spec.start_deadline => {
                     *ahead += 1;
                     let (ahead, why) = (*ahead - 1, *why);
                     self.refuse_if_hopeless(now, &spec, RoutingDecision::Wait(why), ahead)
--- a/src/http/forward.rs
+++ b/src/http/forward.rs
@@ -5,9 +5,10 @@
 use super::body::BodyWriter;
 use super::memory_account::MemoryAccount;
 use super::pool::Pool;
+use crate::forwarding::readmit::CarriedOver;
 use crate::forwarding::request::AttemptNo;
 use crate::forwarding::{FlowEvent, RequestFlow};
-use crate::gate::{Balancer, RequestSpec, RoutingDecision};
+use crate::gate::{Balancer, RoutingDecision};
 use crate::kernel::time::Clock;
 use crate::protocol::{CallerProtocol, Protocols, RunnerProtocol};
 use effects::EffectOutcome;
@@ -52,12 +53,13 @@
     wake_tx: mpsc::UnboundedSender<RoutingDecision>,
     response_tx: Option<oneshot::Sender<Response<AnswerBody>>>,
     body: Option<BodyWriter>,
+    carried_over: Option<CarriedOver>,
 }
 
 /// A request to be forwarded.
 pub struct ForwardJob {
-    /// The parameters of the request.
-    pub order: RequestSpec,
+    /// The request, not started.
+    pub flow: RequestFlow,
     /// The request as each attempt sends it.
     pub forwarded: Arc<ForwardedRequest>,
     /// The memory that buffered answers may take together.
@@ -66,15 +68,23 @@
     pub protocols: Protocols,
 }
 
-/// Forwards a request until its answer is complete or broken off, or the client is gone. The head of the answer, or a
-/// refusal, goes to `response_tx`.
+/// A request to be admitted anew, of which nothing has run.
+pub struct Readmission {
+    /// What it carries over.
+    pub carried: CarriedOver,
+    /// Where its client waits for the head of the answer.
+    pub response_tx: oneshot::Sender<Response<AnswerBody>>,
+}
+
+/// Forwards a request until its answer is complete or broken off, the client is gone, or newer routes want it admitted
+/// anew. The head of the answer, or a refusal, goes to `response_tx`.
 pub async fn forward(
     balancer: Arc<Mutex<Balancer>>,
     pool: Arc<Pool>,
     clock: Arc<dyn Clock>,
     job: ForwardJob,
     response_tx: oneshot::Sender<Response<AnswerBody>>,
-) {
+) -> Option<Readmission> {
     let (event_tx, mut event_rx) = mpsc::channel(MAX_QUEUED_EVENTS);
     let (wake_tx, mut wake_rx) = mpsc::unbounded_channel();
     let mut forwarder = Forwarder {
@@ -85,13 +95,14 @@
         answer_memory: job.answer_memory,
         side: job.protocols.runner,
         caller: job.protocols.caller,
-        request: RequestFlow::new(job.order),
+        request: job.flow,
         attempts: BTreeMap::new(),
         headers: BTreeMap::new(),
         event_tx,
         wake_tx,
         response_tx: Some(response_tx),
         body: None,
+        carried_over: None,
     };
     let mut tick = tokio::time::interval(TICK_PERIOD);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -115,6 +126,8 @@
     while let Ok(plan) = wake_rx.try_recv() {
         forwarder.step(FlowEvent::Routed(plan)).await;
     }
+    let carried = forwarder.carried_over.take()?;
+    Some(Readmission { carried, response_tx: forwarder.response_tx.take()? })
 }
 
 /// Returns once the client waits neither for the head nor for the body of its answer any more.
--- a/src/http/forward/effects.rs
+++ b/src/http/forward/effects.rs
@@ -52,6 +52,7 @@
                 log::info!(event = "answer-broken-off", service = self.request.spec.service.to_string(), why = why; "");
                 self.body = None;
             }
+            FlowAction::Readmit(carried) => self.carried_over = Some(*carried),
             FlowAction::Refuse(r) => self.answer(refusal_answer(&*self.caller, &r)),
             FlowAction::OutcomeUnknown(status, text) => {
                 self.answer(coded_answer(status, "outcome-unknown", text, 0, "unknown"));
--- a/src/sim/front.rs
+++ b/src/sim/front.rs
@@ -2,8 +2,8 @@
 use super::world::{Event, Woken, World};
 use crate::fleet::tenants::KeyDigest;
 use crate::forwarding::{FlowAction, FlowEvent, RequestFlow};
-use crate::gate::admission::admit;
 use crate::gate::order::RefusalReason;
+use crate::gate::readmission::{AdmittedRoute, CountedTenants, RouteRefusal};
 use crate::gate::{Balancer, Refusal, RequestSpec, RoutingDecision};
 use crate::kernel::time::{Span, Time};
 use crate::standin::script::Script;
@@ -32,6 +32,32 @@
     pub text: String,
     pub attempts: BTreeMap<u64, (crate::fleet::runner::Runner, Option<(usize, u64)>)>,
     pub gap: (Time, Span),
+    /// When it came, by the clock of its router.
+    pub arrived_at: Time,
+    /// The tenants whose quotas have counted it.
+    pub counted: CountedTenants,
+}
+
+/// The parameters of a request by its route; its path and key are left out.
+pub fn spec_of(id: u64, now: Time, script: Option<&Script>, admitted: &AdmittedRoute) -> RequestSpec {
+    let row = admitted.row();
+    RequestSpec {
+        id,
+        service: row.pick(id ^ now.0).clone(),
+        class: row.route.class,
+        rank: admitted.admission.rank,
+        credential: admitted.admission.credential.clone(),
+        model: script.map_or("", |s| s.model.as_str()).into(),
+        adapter: script.map_or("", |s| s.adapter.as_str()).into(),
+        prefix: script.map_or("", |s| s.prefix.as_str()).into(),
+        is_resumable: row.route.resumable,
+        start_deadline: now + Span::ms(row.route.due_ms),
+        answer_deadline: now + Span::ms(row.route.due_ms),
+        routes_version: admitted.version,
+        route_kind: row.route.kind,
+        target_gap: Span::ms(row.route.gap_ms),
+        ..RequestSpec::default()
+    }
 }
 
 impl World {
@@ -45,36 +71,24 @@
         if !n.alive {
             return refused(self, "no-router", End::Failed);
         }
-        let Some((routes_version, routes)) = table.fresh_routes(now) else {
+        let Some(routes) = table.fresh_routes(now) else {
             return refused(self, "not-fresh", End::Refused);
         };
-        let Some(row) = routes.find("", path) else { return refused(self, "unknown-route", End::Refused) };
         let key = key.map(|key| KeyDigest::of(key.as_bytes()));
-        let Ok(admission) = admit(&routes, row, key) else {
-            return refused(self, Refusal::new(RefusalReason::UnknownKey, 0).code(), End::Refused);
+        let admitted = match AdmittedRoute::find(&routes, ("", path), key) {
+            Ok(admitted) => admitted,
+            Err(RouteRefusal::NoRoute) => return refused(self, "unknown-route", End::Refused),
+            Err(RouteRefusal::UnknownKey(_)) => {
+                return refused(self, Refusal::new(RefusalReason::UnknownKey, 0).code(), End::Refused);
+            }
         };
         let script = body.as_deref().and_then(Script::read);
-        let Some(balancer) = table.get(&row.service) else { return refused(self, "not-fresh", End::Refused) };
-        self.requests.next += 1;
-        let id = self.requests.next;
-        let order = RequestSpec {
-            id,
-            service: row.service.clone(),
-            class: row.route.class,
-            rank: admission.rank,
-            credential: admission.credential,
-            model: script.as_ref().map_or("", |s| s.model.as_str()).into(),
-            adapter: script.as_ref().map_or("", |s| s.adapter.as_str()).into(),
-            prefix: script.as_ref().map_or("", |s| s.prefix.as_str()).into(),
-            is_resumable: row.route.resumable,
-            start_deadline: now + Span::ms(row.route.due_ms),
-            answer_deadline: now + Span::ms(row.route.due_ms),
-            path: path.into(),
-            routes_version,
-            route_kind: row.route.kind,
-            target_gap: Span::ms(row.route.gap_ms),
-            ..RequestSpec::default()
+        let id = self.requests.next + 1;
+        let order = RequestSpec { path: path.into(), key, ..spec_of(id, now, script.as_ref(), &admitted) };
+        let Some(balancer) = table.get(&order.service) else {
+            return refused(self, "not-fresh", End::Refused);
         };
+        self.requests.next = id;
         self.nodes[place].seen.add(&order, "", path, body.as_ref().map_or(0, |b| b.len()));
         let request = SimRequest {
             request: RequestFlow::new(order),
@@ -87,6 +101,8 @@
             text: String::new(),
             attempts: BTreeMap::new(),
             gap: (self.now, Span(0)),
+            arrived_at: now,
+            counted: CountedTenants::default(),
         };
         self.take_token(id, request);
     }
@@ -155,6 +171,7 @@
             }
             FlowAction::Finish => self.end_request(id, End::Whole, ""),
             FlowAction::Abort(_) => self.end_request(id, End::Broken, "broken"),
+            FlowAction::Readmit(carried) => self.readmit(id, *carried),
             FlowAction::Refuse(why) => self.end_request(id, End::Refused, why.code()),
             FlowAction::OutcomeUnknown(..) => self.end_request(id, End::Unknown, "unknown"),
             FlowAction::Log(what, text) => self.note(Fact::Told { what, text }),
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -23,6 +23,7 @@
 pub mod nodes;
 pub mod processor;
 pub mod quota;
+pub mod readmission;
 pub mod record;
 pub mod replay;
 pub mod report;
--- a/src/sim/quota.rs
+++ b/src/sim/quota.rs
@@ -74,10 +74,10 @@
     }
 
     /// A request goes on to its gate once it has a token, if its tenant has a quota.
-    pub fn take_token(&mut self, id: u64, request: SimRequest) {
+    pub fn take_token(&mut self, id: u64, mut request: SimRequest) {
         let order = &request.request.spec;
         let tenant = order.credential.as_ref().map(|credential| credential.tenant.clone());
-        let Some(tenant) = tenant.filter(|tenant| tenant.quota.is_some()) else {
+        let Some(tenant) = tenant.filter(|_| request.counted.add(order)) else {
             return self.enter_gate(id, request);
         };
         let (now, due) = (self.local(request.place), order.start_deadline);
