--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -3,6 +3,7 @@
 pub mod callers;
 pub mod check;
 pub mod check_config;
+pub mod check_denied;
 pub mod check_leaks;
 pub mod check_news;
 pub mod check_quota;
--- a/src/sim/runners.rs
+++ b/src/sim/runners.rs
@@ -55,6 +55,13 @@
         self.runners.iter().position(|r| r.card.instance == *name)
     }
 
+    /// The service of a runner, also under the name of an earlier life.
+    pub fn service_of(&self, runner: &Name) -> Option<&Name> {
+        let first_name = |name: &Name| name.0.trim_end_matches('x').to_string();
+        let same = |r: &&SimRunner| first_name(&r.card.instance) == first_name(runner);
+        self.runners.iter().find(same).map(|r| &r.card.service)
+    }
+
     pub fn look(&mut self, place: usize, life: u64, runner: &Name) {
         if !self.fits(place, life) {
             return;
