A model or service is missing only where routes and service are of one configuration

What callers saw: 404 unknown-model or service-gone, which no client repeats, for requests that both the configuration before and the one after a change allow. Found while looking for relatives of the 404 on a moved route.

A balancer judged a request that one topic had admitted by another of an older or newer configuration: a model that newer routes brought, a model or service that leaves together with its routes, a service that returns.

Change: such a refusal is final only if what is known of routes and service belongs to one configuration; versions tell (a change touches its routes and all services under its own version). Else the request waits for the other topic, at most as long as for a proof of freshness (1.5 s), and then gets 503. What asks for a model that the one configuration lacks is refused at once, as before.

--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -6,6 +6,7 @@
 use crate::fleet::routes::RouteTable;
 use crate::fleet::slice::RouteRow;
 use crate::fleet::tenants::{Credential, KeyDigest, TenantRank};
+use crate::kernel::ids::Version;
 
 /// A request that may be forwarded.
 pub struct Admission {
@@ -58,4 +59,16 @@
             None => Err(RefusalReason::UnknownKey),
         }
     }
+
+    /// Whether the routes that admitted a request and what is known of the service belong to one configuration. Topics of
+    /// one change arrive one by one: a service may seem to lack what the change moves to it, or what it has lost together
+    /// with its routes. A route never leads to a service that its own configuration lacks.
+    pub fn knows_one_configuration(&self, spec: &RequestSpec) -> bool {
+        if spec.path.is_empty() {
+            return true;
+        }
+        let routes_version = self.routes.0.max(spec.routes_version);
+        let config_version = self.slice.as_ref().map_or(Version(0), |slice| slice.config_version);
+        !self.is_withdrawn && self.slice_version >= routes_version && config_version <= routes_version
+    }
 }
--- a/src/gate/nominate.rs
+++ b/src/gate/nominate.rs
@@ -21,6 +21,9 @@
 /// Up to this number of routers, each may pick the best of all runners without overloading it.
 const ROUTERS_COMPARING_ALL: usize = 8;
 
+/// Why a request waits while the routes and its service are known of different configurations.
+pub const PARTLY_KNOWN: &str = "configuration-partly-known";
+
 /// A runner that could take the request now.
 struct Candidate<'a> {
     runner: &'a Runner,
@@ -58,11 +61,15 @@
         if let Err(why) = admitted {
             return RoutingDecision::Refuse(Refusal::new(why, 0));
         }
-        if self.is_withdrawn {
-            return RoutingDecision::Refuse(Refusal::new(RefusalReason::ServiceWithdrawn, 0));
-        }
-        if let Some(r) = unknown(&slice, spec) {
-            return RoutingDecision::Refuse(r);
+        let refusal = match self.is_withdrawn {
+            true => Some(Refusal::new(RefusalReason::ServiceWithdrawn, 0)),
+            false => unknown(&slice, spec),
+        };
+        if let Some(refusal) = refusal {
+            return match self.knows_one_configuration(spec) {
+                true => RoutingDecision::Refuse(refusal),
+                false => RoutingDecision::Wait(PARTLY_KNOWN),
+            };
         }
         let mut found = self.survey_runners(now, &slice, spec, avoid);
         match self.best_candidate(&mut found.candidates) {
--- a/src/gate/waiters.rs
+++ b/src/gate/waiters.rs
@@ -2,6 +2,7 @@
 
 use super::core::{Balancer, NO_RUNNER_WAIT, STALE_CONFIG_WAIT};
 use super::inbox::{QueueKey, WaitingRequest, WakeFn};
+use super::nominate::PARTLY_KNOWN;
 use super::order::{Refusal, RefusalReason, RequestSpec, RoutingDecision};
 use super::wait::retry_s;
 use crate::kernel::ids::Name;
@@ -92,7 +93,7 @@
                 }
             };
             let decision = match decision {
-                RoutingDecision::Wait("not-fresh") if now.since(since) > STALE_CONFIG_WAIT => {
+                RoutingDecision::Wait("not-fresh" | PARTLY_KNOWN) if now.since(since) > STALE_CONFIG_WAIT => {
                     RoutingDecision::Refuse(Refusal::new(RefusalReason::StaleConfiguration, 1))
                 }
                 RoutingDecision::Wait("no-runner") if now.since(since) > NO_RUNNER_WAIT => {
--- a/tests/platform_moved.rs
+++ b/tests/platform_moved.rs
@@ -18,6 +18,7 @@
 const RESUMABLE: &str = "\"streaming\",\"Resumable\":true,\"TargetGapMs\":300";
 const REQUESTS: usize = 4;
 const ROUTES_FIRST: [Topic; 2] = [Topic::Routes, Topic::Services];
+const SERVICES_FIRST: [Topic; 2] = [Topic::Services, Topic::Routes];
 
 /// Where a request is when the change comes.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -137,7 +138,9 @@
 async fn given_requests_that_have_not_run_when_their_route_changes_then_each_is_served_by_the_new_routes() {
     for place in [Place::Body, Place::Queue, Place::Rejected] {
         for change in &changes() {
-            play(place, change, ROUTES_FIRST).await;
+            for order in [ROUTES_FIRST, SERVICES_FIRST] {
+                play(place, change, order).await;
+            }
         }
     }
 }
