A key that becomes a tenant's while its request waits admits the request

What callers saw: 401 unknown-key, which no client repeats, for a request with a key that the newest configuration knows, if it had arrived while no key was needed (no tenants yet, or an open route).

One without a key, or with an unknown one, still gets 401.

Test: platform_moved, given_a_request_that_waits_when_its_key_becomes_known_and_needed: without the change in gate/admission.rs 401, with it 200 and the runner hears the tenant, on the same and on a moved route.

--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -52,7 +52,10 @@
         if row.route.open || table.tenants.is_empty() {
             return Ok(());
         }
-        let Some(credential) = &spec.credential else { return Err(RefusalReason::UnknownKey) };
+        let Some(credential) = &spec.credential else {
+            let is_key_known = spec.key.is_some_and(|key| table.tenants.owner(&key).is_some());
+            return Err(if is_key_known { RefusalReason::RouteChanged } else { RefusalReason::UnknownKey });
+        };
         match table.tenants.owner(&credential.key) {
             Some(owner) if owner.name == credential.tenant.name => Ok(()),
             Some(_) => Err(RefusalReason::KeyReassigned),
--- a/tests/platform_moved.rs
+++ b/tests/platform_moved.rs
@@ -166,3 +166,35 @@
         assert!(site.router.received().iter().all(|heard| heard.runner == FULL_RUNNER), "{place:?}");
     }
 }
+
+/// A configuration whose one route leads to `service`, with these tenants.
+fn with_tenants(service: &str, tenants: &str) -> String {
+    let more = format!(r#","Tenants":[{tenants}]"#);
+    document(&[route("/a/", ONCE, &to(service))], &[FIRST, SECOND], &more)
+}
+
+/// Sends one request with the key `k-1` and returns its connection once it waits for a runner of `FIRST`.
+async fn send_with_key(site: &Site) -> TcpStream {
+    let mut link = site.router.connect().await;
+    let request = head(0, 4).replace("\r\n\r\n", "\r\napi-key: k-1\r\n\r\nbody");
+    link.write_all(request.as_bytes()).await.expect("an open link");
+    site.until_waiting(FIRST, 1).await;
+    link
+}
+
+// Guards against DENIED: a request that came while no key was needed got 401 once its key belonged to a tenant.
+#[tokio::test]
+async fn given_a_request_that_waits_when_its_key_becomes_known_and_needed_then_it_is_served_under_its_tenant()
+{
+    for service in [FIRST, SECOND] {
+        let mut site = Site::start().await;
+        site.configure(&with_tenants(FIRST, ""), &[], ROUTES_FIRST);
+        let mut link = send_with_key(&site).await;
+        let tenants = with_tenants(service, r#"{"Name":"huka","ApiKeys":["k-1"]}"#);
+        site.configure(&tenants, &[(service, FREE_RUNNER)], ROUTES_FIRST);
+        let got = read_answer(&mut link).await;
+        assert_eq!(status(&got), 200, "{service}: {got}");
+        let heard = site.router.received();
+        assert_eq!((heard.len(), heard[0].head("x-tenant")), (1, "huka"), "{service}");
+    }
+}
