--- a/tests/platform_moved.rs
+++ b/tests/platform_moved.rs
@@ -198,3 +198,19 @@
         assert_eq!((heard.len(), heard[0].head("x-tenant")), (1, "huka"), "{service}");
     }
 }
+
+// Guards against a quota that counts a request again each time it is admitted anew.
+#[tokio::test]
+async fn given_a_request_of_a_tenant_with_a_quota_when_its_route_moves_twice_then_the_quota_counts_it_once() {
+    let tenant = r#"{"Name":"huka","ApiKeys":["k-1"],"RatePerS":1,"Burst":9}"#;
+    let mut site = Site::start().await;
+    site.configure(&with_tenants(FIRST, tenant), &[], ROUTES_FIRST);
+    site.grant("huka", 3);
+    let mut link = send_with_key(&site).await;
+    assert_eq!(site.tokens_left(), 2);
+    site.configure(&with_tenants(SECOND, tenant), &[], ROUTES_FIRST);
+    site.until_waiting(SECOND, 1).await;
+    site.configure(&with_tenants(FIRST, tenant), &[(FIRST, FREE_RUNNER)], ROUTES_FIRST);
+    let got = read_answer(&mut link).await;
+    assert_eq!((status(&got), site.tokens_left()), (200, 2), "{got}");
+}
--- a/tests/platform_moved/site.rs
+++ b/tests/platform_moved/site.rs
@@ -2,12 +2,13 @@
 
 use crate::platform_given::read_document;
 use crate::test_router::{LONG, TestRouter, answer, sealed_answer};
+use spindledock::constraints::shares::Grant;
 use spindledock::fleet::FleetConfig;
 use spindledock::fleet::runner::Runner;
 use spindledock::fleet::slice::{RoutesSlice, Slice, service_slice};
 use spindledock::fleet::state::Scope;
 use spindledock::kernel::ids::{Name, Version};
-use spindledock::kernel::time::Clock;
+use spindledock::kernel::time::{Clock, Span};
 use spindledock::standin::raw::Script;
 use std::sync::Arc;
 
@@ -123,6 +124,20 @@
         tokio::time::timeout(LONG, wait).await.expect("requests that wait");
     }
 
+    /// Grants tokens of a tenant's quota to the router.
+    pub fn grant(&self, tenant: &str, tokens: u32) {
+        let now = self.router.clock.now();
+        let valid_until = now + Span::ms(60_000);
+        let grant = Grant { tenant: Name::from(tenant), tokens, valid_until, blocked_until: None };
+        self.router.front.table.quota.lock().expect("the shares").on_granted(now, &[grant]);
+    }
+
+    /// The tokens that the router has left.
+    pub fn tokens_left(&self) -> u64 {
+        let now = self.router.clock.now();
+        self.router.front.table.quota.lock().expect("the shares").outstanding(now)
+    }
+
     /// Lets the services save credit for further attempts.
     pub fn save_retries(&self, count: u64) {
         for balancer in self.router.front.table.balancers() {
