A router whose fleet has no configuration yet answers 503, in place of 404

A relative of the 404 on a moved route: a final refusal by routes that say nothing.

Cause: the empty routes of version 0 are a topic like any other, proven current by the tail; BalancerTable::fresh_routes handed them out.

Change: routes of version 0 are not routes. Requests get 503 not-fresh, and readiness, which asks for the same routes, waits for a configuration, as docs/platform.md says.

The simulator's judge of final refusals also judges those before the first configuration.

--- a/src/gate/table.rs
+++ b/src/gate/table.rs
@@ -151,12 +151,13 @@
         }
     }
 
-    /// The routes with their version, if they are known to be current.
+    /// The routes with their version, if they are of a configuration and known to be current. A fleet without a
+    /// configuration proves its empty routes as well; they say nothing of a request.
     pub fn fresh_routes(&self, now: Time) -> Option<(Version, Arc<RouteTable>)> {
         let row = self.routes.read().unwrap();
         let fresh =
             now.since(row.1) < self.freshness_limit || now < *self.routes_leased_until.read().unwrap();
-        fresh.then(|| (row.0, row.2.clone()))
+        (fresh && row.0 > Version(0)).then(|| (row.0, row.2.clone()))
     }
 
     /// The route of a request; nothing if the routes are not known to be current.
--- a/src/sim/check_denied.rs
+++ b/src/sim/check_denied.rs
@@ -22,7 +22,8 @@
     adapter: String,
 }
 
-/// The requests that were refused for good although each configuration between their arrival and their end allows them.
+/// The requests that were refused for good although each configuration between their arrival and their end allows them,
+/// or before there was any.
 pub fn denied(w: &World, replay: &Replay) -> Bad {
     let mut calls: BTreeMap<u64, Sent> = BTreeMap::new();
     let mut bad = Bad::new();
@@ -35,9 +36,8 @@
             }
             Fact::Ended { call, end: End::Refused, code, .. } if FINAL_CODES.contains(&code.as_str()) => {
                 let Some(sent) = calls.get(call).filter(|_| replay.known(*now)) else { continue };
-                let mut possible = replay.in_force(sent.at, *now).peekable();
-                let is_known = possible.peek().is_some();
-                if is_known && possible.all(|taken| taken.allows(sent.path, &sent.model, &sent.adapter)) {
+                let mut possible = replay.in_force(sent.at, *now);
+                if possible.all(|taken| taken.allows(sent.path, &sent.model, &sent.adapter)) {
                     bad.push(format!(
                         "13 call {call} ({} {}) got {code}, allowed throughout",
                         sent.path, sent.model
--- a/tests/moved_routes.rs
+++ b/tests/moved_routes.rs
@@ -147,3 +147,28 @@
         assert!(!report.codes.contains_key("route-changed"), "{report}");
     });
 }
+
+// Guards against DENIED: routers answered 404 to clients that came before the first configuration.
+#[test]
+fn given_clients_that_come_before_the_first_configuration_when_it_is_taken_then_none_was_refused_for_good() {
+    seeded(1..4, |seed| {
+        let mut w = World::build(vanua(), seed);
+        w.start_all();
+        let core = w.controllers();
+        let up = w.until(Span::ms(20_000), |w| core.iter().all(|n| w.nodes[*n].ready));
+        assert!(up.is_some(), "the core forms");
+        let chat = SimFlow { prefix: "/chat".into(), ..flow(&w, 0, w.now + Span::ms(12_000)) };
+        w.start_flow(chat);
+        w.run_for(Span::ms(3000));
+        let router = w.routers()[0];
+        let id = w.config_op(router, w.plan.config());
+        assert_eq!(w.answer(id, Span::ms(20_000)), Some(200));
+        let id = w.list_op(core[0]);
+        assert_eq!(w.answer(id, Span::ms(5000)), Some(200));
+        w.run_for(Span::ms(30_000));
+        sound(&w);
+        let report = Report::of(&w);
+        assert!(report.codes.contains_key("not-fresh"), "{report}");
+        assert!(!report.codes.contains_key("unknown-route"), "{report}");
+    });
+}
--- a/tests/platform_moved.rs
+++ b/tests/platform_moved.rs
@@ -145,6 +145,22 @@
     }
 }
 
+// Guards against DENIED: a router whose fleet had no configuration yet answered 404 to everything.
+#[tokio::test]
+async fn given_a_fleet_without_a_configuration_when_asked_then_the_answer_is_503_until_there_is_one() {
+    let mut site = Site::start().await;
+    let first = document(&[route("/a/", ONCE, &to(FIRST))], &[FIRST], "");
+    site.take(r#"{"Revision":0,"RouteMap":[],"Backends":[]}"#, &[], Topic::Routes);
+    let got = site.router.get("q1", "/a/x").await;
+    assert_eq!(status(&got), 503, "{got}");
+    assert!(header(&got, "retry-after").is_some(), "{got}");
+    site.configure(&first, &[(FIRST, FREE_RUNNER)], ROUTES_FIRST);
+    let got = site.router.get("q2", "/a/x").await;
+    assert_eq!(status(&got), 200, "{got}");
+    let got = site.router.get("q3", "/b/x").await;
+    assert_eq!(status(&got), 404, "a route that the configuration lacks: {got}");
+}
+
 // Guards against a route that is gone being served all the same.
 #[tokio::test]
 async fn given_requests_that_wait_when_their_route_is_dropped_then_they_get_404_and_none_runs() {
