--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -153,6 +153,7 @@
         is_leaving: AtomicBool::new(false),
         is_stopping: AtomicBool::new(false),
         next_id: AtomicU64::new(1),
+        unknown_routes: AtomicU64::new(0),
         open_requests: AtomicU64::new(0),
         recent: Default::default(),
         clients: ClientConnections::with_limit(clock.clone(), config.machine.client_connections()),
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -48,6 +48,8 @@
         let mut out = gate_metrics(&service.table, service.clock.now());
         out.push_str(&quota_metrics(&service.table, service.clock.now()));
         let _ = writeln!(out, "spindledock_open_orders {}", service.open_requests.load(Ordering::Relaxed));
+        let unknown_routes = service.unknown_routes.load(Ordering::Relaxed);
+        let _ = writeln!(out, "spindledock_refused_unknown_route {unknown_routes}");
         let _ = writeln!(out, "spindledock_bad_frames {}", links.bad_frames.load(Ordering::Relaxed));
         let _ =
             writeln!(out, "spindledock_dropped_letters {}", links.dropped_messages.load(Ordering::Relaxed));
--- a/src/forwarding/request.rs
+++ b/src/forwarding/request.rs
@@ -157,6 +157,7 @@
             ));
         } else {
             balancer.count("refused");
+            r.final_counter().into_iter().for_each(|counter| balancer.count(counter));
             out.push(FlowAction::Refuse(r));
         }
     }
--- a/src/gate/refusal.rs
+++ b/src/gate/refusal.rs
@@ -62,6 +62,17 @@
         }
     }
 
+    /// The counter of final refusals for this reason; nothing if the client may repeat the request.
+    pub fn final_counter(&self) -> Option<&'static str> {
+        match self.reason {
+            RefusalReason::UnknownModel => Some("refused_unknown_model"),
+            RefusalReason::ServiceWithdrawn => Some("refused_service_withdrawn"),
+            RefusalReason::RouteChanged => Some("refused_route_changed"),
+            RefusalReason::UnknownKey => Some("refused_unknown_key"),
+            _ => None,
+        }
+    }
+
     /// The machine-readable code, part of the API.
     pub fn code(&self) -> &'static str {
         match self.reason {
--- a/src/http/readmission.rs
+++ b/src/http/readmission.rs
@@ -9,6 +9,7 @@
 use crate::gate::order::RefusalReason;
 use crate::gate::readmission::CountedTenants;
 use crate::gate::{Refusal, RequestSpec};
+use crate::kernel::ids::Name;
 use hyper::Response;
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -24,6 +25,13 @@
         refusal_answer(&*self.protocols.caller, refusal)
     }
 
+    /// Counts a final refusal at the balancer of the service.
+    pub(super) fn count_final(&self, service: &Name, refusal: &Refusal) {
+        if let (Some(counter), Some(balancer)) = (refusal.final_counter(), self.table.get(service)) {
+            balancer.lock().unwrap().count(counter);
+        }
+    }
+
     /// Waits for a token of the tenant's quota, unless it has counted the request already.
     pub(super) async fn count_request(
         &self,
@@ -80,8 +88,15 @@
         counted: &mut CountedTenants,
     ) -> Result<RequestSpec, Box<Response<AnswerBody>>> {
         let refused = |refusal: &Refusal| Box::new(self.refusal(refusal));
-        let admitted = self.table.readmit(self.clock.now(), earlier);
-        let admitted = admitted.map_err(|reason| refused(&Refusal::new(reason, 1)))?;
+        let admitted = match self.table.readmit(self.clock.now(), earlier) {
+            Ok(admitted) => admitted,
+            Err(reason) => {
+                let retry_s = u64::from(reason == RefusalReason::StaleConfiguration);
+                let refusal = Refusal::new(reason, retry_s);
+                self.count_final(&earlier.service, &refusal);
+                return Err(refused(&refusal));
+            }
+        };
         let body_kb = admitted.row().route.body_kb;
         if request.body_bytes() > (body_kb as usize) << 10 {
             let text = too_large_text(body_kb);
--- a/src/http/request_service.rs
+++ b/src/http/request_service.rs
@@ -37,6 +37,8 @@
     pub next_id: AtomicU64,
     /// How many requests are being received or forwarded; one that is forwarded may count twice.
     pub open_requests: AtomicU64,
+    /// How many requests were refused for good as no route led anywhere.
+    pub unknown_routes: AtomicU64,
     /// The latest admitted requests.
     pub recent: super::recent_requests::RecentRequests,
     /// The connections of clients.
@@ -136,12 +138,12 @@
     /// The answer to a request that the routes do not allow. It does not contain the key.
     fn route_refusal(&self, refusal: &RouteRefusal) -> Response<AnswerBody> {
         let RouteRefusal::UnknownKey(service) = refusal else {
+            self.unknown_routes.fetch_add(1, Ordering::Relaxed);
             let text = "no service has this route; see the configuration";
             return coded_answer(404, "unknown-route", text, 0, "refused");
         };
-        if let Some(balancer) = self.table.get(service) {
-            balancer.lock().unwrap().count("refused_unknown_key");
-        }
-        self.refusal(&Refusal::new(RefusalReason::UnknownKey, 0))
+        let refusal = Refusal::new(RefusalReason::UnknownKey, 0);
+        self.count_final(service, &refusal);
+        self.refusal(&refusal)
     }
 }
--- a/tests/platform_given/test_router.rs
+++ b/tests/platform_given/test_router.rs
@@ -105,6 +105,7 @@
             is_leaving: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
             next_id: AtomicU64::new(1),
+            unknown_routes: AtomicU64::new(0),
             open_requests: AtomicU64::new(0),
             recent: Default::default(),
             clients: ClientConnections::new(clock.clone()),
--- a/tests/platform_moved.rs
+++ b/tests/platform_moved.rs
@@ -153,6 +153,7 @@
     assert_eq!(status(&got), 200, "{got}");
     let got = site.router.get("q3", "/b/x").await;
     assert_eq!(status(&got), 404, "a route that the configuration lacks: {got}");
+    assert_eq!(site.router.front.unknown_routes.load(Ordering::SeqCst), 1);
 }
 
 // Guards against a route that is gone being served all the same.
@@ -171,8 +172,10 @@
         );
         for link in &mut links {
             let _ = link.write_all(if place == Place::Body { b"dy" } else { b"" }).await;
-            assert_eq!(status(&read_answer(link).await), 404, "{place:?}");
+            let got = read_answer(link).await;
+            assert_eq!((status(&got), header(&got, "retry-after")), (404, None), "{place:?}");
         }
+        assert_eq!(site.count(FIRST, "refused_route_changed"), REQUESTS as u64, "{place:?}");
         assert!(site.router.received().iter().all(|heard| heard.runner == FULL_RUNNER), "{place:?}");
     }
 }
--- a/tests/platform_moved/site.rs
+++ b/tests/platform_moved/site.rs
@@ -155,6 +155,13 @@
         tokio::time::timeout(LONG, wait).await.expect("requests that wait");
     }
 
+    /// The counter of this name at the balancer of a service.
+    pub fn count(&self, service: &str, counter: &str) -> u64 {
+        let balancer = self.router.front.table.get(&Name::from(service)).expect("a balancer");
+        let balancer = balancer.lock().expect("a balancer");
+        balancer.counters.get(counter).copied().unwrap_or(0)
+    }
+
     /// Grants tokens of a tenant's quota to the router.
     pub fn grant(&self, tenant: &str, tokens: u32) {
         let now = self.router.clock.now();
