--- a/src/gate/refusal.rs
+++ b/src/gate/refusal.rs
@@ -1,25 +1,42 @@
 //! Why a request is refused, and how its client is told.
+#![deny(missing_docs)]
 
 use crate::kernel::time::Span;
 
 /// Why a request is refused.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum RefusalReason {
+    /// The configuration known here is not proven current, or only a part of it has come.
     StaleConfiguration,
+    /// No runner of the service can be used.
     NoRunner,
+    /// The service offers no such model or adapter.
     UnknownModel,
+    /// Too many requests wait for the service.
     QueueFull,
+    /// It could not be sent before its start deadline.
     DeadlinePassed,
+    /// No credit is left for a further attempt.
     RetryBudgetSpent,
+    /// The router is stopping.
     Stopping,
+    /// The service is not configured any more.
     ServiceWithdrawn,
+    /// More urgent requests took its place in the queue.
     DisplacedByHigherClass,
+    /// The wait is expected to pass its start deadline.
     WaitTooLong,
+    /// The routes that admitted it have changed, and nothing allows it now.
     RouteChanged,
+    /// It has no key that belongs to a tenant, and its route needs one.
     UnknownKey,
+    /// Its key belongs to another tenant now.
     KeyReassigned,
+    /// Its tenant's quota is used up.
     OverQuota,
+    /// Nobody counted its tenant's quota in time.
     QuotaUnknown,
+    /// The runners tried were full.
     RunnersFull,
 }
 
--- a/src/gate/table.rs
+++ b/src/gate/table.rs
@@ -179,65 +179,71 @@
     /// Applies an update of a topic; without a slice it only renews the proof.
     pub fn apply_slice(&self, now: Time, scope: &Scope, at: Version, slice: Option<Slice>, proven: Time) {
         match scope {
-            Scope::Routes => {
-                let mut row = self.routes.write().unwrap();
-                if at >= row.0 {
-                    row.1 = row.1.max(proven);
-                    row.0 = at;
-                    if let Some(Slice::Routes(routes)) = slice {
-                        row.2 = Arc::new(routes.into());
-                    }
-                }
-                let (proven, rows) = (row.1, (row.0, row.2.clone()));
-                drop(row);
-                for balancer in self.balancers() {
-                    let mut balancer = balancer.lock().unwrap();
-                    balancer.routes_proven_at = proven;
-                    if balancer.routes.0 != rows.0 {
-                        balancer.routes = rows.clone();
-                        balancer.route_waiting(now);
-                    }
-                }
+            Scope::Routes => self.apply_routes(now, at, slice, proven),
+            Scope::Candidate => self.apply_candidate(at, slice),
+            Scope::Service(name) => self.apply_service(now, name, at, slice, proven),
+            Scope::Duty => {}
+        }
+    }
+
+    fn apply_routes(&self, now: Time, at: Version, slice: Option<Slice>, proven: Time) {
+        let mut row = self.routes.write().unwrap();
+        if at >= row.0 {
+            row.1 = row.1.max(proven);
+            row.0 = at;
+            if let Some(Slice::Routes(routes)) = slice {
+                row.2 = Arc::new(routes.into());
+            }
+        }
+        let (proven, rows) = (row.1, (row.0, row.2.clone()));
+        drop(row);
+        for balancer in self.balancers() {
+            let mut balancer = balancer.lock().unwrap();
+            balancer.routes_proven_at = proven;
+            if balancer.routes.0 != rows.0 {
+                balancer.routes = rows.clone();
+                balancer.route_waiting(now);
             }
-            Scope::Candidate => {
-                let mut row = self.candidate.lock().unwrap();
-                if let (true, Some(Slice::Candidate(t))) = (at >= row.0, slice) {
-                    *row = (at, t);
-                }
+        }
+    }
+
+    fn apply_candidate(&self, at: Version, slice: Option<Slice>) {
+        let mut row = self.candidate.lock().unwrap();
+        if let (true, Some(Slice::Candidate(candidate))) = (at >= row.0, slice) {
+            *row = (at, candidate);
+        }
+    }
+
+    fn apply_service(&self, now: Time, name: &Name, at: Version, slice: Option<Slice>, proven: Time) {
+        let balancer = self.balancer_or_new(name);
+        let (routes_proven, rows) = {
+            let row = self.routes.read().unwrap();
+            (row.1, (row.0, row.2.clone()))
+        };
+        let mut balancer = balancer.lock().unwrap();
+        if at < balancer.slice_version {
+            return;
+        }
+        let stale = !balancer.is_fresh(now);
+        balancer.proven_at = balancer.proven_at.max(proven);
+        balancer.routes_proven_at = balancer.routes_proven_at.max(routes_proven);
+        balancer.routes_leased_until = *self.routes_leased_until.read().unwrap();
+        balancer.routes = rows;
+        match slice {
+            Some(Slice::Service(slice)) => {
+                self.learn_limits(&slice);
+                self.mark_leaving_runners(&mut balancer, &slice);
+                balancer.apply_slice(at, *slice, now);
+                self.apply_known_holdings(&mut balancer, now);
+                balancer.route_waiting(now);
             }
-            Scope::Service(name) => {
-                let balancer = self.balancer_or_new(name);
-                let (routes, rows) = {
-                    let r = self.routes.read().unwrap();
-                    (r.1, (r.0, r.2.clone()))
-                };
-                let mut balancer = balancer.lock().unwrap();
-                if at < balancer.slice_version {
-                    return;
-                }
-                let stale = !balancer.is_fresh(now);
-                balancer.proven_at = balancer.proven_at.max(proven);
-                balancer.routes_proven_at = balancer.routes_proven_at.max(routes);
-                balancer.routes_leased_until = *self.routes_leased_until.read().unwrap();
-                balancer.routes = rows;
-                match slice {
-                    Some(Slice::Service(slice)) => {
-                        self.learn_limits(&slice);
-                        self.mark_leaving_runners(&mut balancer, &slice);
-                        balancer.apply_slice(at, *slice, now);
-                        self.apply_known_holdings(&mut balancer, now);
-                        balancer.route_waiting(now);
-                    }
-                    Some(Slice::Gone) => {
-                        balancer.is_withdrawn = true;
-                        balancer.slice_version = at;
-                        balancer.route_waiting(now);
-                    }
-                    _ if stale => balancer.route_waiting(now),
-                    _ => {}
-                }
+            Some(Slice::Gone) => {
+                balancer.is_withdrawn = true;
+                balancer.slice_version = at;
+                balancer.route_waiting(now);
             }
-            Scope::Duty => {}
+            _ if stale => balancer.route_waiting(now),
+            _ => {}
         }
     }
 }
