Readiness of routers stays as it was; the routes of a router have a module of their own

Cause: the launcher and that test wait for all nodes to be ready before they send the first configuration, and since "A router whose fleet has no configuration yet answers 503" readiness waited for one. Readiness asks again whether what is known is current (BalancerTable::are_routes_current), requests whether there are routes.

--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -34,7 +34,7 @@
             return Err("this node is stopping".to_string());
         }
         let fine = match role {
-            Role::Router => service.table.fresh_routes(service.clock.now()).is_some(),
+            Role::Router => service.table.are_routes_current(service.clock.now()),
             Role::Controller => is_ready.load(Ordering::SeqCst),
         };
         if fine {
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod budget;
 pub mod core;
+pub mod current_routes;
 pub mod health;
 pub mod held;
 pub mod inbox;
--- a/src/gate/table.rs
+++ b/src/gate/table.rs
@@ -6,7 +6,7 @@
 use crate::fleet::config::Limits;
 use crate::fleet::holdings::RunnerHoldings;
 use crate::fleet::routes::RouteTable;
-use crate::fleet::slice::{RouteRow, ServiceSlice, Slice};
+use crate::fleet::slice::{ServiceSlice, Slice};
 use crate::fleet::state::{Candidate, Scope};
 use crate::kernel::ids::*;
 use crate::kernel::registry::Service;
@@ -22,7 +22,7 @@
     /// How long a proof that the configuration is current stays valid.
     pub freshness_limit: Span,
     balancers: RwLock<BTreeMap<Name, Arc<Mutex<Balancer>>>>,
-    routes: RwLock<(Version, Time, Arc<RouteTable>)>,
+    pub(super) routes: RwLock<(Version, Time, Arc<RouteTable>)>,
     pub(super) routes_leased_until: RwLock<Time>,
     candidate: Mutex<(Version, Option<Candidate>)>,
     pub(super) leaving_runners: Mutex<BTreeSet<Name>>,
@@ -151,31 +151,11 @@
         }
     }
 
-    /// The routes with their version, if they are of a configuration and known to be current. A fleet without a
-    /// configuration proves its empty routes as well; they say nothing of a request.
-    pub fn fresh_routes(&self, now: Time) -> Option<(Version, Arc<RouteTable>)> {
-        let row = self.routes.read().unwrap();
-        let fresh =
-            now.since(row.1) < self.freshness_limit || now < *self.routes_leased_until.read().unwrap();
-        (fresh && row.0 > Version(0)).then(|| (row.0, row.2.clone()))
-    }
-
-    /// The route of a request; nothing if the routes are not known to be current.
-    pub fn find_route(&self, now: Time, host: &str, path: &str) -> Option<(Version, Option<RouteRow>)> {
-        let (at, rows) = self.fresh_routes(now)?;
-        Some((at, rows.find(host, path).cloned()))
-    }
-
     /// The candidate configuration that is rehearsed, with the version of its topic.
     pub fn candidate(&self) -> (Version, Option<Candidate>) {
         self.candidate.lock().unwrap().clone()
     }
 
-    /// Version of the newest routes.
-    pub fn routes_version(&self) -> Version {
-        self.routes.read().unwrap().0
-    }
-
     /// Applies an update of a topic; without a slice it only renews the proof.
     pub fn apply_slice(&self, now: Time, scope: &Scope, at: Version, slice: Option<Slice>, proven: Time) {
         match scope {
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -60,7 +60,7 @@
 route-again|src/gate/admission.rs|if spec.routes_version >= self.routes.0|if true|turn their_route_is_dropped
 readmitted|src/gate/nominate.rs|return RoutingDecision::Readmit;|return RoutingDecision::Refuse(Refusal::new(RefusalReason::RouteChanged, 0));|platform_moved served_by_the_new_routes
 counted-once|src/gate/readmission.rs| \|\| self.0.contains\(&tenant.name\)||platform_moved_keys counts_it_once
-known-routes|src/gate/table.rs|\(fresh && row.0 > Version\(0\)\)|(fresh)|platform_moved fleet_without_a_configuration
+known-routes|src/gate/current_routes.rs|\(row.0 > Version\(0\)\)|(true)|platform_moved fleet_without_a_configuration
 one-configuration|src/gate/admission.rs|if spec.path.is_empty\(\) \{\s+return true;|if true { return true;|partial_configuration requests_wait_for
 key-known|src/gate/admission.rs|if credential.is_none\(\) && !row.route.open|if false|platform_keys has_no_known_key
 key-last-check|src/gate/admission.rs|None => Err\(RefusalReason::UnknownKey\),|None => Ok(()),|tenants none_begins_after_the_change
